--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,6 @@
+//! The coordination layer: decisions as structs that take `(now, event)` and return typed actions.
+//!
+//! Nothing here does I/O or reads a clock; time and randomness are passed in.
+
+pub mod decisions;
+pub mod membership;
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,3 @@
+//! One daemon: the assembly of all layers into running tasks.
+
+pub mod core;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! A model-aware router for versions and cascades: like daemons between callers and upstreams.
+//!
+//! Layers call only to their right: `transport` (sockets, HTTP, peer links) → `protocol` (typed
+//! messages and codecs) → `coordination` (decisions, free of I/O) → `state` (objects, snapshots,
+//! counts). `daemon` assembles them into one process.
+
+pub mod clock;
+pub mod coordination;
+pub mod daemon;
+pub mod protocol;
+pub mod settings;
+pub mod state;
+pub mod transport;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The command `hibiscusyoke`.
+
+fn main() {}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,3 @@
+//! The protocol layer: typed messages and their codecs.
+
+pub mod peer;
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,4 @@
+//! The state layer: configuration objects, checked snapshots and tables of counts.
+
+pub mod objects;
+pub mod snapshot;
--- /dev/null
+++ b/src/state/snapshot.rs
@@ -0,0 +1,82 @@
+//! A published configuration, checked and indexed, immutable while requests use it.
+
+use std::collections::HashMap;
+
+use crate::state::objects::{
+    Customer, CustomerName, KeyHash, Objects, Offer, ServiceName, ServiceState, Upstream,
+    UpstreamName, VersionName,
+};
+
+/// The number of a published configuration; it only grows, and 0 stands for none.
+pub type Generation = u64;
+
+/// One published configuration with the indexes that routing needs.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Its number.
+    pub generation: Generation,
+    /// The objects.
+    pub objects: Objects,
+    customers_by_key: HashMap<KeyHash, CustomerName>,
+    upstreams_by_version: HashMap<VersionName, Vec<UpstreamName>>,
+    upstreams_by_service: HashMap<ServiceName, Vec<UpstreamName>>,
+}
+
+impl Snapshot {
+    /// Indexes `objects`, which must have been checked.
+    pub fn new(generation: Generation, objects: Objects) -> Self {
+        let mut snapshot = Self {
+            generation,
+            ..Self::default()
+        };
+        for (name, customer) in &objects.customers {
+            for key in &customer.keys {
+                snapshot.customers_by_key.insert(key.clone(), name.clone());
+            }
+        }
+        for (name, upstream) in &objects.upstreams {
+            match &upstream.offer {
+                Offer::Engine { versions, .. } => {
+                    for version in versions {
+                        let names = &mut snapshot.upstreams_by_version;
+                        names.entry(version.clone()).or_default().push(name.clone());
+                    }
+                }
+                Offer::Service { service, .. } => {
+                    let names = &mut snapshot.upstreams_by_service;
+                    names.entry(service.clone()).or_default().push(name.clone());
+                }
+            }
+        }
+        snapshot.objects = objects;
+        snapshot
+    }
+
+    /// The customer that owns the key with this hash.
+    pub fn customer_by_key(&self, hash: &str) -> Option<(&CustomerName, &Customer)> {
+        let name = self.customers_by_key.get(hash)?;
+        self.objects.customers.get_key_value(name)
+    }
+
+    /// The upstreams that may run `version`, in name order, whether or not they take work now.
+    pub fn engines(&self, version: &str) -> &[UpstreamName] {
+        self.upstreams_by_version
+            .get(version)
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// The upstreams of a plain service, in name order, whether or not they take work now.
+    pub fn servers(&self, service: &str) -> &[UpstreamName] {
+        self.upstreams_by_service
+            .get(service)
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// The upstream if it and its failure domain are in service.
+    pub fn in_service(&self, upstream: &str) -> Option<&Upstream> {
+        let upstream = self.objects.upstreams.get(upstream)?;
+        let domain = self.objects.failure_domains.get(&upstream.failure_domain)?;
+        let taken = upstream.state == ServiceState::In && domain.state == ServiceState::In;
+        taken.then_some(upstream)
+    }
+}
--- /dev/null
+++ b/src/transport/http_client.rs
@@ -0,0 +1,314 @@
+//! An HTTP/1.1 client for one address, with its own connection pool and a deadline for each step.
+//!
+//! A pooled connection that has gone silent is noticed by a missed deadline; all idle connections
+//! of the address are then dropped, so that the next call opens a fresh one.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::{Request, Response, StatusCode, header::HOST, response::Parts};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+/// The greatest number of idle connections kept for one address.
+const MAX_IDLE: usize = 64;
+
+/// The step of an exchange at which an error arose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Step {
+    /// Opening the connection.
+    Connect,
+    /// Sending the request and waiting for the response's head.
+    Head,
+    /// Reading the response's body.
+    Body,
+}
+
+/// Whether any byte of the request may have reached the peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Sent {
+    /// Certainly not.
+    No,
+    /// Perhaps.
+    Maybe,
+}
+
+/// A failed exchange, with the step and the peer.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{step} {peer}: {reason}")]
+pub struct HttpError {
+    /// Where it failed.
+    pub step: Step,
+    /// With whom.
+    pub peer: SocketAddr,
+    /// Whether the peer may have acted.
+    pub sent: Sent,
+    /// Whether a deadline was missed, which a silent connection explains.
+    pub timed_out: bool,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// How long each step may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Opening the connection.
+    pub connect: Duration,
+    /// From the sending of the request to the response's head.
+    pub head: Duration,
+    /// Between two parts of the body.
+    pub chunk: Duration,
+}
+
+/// Which connection a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle one if there is one.
+    Idle,
+    /// A new one, because an idle one may have gone silent.
+    Fresh,
+}
+
+/// The client of one address; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    peer: SocketAddr,
+    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
+}
+
+/// A response whose head has come.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The response's head.
+    pub head: Parts,
+    body: Incoming,
+    sender: Option<SendRequest<Full<Bytes>>>,
+    client: HttpClient,
+    chunk: Duration,
+}
+
+impl HttpClient {
+    /// A client without connections.
+    pub fn new(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            idle: Arc::default(),
+        }
+    }
+
+    /// The address.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Drops all idle connections.
+    pub fn forget_idle(&self) {
+        self.lock().clear();
+    }
+
+    /// Sends a request and waits for the response's head.
+    pub async fn send(
+        &self,
+        mut req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        timeouts: Timeouts,
+    ) -> Result<Exchange, HttpError> {
+        self.set_host(&mut req);
+        if reuse == Reuse::Idle {
+            while let Some(mut sender) = self.take_idle() {
+                match self.exchange(&mut sender, req, timeouts.head).await {
+                    Ok(res) => return Ok(self.begin(res, sender, timeouts.chunk)),
+                    Err(Failure::Unsent(returned)) => req = *returned,
+                    Err(Failure::Final(e)) => return Err(e),
+                }
+            }
+        }
+        let mut sender = self.connect(timeouts.connect).await?;
+        match self.exchange(&mut sender, req, timeouts.head).await {
+            Ok(res) => Ok(self.begin(res, sender, timeouts.chunk)),
+            Err(Failure::Unsent(_)) => {
+                Err(self.error(Step::Head, Sent::No, false, "closed before the request"))
+            }
+            Err(Failure::Final(e)) => Err(e),
+        }
+    }
+
+    async fn connect(&self, limit: Duration) -> Result<SendRequest<Full<Bytes>>, HttpError> {
+        let failed = |timed_out, reason: &dyn ToString| {
+            self.error(Step::Connect, Sent::No, timed_out, &reason.to_string())
+        };
+        let stream = timeout(limit, TcpStream::connect(self.peer))
+            .await
+            .map_err(|e| failed(true, &e))?
+            .map_err(|e| failed(false, &e))?;
+        stream.set_nodelay(true).map_err(|e| failed(false, &e))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| failed(false, &e))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    async fn exchange(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Failure> {
+        match timeout(limit, sender.try_send_request(req)).await {
+            Ok(Ok(res)) => Ok(res),
+            Ok(Err(mut e)) => {
+                if let Some(req) = e.take_message() {
+                    return Err(Failure::Unsent(Box::new(req)));
+                }
+                let reason = e.error().to_string();
+                Err(self
+                    .error(Step::Head, Sent::Maybe, false, &reason)
+                    .into_failure())
+            }
+            Err(_) => {
+                self.forget_idle();
+                Err(self
+                    .error(Step::Head, Sent::Maybe, true, "no response in time")
+                    .into_failure())
+            }
+        }
+    }
+
+    fn begin(
+        &self,
+        res: Response<Incoming>,
+        sender: SendRequest<Full<Bytes>>,
+        chunk: Duration,
+    ) -> Exchange {
+        let (head, body) = res.into_parts();
+        Exchange {
+            head,
+            body,
+            sender: Some(sender),
+            client: self.clone(),
+            chunk,
+        }
+    }
+
+    fn set_host(&self, req: &mut Request<Full<Bytes>>) {
+        if let Ok(host) = self.peer.to_string().parse() {
+            req.headers_mut().insert(HOST, host);
+        }
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.lock();
+        while let Some(sender) = idle.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn put_idle(&self, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.lock();
+        if idle.len() < MAX_IDLE && !sender.is_closed() {
+            idle.push(sender);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<SendRequest<Full<Bytes>>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn error(&self, step: Step, sent: Sent, timed_out: bool, reason: &str) -> HttpError {
+        HttpError {
+            step,
+            peer: self.peer,
+            sent,
+            timed_out,
+            reason: reason.into(),
+        }
+    }
+}
+
+impl Exchange {
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
+    }
+
+    /// A header's value, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// The next part of the body, or `None` at its end; waits no longer than the chunk timeout.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, HttpError> {
+        self.chunk_within(self.chunk).await
+    }
+
+    /// The next part of the body, or `None` at its end; waits no longer than `limit`.
+    pub async fn chunk_within(&mut self, limit: Duration) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            let Ok(frame) = timeout(limit, self.body.frame()).await else {
+                self.client.forget_idle();
+                return Err(self.failed(true, "no data in time"));
+            };
+            match frame {
+                None => {
+                    if let Some(sender) = self.sender.take() {
+                        self.client.put_idle(sender);
+                    }
+                    return Ok(None);
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(e)) => return Err(self.failed(false, &e.to_string())),
+            }
+        }
+    }
+
+    /// The whole body, refused when longer than `limit` bytes.
+    pub async fn bytes(&mut self, limit: usize) -> Result<Bytes, HttpError> {
+        let mut whole = Vec::new();
+        while let Some(part) = self.chunk().await? {
+            if whole.len() + part.len() > limit {
+                return Err(self.failed(false, "body over the limit"));
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.into())
+    }
+
+    fn failed(&self, timed_out: bool, reason: &str) -> HttpError {
+        self.client
+            .error(Step::Body, Sent::Maybe, timed_out, reason)
+    }
+}
+
+/// Why an exchange on one connection failed.
+enum Failure {
+    /// The connection had been closed; the request comes back unsent.
+    Unsent(Box<Request<Full<Bytes>>>),
+    /// Anything else.
+    Final(HttpError),
+}
+
+impl HttpError {
+    fn into_failure(self) -> Failure {
+        Failure::Final(self)
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,5 @@
+//! The transport layer: sockets, HTTP servers and clients, links between peers.
+
+pub mod http_client;
+pub mod peers;
+pub mod table;
--- /dev/null
+++ b/src/transport/table.rs
@@ -0,0 +1,171 @@
+//! The client of the transactional table service.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use platform_api::table::{
+    COMMIT_PATH, CommitOutcome, CommitRequest, Key, READ_PATH, ReadRequest, Row, Rows, SCAN_PATH,
+    ScanRequest,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::transport::http_client::{HttpClient, HttpError, Reuse, Sent, Timeouts};
+
+/// The greatest number of rows asked for at once.
+const PAGE_ROWS: usize = 500;
+
+/// The greatest length of an answer.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(500),
+    head: Duration::from_millis(1_000),
+    chunk: Duration::from_millis(1_000),
+};
+
+/// Why a call to the table failed.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum TableError {
+    /// The call had certainly no effect.
+    #[error("table did not act: {0}")]
+    NotDone(HttpError),
+    /// A commit may or may not have taken effect.
+    #[error("table outcome unknown: {0}")]
+    Unknown(HttpError),
+    /// The table refused the call, without effect.
+    #[error("table {peer} refused: status {status}")]
+    Refused {
+        /// The table's address.
+        peer: SocketAddr,
+        /// The HTTP status.
+        status: StatusCode,
+    },
+    /// The answer could not be read; a commit may have taken effect.
+    #[error("table {peer} answered nonsense: {reason}")]
+    Answer {
+        /// The table's address.
+        peer: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+impl TableError {
+    /// Whether the call certainly had no effect.
+    pub fn not_done(&self) -> bool {
+        matches!(self, Self::NotDone(_) | Self::Refused { .. })
+    }
+}
+
+/// The client; clones share connections.
+#[derive(Clone, Debug)]
+pub struct TableClient {
+    http: HttpClient,
+}
+
+impl TableClient {
+    /// A client of the table at `address`; connections are opened on demand.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::new(address),
+        }
+    }
+
+    /// Reads rows by key; absent rows are left out.
+    pub async fn read(&self, keys: Vec<Key>) -> Result<Vec<Row>, TableError> {
+        let answer: Rows = self.idempotent(READ_PATH, &ReadRequest { keys }).await?;
+        Ok(answer.rows)
+    }
+
+    /// Reads one row.
+    pub async fn read_one(&self, key: &str) -> Result<Option<Row>, TableError> {
+        Ok(self.read(vec![key.into()]).await?.pop())
+    }
+
+    /// Reads all rows whose keys begin with `prefix`, page by page; pages are not one view.
+    pub async fn scan(&self, prefix: &str) -> Result<Vec<Row>, TableError> {
+        self.scan_after(prefix, "").await
+    }
+
+    /// Reads all rows whose keys begin with `prefix` and are greater than `after`, page by page.
+    pub async fn scan_after(&self, prefix: &str, after: &str) -> Result<Vec<Row>, TableError> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows
+                .last()
+                .map_or_else(|| after.into(), |row| row.key.clone());
+            let page: Rows = self
+                .idempotent(
+                    SCAN_PATH,
+                    &ScanRequest {
+                        prefix: prefix.into(),
+                        after,
+                        limit: PAGE_ROWS,
+                    },
+                )
+                .await?;
+            rows.extend(page.rows);
+            if !page.more {
+                return Ok(rows);
+            }
+        }
+    }
+
+    /// Commits once; after [`TableError::Unknown`] the caller must read to learn what happened.
+    pub async fn commit(&self, req: &CommitRequest) -> Result<CommitOutcome, TableError> {
+        self.call(COMMIT_PATH, req, Reuse::Idle).await
+    }
+
+    async fn idempotent<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        req: &Q,
+    ) -> Result<A, TableError> {
+        match self.call(path, req, Reuse::Idle).await {
+            Err(TableError::Unknown(_)) => self.call(path, req, Reuse::Fresh).await,
+            other => other,
+        }
+    }
+
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        req: &Q,
+        reuse: Reuse,
+    ) -> Result<A, TableError> {
+        let body = serde_json::to_vec(req).map_err(|e| self.nonsense(&e))?;
+        let req = Request::post(path)
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| self.nonsense(&e))?;
+        let mut exchange = self
+            .http
+            .send(req, reuse, TIMEOUTS)
+            .await
+            .map_err(Self::sort)?;
+        if exchange.status() != StatusCode::OK {
+            return Err(TableError::Refused {
+                peer: self.http.peer(),
+                status: exchange.status(),
+            });
+        }
+        let body = exchange.bytes(MAX_BODY_BYTES).await.map_err(Self::sort)?;
+        serde_json::from_slice(&body).map_err(|e| self.nonsense(&e))
+    }
+
+    fn sort(e: HttpError) -> TableError {
+        match e.sent {
+            Sent::No => TableError::NotDone(e),
+            Sent::Maybe => TableError::Unknown(e),
+        }
+    }
+
+    fn nonsense(&self, reason: &dyn ToString) -> TableError {
+        TableError::Answer {
+            peer: self.http.peer(),
+            reason: reason.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
