Peers: authenticated h2 links that notice silence

Cause: daemons need calls to one another; a connection between them may go silent for good. A caller proves the fleet key before the server says anything derived from it, then the server proves it. A connection not heard from for a second is pinged before use (nothing sent yet, so moving to a fresh one is safe); a call without an answer for 500 ms has its connection pinged and fails as Call at about one second. Only refused streams and failures before the send are repeated. Core::new builds the links with the daemon's name and fleet key.

--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -48,6 +48,7 @@
     pub fn new(settings: Settings, clock: SharedClock, incarnation: Incarnation) -> Self {
         let decisions = DecisionLog::new(settings.name.clone(), DECISION_CAPACITY);
         let table = TableClient::new(settings.platform.table);
+        let peers = Peers::new(settings.name.clone(), &settings.fleet_key);
         let own = Member {
             name: settings.name.clone(),
             incarnation,
@@ -62,7 +63,7 @@
             clock,
             incarnation,
             table,
-            peers: Peers::default(),
+            peers,
             snapshot: watch::Sender::default(),
             members: watch::Sender::new(Arc::from([own])),
             leaving: watch::Sender::new(false),
--- /dev/null
+++ b/src/transport/peers/connection.rs
@@ -0,0 +1,270 @@
+//! One authenticated `h2` connection to a peer, watched for silence.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use h2::{
+    Ping, PingPong, Reason, RecvStream,
+    client::{self, SendRequest},
+};
+use http::{Method, Request};
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at},
+};
+
+use crate::{
+    protocol::codec::MAX_MESSAGE_BYTES,
+    transport::peers::{
+        CALL_URI,
+        auth::{FleetKey, prove_as_caller},
+    },
+};
+
+/// How long a new connection may take until it is authenticated.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A connection heard from more recently than this is used without a ping.
+const FRESH: Duration = Duration::from_millis(1_000);
+/// How long an answer may be awaited before the connection is pinged.
+const PING_AFTER: Duration = Duration::from_millis(500);
+/// How long a pong may take.
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection without a call for this long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How often a connection is checked for idleness.
+const IDLE_CHECK: Duration = Duration::from_secs(5);
+/// The number of pings that may be asked for at once.
+const PING_QUEUE: usize = 32;
+/// The flow-control window of one stream.
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+/// The flow-control window of a connection.
+const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
+
+/// Why a call on one connection failed.
+#[derive(Debug)]
+pub(super) enum CallFailure {
+    /// The peer certainly did not act.
+    NotSent(String),
+    /// The peer may have acted.
+    Unknown(String),
+}
+
+/// An open connection; clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct Connection {
+    sender: SendRequest<Bytes>,
+    pings: mpsc::Sender<oneshot::Sender<()>>,
+    activity: Arc<Activity>,
+}
+
+/// When a connection was last heard from and last used.
+#[derive(Debug)]
+struct Activity {
+    opened: Instant,
+    heard_ms: AtomicU64,
+    used_ms: AtomicU64,
+    closed: AtomicBool,
+}
+
+impl Activity {
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn mark(&self, mark: &AtomicU64) {
+        mark.store(self.elapsed_ms(), Ordering::Relaxed);
+    }
+
+    fn since(&self, mark: &AtomicU64) -> Duration {
+        let at = mark.load(Ordering::Relaxed);
+        Duration::from_millis(self.elapsed_ms().saturating_sub(at))
+    }
+}
+
+impl Connection {
+    /// Connects, proves the fleet key both ways and begins HTTP/2.
+    pub(super) async fn open(addr: SocketAddr, key: &FleetKey) -> io::Result<Self> {
+        timeout(OPEN_TIMEOUT, Self::handshake(addr, key))
+            .await
+            .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "handshake timed out"))?
+    }
+
+    async fn handshake(addr: SocketAddr, key: &FleetKey) -> io::Result<Self> {
+        let mut stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        prove_as_caller(key, &mut stream).await?;
+        let (sender, connection) = client::Builder::new()
+            .enable_push(false)
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .handshake(stream)
+            .await
+            .map_err(io::Error::other)?;
+        let (pings, ping_requests) = mpsc::channel(PING_QUEUE);
+        let activity = Arc::new(Activity {
+            opened: Instant::now(),
+            heard_ms: AtomicU64::new(0),
+            used_ms: AtomicU64::new(0),
+            closed: AtomicBool::new(false),
+        });
+        tokio::spawn(drive(connection, ping_requests, activity.clone()));
+        Ok(Self {
+            sender,
+            pings,
+            activity,
+        })
+    }
+
+    /// Whether the connection is known to have ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.activity.closed.load(Ordering::Acquire)
+    }
+
+    /// Whether the peer was heard from just now, or answers a ping.
+    pub(super) async fn is_live(&self) -> bool {
+        if self.is_closed() {
+            return false;
+        }
+        if self.activity.since(&self.activity.heard_ms) < FRESH {
+            return true;
+        }
+        self.ping().await
+    }
+
+    async fn ping(&self) -> bool {
+        let (tx, rx) = oneshot::channel();
+        if self.pings.send(tx).await.is_err() {
+            return false;
+        }
+        rx.await.is_ok()
+    }
+
+    /// Sends one call on a stream of its own and returns the answer's body.
+    pub(super) async fn call(&self, body: Bytes, deadline: Instant) -> Result<Bytes, CallFailure> {
+        self.activity.mark(&self.activity.used_ms);
+        let not_sent = |e: &dyn ToString| CallFailure::NotSent(e.to_string());
+        let mut sender = timeout_at(deadline, self.sender.clone().ready())
+            .await
+            .map_err(|e| not_sent(&e))?
+            .map_err(|e| not_sent(&e))?;
+        let (head, mut stream) = sender
+            .send_request(request(), false)
+            .map_err(|e| not_sent(&e))?;
+        stream
+            .send_data(body, true)
+            .map_err(|e| CallFailure::Unknown(e.to_string()))?;
+        let answer = async {
+            let res = head.await?;
+            read_body(res.into_body()).await
+        };
+        let watched = async {
+            tokio::select! {
+                answer = answer => answer.map_err(classify),
+                () = self.watch_silence() => Err(CallFailure::Unknown("connection went silent".into())),
+            }
+        };
+        let Ok(answer) = timeout_at(deadline, watched).await else {
+            return Err(CallFailure::Unknown("no answer in time".into()));
+        };
+        if answer.is_ok() {
+            self.activity.mark(&self.activity.heard_ms);
+            self.activity.mark(&self.activity.used_ms);
+        }
+        answer
+    }
+
+    /// Returns once the peer no longer answers pings.
+    async fn watch_silence(&self) {
+        loop {
+            sleep(PING_AFTER).await;
+            if !self.ping().await {
+                return;
+            }
+            self.activity.mark(&self.activity.used_ms);
+        }
+    }
+}
+
+fn request() -> Request<()> {
+    let mut req = Request::new(());
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static(CALL_URI);
+    *req.version_mut() = http::Version::HTTP_2;
+    req
+}
+
+/// Reads a whole body within the message limit.
+pub(super) async fn read_body(mut body: RecvStream) -> Result<Bytes, h2::Error> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part?;
+        if whole.len() + part.len() > MAX_MESSAGE_BYTES {
+            return Err(Reason::ENHANCE_YOUR_CALM.into());
+        }
+        body.flow_control().release_capacity(part.len())?;
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
+/// A refused stream was never acted on; of any other failure that cannot be said.
+fn classify(e: h2::Error) -> CallFailure {
+    if e.reason() == Some(Reason::REFUSED_STREAM) {
+        return CallFailure::NotSent(e.to_string());
+    }
+    CallFailure::Unknown(e.to_string())
+}
+
+/// Drives the connection's I/O until it ends, goes silent or has been idle for long.
+async fn drive(
+    mut connection: client::Connection<TcpStream, Bytes>,
+    mut ping_requests: mpsc::Receiver<oneshot::Sender<()>>,
+    activity: Arc<Activity>,
+) {
+    let Some(mut ping_pong) = connection.ping_pong() else {
+        return;
+    };
+    let mut idle_check = interval(IDLE_CHECK);
+    idle_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = &mut connection => break,
+            waiter = ping_requests.recv() => {
+                let Some(waiter) = waiter else { break };
+                if !pong_comes(&mut connection, &mut ping_pong).await {
+                    break;
+                }
+                activity.mark(&activity.heard_ms);
+                let _ = waiter.send(());
+                while let Ok(waiter) = ping_requests.try_recv() {
+                    let _ = waiter.send(());
+                }
+            }
+            _ = idle_check.tick() => {
+                if activity.since(&activity.used_ms) > IDLE_TIMEOUT {
+                    break;
+                }
+            }
+        }
+    }
+    activity.closed.store(true, Ordering::Release);
+}
+
+async fn pong_comes(
+    connection: &mut client::Connection<TcpStream, Bytes>,
+    ping_pong: &mut PingPong,
+) -> bool {
+    tokio::select! {
+        _ = connection => false,
+        pong = timeout(PING_TIMEOUT, ping_pong.ping(Ping::opaque())) => matches!(pong, Ok(Ok(_))),
+    }
+}
