Membership: SWIM-like probes, suspicion and gossip over authenticated datagrams

Cause: daemons must know one another without a coordination service, all-to-all heartbeats or a trusted list. One probe a second, three indirect probes, suspicion of 1.2 s refuted by revision, changes piggybacked 3 log2(n) times, state changes also sent at once to four others, tables compared by digest and synchronised. The later start of a name supersedes the earlier by its start stamp; a starting daemon moves its stamp past an apparently later one, and an old process yields to a later start.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership/mod.rs
@@ -1,4 +1,6 @@
-//! Who is in the fleet.
+//! Who is in the fleet: SWIM-like probes, suspicion and gossip.
+//!
+//! [`swim::Swim`] holds the decisions; it sends one probe a period, however large the fleet.
 
 use std::net::SocketAddr;
 
@@ -8,6 +10,16 @@
 
 use crate::state::{objects::DomainName, snapshot::Generation};
 
+mod prober;
+mod quorum;
+mod record;
+mod rumors;
+pub mod swim;
+mod table;
+
+pub use quorum::Standing;
+pub use record::{Body, Message, Outgoing, Record, Revision, Seed, Seq, StartedMs};
+
 /// The name of a daemon.
 pub type DaemonName = CompactString;
 
--- /dev/null
+++ b/src/coordination/membership/quorum.rs
@@ -0,0 +1,62 @@
+//! Whether this daemon is likely to be on the side of the majority.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::{Duration, Instant},
+};
+
+use crate::coordination::membership::{DaemonName, Member};
+
+/// How long the outcome of a probe counts.
+const WINDOW: Duration = Duration::from_secs(6);
+
+/// How a daemon stands in the fleet; decides what it may do as an owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether most of the known daemons are believed reachable and most of the latest probes
+    /// were answered.
+    pub majority: bool,
+    /// Since when the daemon has run without a pause and without being declared dead.
+    pub steady_since: Instant,
+    /// Daemons that may be alive out of reach: named by the instance list, or dead lately.
+    pub unreachable: BTreeSet<DaemonName>,
+}
+
+/// The outcomes of the latest probes.
+#[derive(Debug, Default)]
+pub(super) struct Outcomes {
+    latest: VecDeque<(Instant, bool)>,
+}
+
+impl Outcomes {
+    pub(super) fn record(&mut self, now: Instant, answered: bool) {
+        self.latest.push_back((now, answered));
+        while let Some((at, _)) = self.latest.front()
+            && now.saturating_duration_since(*at) > WINDOW
+        {
+            self.latest.pop_front();
+        }
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.latest.clear();
+    }
+
+    /// Whether more than half of the probes of the window were answered.
+    fn mostly_answered(&self, now: Instant) -> bool {
+        let recent = |(at, _): &&(Instant, bool)| now.saturating_duration_since(*at) <= WINDOW;
+        let total = self.latest.iter().filter(recent).count();
+        let answered = self.latest.iter().filter(recent).filter(|o| o.1).count();
+        2 * answered > total
+    }
+
+    /// Whether the daemon is likely to be with the majority of `known` daemons, itself included.
+    pub(super) fn majority<'a>(
+        &self,
+        now: Instant,
+        reachable: impl Iterator<Item = &'a Member>,
+        known: usize,
+    ) -> bool {
+        known <= 1 || (2 * reachable.count() > known && self.mostly_answered(now))
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/rumors.rs
@@ -0,0 +1,48 @@
+//! Changes that are still to be spread, each a bounded number of times.
+
+use std::collections::BTreeMap;
+
+use crate::coordination::membership::{DaemonName, record::Record, table::Table};
+
+/// Each change is sent this often for every doubling of the fleet.
+const SENDS_PER_DOUBLING: u32 = 3;
+
+/// The changes to be spread; a newer change of a daemon replaces the older one.
+#[derive(Debug, Default)]
+pub(super) struct Rumors {
+    sends: BTreeMap<DaemonName, u32>,
+}
+
+impl Rumors {
+    /// Begins to spread the record of a daemon.
+    pub(super) fn add(&mut self, name: &DaemonName) {
+        self.sends.insert(name.clone(), 0);
+    }
+
+    /// The least sent records that fit into `budget_bytes`, each counted as sent once.
+    pub(super) fn take(&mut self, table: &Table, mut budget_bytes: usize) -> Vec<Record> {
+        let limit = SENDS_PER_DOUBLING * (usize::BITS - table.len().leading_zeros()).max(1);
+        let mut order: Vec<(u32, DaemonName)> =
+            self.sends.iter().map(|(n, s)| (*s, n.clone())).collect();
+        order.sort();
+        let mut records = Vec::new();
+        for (sends, name) in order {
+            let Some(record) = table.get(&name).map(|e| &e.record) else {
+                self.sends.remove(&name);
+                continue;
+            };
+            let len = record.encoded_bound();
+            if len > budget_bytes {
+                break;
+            }
+            budget_bytes -= len;
+            records.push(record.clone());
+            if sends + 1 >= limit {
+                self.sends.remove(&name);
+            } else {
+                self.sends.insert(name, sends + 1);
+            }
+        }
+        records
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/swim/mod.rs
@@ -0,0 +1,325 @@
+//! One daemon's part of the membership protocol.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use rand::{SeedableRng, seq::IteratorRandom};
+use rand_xoshiro::Xoshiro128PlusPlus;
+
+use crate::{
+    coordination::membership::{
+        DaemonName, Member, MemberState,
+        prober::{Probe, Prober},
+        quorum::{Outcomes, Standing},
+        record::{Body, Message, Outgoing, Record, Seed},
+        rumors::Rumors,
+        table::Table,
+    },
+    state::snapshot::Generation,
+};
+
+mod probing;
+mod receiving;
+mod suspicion;
+
+use suspicion::Suspicion;
+
+/// The period of probes.
+const PERIOD: Duration = Duration::from_secs(1);
+/// A gap between two calls above this means that the process was paused.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// How long a dead daemon is remembered.
+const DEAD_RETENTION: Duration = Duration::from_secs(60);
+/// How long after its start a daemon moves its own start stamp past a later one of its name.
+const START_WINDOW: Duration = Duration::from_secs(60);
+/// The room for records in one datagram.
+const RECORD_BUDGET_BYTES: usize = 1_000;
+/// How many daemons are told at once of an urgent change.
+const URGENT_FANOUT: usize = 4;
+/// The greatest number of datagrams with urgent changes sent in one period.
+const URGENT_BUDGET: usize = 24;
+/// The greatest number of instances taken from the instance list.
+const MAX_SEEDS: usize = 2_048;
+/// How often daemons out of reach are tried while the fleet is small.
+const SEED_INTERVAL: Duration = Duration::from_secs(5);
+/// The number of live daemons for which [`SEED_INTERVAL`] holds; it grows in proportion.
+const SEED_FLEET: u32 = 8;
+/// How many daemons out of reach are tried at once.
+const SEED_FANOUT: usize = 2;
+/// The least time between two requests for synchronisation.
+const SYNC_INTERVAL: Duration = Duration::from_secs(5);
+/// What every known daemon adds to [`SYNC_INTERVAL`].
+const SYNC_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(100);
+
+/// The state of one daemon's membership; free of I/O.
+#[derive(Debug)]
+pub struct Swim {
+    own: Record,
+    table: Table,
+    rumors: Rumors,
+    prober: Prober,
+    outcomes: Outcomes,
+    suspicions: BTreeMap<DaemonName, Suspicion>,
+    departed: BTreeSet<DaemonName>,
+    seeds: Vec<Seed>,
+    probe: Option<Probe>,
+    rng: Xoshiro128PlusPlus,
+    started: Instant,
+    last_call: Instant,
+    last_contact: Option<Instant>,
+    steady_since: Instant,
+    next_period: Instant,
+    next_seeds: Instant,
+    next_sync: Instant,
+    urgent: bool,
+    urgent_left: usize,
+    superseded: bool,
+    changed: bool,
+    out: Vec<Outgoing>,
+}
+
+impl Swim {
+    /// A daemon that knows only itself.
+    pub fn new(now: Instant, own: Record, seed: u64) -> Self {
+        let mut swim = Self {
+            own,
+            table: Table::default(),
+            rumors: Rumors::default(),
+            prober: Prober::default(),
+            outcomes: Outcomes::default(),
+            suspicions: BTreeMap::new(),
+            departed: BTreeSet::new(),
+            seeds: Vec::new(),
+            probe: None,
+            rng: Xoshiro128PlusPlus::seed_from_u64(seed),
+            started: now,
+            last_call: now,
+            last_contact: None,
+            steady_since: now,
+            next_period: now,
+            next_seeds: now,
+            next_sync: now,
+            urgent: false,
+            urgent_left: URGENT_BUDGET,
+            superseded: false,
+            changed: true,
+            out: Vec::new(),
+        };
+        swim.announce(now);
+        swim
+    }
+
+    /// When [`Self::tick`] is next to be called.
+    pub fn next_wakeup(&self) -> Instant {
+        let probe = self.probe.as_ref().map(Probe::deadline);
+        let suspicion = self.suspicions.values().map(Suspicion::next_wakeup).min();
+        [Some(self.next_period), probe, suspicion]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(self.next_period)
+    }
+
+    /// Does what is due and returns the datagrams to send.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.notice_pause(now);
+        self.check_probe(now);
+        self.check_suspicions(now);
+        if now >= self.next_period {
+            self.begin_period(now);
+        }
+        self.flush()
+    }
+
+    /// Replaces what the instance list said.
+    pub fn set_seeds(&mut self, seeds: Vec<Seed>) {
+        self.seeds = seeds;
+        self.seeds.truncate(MAX_SEEDS);
+        self.seeds.retain(|s| s.name != self.own.member.name);
+        self.seeds.sort_by(|a, b| a.name.cmp(&b.name));
+        let listed: BTreeSet<&DaemonName> = self.seeds.iter().map(|s| &s.name).collect();
+        self.departed
+            .retain(|n| listed.contains(n) || self.table.get(n).is_some());
+    }
+
+    /// Sets the configuration generation that this daemon says is in force.
+    pub fn set_generation(&mut self, generation: Generation) {
+        self.own.member.generation = generation;
+        self.changed |= self.table.note_generation(&self.own.member);
+    }
+
+    /// Says that this daemon takes no new callers.
+    pub fn leave(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.say(now, MemberState::Leaving)
+    }
+
+    /// Says that this daemon is about to exit.
+    pub fn depart(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.say(now, MemberState::Dead)
+    }
+
+    /// All known daemons in name order, this one included.
+    pub fn members(&self) -> Vec<Member> {
+        self.table.iter().map(|e| e.record.member.clone()).collect()
+    }
+
+    /// One known daemon.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.table.get(name).map(|e| &e.record.member)
+    }
+
+    /// Whether [`Self::members`] has changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// When another daemon was last heard from.
+    pub fn last_contact(&self) -> Option<Instant> {
+        self.last_contact
+    }
+
+    /// Whether a later start of the same name has taken this daemon's place.
+    pub fn superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// How this daemon stands in the fleet.
+    pub fn standing(&self, now: Instant) -> Standing {
+        let paused = now.saturating_duration_since(self.last_call) > PAUSE;
+        let live = |name: &str| self.table.get(name).is_some_and(|e| is_live(&e.record));
+        let listed = self.seeds.iter().map(|s| &s.name);
+        let dead = self.table.iter().map(|e| &e.record.member.name);
+        let unreachable: BTreeSet<DaemonName> = listed
+            .chain(dead)
+            .filter(|n| !live(n) && !self.departed.contains(*n))
+            .cloned()
+            .collect();
+        let reachable = || {
+            self.table
+                .iter()
+                .map(|e| &e.record.member)
+                .filter(|m| m.reachable())
+        };
+        let known = reachable().count() + unreachable.len();
+        let majority = self.outcomes.majority(now, reachable(), known);
+        Standing {
+            majority: majority && !paused && !self.superseded,
+            steady_since: if paused { now } else { self.steady_since },
+            unreachable,
+        }
+    }
+
+    fn say(&mut self, now: Instant, state: MemberState) -> Vec<Outgoing> {
+        self.own.member.state = state;
+        self.own.revision += 1;
+        self.announce(now);
+        self.flush()
+    }
+
+    fn announce(&mut self, now: Instant) {
+        let own = self.own.clone();
+        self.changed |= self.table.merge(now, &own);
+        self.rumors.add(&own.member.name);
+        self.urgent = true;
+    }
+
+    /// After a pause nothing can be concluded from what was not heard.
+    fn notice_pause(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_call);
+        self.last_call = self.last_call.max(now);
+        if gap <= PAUSE {
+            return;
+        }
+        self.probe = None;
+        self.outcomes.clear();
+        self.table.touch_all(now);
+        self.steady_since = now;
+        self.next_period = now;
+        self.next_seeds = now;
+        for suspicion in self.suspicions.values_mut() {
+            suspicion.restart(now);
+        }
+    }
+
+    fn begin_period(&mut self, now: Instant) {
+        self.next_period = now + PERIOD;
+        self.urgent_left = URGENT_BUDGET;
+        if let Some(before) = now.checked_sub(DEAD_RETENTION) {
+            self.changed |= self.table.drop_dead(before);
+        }
+        if self.superseded {
+            return;
+        }
+        if now >= self.next_seeds {
+            self.try_seeds(now);
+        }
+        if self.probe.is_none() {
+            self.begin_probe(now);
+        }
+    }
+
+    /// Takes the datagrams gathered, after spreading what is urgent.
+    fn flush(&mut self) -> Vec<Outgoing> {
+        if std::mem::take(&mut self.urgent) {
+            let fanout = URGENT_FANOUT.min(self.urgent_left);
+            let targets = self.random_live(fanout, "");
+            self.urgent_left -= targets.len();
+            for target in targets {
+                self.send(target.member.peers, Some(&target), Body::Gossip);
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Queues a datagram; the receiver's own record goes first if it has something to refute.
+    fn send(&mut self, to: SocketAddr, receiver: Option<&Record>, body: Body) {
+        let mut records = Vec::new();
+        let mut budget = RECORD_BUDGET_BYTES;
+        let refutable =
+            |r: &&Record| matches!(r.member.state, MemberState::Suspect | MemberState::Dead);
+        if let Some(record) = receiver.filter(refutable) {
+            budget -= record.encoded_bound().min(budget);
+            records.push(record.clone());
+        }
+        records.extend(self.rumors.take(&self.table, budget));
+        self.send_records(to, body, records);
+    }
+
+    fn send_records(&mut self, to: SocketAddr, body: Body, records: Vec<Record>) {
+        let message = Message {
+            from: self.own.member.name.clone(),
+            incarnation: self.own.member.incarnation,
+            generation: self.own.member.generation,
+            digest: self.table.digest(),
+            body,
+            records,
+        };
+        self.out.push(Outgoing { to, message });
+    }
+
+    /// Up to `count` other daemons that are not dead, in random order.
+    fn random_live(&mut self, count: usize, except: &str) -> Vec<Record> {
+        let own = &self.own.member.name;
+        self.table
+            .iter()
+            .map(|e| &e.record)
+            .filter(|r| is_live(r) && r.member.name != *own && r.member.name != except)
+            .cloned()
+            .choose_multiple(&mut self.rng, count)
+    }
+
+    fn live_others(&self) -> impl Iterator<Item = &Record> {
+        let own = &self.own.member.name;
+        self.table
+            .iter()
+            .map(|e| &e.record)
+            .filter(move |r| is_live(r) && r.member.name != *own)
+    }
+}
+
+fn is_live(record: &Record) -> bool {
+    record.member.state != MemberState::Dead
+}
--- /dev/null
+++ b/src/coordination/membership/swim/receiving.rs
@@ -0,0 +1,189 @@
+//! What a datagram changes and how it is answered.
+
+use std::{net::SocketAddr, time::Instant};
+
+use crate::coordination::membership::{
+    MemberState,
+    record::{Body, Message, Outgoing, Record},
+    swim::{
+        RECORD_BUDGET_BYTES, START_WINDOW, SYNC_INTERVAL, SYNC_INTERVAL_PER_MEMBER, Swim,
+        suspicion::Suspicion,
+    },
+};
+
+impl Swim {
+    /// Takes a datagram from another daemon and returns the datagrams to send.
+    pub fn received(&mut self, now: Instant, src: SocketAddr, message: &Message) -> Vec<Outgoing> {
+        self.notice_pause(now);
+        for record in &message.records {
+            self.learn(now, record);
+        }
+        if message.from == self.own.member.name {
+            return self.flush();
+        }
+        self.last_contact = Some(now);
+        let sender = self.note_sender(message);
+        self.answer(now, src, sender.as_ref(), message);
+        let asks = matches!(message.body, Body::Ping(_) | Body::Ack(_));
+        if asks && message.digest != self.table.digest() && now >= self.next_sync {
+            self.request_sync(now, src);
+        }
+        self.flush()
+    }
+
+    /// The record of the sender, if it is of the start that sent.
+    fn note_sender(&mut self, message: &Message) -> Option<Record> {
+        let record = &self.table.get(&message.from)?.record;
+        if record.member.incarnation != message.incarnation {
+            return None;
+        }
+        let mut record = record.clone();
+        record.member.generation = message.generation;
+        self.changed |= self.table.note_generation(&record.member);
+        Some(record)
+    }
+
+    fn answer(
+        &mut self,
+        now: Instant,
+        src: SocketAddr,
+        sender: Option<&Record>,
+        message: &Message,
+    ) {
+        match &message.body {
+            Body::Ping(seq) => self.send(src, sender, Body::Ack(*seq)),
+            Body::Ack(seq) => {
+                self.acknowledged(now, *seq, message);
+                self.remind_if_dead(src, sender);
+            }
+            Body::PingReq { seq, target } => {
+                let Some(entry) = self.table.get(target) else {
+                    return;
+                };
+                let record = entry.record.clone();
+                let asker = message.from.clone();
+                if let Some(seq) = self.prober.relay(now, asker, *seq, target.clone()) {
+                    self.send(record.member.peers, Some(&record), Body::Ping(seq));
+                }
+            }
+            Body::IndirectAck { seq, target } => self.probe_answered(now, *seq, target),
+            Body::SyncRequest => self.send_all(src),
+            Body::Gossip => self.remind_if_dead(src, sender),
+        }
+    }
+
+    fn acknowledged(&mut self, now: Instant, seq: u32, message: &Message) {
+        if let Some(relay) = self.prober.relayed(seq, &message.from) {
+            let Some(asker) = self.table.get(&relay.asker) else {
+                return;
+            };
+            let asker = asker.record.clone();
+            let body = Body::IndirectAck {
+                seq: relay.asker_seq,
+                target: relay.target,
+            };
+            self.send(asker.member.peers, Some(&asker), body);
+        } else {
+            self.probe_answered(now, seq, &message.from);
+        }
+    }
+
+    /// Tells a daemon that is held dead of it, so that it can refute.
+    fn remind_if_dead(&mut self, src: SocketAddr, sender: Option<&Record>) {
+        if let Some(record) = sender
+            && record.member.state == MemberState::Dead
+        {
+            self.send(src, Some(record), Body::Gossip);
+        }
+    }
+
+    fn request_sync(&mut self, now: Instant, src: SocketAddr) {
+        let members = u32::try_from(self.table.len()).unwrap_or(u32::MAX);
+        self.next_sync = now + SYNC_INTERVAL + SYNC_INTERVAL_PER_MEMBER * members;
+        self.send(src, None, Body::SyncRequest);
+    }
+
+    /// Sends all records, as many datagrams as that takes.
+    fn send_all(&mut self, to: SocketAddr) {
+        let all: Vec<Record> = self.table.iter().map(|e| e.record.clone()).collect();
+        let mut records = Vec::new();
+        let mut budget = RECORD_BUDGET_BYTES;
+        for record in all {
+            let len = record.encoded_bound();
+            if len > budget {
+                self.send_records(to, Body::Gossip, std::mem::take(&mut records));
+                budget = RECORD_BUDGET_BYTES;
+            }
+            budget = budget.saturating_sub(len);
+            records.push(record);
+        }
+        self.send_records(to, Body::Gossip, records);
+    }
+
+    /// Takes one record in, and spreads it if it is news.
+    pub(super) fn learn(&mut self, now: Instant, record: &Record) {
+        if record.member.name == self.own.member.name {
+            self.hear_of_self(now, record);
+            return;
+        }
+        let name = &record.member.name;
+        let before = self.table.get(name).map(|e| e.record.member.state);
+        if !self.table.merge(now, record) {
+            return;
+        }
+        self.changed = true;
+        self.rumors.add(name);
+        let state = record.member.state;
+        self.urgent |= before.is_some_and(|before| before != state);
+        if state == MemberState::Suspect {
+            let suspicions = &mut self.suspicions;
+            suspicions
+                .entry(name.clone())
+                .or_insert_with(|| Suspicion::new(now));
+        } else {
+            self.suspicions.remove(name);
+        }
+        match state {
+            MemberState::Alive | MemberState::Suspect => {
+                self.departed.remove(name);
+            }
+            MemberState::Leaving => {
+                self.departed.insert(name.clone());
+            }
+            MemberState::Dead => {}
+        }
+        if before.is_none_or(|s| s == MemberState::Dead) && state != MemberState::Dead {
+            self.prober.insert(&mut self.rng, name);
+        }
+    }
+
+    /// Refutes what others wrongly believe of this daemon.
+    fn hear_of_self(&mut self, now: Instant, record: &Record) {
+        if record.member.incarnation != self.own.member.incarnation {
+            self.hear_of_other_start(now, record);
+            return;
+        }
+        let wrong = record.member.state != self.own.member.state;
+        if !wrong || !record.supersedes(&self.own) {
+            return;
+        }
+        if record.member.state == MemberState::Dead {
+            self.steady_since = now;
+        }
+        self.own.revision = record.revision + 1;
+        self.announce(now);
+    }
+
+    /// A new start outranks an older one; an old process yields to a later start of its name.
+    fn hear_of_other_start(&mut self, now: Instant, record: &Record) {
+        if !record.supersedes(&self.own) {
+            return;
+        }
+        if now.saturating_duration_since(self.started) > START_WINDOW {
+            self.superseded = true;
+            return;
+        }
+        self.own.started_ms = record.started_ms + 1;
+        self.announce(now);
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/table.rs
@@ -0,0 +1,121 @@
+//! The records of all known daemons, bounded in number.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use crate::coordination::membership::{
+    DaemonName, Member, MemberState,
+    record::{Record, StartedMs},
+};
+
+/// The greatest number of daemons known at once.
+const MAX_MEMBERS: usize = 2_048;
+
+/// What is known of one daemon.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    /// The newest record.
+    pub(super) record: Record,
+    /// When the state last changed here.
+    pub(super) changed: Instant,
+}
+
+/// The records by name.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    entries: BTreeMap<DaemonName, Entry>,
+    digest: u32,
+}
+
+impl Table {
+    pub(super) fn get(&self, name: &str) -> Option<&Entry> {
+        self.entries.get(name)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// A digest of all daemons that are not dead; the order of changes does not matter.
+    pub(super) fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// Keeps the record if it is newer than the known one, and says whether it was.
+    pub(super) fn merge(&mut self, now: Instant, record: &Record) -> bool {
+        let name = &record.member.name;
+        let Some(entry) = self.entries.get_mut(name) else {
+            if self.entries.len() >= MAX_MEMBERS || record.member.state == MemberState::Dead {
+                return false;
+            }
+            let entry = Entry {
+                record: record.clone(),
+                changed: now,
+            };
+            self.digest ^= digest_of(&entry.record);
+            self.entries.insert(name.clone(), entry);
+            return true;
+        };
+        if !record.supersedes(&entry.record) {
+            return false;
+        }
+        self.digest ^= digest_of(&entry.record);
+        let same_start = entry.record.member.incarnation == record.member.incarnation;
+        let generation = entry.record.member.generation;
+        entry.record = record.clone();
+        if same_start {
+            entry.record.member.generation = generation.max(record.member.generation);
+        }
+        entry.changed = now;
+        self.digest ^= digest_of(&entry.record);
+        true
+    }
+
+    /// Notes what the daemon itself said of its configuration, and whether that is news.
+    pub(super) fn note_generation(&mut self, said: &Member) -> bool {
+        let Some(entry) = self.entries.get_mut(&said.name) else {
+            return false;
+        };
+        let known = &mut entry.record.member;
+        let news = known.incarnation == said.incarnation && known.generation < said.generation;
+        if news {
+            known.generation = said.generation;
+        }
+        news
+    }
+
+    /// Restarts the clock of all states, after a pause in which nothing could be heard.
+    pub(super) fn touch_all(&mut self, now: Instant) {
+        for entry in self.entries.values_mut() {
+            entry.changed = now;
+        }
+    }
+
+    /// Forgets daemons that have been dead since `before`, and says whether there were any.
+    pub(super) fn drop_dead(&mut self, before: Instant) -> bool {
+        let len = self.entries.len();
+        self.entries
+            .retain(|_, e| e.record.member.state != MemberState::Dead || e.changed > before);
+        self.entries.len() < len
+    }
+}
+
+/// The FNV-1a hash of what two daemons must agree on; 0 for dead daemons, which are dropped in time.
+fn digest_of(record: &Record) -> u32 {
+    const OFFSET: u32 = 0x811c_9dc5;
+    const PRIME: u32 = 0x0100_0193;
+    if record.member.state == MemberState::Dead {
+        return 0;
+    }
+    let started: StartedMs = record.started_ms;
+    let state = u8::from(record.member.state == MemberState::Leaving);
+    let fixed = [started, record.member.incarnation, record.revision.into()];
+    let fixed = fixed.iter().flat_map(|v| v.to_le_bytes());
+    let name = record.member.name.bytes();
+    name.chain(fixed).chain([state]).fold(OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- a/src/transport/peers/connection.rs
+++ b/src/transport/peers/connection.rs
@@ -23,11 +23,8 @@
 };
 
 use crate::{
-    protocol::codec::MAX_MESSAGE_BYTES,
-    transport::peers::{
-        CALL_URI,
-        auth::{FleetKey, prove_as_caller},
-    },
+    protocol::{codec::MAX_MESSAGE_BYTES, fleet_key::FleetKey},
+    transport::peers::{CALL_URI, auth::prove_as_caller},
 };
 
 /// How long a new connection may take until it is authenticated.
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -18,15 +18,13 @@
     coordination::membership::{DaemonName, Member},
     protocol::{
         codec,
+        fleet_key::FleetKey,
         peer::{PeerRequest, PeerResponse},
     },
-    transport::peers::{
-        auth::FleetKey,
-        connection::{CallFailure, Connection},
-    },
+    transport::peers::connection::{CallFailure, Connection},
 };
 
-pub mod auth;
+mod auth;
 mod connection;
 pub mod server;
 
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -19,12 +19,10 @@
 use crate::{
     protocol::{
         codec,
+        fleet_key::FleetKey,
         peer::{PeerRequest, PeerResponse},
     },
-    transport::peers::{
-        auth::{FleetKey, prove_as_server},
-        connection::read_body,
-    },
+    transport::peers::{auth::prove_as_server, connection::read_body},
 };
 
 /// The greatest number of connections at once.
--- /dev/null
+++ b/tests/membership/fleet.rs
@@ -0,0 +1,289 @@
+//! An exchange of datagrams between many membership state machines in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hibiscusyoke::{
+    coordination::membership::{
+        Member, MemberState, Message, Outgoing, Record, Seed, Standing, swim::Swim,
+    },
+    protocol::{fleet_key::FleetKey, gossip},
+};
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro128PlusPlus;
+
+const LATENCY: Duration = Duration::from_millis(1);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const SOCKET_BUFFER: usize = 256;
+
+/// What a daemon does at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Process {
+    Running,
+    Frozen,
+    Gone,
+}
+
+pub(crate) struct Daemon {
+    pub(crate) swim: Swim,
+    pub(crate) process: Process,
+    pub(crate) sent_bytes: usize,
+    addr: SocketAddr,
+    inbox: Vec<(SocketAddr, Message)>,
+}
+
+/// All daemons and the datagrams on their way.
+pub(crate) struct Fleet {
+    pub(crate) daemons: BTreeMap<String, Daemon>,
+    pub(crate) now: Instant,
+    pub(crate) loss_percent: u32,
+    /// Daemons that hear only one another, if any.
+    pub(crate) cut_off: BTreeSet<String>,
+    rng: Xoshiro128PlusPlus,
+    key: FleetKey,
+    queue: BTreeMap<(Instant, u64), (SocketAddr, SocketAddr, Message)>,
+    sequence: u64,
+    starts: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            daemons: BTreeMap::new(),
+            now: Instant::now(),
+            loss_percent: 0,
+            cut_off: BTreeSet::new(),
+            rng: Xoshiro128PlusPlus::seed_from_u64(seed),
+            key: FleetKey::new("key"),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            starts: 0,
+        }
+    }
+
+    /// Starts `m0` to `m(count-1)`, which find one another by the instance list.
+    pub(crate) fn start_all(&mut self, count: usize) {
+        for index in 0..count {
+            self.start(&format!("m{index}"));
+        }
+        self.list_instances(&[]);
+    }
+
+    /// Starts a daemon, again if it was there before.
+    pub(crate) fn start(&mut self, name: &str) {
+        self.starts += 1;
+        let index = name[1..].parse::<u16>().expect("names are m0, m1, ...");
+        let [high, low] = index.to_be_bytes();
+        let addr = SocketAddr::from(([127, 1, high, low], 7000));
+        let member = Member {
+            name: name.into(),
+            incarnation: self.rng.random(),
+            failure_domain: "padana-a".into(),
+            callers: addr,
+            peers: addr,
+            state: MemberState::Alive,
+            generation: 0,
+        };
+        let own = Record {
+            member,
+            started_ms: 1_800_000_000_000 + self.starts,
+            revision: 0,
+        };
+        let daemon = Daemon {
+            swim: Swim::new(self.now, own, self.rng.random()),
+            process: Process::Running,
+            sent_bytes: 0,
+            addr,
+            inbox: Vec::new(),
+        };
+        self.daemons.insert(name.into(), daemon);
+    }
+
+    /// Lets all daemons read an instance list of all daemons and some dead names.
+    pub(crate) fn list_instances(&mut self, dead: &[u16]) {
+        let live = self.daemons.iter().map(|(n, d)| (n.clone(), d.addr));
+        let dead = dead.iter().map(|index| {
+            let [high, low] = index.to_be_bytes();
+            let addr = SocketAddr::from(([127, 2, high, low], 7000));
+            (format!("dead{index}"), addr)
+        });
+        let seeds: Vec<Seed> = live
+            .chain(dead)
+            .map(|(name, peers)| Seed {
+                name: name.into(),
+                peers,
+            })
+            .collect();
+        for daemon in self.daemons.values_mut() {
+            daemon.swim.set_seeds(seeds.clone());
+        }
+    }
+
+    pub(crate) fn freeze(&mut self, name: &str) {
+        self.daemon(name).process = Process::Frozen;
+    }
+
+    pub(crate) fn wake(&mut self, name: &str) {
+        self.daemon(name).process = Process::Running;
+        for (src, message) in std::mem::take(&mut self.daemon(name).inbox) {
+            let now = self.now;
+            let out = self.daemon(name).swim.received(now, src, &message);
+            self.post(name, out);
+        }
+    }
+
+    pub(crate) fn crash(&mut self, name: &str) {
+        self.daemon(name).process = Process::Gone;
+    }
+
+    pub(crate) fn leave(&mut self, name: &str) {
+        let now = self.now;
+        let out = self.daemon(name).swim.leave(now);
+        self.post(name, out);
+    }
+
+    pub(crate) fn depart(&mut self, name: &str) {
+        let now = self.now;
+        let out = self.daemon(name).swim.depart(now);
+        self.post(name, out);
+        self.crash(name);
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        self.run_until(end, |_| false);
+    }
+
+    /// Lets time pass until the condition holds, and says how long that took.
+    pub(crate) fn run_while(
+        &mut self,
+        limit: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let begun = self.now;
+        let end = begun + limit;
+        self.run_until(end, |fleet| !condition(fleet));
+        (!condition(self)).then(|| self.now - begun)
+    }
+
+    fn run_until(&mut self, end: Instant, stop: impl Fn(&Self) -> bool) {
+        let mut next_check = self.now;
+        loop {
+            if self.now >= next_check {
+                if stop(self) {
+                    return;
+                }
+                next_check = self.now + CHECK_INTERVAL;
+            }
+            let running = self.daemons.iter();
+            let running = running.filter(|(_, d)| d.process == Process::Running);
+            let timer = running
+                .map(|(n, d)| (d.swim.next_wakeup(), n))
+                .min()
+                .map(|(at, name)| (at, name.clone()));
+            let arrival = self.queue.keys().next().map(|(at, _)| *at);
+            let timer_at = timer.as_ref().map_or(end, |(at, _)| *at);
+            let next = timer_at.min(arrival.unwrap_or(end)).max(self.now);
+            if next >= end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            if arrival.is_some_and(|at| at <= timer_at) {
+                self.deliver();
+            } else if let Some((_, name)) = timer {
+                let now = self.now;
+                let out = self.daemon(&name).swim.tick(now);
+                self.post(&name, out);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let Some((_, (src, to, message))) = self.queue.pop_first() else {
+            return;
+        };
+        let Some(name) = self.name_at(to) else { return };
+        let now = self.now;
+        let daemon = self.daemon(&name);
+        match daemon.process {
+            Process::Running => {
+                let out = daemon.swim.received(now, src, &message);
+                self.post(&name, out);
+            }
+            Process::Frozen if daemon.inbox.len() < SOCKET_BUFFER => {
+                daemon.inbox.push((src, message));
+            }
+            Process::Frozen | Process::Gone => {}
+        }
+    }
+
+    fn post(&mut self, from: &str, out: Vec<Outgoing>) {
+        for Outgoing { to, message } in out {
+            let sealed = gossip::seal(&self.key, &message).expect("datagram fits");
+            let daemon = self.daemon(from);
+            daemon.sent_bytes += sealed.len();
+            let src = daemon.addr;
+            let across = self
+                .name_at(to)
+                .is_some_and(|name| self.cut_off.contains(from) != self.cut_off.contains(&name));
+            if across || self.rng.random_range(0..100) < self.loss_percent {
+                continue;
+            }
+            self.sequence += 1;
+            let at = (self.now + LATENCY, self.sequence);
+            self.queue.insert(at, (src, to, message));
+        }
+    }
+
+    fn name_at(&self, addr: SocketAddr) -> Option<String> {
+        let SocketAddr::V4(v4) = addr else {
+            return None;
+        };
+        let [_, net, high, low] = v4.ip().octets();
+        let name = format!("m{}", u16::from_be_bytes([high, low]));
+        (net == 1 && self.daemons.contains_key(&name)).then_some(name)
+    }
+
+    pub(crate) fn daemon(&mut self, name: &str) -> &mut Daemon {
+        self.daemons.get_mut(name).expect("a known daemon")
+    }
+
+    /// What `at` believes of `of`.
+    pub(crate) fn state(&self, at: &str, of: &str) -> Option<MemberState> {
+        self.daemons[at].swim.member(of).map(|m| m.state)
+    }
+
+    pub(crate) fn standing(&self, at: &str) -> Standing {
+        self.daemons[at].swim.standing(self.now)
+    }
+
+    /// The running daemons other than `except` that believe `of` to be in `state`.
+    pub(crate) fn believers(&self, of: &str, state: MemberState) -> usize {
+        self.observers(of)
+            .filter(|at| self.state(at, of) == Some(state))
+            .count()
+    }
+
+    pub(crate) fn observers(&self, except: &str) -> impl Iterator<Item = &str> {
+        self.daemons
+            .iter()
+            .filter(move |(n, d)| n.as_str() != except && d.process == Process::Running)
+            .map(|(n, _)| n.as_str())
+    }
+
+    /// Whether all running daemons believe exactly the running daemons to be alive.
+    pub(crate) fn settled(&self) -> bool {
+        let running: Vec<&str> = self.observers("").collect();
+        running.iter().all(|at| {
+            let members = self.daemons[*at].swim.members();
+            let alive = members.iter().filter(|m| m.state == MemberState::Alive);
+            alive.map(|m| m.name.as_str()).collect::<BTreeSet<_>>()
+                == running.iter().copied().collect()
+        })
+    }
+}
--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,220 @@
+//! Membership over an in-memory exchange of datagrams: scenarios, detection time and false alarms.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use datadriven::{TestCase, walk};
+use hibiscusyoke::coordination::membership::MemberState;
+
+mod fleet;
+
+use fleet::Fleet;
+
+const SETTLE_LIMIT: Duration = Duration::from_secs(60);
+
+fn seconds(text: &str) -> Duration {
+    let number = text.strip_suffix('s').unwrap_or(text);
+    Duration::from_secs_f64(number.parse().expect("a time such as 4.5s"))
+}
+
+fn state(text: &str) -> MemberState {
+    match text {
+        "alive" => MemberState::Alive,
+        "suspect" => MemberState::Suspect,
+        "leaving" => MemberState::Leaving,
+        "dead" => MemberState::Dead,
+        other => panic!("unknown state {other}"),
+    }
+}
+
+/// An argument of a directive, if it is given.
+fn arg<T: std::str::FromStr>(case: &mut TestCase, name: &str) -> Option<T>
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    case.try_take_arg(name).expect("a well-formed argument")
+}
+
+/// Carries out one directive of a scenario.
+fn step(fleet: &mut Option<Fleet>, case: &mut TestCase) -> String {
+    let name: Option<String> = arg(case, "name");
+    if case.directive == "fleet" {
+        let seed: u64 = arg(case, "seed").unwrap_or(1);
+        let mut new = Fleet::new(seed);
+        new.start_all(arg(case, "members").unwrap_or(3));
+        new.loss_percent = arg(case, "loss").unwrap_or(0);
+        let took = new.run_while(SETTLE_LIMIT, |f| !f.settled());
+        *fleet = Some(new);
+        return if took.is_some() {
+            "settled\n"
+        } else {
+            "not settled\n"
+        }
+        .into();
+    }
+    let fleet = fleet.as_mut().expect("a scenario begins with `fleet`");
+    let name = name.unwrap_or_default();
+    let mut answer = "ok\n".to_owned();
+    match case.directive.as_str() {
+        "run" => {
+            let time: String = arg(case, "for").unwrap_or_default();
+            fleet.run(seconds(&time));
+        }
+        "crash" => fleet.crash(&name),
+        "freeze" => fleet.freeze(&name),
+        "wake" => fleet.wake(&name),
+        "leave" => fleet.leave(&name),
+        "depart" => fleet.depart(&name),
+        "start" => {
+            fleet.start(&name);
+            fleet.list_instances(&[]);
+        }
+        "list" => {
+            let dead: u16 = arg(case, "dead").unwrap_or(0);
+            fleet.list_instances(&(0..dead).collect::<Vec<_>>());
+        }
+        "loss" => fleet.loss_percent = arg(case, "percent").unwrap_or(0),
+        "cut" => {
+            let names = case.take_args::<String>("names").expect("names=(m0, ...)");
+            fleet.cut_off = names.into_iter().collect();
+        }
+        "heal" => fleet.cut_off.clear(),
+        "expect" => {
+            let wanted: String = arg(case, "state").unwrap_or_default();
+            let within: String = arg(case, "within").unwrap_or_else(|| "0s".into());
+            let all = fleet.observers(&name).count();
+            let wanted = state(&wanted);
+            let took = fleet.run_while(seconds(&within), |f| f.believers(&name, wanted) < all);
+            if took.is_none() {
+                let seen = fleet.believers(&name, wanted);
+                answer = format!("late: {seen} of {all} believe it\n");
+            }
+        }
+        "settled" => {
+            let within: String = arg(case, "within").unwrap_or_else(|| "0s".into());
+            let took = fleet.run_while(seconds(&within), |f| !f.settled());
+            answer = if took.is_some() { "ok\n" } else { "late\n" }.into();
+        }
+        "majority" => {
+            let standing = fleet.standing(&name);
+            answer = format!(
+                "majority={} unreachable={}\n",
+                standing.majority,
+                standing.unreachable.len()
+            );
+        }
+        other => panic!("unknown directive {other}"),
+    }
+    answer
+}
+
+#[test]
+fn membership_scenarios() {
+    walk("tests/scenarios/membership", |file| {
+        let mut fleet = None;
+        file.run(|case| {
+            let answer = step(&mut fleet, case);
+            case.expect_empty().expect("all arguments are known");
+            answer
+        });
+    });
+}
+
+/// The time until every other daemon holds a crashed one dead, for several crash moments.
+fn detection_times(members: usize, crashes: u64) -> Vec<Duration> {
+    (0..crashes)
+        .map(|seed| {
+            let mut fleet = Fleet::new(seed);
+            fleet.start_all(members);
+            let settled = fleet.run_while(SETTLE_LIMIT, |f| !f.settled());
+            assert!(
+                settled.is_some(),
+                "{members} members, seed {seed}: not settled"
+            );
+            fleet.run(Duration::from_millis(3_000 + 137 * seed));
+            fleet.crash("m1");
+            let dead = |f: &Fleet| f.believers("m1", MemberState::Dead);
+            fleet
+                .run_while(Duration::from_secs(60), |f| dead(f) < members - 1)
+                .expect("a crashed daemon is detected")
+        })
+        .collect()
+}
+
+fn assert_detected_in_time(members: usize, crashes: u64) {
+    let mut times = detection_times(members, crashes);
+    times.sort();
+    let median = times[times.len() / 2];
+    println!("{members} members: median {median:?}, all {times:?}");
+    assert!(
+        median <= Duration::from_secs(4),
+        "{members} members: {times:?}"
+    );
+}
+
+#[test]
+fn detection_three_members() {
+    assert_detected_in_time(3, 20);
+}
+
+#[test]
+fn detection_eight_members() {
+    assert_detected_in_time(8, 20);
+}
+
+#[test]
+fn detection_hundred_members() {
+    assert_detected_in_time(100, 7);
+}
+
+/// Under loss a live daemon may be suspected but refutes; it is hardly ever declared dead.
+#[test]
+fn loss_hardly_any_false_deaths() {
+    const MEMBER_SECONDS_PER_FALSE_DEATH: u64 = 600;
+    let mut observed = BTreeMap::new();
+    for members in [3_u64, 8, 40] {
+        let mut fleet = Fleet::new(7);
+        fleet.start_all(usize::try_from(members).unwrap());
+        fleet.run_while(SETTLE_LIMIT, |f| !f.settled()).unwrap();
+        fleet.loss_percent = 20;
+        let seconds = 1_200 / members * 8;
+        let mut deaths = 0;
+        let mut dead_before = 0;
+        for _ in 0..seconds {
+            fleet.run(Duration::from_secs(1));
+            let names: Vec<String> = fleet.daemons.keys().cloned().collect();
+            let dead = names
+                .iter()
+                .filter(|n| fleet.believers(n, MemberState::Dead) > 0)
+                .count();
+            deaths += u64::try_from(dead.saturating_sub(dead_before)).unwrap();
+            dead_before = dead;
+        }
+        observed.insert(members, (deaths, members * seconds));
+    }
+    println!("members: (false deaths, member seconds): {observed:?}");
+    for (deaths, member_seconds) in observed.values() {
+        assert!(
+            deaths * MEMBER_SECONDS_PER_FALSE_DEATH <= *member_seconds,
+            "{observed:?}"
+        );
+    }
+}
+
+/// A daemon that was paused concludes nothing from what it did not hear meanwhile.
+#[test]
+fn wake_declares_nobody_dead() {
+    let mut fleet = Fleet::new(11);
+    fleet.start_all(3);
+    fleet.run_while(SETTLE_LIMIT, |f| !f.settled()).unwrap();
+    fleet.freeze("m2");
+    let suspected = |f: &Fleet| f.state("m1", "m2") == Some(MemberState::Suspect);
+    fleet.run_while(SETTLE_LIMIT, |f| !suspected(f)).unwrap();
+    fleet.freeze("m1");
+    fleet.wake("m2");
+    fleet.cut_off = ["m1".to_owned()].into();
+    fleet.run(Duration::from_secs(20));
+    fleet.cut_off.clear();
+    fleet.wake("m1");
+    fleet.run(Duration::from_micros(1));
+    assert_ne!(fleet.state("m1", "m2"), Some(MemberState::Dead));
+}
