--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -210,8 +210,8 @@
     let suspected = |f: &Fleet| f.state("m1", "m2") == Some(MemberState::Suspect);
     fleet.run_while(SETTLE_LIMIT, |f| !suspected(f)).unwrap();
     fleet.freeze("m1");
-    fleet.wake("m2");
     fleet.cut_off = ["m1".to_owned()].into();
+    fleet.wake("m2");
     fleet.run(Duration::from_secs(20));
     fleet.cut_off.clear();
     fleet.wake("m1");
