--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,4 +3,5 @@
 //! Nothing here does I/O or reads a clock; time and randomness are passed in.
 
 pub mod decisions;
+pub mod locate;
 pub mod membership;
--- /dev/null
+++ b/src/daemon/locate.rs
@@ -0,0 +1,59 @@
+//! The answer of `GET /v1/locate`.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::{coordination::locate::locate, daemon::core::Core, state::objects::DomainName};
+
+/// How long a caller may keep an answer, and a leaving daemon takes strays.
+pub const KEEP_SECONDS: u64 = 10;
+
+/// What a caller may say of itself.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct LocateQuery {
+    /// Its failure domain; the answering daemon's if it is left out.
+    #[serde(default)]
+    pub failure_domain: Option<DomainName>,
+}
+
+/// The addresses to use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LocateAnswer {
+    /// The addresses, the best first.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the answer may be kept.
+    pub keep_seconds: u64,
+    /// The prefix of idempotency keys whose home is the first address, if there is one.
+    #[serde(default)]
+    pub key_prefix: Option<CompactString>,
+}
+
+/// Answers callers; successive answers are spread over the daemons.
+#[derive(Debug, Default)]
+pub struct Locate {
+    turn: AtomicU64,
+}
+
+impl Locate {
+    /// Answers one caller, without a key prefix.
+    pub fn answer(&self, core: &Core, query: &LocateQuery) -> LocateAnswer {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let members = core.members();
+        let snapshot = core.snapshot();
+        let failure_domain = query
+            .failure_domain
+            .as_ref()
+            .unwrap_or(&core.settings.failure_domain);
+        let found = locate(&members, &snapshot, failure_domain, turn);
+        LocateAnswer {
+            addresses: found.iter().map(|m| m.callers).collect(),
+            keep_seconds: KEEP_SECONDS,
+            key_prefix: None,
+        }
+    }
+}
