Read settings strictly and lay out the command line

Settings come from JSON with comments; a syntax error, an unknown or double key, a wrong type and an impossible value each give one error with file, line and key. The verbs parse their arguments; most are not built yet.

--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,268 @@
+//! The arguments of the command line.
+
+use std::{net::SocketAddr, path::PathBuf, str::FromStr};
+
+use bpaf::Bpaf;
+use compact_str::CompactString;
+
+/// Exit statuses: 0 done, 1 refused or failed, 2 usage or settings, 3 outcome unknown (run it
+/// again, that is harmless).
+///
+/// Every verb is safe to repeat. Examples:
+///
+///   hibiscusyoke serve entry-1.jsonc
+///
+///   hibiscusyoke check configuration.jsonc
+///
+///   hibiscusyoke publish configuration.jsonc --daemon 10.0.0.1:7003 --key-file operator.key
+///
+///   hibiscusyoke domain out padana-a --daemon 10.0.0.1:7003 --key-file operator.key
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(command_line))]
+pub enum Command {
+    /// Run the daemon of this instance.
+    ///
+    /// Example: hibiscusyoke serve entry-1.jsonc
+    #[bpaf(command)]
+    Serve(#[bpaf(external(serve_args))] ServeArgs),
+    /// Check configuration files as one set, without publishing.
+    ///
+    /// Example: hibiscusyoke check configuration.jsonc
+    #[bpaf(command)]
+    Check(#[bpaf(external(check_args))] CheckArgs),
+    /// Show what a file changes, then publish it.
+    ///
+    /// Objects that the file does not name stay as they are, and an object whose file gives no
+    /// state keeps the state it has.
+    ///
+    /// Example: hibiscusyoke publish configuration.jsonc --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Publish(#[bpaf(external(publish_args))] PublishArgs),
+    /// Take a failure domain out of service, or back in.
+    ///
+    /// Example: hibiscusyoke domain out padana-a --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Domain(#[bpaf(external(service_args))] ServiceArgs),
+    /// Withdraw, drain or enable a version.
+    ///
+    /// Example: hibiscusyoke version withdraw draft-2 --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Version(#[bpaf(external(version_args))] VersionArgs),
+    /// Take an upstream out of service, or back in.
+    ///
+    /// Example: hibiscusyoke upstream out engine-3 --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Upstream(#[bpaf(external(service_args))] ServiceArgs),
+    /// Show the fleet and the generation in force on each daemon.
+    ///
+    /// Example: hibiscusyoke status --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Status(#[bpaf(external(status_args))] StatusArgs),
+    /// Show the decisions made about one request, in order.
+    ///
+    /// Example: hibiscusyoke explain 01J9ZK --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_args))] ExplainArgs),
+    /// Show what each customer is billed.
+    ///
+    /// Example: hibiscusyoke invoice --customer gate --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Invoice(#[bpaf(external(invoice_args))] InvoiceArgs),
+    /// Show the latest published generations.
+    ///
+    /// Example: hibiscusyoke generations --daemon 10.0.0.1:7003 --key-file operator.key
+    #[bpaf(command)]
+    Generations(#[bpaf(external(status_args))] StatusArgs),
+    /// Run stand-ins and three daemons in this process and send a few requests.
+    ///
+    /// Example: hibiscusyoke demo --hold
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo_args))] DemoArgs),
+    /// Run a measurement against stand-ins in this process.
+    ///
+    /// Example: hibiscusyoke measure policy --seed 1
+    #[bpaf(command)]
+    Measure(#[bpaf(external(measure_args))] MeasureArgs),
+}
+
+/// The arguments of `serve`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ServeArgs {
+    /// The settings file, JSON with comments
+    #[bpaf(positional("SETTINGS"))]
+    pub settings: PathBuf,
+}
+
+/// How to reach the fleet as an operator.
+#[derive(Clone, Debug, Bpaf)]
+pub struct RemoteArgs {
+    /// Operators' address of a daemon; repeat it, and the next is tried when one does not answer
+    #[bpaf(
+        long("daemon"),
+        argument("ADDR"),
+        some("at least one --daemon is needed")
+    )]
+    pub daemons: Vec<SocketAddr>,
+    /// File with the operator's key
+    #[bpaf(long("key-file"), argument("FILE"))]
+    pub key_file: PathBuf,
+    /// Print JSON
+    #[bpaf(long, switch)]
+    pub json: bool,
+}
+
+/// The arguments of `check`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CheckArgs {
+    /// Print JSON
+    #[bpaf(long, switch)]
+    pub json: bool,
+    /// Configuration files, JSON with comments
+    #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
+    pub files: Vec<PathBuf>,
+}
+
+/// The arguments of `publish`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct PublishArgs {
+    #[bpaf(external(remote_args))]
+    /// How to reach the fleet.
+    pub remote: RemoteArgs,
+    /// Remove the objects that the file does not name
+    #[bpaf(long, switch)]
+    pub prune: bool,
+    /// Remove one object, such as upstream/engine-3; may be repeated
+    #[bpaf(long, argument("KIND/NAME"))]
+    pub remove: Vec<CompactString>,
+    /// Show the difference and publish nothing
+    #[bpaf(long, switch)]
+    pub dry_run: bool,
+    /// The configuration file, JSON with comments
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
+
+/// Whether to take something out of service or back in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceVerb {
+    /// Take it out.
+    Out,
+    /// Take it back in.
+    In,
+}
+
+impl FromStr for ServiceVerb {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "out" => Ok(Self::Out),
+            "in" => Ok(Self::In),
+            _ => Err("expected out or in".into()),
+        }
+    }
+}
+
+/// What to do with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionVerb {
+    /// It shall take no work at all.
+    Withdraw,
+    /// It shall take the requests of its own sessions only.
+    Drain,
+    /// It shall take all work.
+    Enable,
+}
+
+impl FromStr for VersionVerb {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "withdraw" => Ok(Self::Withdraw),
+            "drain" => Ok(Self::Drain),
+            "enable" => Ok(Self::Enable),
+            _ => Err("expected withdraw, drain or enable".into()),
+        }
+    }
+}
+
+/// The arguments of `domain` and `upstream`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ServiceArgs {
+    #[bpaf(external(remote_args))]
+    /// How to reach the fleet.
+    pub remote: RemoteArgs,
+    /// out or in
+    #[bpaf(positional("out|in"))]
+    pub verb: ServiceVerb,
+    /// The name of the object
+    #[bpaf(positional("NAME"))]
+    pub name: CompactString,
+}
+
+/// The arguments of `version`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct VersionArgs {
+    #[bpaf(external(remote_args))]
+    /// How to reach the fleet.
+    pub remote: RemoteArgs,
+    /// withdraw, drain or enable
+    #[bpaf(positional("withdraw|drain|enable"))]
+    pub verb: VersionVerb,
+    /// The name of the version
+    #[bpaf(positional("NAME"))]
+    pub name: CompactString,
+}
+
+/// The arguments of `status` and `generations`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct StatusArgs {
+    #[bpaf(external(remote_args))]
+    /// How to reach the fleet.
+    pub remote: RemoteArgs,
+}
+
+/// The arguments of `explain`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ExplainArgs {
+    #[bpaf(external(remote_args))]
+    /// How to reach the fleet.
+    pub remote: RemoteArgs,
+    /// The request's id, as its response gave it
+    #[bpaf(positional("REQUEST"))]
+    pub request: CompactString,
+}
+
+/// The arguments of `invoice`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct InvoiceArgs {
+    #[bpaf(external(remote_args))]
+    /// How to reach the fleet.
+    pub remote: RemoteArgs,
+    /// Only this customer
+    #[bpaf(long, argument("NAME"))]
+    pub customer: Option<CompactString>,
+}
+
+/// The arguments of `demo`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct DemoArgs {
+    /// Keep everything up until interrupted, and print the addresses
+    #[bpaf(long, switch)]
+    pub hold: bool,
+}
+
+/// The arguments of `measure`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct MeasureArgs {
+    /// Print JSON
+    #[bpaf(long, switch)]
+    pub json: bool,
+    /// The seed of everything random
+    #[bpaf(long, argument("NUMBER"), fallback(1))]
+    pub seed: u64,
+    /// What to measure
+    #[bpaf(positional("SCENARIO"))]
+    pub scenario: CompactString,
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,56 @@
+//! The verbs of the command line, one module each.
+
+use std::process::ExitCode;
+
+use derive_more::Display;
+
+use crate::cli::Command;
+
+pub mod check;
+pub mod demo;
+pub mod explain;
+pub mod generations;
+pub mod invoice;
+pub mod measure;
+pub mod publish;
+pub mod serve;
+pub mod service;
+pub mod status;
+pub mod version;
+
+/// The exit status of a verb.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Status {
+    /// It was done.
+    Done = 0,
+    /// It was refused or failed, and changed nothing.
+    Failed = 1,
+    /// The arguments or the settings are wrong.
+    Usage = 2,
+    /// It may or may not have been done; running it again is harmless.
+    Unknown = 3,
+}
+
+impl From<Status> for ExitCode {
+    fn from(status: Status) -> Self {
+        Self::from(status as u8)
+    }
+}
+
+/// Runs one verb.
+pub async fn run(command: Command) -> ExitCode {
+    match command {
+        Command::Serve(args) => serve::run(args).await,
+        Command::Check(args) => check::run(&args),
+        Command::Publish(args) => publish::run(args).await,
+        Command::Domain(args) => service::run(service::Target::FailureDomain, args).await,
+        Command::Version(args) => version::run(args).await,
+        Command::Upstream(args) => service::run(service::Target::Upstream, args).await,
+        Command::Status(args) => status::run(args).await,
+        Command::Explain(args) => explain::run(args).await,
+        Command::Invoice(args) => invoice::run(args).await,
+        Command::Generations(args) => generations::run(args).await,
+        Command::Demo(args) => demo::run(args).await,
+        Command::Measure(args) => measure::run(args).await,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! messages and codecs) → `coordination` (decisions, free of I/O) → `state` (objects, snapshots,
 //! counts). `daemon` assembles them into one process.
 
+pub mod cli;
 pub mod clock;
+pub mod commands;
 pub mod coordination;
 pub mod daemon;
 pub mod protocol;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,11 +1,18 @@
 //! The settings of one daemon, read from a JSON file with comments.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::Path};
 
 use compact_str::CompactString;
 use serde::Deserialize;
 
-use crate::state::objects::{DomainName, KeyHash};
+use crate::state::{
+    document::{Document, DocumentError},
+    names::{is_hex, is_key_hash, is_name},
+    objects::{DomainName, KeyHash},
+};
+
+/// The least length of the fleet key, in hexadecimal digits.
+const MIN_FLEET_KEY_DIGITS: usize = 32;
 
 /// Everything a daemon has to be told before it can meet the others.
 #[derive(Clone, Debug, Deserialize)]
@@ -47,3 +54,105 @@
     #[serde(default)]
     pub weights: Option<SocketAddr>,
 }
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn open(path: &Path) -> Result<Self, DocumentError> {
+        Self::read(&Document::open(path)?)
+    }
+
+    /// Reads and checks settings that are already in memory.
+    pub fn read(document: &Document) -> Result<Self, DocumentError> {
+        let settings: Self = document.parse()?;
+        match settings.impossible() {
+            Some(value) => Err(document.fault(value.key, value.reason)),
+            None => Ok(settings),
+        }
+    }
+
+    fn impossible(&self) -> Option<Impossible> {
+        self.impossible_text()
+            .or_else(|| self.impossible_address())
+            .or_else(|| self.shared_address())
+    }
+
+    fn impossible_text(&self) -> Option<Impossible> {
+        if !is_name(&self.name) {
+            return Impossible::of(&["name"], NAME_REASON);
+        }
+        if !is_name(&self.failure_domain) {
+            return Impossible::of(&["failure_domain"], NAME_REASON);
+        }
+        if !is_hex(&self.fleet_key) || self.fleet_key.len() < MIN_FLEET_KEY_DIGITS {
+            return Impossible::of(
+                &["fleet_key"],
+                "must be 32 or more hexadecimal digits, an even number",
+            );
+        }
+        if self
+            .bootstrap_operator
+            .as_ref()
+            .is_some_and(|hash| !is_key_hash(hash))
+        {
+            return Impossible::of(
+                &["bootstrap_operator"],
+                "must be the SHA-256 of a key, 64 lowercase hexadecimal digits",
+            );
+        }
+        None
+    }
+
+    fn impossible_address(&self) -> Option<Impossible> {
+        let platform = &self.platform;
+        let addresses: [(&'static [&'static str], Option<SocketAddr>); 8] = [
+            (&["callers"], Some(self.callers)),
+            (&["peers"], Some(self.peers)),
+            (&["operators"], Some(self.operators)),
+            (&["platform", "table"], Some(platform.table)),
+            (&["platform", "objects"], Some(platform.objects)),
+            (&["platform", "instances"], Some(platform.instances)),
+            (&["platform", "rating"], platform.rating),
+            (&["platform", "weights"], platform.weights),
+        ];
+        addresses.into_iter().find_map(|(key, address)| {
+            let address = address?;
+            if address.port() == 0 {
+                return Impossible::of(key, "must name a port other than 0");
+            }
+            if address.ip().is_unspecified() || address.ip().is_multicast() {
+                return Impossible::of(
+                    key,
+                    "must be the address of one instance, since others are told it",
+                );
+            }
+            None
+        })
+    }
+
+    fn shared_address(&self) -> Option<Impossible> {
+        if self.peers == self.callers {
+            return Impossible::of(&["peers"], "is the same address as callers");
+        }
+        if self.operators == self.callers {
+            return Impossible::of(&["operators"], "is the same address as callers");
+        }
+        if self.operators == self.peers {
+            return Impossible::of(&["operators"], "is the same address as peers");
+        }
+        None
+    }
+}
+
+const NAME_REASON: &str = "must be 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.', and begin with a letter or digit";
+
+/// A value of the right type with which no daemon can run.
+struct Impossible {
+    key: &'static [&'static str],
+    reason: &'static str,
+}
+
+impl Impossible {
+    fn of(key: &'static [&'static str], reason: &'static str) -> Option<Self> {
+        Some(Self { key, reason })
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,4 +1,6 @@
 //! The state layer: configuration objects, checked snapshots and tables of counts.
 
+pub mod document;
+pub mod names;
 pub mod objects;
 pub mod snapshot;
