--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,88 +5,101 @@
 use bpaf::Bpaf;
 use compact_str::CompactString;
 
-/// Exit statuses: 0 done, 1 refused or failed, 2 usage or settings, 3 outcome unknown (run it
-/// again, that is harmless).
-///
-/// Every verb is safe to repeat. Examples:
-///
-///   hibiscusyoke serve entry-1.jsonc
-///
-///   hibiscusyoke check configuration.jsonc
-///
-///   hibiscusyoke publish configuration.jsonc --daemon 10.0.0.1:7003 --key-file operator.key
-///
-///   hibiscusyoke domain out padana-a --daemon 10.0.0.1:7003 --key-file operator.key
+const EXIT_STATUSES: &str = "\
+Every verb is safe to repeat; VERB --help shows an example.
+Exit status: 0 done, 1 refused or failed, 2 usage or settings, 3 outcome unknown: run it again, that is harmless.";
+
+/// One verb and its arguments.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, generate(command_line))]
+#[bpaf(
+    options,
+    version,
+    generate(command_line),
+    ignore_rustdoc,
+    descr("A model-aware router: like daemons between callers and upstreams."),
+    footer(EXIT_STATUSES)
+)]
 pub enum Command {
     /// Run the daemon of this instance.
-    ///
-    /// Example: hibiscusyoke serve entry-1.jsonc
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: hibiscusyoke serve entry-1.jsonc"))]
     Serve(#[bpaf(external(serve_args))] ServeArgs),
     /// Check configuration files as one set, without publishing.
-    ///
-    /// Example: hibiscusyoke check configuration.jsonc
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: hibiscusyoke check configuration.jsonc"))]
     Check(#[bpaf(external(check_args))] CheckArgs),
     /// Show what a file changes, then publish it.
     ///
     /// Objects that the file does not name stay as they are, and an object whose file gives no
     /// state keeps the state it has.
-    ///
-    /// Example: hibiscusyoke publish configuration.jsonc --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: hibiscusyoke publish configuration.jsonc --daemon 10.0.0.1:7003 --key-file operator.key"
+        )
+    )]
     Publish(#[bpaf(external(publish_args))] PublishArgs),
     /// Take a failure domain out of service, or back in.
-    ///
-    /// Example: hibiscusyoke domain out padana-a --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: hibiscusyoke domain out padana-a --daemon 10.0.0.1:7003 --key-file operator.key"
+        )
+    )]
     Domain(#[bpaf(external(service_args))] ServiceArgs),
     /// Withdraw, drain or enable a version.
-    ///
-    /// Example: hibiscusyoke version withdraw draft-2 --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: hibiscusyoke version withdraw draft-2 --daemon 10.0.0.1:7003 --key-file operator.key"
+        )
+    )]
     Version(#[bpaf(external(version_args))] VersionArgs),
     /// Take an upstream out of service, or back in.
-    ///
-    /// Example: hibiscusyoke upstream out engine-3 --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: hibiscusyoke upstream out engine-3 --daemon 10.0.0.1:7003 --key-file operator.key"
+        )
+    )]
     Upstream(#[bpaf(external(service_args))] ServiceArgs),
     /// Show the fleet and the generation in force on each daemon.
-    ///
-    /// Example: hibiscusyoke status --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: hibiscusyoke status --daemon 10.0.0.1:7003 --key-file operator.key")
+    )]
     Status(#[bpaf(external(status_args))] StatusArgs),
     /// Show the decisions made about one request, in order.
-    ///
-    /// Example: hibiscusyoke explain 01J9ZK --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: hibiscusyoke explain 01J9ZK --daemon 10.0.0.1:7003 --key-file operator.key"
+        )
+    )]
     Explain(#[bpaf(external(explain_args))] ExplainArgs),
     /// Show what each customer is billed.
-    ///
-    /// Example: hibiscusyoke invoice --customer gate --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: hibiscusyoke invoice --customer gate --daemon 10.0.0.1:7003 --key-file operator.key"
+        )
+    )]
     Invoice(#[bpaf(external(invoice_args))] InvoiceArgs),
     /// Show the latest published generations.
-    ///
-    /// Example: hibiscusyoke generations --daemon 10.0.0.1:7003 --key-file operator.key
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: hibiscusyoke generations --daemon 10.0.0.1:7003 --key-file operator.key")
+    )]
     Generations(#[bpaf(external(status_args))] StatusArgs),
     /// Run stand-ins and three daemons in this process and send a few requests.
-    ///
-    /// Example: hibiscusyoke demo --hold
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: hibiscusyoke demo --hold"))]
     Demo(#[bpaf(external(demo_args))] DemoArgs),
     /// Run a measurement against stand-ins in this process.
-    ///
-    /// Example: hibiscusyoke measure policy --seed 1
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: hibiscusyoke measure policy --seed 1"))]
     Measure(#[bpaf(external(measure_args))] MeasureArgs),
 }
 
 /// The arguments of `serve`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct ServeArgs {
     /// The settings file, JSON with comments
     #[bpaf(positional("SETTINGS"))]
@@ -95,6 +108,7 @@
 
 /// How to reach the fleet as an operator.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct RemoteArgs {
     /// Operators' address of a daemon; repeat it, and the next is tried when one does not answer
     #[bpaf(
@@ -113,6 +127,7 @@
 
 /// The arguments of `check`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct CheckArgs {
     /// Print JSON
     #[bpaf(long, switch)]
@@ -124,6 +139,7 @@
 
 /// The arguments of `publish`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct PublishArgs {
     #[bpaf(external(remote_args))]
     /// How to reach the fleet.
@@ -189,6 +205,7 @@
 
 /// The arguments of `domain` and `upstream`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct ServiceArgs {
     #[bpaf(external(remote_args))]
     /// How to reach the fleet.
@@ -203,6 +220,7 @@
 
 /// The arguments of `version`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct VersionArgs {
     #[bpaf(external(remote_args))]
     /// How to reach the fleet.
@@ -217,6 +235,7 @@
 
 /// The arguments of `status` and `generations`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct StatusArgs {
     #[bpaf(external(remote_args))]
     /// How to reach the fleet.
@@ -225,6 +244,7 @@
 
 /// The arguments of `explain`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct ExplainArgs {
     #[bpaf(external(remote_args))]
     /// How to reach the fleet.
@@ -236,6 +256,7 @@
 
 /// The arguments of `invoice`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct InvoiceArgs {
     #[bpaf(external(remote_args))]
     /// How to reach the fleet.
@@ -247,6 +268,7 @@
 
 /// The arguments of `demo`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct DemoArgs {
     /// Keep everything up until interrupted, and print the addresses
     #[bpaf(long, switch)]
@@ -255,6 +277,7 @@
 
 /// The arguments of `measure`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct MeasureArgs {
     /// Print JSON
     #[bpaf(long, switch)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,7 +7,7 @@
 
 use crate::state::{
     document::{Document, DocumentError},
-    names::{is_hex, is_key_hash, is_name},
+    names::{NAME_REASON, is_hex, is_key_hash, is_name},
     objects::{DomainName, KeyHash},
 };
 
@@ -143,8 +143,6 @@
     }
 }
 
-const NAME_REASON: &str = "must be 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.', and begin with a letter or digit";
-
 /// A value of the right type with which no daemon can run.
 struct Impossible {
     key: &'static [&'static str],
--- a/src/state/names.rs
+++ b/src/state/names.rs
@@ -3,6 +3,10 @@
 /// The greatest length of a name.
 pub const MAX_NAME_BYTES: usize = 64;
 
+/// What a name must look like.
+pub const NAME_REASON: &str = "must be 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.', \
+                               and begin with a letter or digit";
+
 /// The length of a SHA-256 in hexadecimal.
 pub const KEY_HASH_DIGITS: usize = 64;
 
