--- /dev/null
+++ b/src/transport/engine/stream.rs
@@ -0,0 +1,157 @@
+//! A streamed answer: tokens in order, each once, up to an explicit end.
+
+use std::{pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use eventsource_stream::{Event, EventStreamError, Eventsource};
+use futures::{Stream, StreamExt, stream};
+use platform_api::engine::{ChatChunk, Usage};
+use tokio::time::Instant;
+
+use crate::transport::{
+    engine::{
+        AttemptId, Dispatch, EngineClient, EngineIncarnation,
+        error::EngineError,
+        incarnation,
+        watch::{Watch, watched},
+    },
+    http_client::{Exchange, HttpError},
+};
+
+/// The data of the event that ends a stream.
+pub const DONE: &str = "[DONE]";
+
+type Events = Pin<Box<dyn Stream<Item = Result<Event, EventStreamError<HttpError>>> + Send>>;
+
+/// What comes next in a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamItem {
+    /// One token.
+    Token {
+        /// The number of tokens before it.
+        offset: u32,
+        /// Its text.
+        text: String,
+    },
+    /// The end; nothing follows.
+    End {
+        /// Why generation ended.
+        finish_reason: CompactString,
+        /// Tokens used over the whole answer.
+        usage: Usage,
+    },
+}
+
+/// A streamed answer of one attempt.
+pub struct TokenStream {
+    engine: EngineClient,
+    attempt: AttemptId,
+    version: CompactString,
+    incarnation: Option<EngineIncarnation>,
+    events: Events,
+    next_offset: u32,
+    until: Instant,
+}
+
+impl TokenStream {
+    /// Reads the body of `exchange` as events.
+    pub(super) fn new(engine: EngineClient, exchange: Exchange, dispatch: &Dispatch) -> Self {
+        let limit = dispatch.limit;
+        Self {
+            engine,
+            attempt: dispatch.attempt.clone(),
+            version: dispatch.req.model.clone(),
+            incarnation: incarnation(&exchange),
+            events: Box::pin(body(exchange, limit).eventsource()),
+            next_offset: dispatch.resume_from,
+            until: Instant::now() + limit,
+        }
+    }
+
+    /// The engine's incarnation, if it said so.
+    pub fn incarnation(&self) -> Option<EngineIncarnation> {
+        self.incarnation
+    }
+
+    /// The number of tokens that have come, with those before a resume.
+    pub fn offset(&self) -> u32 {
+        self.next_offset
+    }
+
+    /// The next token or the end; repeated tokens are passed over, and a gap is an error.
+    pub async fn next(&mut self) -> Result<StreamItem, EngineError> {
+        loop {
+            let chunk = self.chunk().await?;
+            if chunk.id != self.attempt || chunk.model != self.version {
+                return Err(EngineError::Crossed {
+                    peer: self.engine.peer(),
+                });
+            }
+            if let (Some(finish_reason), Some(usage)) = (chunk.finish_reason, chunk.usage) {
+                if chunk.offset != self.next_offset {
+                    return Err(self.malformed("end at the wrong offset"));
+                }
+                self.drain().await;
+                return Ok(StreamItem::End {
+                    finish_reason,
+                    usage,
+                });
+            }
+            if chunk.offset < self.next_offset {
+                continue;
+            }
+            if chunk.offset > self.next_offset {
+                return Err(self.malformed("gap in the stream"));
+            }
+            self.next_offset += 1;
+            return Ok(StreamItem::Token {
+                offset: chunk.offset,
+                text: chunk.delta,
+            });
+        }
+    }
+
+    async fn chunk(&mut self) -> Result<ChatChunk, EngineError> {
+        let peer = self.engine.peer();
+        let watch = Watch::new(self.engine.clone(), self.attempt.clone(), self.next_offset);
+        let next = async { Ok(self.events.next().await) };
+        let event = tokio::time::timeout_at(self.until, watched(watch, next))
+            .await
+            .map_err(|_| EngineError::TooSlow { peer })??;
+        match event {
+            None => Err(EngineError::Truncated { peer }),
+            Some(Ok(event)) if event.data == DONE => Err(EngineError::Truncated { peer }),
+            Some(Ok(event)) => {
+                serde_json::from_str(&event.data).map_err(|e| self.malformed(&e.to_string()))
+            }
+            Some(Err(EventStreamError::Transport(e))) => Err(e.into()),
+            Some(Err(e)) => Err(self.malformed(&e.to_string())),
+        }
+    }
+
+    /// Reads what is left after the end, so that the connection can be used again.
+    async fn drain(&mut self) {
+        /// How long the rest may take.
+        const REST: Duration = Duration::from_millis(50);
+        let rest = async { while let Some(Ok(_)) = self.events.next().await {} };
+        let _ = tokio::time::timeout(REST, rest).await;
+    }
+
+    fn malformed(&self, reason: &str) -> EngineError {
+        EngineError::Malformed {
+            peer: self.engine.peer(),
+            reason: reason.into(),
+        }
+    }
+}
+
+fn body(
+    exchange: Exchange,
+    limit: Duration,
+) -> impl Stream<Item = Result<Bytes, HttpError>> + Send {
+    stream::unfold(exchange, move |mut exchange| async move {
+        let part = exchange.chunk_within(limit).await.transpose()?;
+        Some((part, exchange))
+    })
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! The transport layer: sockets, HTTP servers and clients, links between peers.
 
+pub mod engine;
 pub mod http_client;
 pub mod http_server;
 pub mod peers;
