Follow and publish the configuration: generations, pulls, pushes and readiness

The follower applies only higher generations and gets them from a push, a peer or the table; the publisher commits on condition that the head is unchanged and its publish id has not taken effect.

--- /dev/null
+++ b/src/coordination/configuration/mod.rs
@@ -0,0 +1,11 @@
+//! How configuration is published through the table and followed by every daemon.
+//!
+//! The row `config/head` names the generation in force; a publication commits on condition that it
+//! is unchanged, so generations form one line and only grow.
+
+pub mod contact;
+pub mod edit;
+pub mod follower;
+pub mod publisher;
+pub mod rows;
+pub mod spread;
--- /dev/null
+++ b/src/coordination/configuration/spread.rs
@@ -0,0 +1,24 @@
+//! The tree along which a new generation is pushed, so that no daemon calls all others.
+
+use crate::coordination::membership::DaemonName;
+
+/// The greatest number of peers that one daemon pushes to.
+pub const FAN_OUT: usize = 8;
+
+/// One branch of the tree: the daemon to call and those it passes the record on to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Branch {
+    /// The daemons to call, one after another until one answers.
+    pub members: Vec<DaemonName>,
+}
+
+/// Splits the daemons into at most [`FAN_OUT`] branches of like size.
+pub fn branches(members: &[DaemonName]) -> Vec<Branch> {
+    let size = members.len().div_ceil(FAN_OUT).max(1);
+    members
+        .chunks(size)
+        .map(|chunk| Branch {
+            members: chunk.to_vec(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/daemon/configuration/pull.rs
@@ -0,0 +1,122 @@
+//! Questions to peers and to the table about what is in force.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::timeout;
+
+use crate::{
+    coordination::{
+        configuration::{
+            contact::PeerHead,
+            follower::{Event, Pulled, Source},
+        },
+        membership::DaemonName,
+    },
+    daemon::configuration::{Configuration, table},
+    protocol::peer::{
+        PeerRequest, PeerResponse,
+        configuration::{Request, Response},
+    },
+    state::{diff::Change, objects::Objects, snapshot::Generation},
+};
+
+/// How long a peer may take to say what is in force.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a read of the head may take, with one retry on a fresh connection.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a peer or the table may take to send what was missed.
+const PULL_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Configuration {
+    pub(super) async fn ask(self: Arc<Self>, peer: DaemonName) {
+        let sent = self.core.clock.now();
+        let head = self.ask_head(&peer).await;
+        self.feed(Event::Asked { peer, sent, head });
+    }
+
+    pub(super) async fn read_head(self: Arc<Self>) {
+        let sent = self.core.clock.now();
+        let read = timeout(READ_TIMEOUT, table::head(&self.core.table)).await;
+        let generation = match read {
+            Ok(Ok(generation)) => Some(generation),
+            Ok(Err(e)) => {
+                log::debug!("step=read_head error={e}");
+                None
+            }
+            Err(_) => None,
+        };
+        self.feed(Event::HeadRead { sent, generation });
+    }
+
+    pub(super) async fn pull(self: Arc<Self>, from: Source, after: Generation) {
+        let pulled = match &from {
+            Source::Peer(peer) => self.pull_from_peer(peer, after).await,
+            Source::Table => self.pull_from_table(after).await,
+        };
+        self.feed(Event::Pulled { from, pulled });
+    }
+
+    async fn ask_head(&self, peer: &str) -> Option<PeerHead> {
+        match self.call(peer, Request::Head, ASK_TIMEOUT).await? {
+            Response::Head(head) => Some(head),
+            _ => None,
+        }
+    }
+
+    async fn pull_from_peer(&self, peer: &str, after: Generation) -> Pulled {
+        match self.call(peer, Request::After(after), PULL_TIMEOUT).await {
+            Some(Response::Records(records)) => Pulled::Records(records),
+            Some(Response::Whole { generation, puts }) => whole(generation, &puts),
+            _ => Pulled::Failed,
+        }
+    }
+
+    async fn pull_from_table(&self, after: Generation) -> Pulled {
+        match timeout(PULL_TIMEOUT, self.read_after(after)).await {
+            Ok(Ok(pulled)) => pulled,
+            Ok(Err(e)) => {
+                log::warn!("step=pull source=table after={after} error={e}");
+                Pulled::Failed
+            }
+            Err(_) => Pulled::Failed,
+        }
+    }
+
+    async fn read_after(&self, after: Generation) -> Result<Pulled, table::ReadError> {
+        if after > 0 {
+            let records = table::records(&self.core.table, after).await?;
+            if records.first().is_some_and(|r| r.generation == after + 1) {
+                return Ok(Pulled::Records(records));
+            }
+        }
+        let (generation, objects) = table::whole(&self.core.table).await?;
+        Ok(Pulled::Whole(generation, Box::new(objects)))
+    }
+
+    pub(super) async fn call(&self, peer: &str, req: Request, limit: Duration) -> Option<Response> {
+        let member = self.member(peer)?;
+        let req = PeerRequest::Configuration(req);
+        match self.core.peers.call(&member, req, limit).await {
+            Ok(PeerResponse::Configuration(res)) => Some(res),
+            Ok(other) => {
+                log::warn!("step=configuration peer={peer} unexpected={other:?}");
+                None
+            }
+            Err(e) => {
+                log::debug!("step=configuration peer={peer} error={e}");
+                None
+            }
+        }
+    }
+}
+
+fn whole(generation: Generation, puts: &[Change]) -> Pulled {
+    let mut objects = Objects::default();
+    match objects.apply(puts) {
+        Ok(()) => Pulled::Whole(generation, Box::new(objects)),
+        Err(e) => {
+            log::error!("step=pull generation={generation} unreadable={e}");
+            Pulled::Failed
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/configuration/push.rs
@@ -0,0 +1,79 @@
+//! Pushes of new records along a tree of peers.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::{BoxFuture, FutureExt, join_all};
+
+use crate::{
+    coordination::{
+        configuration::{
+            follower::Event,
+            spread::{Branch, branches},
+        },
+        membership::DaemonName,
+    },
+    daemon::configuration::Configuration,
+    protocol::peer::configuration::{Push, Request, Response},
+    state::record::Record,
+};
+
+/// The number of daemons of one branch that are tried as its root.
+const ROOTS_TRIED: u32 = 2;
+/// What a daemon keeps of its budget for its own work and the way back.
+const HOP_RESERVE: Duration = Duration::from_millis(50);
+/// The least budget with which a record is passed on.
+const MIN_BUDGET: Duration = Duration::from_millis(100);
+
+impl Configuration {
+    /// Applies a pushed record and passes it on.
+    pub(super) async fn receive(self: &Arc<Self>, push: Push) -> Response {
+        let generation = push.record.generation;
+        self.feed(Event::Pushed(push.record.clone()));
+        let budget = Duration::from_millis(push.budget_ms).saturating_sub(HOP_RESERVE);
+        let mut in_force = self.spread(&push.record, &push.forward, budget).await;
+        if self.core.snapshot().generation >= generation {
+            in_force.push(self.core.name().clone());
+        }
+        Response::Pushed { in_force }
+    }
+
+    /// Pushes a record to `to` and returns those of them that have it in force.
+    pub(super) fn spread<'a>(
+        self: &'a Arc<Self>,
+        record: &'a Record,
+        to: &'a [DaemonName],
+        budget: Duration,
+    ) -> BoxFuture<'a, Vec<DaemonName>> {
+        async move {
+            if budget < MIN_BUDGET {
+                return Vec::new();
+            }
+            let branches = branches(to);
+            let pushes = branches.iter().map(|b| self.push_branch(record, b, budget));
+            join_all(pushes).await.concat()
+        }
+        .boxed()
+    }
+
+    async fn push_branch(
+        self: &Arc<Self>,
+        record: &Record,
+        branch: &Branch,
+        budget: Duration,
+    ) -> Vec<DaemonName> {
+        let limit = budget / ROOTS_TRIED;
+        let tried = usize::try_from(ROOTS_TRIED).unwrap_or(1);
+        for (i, root) in branch.members.iter().enumerate().take(tried) {
+            let push = Push {
+                record: record.clone(),
+                forward: branch.members.iter().skip(i + 1).cloned().collect(),
+                budget_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+            };
+            let answer = self.call(root, Request::Push(push), limit).await;
+            if let Some(Response::Pushed { in_force }) = answer {
+                return in_force;
+            }
+        }
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/src/daemon/configuration/table.rs
@@ -0,0 +1,50 @@
+//! Reads of the configuration's rows in the table.
+
+use platform_api::table::Row;
+
+use crate::{
+    coordination::configuration::rows::{
+        self, CHANGE_PREFIX, HEAD_KEY, OBJECT_PREFIX, RowError, change_key,
+    },
+    state::{objects::Objects, record::Record, snapshot::Generation},
+    transport::table::{TableClient, TableError},
+};
+
+/// Why a read of the configuration failed.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ReadError {
+    /// The table did not answer.
+    #[error(transparent)]
+    Table(#[from] TableError),
+    /// What it answered could not be read.
+    #[error(transparent)]
+    Rows(#[from] RowError),
+}
+
+/// The generation of the table's head.
+pub(super) async fn head(table: &TableClient) -> Result<Generation, ReadError> {
+    let rows: Vec<Row> = table.read(vec![HEAD_KEY.into()]).await?;
+    Ok(rows::head_in(&rows)?.generation)
+}
+
+/// The records after `after`, in order.
+pub(super) async fn records(
+    table: &TableClient,
+    after: Generation,
+) -> Result<Vec<Record>, ReadError> {
+    let rows = table.scan_after(CHANGE_PREFIX, &change_key(after)).await?;
+    Ok(rows::records_in(&rows)?)
+}
+
+/// The whole set, with its generation.
+pub(super) async fn whole(table: &TableClient) -> Result<(Generation, Objects), ReadError> {
+    let before = head(table).await?;
+    let objects = table.scan(OBJECT_PREFIX).await?;
+    let after = head(table).await?;
+    let records = if after > before {
+        records(table, before).await?
+    } else {
+        Vec::new()
+    };
+    Ok((after, rows::assemble(before, &objects, &records, after)?))
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,4 +5,5 @@
 pub mod document;
 pub mod names;
 pub mod objects;
+pub mod record;
 pub mod snapshot;
