Add routing, cascade, learned quality, roll-outs, poison and admission as sans-IO decisions

Versions are ranked by expected cost with escalation; replicas are picked from a bounded per-daemon subset by own in-flight counts.

--- /dev/null
+++ b/src/coordination/hash.rs
@@ -0,0 +1,31 @@
+//! A fast stable hash for rendezvous placement and fingerprints, equal on all daemons.
+
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Hashes bytes; equal on every machine and in every build.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    mix(extend(OFFSET, bytes))
+}
+
+/// Hashes two texts; the boundary between them counts.
+pub fn hash_pair(a: &str, b: &str) -> u64 {
+    let state = extend(OFFSET, a.as_bytes());
+    let state = extend(state ^ 0xff, b.as_bytes());
+    mix(state)
+}
+
+/// Spreads the bits of a counter or a weak hash.
+pub fn mix(mut x: u64) -> u64 {
+    x ^= x >> 30;
+    x = x.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x ^= x >> 27;
+    x = x.wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn extend(state: u64, bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(state, |h, b| (h ^ u64::from(*b)).wrapping_mul(PRIME))
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,5 +2,14 @@
 //!
 //! Nothing here does I/O or reads a clock; time and randomness are passed in.
 
+pub mod admission;
+pub mod cascade;
 pub mod decisions;
+pub mod hash;
+pub mod health;
 pub mod membership;
+pub mod poison;
+pub mod quality;
+pub mod retry;
+pub mod rollout;
+pub mod routing;
--- /dev/null
+++ b/src/coordination/quality.rs
@@ -0,0 +1,275 @@
+//! The learned probability that a version's answer is good enough, as counts by rule and class.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::state::objects::{RuleName, VersionName};
+
+/// The number of ratings that the prior is worth.
+const PRIOR_WEIGHT: f64 = 6.0;
+
+/// How steeply the prior pass probability follows the gap between prior quality and the rule's.
+const PRIOR_SLOPE: f64 = 10.0;
+
+/// The number of ratings beyond which old ones fade as new ones come.
+const WINDOW_RATINGS: f64 = 300.0;
+
+/// The time in which ratings lose half their weight.
+const HALF_LIFE: Duration = Duration::from_secs(600);
+
+/// The greatest number of (rule, version) pairs remembered.
+const MAX_PAIRS: usize = 1_024;
+
+/// The greatest number of counts in one message.
+pub const MAX_DELTAS: usize = 10;
+
+/// The kinds of requests for which pass probabilities are learned apart.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum RequestClass {
+    /// A prompt of a line or two.
+    Brief,
+    /// A prompt of a paragraph.
+    Short,
+    /// A prompt of a page.
+    Long,
+    /// A longer prompt.
+    Huge,
+}
+
+impl RequestClass {
+    /// The number of classes.
+    pub const COUNT: usize = 4;
+
+    const BRIEF_BYTES: usize = 200;
+    const SHORT_BYTES: usize = 1_000;
+    const LONG_BYTES: usize = 4_000;
+
+    /// The class of a prompt of this length.
+    pub fn of(prompt_bytes: usize) -> Self {
+        if prompt_bytes <= Self::BRIEF_BYTES {
+            Self::Brief
+        } else if prompt_bytes <= Self::SHORT_BYTES {
+            Self::Short
+        } else if prompt_bytes <= Self::LONG_BYTES {
+            Self::Long
+        } else {
+            Self::Huge
+        }
+    }
+
+    /// Its place in a table of all classes.
+    pub fn index(self) -> usize {
+        match self {
+            Self::Brief => 0,
+            Self::Short => 1,
+            Self::Long => 2,
+            Self::Huge => 3,
+        }
+    }
+}
+
+/// What a pass probability is learned for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Subject {
+    /// The rule, which sets what is good enough.
+    pub rule: RuleName,
+    /// The version.
+    pub version: VersionName,
+    /// The kind of request.
+    pub class: RequestClass,
+}
+
+/// Ratings counted since the last message to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// What was rated.
+    pub subject: Subject,
+    /// Answers good enough.
+    pub passed: u32,
+    /// Answers rated.
+    pub rated: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    passed: f64,
+    rated: f64,
+}
+
+impl Counts {
+    fn add(&mut self, passed: f64, rated: f64) {
+        self.passed += passed;
+        self.rated += rated;
+        if self.rated > WINDOW_RATINGS {
+            self.scale(WINDOW_RATINGS / self.rated);
+        }
+    }
+
+    fn scale(&mut self, by: f64) {
+        self.passed *= by;
+        self.rated *= by;
+    }
+}
+
+type ByVersion = HashMap<VersionName, [Counts; RequestClass::COUNT]>;
+
+/// The counts of one daemon: its own ratings and those that peers told it of.
+#[derive(Debug, Default)]
+pub struct Quality {
+    rules: HashMap<RuleName, ByVersion>,
+    pairs: usize,
+    unshared: BTreeMap<Subject, Unshared>,
+    faded_at: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Unshared {
+    passed: u32,
+    rated: u32,
+}
+
+/// A pass probability with its uncertainty.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// The expected pass probability.
+    pub mean: f64,
+    /// One standard deviation below it.
+    pub low: f64,
+    /// The ratings behind it, faded ones counted in part.
+    pub ratings: f64,
+}
+
+/// The counts of one rule.
+#[derive(Clone, Copy, Debug)]
+pub struct Estimates<'a>(Option<&'a ByVersion>);
+
+impl Estimates<'_> {
+    /// The expected pass probability of a version for a class.
+    pub fn pass(&self, version: &str, class: RequestClass, prior_quality: f64, good: f64) -> f64 {
+        let counts = self.counts(version, class);
+        let prior = prior_pass(prior_quality, good);
+        (PRIOR_WEIGHT * prior + counts.passed) / (PRIOR_WEIGHT + counts.rated)
+    }
+
+    /// The pass probability of a version for a class with its uncertainty.
+    pub fn estimate(
+        &self,
+        version: &str,
+        class: RequestClass,
+        prior_quality: f64,
+        good: f64,
+    ) -> Estimate {
+        let mean = self.pass(version, class, prior_quality, good);
+        let ratings = self.counts(version, class).rated;
+        let deviation = (mean * (1.0 - mean) / (PRIOR_WEIGHT + ratings + 1.0)).sqrt();
+        Estimate {
+            mean,
+            low: mean - deviation,
+            ratings,
+        }
+    }
+
+    fn counts(&self, version: &str, class: RequestClass) -> Counts {
+        let by_class = self.0.and_then(|versions| versions.get(version));
+        by_class.map_or_else(Counts::default, |counts| counts[class.index()])
+    }
+}
+
+impl Quality {
+    /// The counts of one rule.
+    pub fn of(&self, rule: &str) -> Estimates<'_> {
+        Estimates(self.rules.get(rule))
+    }
+
+    /// Takes in a rating of one of this daemon's answers.
+    pub fn rated(&mut self, subject: &Subject, passed: bool) {
+        self.add(subject, f64::from(u8::from(passed)), 1.0);
+        let full = self.unshared.len() >= MAX_PAIRS;
+        if full && !self.unshared.contains_key(subject) {
+            return;
+        }
+        let unshared = self.unshared.entry(subject.clone()).or_default();
+        unshared.passed = unshared.passed.saturating_add(u32::from(passed));
+        unshared.rated = unshared.rated.saturating_add(1);
+    }
+
+    /// Takes in what a peer has counted; nonsense counts are cut down to sense.
+    pub fn merge(&mut self, deltas: &[Delta]) {
+        for delta in deltas.iter().take(MAX_DELTAS) {
+            let rated = f64::from(delta.rated).min(WINDOW_RATINGS);
+            let share = f64::from(delta.passed.min(delta.rated)) / f64::from(delta.rated.max(1));
+            self.add(&delta.subject, rated * share, rated);
+        }
+    }
+
+    /// The ratings that peers have not been told of, most counted first, at most [`MAX_DELTAS`].
+    pub fn take_deltas(&mut self) -> Vec<Delta> {
+        let mut deltas: Vec<_> = self
+            .unshared
+            .iter()
+            .map(|(subject, counts)| Delta {
+                subject: subject.clone(),
+                passed: counts.passed,
+                rated: counts.rated,
+            })
+            .collect();
+        deltas.sort_by_key(|delta| std::cmp::Reverse(delta.rated));
+        deltas.truncate(MAX_DELTAS);
+        for delta in &deltas {
+            self.unshared.remove(&delta.subject);
+        }
+        deltas
+    }
+
+    /// Fades old ratings.
+    pub fn tick(&mut self, now: Instant) {
+        let Some(at) = self.faded_at.replace(now) else {
+            return;
+        };
+        let elapsed = now.saturating_duration_since(at).as_secs_f64();
+        let factor = 0.5_f64.powf(elapsed / HALF_LIFE.as_secs_f64());
+        for counts in self.rules.values_mut().flat_map(HashMap::values_mut) {
+            counts.iter_mut().for_each(|c| c.scale(factor));
+        }
+    }
+
+    /// Forgets rules and versions that the configuration no longer names.
+    pub fn retain(&mut self, mut named: impl FnMut(&str, &str) -> bool) {
+        for (rule, versions) in &mut self.rules {
+            versions.retain(|version, _| named(rule, version));
+        }
+        self.rules.retain(|_, versions| !versions.is_empty());
+        self.pairs = self.rules.values().map(HashMap::len).sum();
+        self.unshared.retain(|s, _| named(&s.rule, &s.version));
+    }
+
+    fn add(&mut self, subject: &Subject, passed: f64, rated: f64) {
+        let known = self
+            .rules
+            .get(&subject.rule)
+            .is_some_and(|versions| versions.contains_key(&subject.version));
+        if !known {
+            if self.pairs >= MAX_PAIRS {
+                return;
+            }
+            self.pairs += 1;
+        }
+        let versions = self.rules.entry(subject.rule.clone()).or_default();
+        let counts = versions.entry(subject.version.clone()).or_default();
+        counts[subject.class.index()].add(passed, rated);
+    }
+}
+
+/// The pass probability expected of a version before any rating.
+pub fn prior_pass(prior_quality: f64, good: f64) -> f64 {
+    1.0 / (1.0 + (-PRIOR_SLOPE * (prior_quality - good)).exp())
+}
--- /dev/null
+++ b/src/coordination/rollout/mod.rs
@@ -0,0 +1,11 @@
+//! Roll-outs and verdicts: how many unrated answers a version may have, and when it is ejected.
+
+mod evidence;
+mod shares;
+mod trial;
+mod trials;
+
+pub use evidence::{Baseline, Evidence};
+pub use shares::share;
+pub use trial::{Gate, Standing, Trial};
+pub use trials::{Fleet, RatingNote, Trials, Verdict, VerdictKind};
--- /dev/null
+++ b/src/coordination/rollout/trials.rs
@@ -0,0 +1,213 @@
+//! The records of all versions, kept in step with the configuration, the fleet and the verdicts.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    coordination::{
+        membership::DaemonName,
+        quality::{Quality, Subject},
+        rollout::{
+            evidence::Baseline,
+            shares::share,
+            trial::{Gate, Standing, Trial},
+        },
+        routing::RouteRequest,
+    },
+    state::{
+        objects::{Objects, Version, VersionName},
+        snapshot::Snapshot,
+    },
+};
+
+/// The unrated answers of a version that is no longer fully trusted, over the whole fleet.
+const DEFAULT_EXPOSURE: u32 = 20;
+
+/// The ratings that must be known of a trusted version before it can be found to have turned bad.
+const MIN_OWN_RATINGS: f64 = 20.0;
+
+/// The greatest number of verdicts remembered.
+const MAX_VERDICTS: usize = 256;
+
+/// Whether a verdict is final.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VerdictKind {
+    /// A roll-out has failed; it never takes work again.
+    Ejected,
+    /// A trusted version has turned bad; it rests and is tried again.
+    Demoted,
+}
+
+/// The judgement that a version is bad.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The version.
+    pub version: VersionName,
+    /// Whether it is final.
+    pub kind: VerdictKind,
+    /// The daemon that judged.
+    pub by: DaemonName,
+}
+
+/// One rating as told to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RatingNote {
+    /// What was rated.
+    pub subject: Subject,
+    /// Whether it was good enough.
+    pub passed: bool,
+}
+
+/// The fleet as far as shares need it.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet<'a> {
+    /// This daemon.
+    pub own: &'a DaemonName,
+    /// The reachable daemons; this one may be among them.
+    pub members: &'a [DaemonName],
+    /// Changes now and then, to move the remainder of uneven shares.
+    pub epoch: u64,
+}
+
+/// The records of all versions.
+#[derive(Debug, Default)]
+pub struct Trials {
+    trials: BTreeMap<VersionName, Trial>,
+    verdicts: BTreeMap<VersionName, Verdict>,
+}
+
+impl Trials {
+    /// Follows the configuration and the fleet.
+    pub fn refresh(&mut self, now: Instant, snapshot: &Snapshot, fleet: Fleet<'_>) {
+        let versions = &snapshot.objects.versions;
+        self.trials.retain(|name, trial| {
+            versions
+                .get(name)
+                .is_some_and(|v| v.rollout.is_some() == trial.rolled_out())
+        });
+        for (name, version) in versions {
+            let rolled_out = version.rollout.is_some();
+            let verdict = self.verdicts.get(name);
+            let trial = self.trials.entry(name.clone()).or_insert_with(|| {
+                let mut trial = Trial::new(rolled_out);
+                if rolled_out && verdict.is_some_and(|v| v.kind == VerdictKind::Ejected) {
+                    trial.convict(now);
+                }
+                trial
+            });
+            let exposure = version
+                .rollout
+                .as_ref()
+                .map_or(DEFAULT_EXPOSURE, |r| r.exposure);
+            let members = fleet.members.iter();
+            trial.set_share(share(fleet.own, members, name, exposure, fleet.epoch));
+        }
+    }
+
+    /// Whether a version may be chosen for a request.
+    pub fn gate(&self, now: Instant, name: &str, version: &Version, req: &RouteRequest) -> Gate {
+        let own_session = req.session.is_some();
+        match self.trials.get(name) {
+            Some(trial) => trial.gate(now, &req.request_id, own_session),
+            None if version.rollout.is_some() => Gate::Exposure,
+            None => Gate::Open,
+        }
+    }
+
+    /// An answer of a version is under way.
+    pub fn started(&mut self, version: &str) {
+        if let Some(trial) = self.trials.get_mut(version) {
+            trial.started();
+        }
+    }
+
+    /// An answer of a version was rated, or will never be delivered.
+    pub fn settled(&mut self, version: &str) {
+        if let Some(trial) = self.trials.get_mut(version) {
+            trial.settled();
+        }
+    }
+
+    /// Takes in a rating by this daemon or a peer; returns the verdict if that is one.
+    pub fn rated(
+        &mut self,
+        now: Instant,
+        objects: &Objects,
+        quality: &Quality,
+        note: &RatingNote,
+        own: &DaemonName,
+    ) -> Option<Verdict> {
+        let baseline = baseline(objects, quality, &note.subject)?;
+        let trial = self.trials.get_mut(&note.subject.version)?;
+        let kind = match trial.rated(now, note.passed, baseline)? {
+            Standing::Ejected => VerdictKind::Ejected,
+            Standing::Demoted => VerdictKind::Demoted,
+            Standing::Trusted | Standing::OnTrial => return None,
+        };
+        let verdict = Verdict {
+            version: note.subject.version.clone(),
+            kind,
+            by: own.clone(),
+        };
+        self.remember(&verdict);
+        Some(verdict)
+    }
+
+    /// Takes in a verdict of a peer or the table; returns whether it was news.
+    pub fn judged(&mut self, now: Instant, verdict: &Verdict) -> bool {
+        let known = self.verdicts.get(&verdict.version);
+        if known.is_some_and(|v| v.kind == VerdictKind::Ejected) {
+            return false;
+        }
+        self.remember(verdict);
+        let Some(trial) = self.trials.get_mut(&verdict.version) else {
+            return true;
+        };
+        let applies = trial.rolled_out() == (verdict.kind == VerdictKind::Ejected);
+        applies && trial.standing() != Standing::Demoted && trial.convict(now).is_some()
+    }
+
+    /// Whether ratings of this version are told to peers one by one.
+    pub fn watched(&self, version: &str) -> bool {
+        self.trials
+            .get(version)
+            .is_some_and(|t| t.standing() != Standing::Ejected)
+    }
+
+    /// The record of a version.
+    pub fn of(&self, version: &str) -> Option<&Trial> {
+        self.trials.get(version)
+    }
+
+    /// The verdicts that are final, which the table keeps.
+    pub fn ejected(&self) -> impl Iterator<Item = &Verdict> {
+        let verdicts = self.verdicts.values();
+        verdicts.filter(|v| v.kind == VerdictKind::Ejected)
+    }
+
+    fn remember(&mut self, verdict: &Verdict) {
+        let known = self.verdicts.contains_key(&verdict.version);
+        if known || self.verdicts.len() < MAX_VERDICTS {
+            self.verdicts
+                .insert(verdict.version.clone(), verdict.clone());
+        }
+    }
+}
+
+/// What is expected of an answer: what the replaced version, or the version itself, has shown.
+fn baseline(objects: &Objects, quality: &Quality, subject: &Subject) -> Option<Baseline> {
+    let version = objects.versions.get(&subject.version)?;
+    let good = objects.rules.get(&subject.rule)?.quality;
+    let estimates = quality.of(&subject.rule);
+    if let Some(rollout) = &version.rollout {
+        let replaced = objects.versions.get(&rollout.replaces)?;
+        let name = &rollout.replaces;
+        let estimate = estimates.estimate(name, subject.class, replaced.prior_quality, good);
+        return Some(Baseline { pass: estimate.low });
+    }
+    let name = &subject.version;
+    let estimate = estimates.estimate(name, subject.class, version.prior_quality, good);
+    (estimate.ratings >= MIN_OWN_RATINGS).then_some(Baseline { pass: estimate.low })
+}
--- /dev/null
+++ b/src/coordination/routing/mod.rs
@@ -0,0 +1,14 @@
+//! Routing: which version and which upstream a request runs on, and why.
+
+mod replicas;
+mod request;
+mod router;
+mod subset;
+mod times;
+
+pub use replicas::{Outcome, ReplicaView};
+pub use request::{
+    Choice, NoRoute, NoRouteWhy, Reason, Rejected, RouteRequest, ServiceRequest, Why,
+};
+pub use router::{Router, Views};
+pub use subset::{SubsetSize, subset};
--- /dev/null
+++ b/src/coordination/routing/subset.rs
@@ -0,0 +1,63 @@
+//! The part of a pool that one daemon uses: bounded, stable and balanced across failure domains.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    coordination::hash::hash_pair,
+    state::objects::{DomainName, UpstreamName},
+};
+
+/// The size below which a pool is used whole.
+const MIN_SUBSET: usize = 16;
+
+/// The number of daemons that should be able to reach each upstream.
+const DAEMONS_PER_UPSTREAM: usize = 4;
+
+/// How many upstreams of a pool one daemon uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SubsetSize(pub usize);
+
+impl SubsetSize {
+    /// Enough that each upstream is reached by several daemons, and no more than that.
+    pub fn of(pool: usize, daemons: usize) -> Self {
+        let covering = (pool * DAEMONS_PER_UPSTREAM).div_ceil(daemons.max(1));
+        Self(covering.max(MIN_SUBSET).min(pool))
+    }
+}
+
+/// Chooses upstreams by rendezvous hashing in each failure domain, taking domains in turn.
+///
+/// A change of one upstream changes at most one place, and the domain nearest to the daemon is
+/// served first.
+pub fn subset<'a>(
+    daemon: &str,
+    nearest: &str,
+    pool: impl Iterator<Item = (&'a UpstreamName, &'a DomainName)>,
+    size: SubsetSize,
+) -> Vec<&'a UpstreamName> {
+    let mut domains: BTreeMap<&DomainName, Vec<(u64, &UpstreamName)>> = BTreeMap::new();
+    for (name, domain) in pool {
+        let weight = hash_pair(daemon, name);
+        domains.entry(domain).or_default().push((weight, name));
+    }
+    let mut ranked: Vec<_> = domains.into_iter().collect();
+    ranked.sort_by_key(|(domain, _)| (domain.as_str() != nearest, hash_pair(daemon, domain)));
+    for (_, names) in &mut ranked {
+        names.sort_unstable();
+    }
+    let mut chosen = Vec::with_capacity(size.0);
+    while chosen.len() < size.0 {
+        let before = chosen.len();
+        for (_, names) in &mut ranked {
+            if chosen.len() < size.0
+                && let Some((_, name)) = names.pop()
+            {
+                chosen.push(name);
+            }
+        }
+        if chosen.len() == before {
+            break;
+        }
+    }
+    chosen
+}
--- a/src/protocol/peer/policy.rs
+++ b/src/protocol/peer/policy.rs
@@ -1,11 +1,62 @@
-//! Peer messages about learned counts, exposure and usage.
+//! Peer messages about learned counts, exposure and suspects.
 
 use serde::{Deserialize, Serialize};
 
-/// A question about learned counts, exposure and usage.
+use crate::{
+    coordination::{
+        membership::Incarnation,
+        poison::Note,
+        quality::Delta,
+        rollout::{RatingNote, Verdict},
+    },
+    state::objects::UpstreamName,
+};
+
+/// The number of daemons through which a notice may still be passed on.
+pub type Hops = u8;
+
+/// A question about learned counts, exposure and suspects.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Request {}
+pub enum Request {
+    /// Ratings counted since the last message, told to a few peers and not passed on.
+    Counts(Vec<Delta>),
+    /// Ratings of watched versions, told to the daemons that judge them.
+    Ratings(Vec<RatingNote>),
+    /// A version was judged; passed on.
+    Verdict {
+        /// The judgement.
+        verdict: Verdict,
+        /// How often it may be passed on.
+        hops: Hops,
+    },
+    /// What happened to suspects; passed on.
+    Suspects {
+        /// The events.
+        notes: Vec<Note>,
+        /// How often they may be passed on.
+        hops: Hops,
+    },
+    /// Asks that no request be sent to an upstream while a suspect runs alone there.
+    Reserve {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Who asks.
+        by: Incarnation,
+        /// For how long, in milliseconds; 0 ends it.
+        millis: u32,
+    },
+}
 
 /// The answer to a [`Request`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Response {}
+pub enum Response {
+    /// Taken in.
+    Taken,
+    /// The upstream is reserved, and this many of the peer's requests still run there.
+    Reserved {
+        /// Requests that still run there.
+        running: u32,
+    },
+    /// Another daemon has reserved the upstream.
+    Contended,
+}
