Seal sessions and home keys under HMAC-SHA256

A session token carries id, customer, version and generation, so any daemon serves it without a store; the last session key by name signs and all check. A home key's prefix names the daemon incarnation that alone may run it and the age at which it was issued, so that a daemon can forget ended claims without taking an old key for a new one.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,3 +1,6 @@
 //! The protocol layer: typed messages and their codecs.
 
+pub mod home_key;
+pub mod mac;
 pub mod peer;
+pub mod session;
