--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,5 +2,6 @@
 //!
 //! Nothing here does I/O or reads a clock; time and randomness are passed in.
 
+pub mod claims;
 pub mod decisions;
 pub mod membership;
