--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,4 +3,5 @@
 pub mod home_key;
 pub mod mac;
 pub mod peer;
+pub mod problem;
 pub mod session;
