--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod cascade;
+pub mod claims;
 pub mod decisions;
 pub mod hash;
 pub mod health;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,4 +1,7 @@
 //! The protocol layer: typed messages and their codecs.
 
+pub mod home_key;
+pub mod mac;
 pub mod peer;
 pub mod problem;
+pub mod session;
