--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod home_key;
 pub mod mac;
+pub mod codec;
 pub mod peer;
 pub mod problem;
 pub mod session;
