--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,8 +1,8 @@
 //! The protocol layer: typed messages and their codecs.
 
+pub mod codec;
 pub mod home_key;
 pub mod mac;
-pub mod codec;
 pub mod peer;
 pub mod problem;
 pub mod session;
