stand-in: add the roles with faults on request

Engine, plain service, table, objects, instance list, weight store, rating service and relay, each on one address with a control address beside it that no fault touches. Handlers under hyper's HTTP/1 connection directly: viz under hyper-util's auto builder was ruled out here, as the faults need the connection (to go silent, to be cut in the middle of an answer, to carry an answer twice).

--- /dev/null
+++ b/stand-in/src/engine/batch.rs
@@ -0,0 +1,157 @@
+//! Continuous batching: a number of slots, and a bounded queue ordered by priority.
+
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::sync::oneshot;
+
+/// The priority of a request; larger goes first.
+pub(crate) type Priority = u32;
+
+/// The slots of one start of an engine.
+pub(crate) struct Batch {
+    slots: u32,
+    waiting_limit: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    running: u32,
+    peak: u32,
+    next: u64,
+    waiting: BTreeMap<Turn, oneshot::Sender<Slot>>,
+}
+
+/// The place in the queue: by priority, then by arrival.
+type Turn = (Reverse<Priority>, u64);
+
+/// Neither a slot nor a place in the queue is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Full;
+
+/// A slot, free again when this is dropped.
+pub(crate) struct Slot {
+    batch: Option<Arc<Batch>>,
+}
+
+/// A place in the queue, given up when this is dropped.
+struct Waiter {
+    batch: Arc<Batch>,
+    turn: Turn,
+    rx: oneshot::Receiver<Slot>,
+}
+
+impl Batch {
+    pub(crate) fn new(slots: u32, waiting_limit: usize) -> Self {
+        Self {
+            slots,
+            waiting_limit,
+            state: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        self.state().running
+    }
+
+    pub(crate) fn waiting(&self) -> u32 {
+        u32::try_from(self.state().waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The greatest number of requests running at once.
+    pub(crate) fn peak(&self) -> u32 {
+        self.state().peak
+    }
+
+    /// Waits for a slot, unless the queue is full.
+    pub(crate) async fn enter(self: &Arc<Self>, priority: Priority) -> Result<Slot, Full> {
+        let mut waiter = match self.try_enter(priority)? {
+            Entry::Slot(slot) => return Ok(slot),
+            Entry::Wait(waiter) => waiter,
+        };
+        (&mut waiter.rx).await.map_err(|_| Full)
+    }
+
+    fn try_enter(self: &Arc<Self>, priority: Priority) -> Result<Entry, Full> {
+        let mut state = self.state();
+        if state.running < self.slots {
+            state.running += 1;
+            state.peak = state.peak.max(state.running);
+            return Ok(Entry::Slot(Slot::new(self.clone())));
+        }
+        if state.waiting.len() >= self.waiting_limit {
+            return Err(Full);
+        }
+        let turn = (Reverse(priority), state.next);
+        state.next += 1;
+        let (tx, rx) = oneshot::channel();
+        state.waiting.insert(turn, tx);
+        Ok(Entry::Wait(Waiter {
+            batch: self.clone(),
+            turn,
+            rx,
+        }))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands the slot to the first in the queue that still waits.
+    fn release(self: &Arc<Self>) {
+        loop {
+            let first = {
+                let mut state = self.state();
+                match state.waiting.pop_first() {
+                    Some((_, tx)) => tx,
+                    None => {
+                        state.running -= 1;
+                        return;
+                    }
+                }
+            };
+            let Err(slot) = first.send(Slot::new(self.clone())) else {
+                return;
+            };
+            slot.forget();
+        }
+    }
+}
+
+enum Entry {
+    Slot(Slot),
+    Wait(Waiter),
+}
+
+impl Slot {
+    fn new(batch: Arc<Batch>) -> Self {
+        Self { batch: Some(batch) }
+    }
+
+    /// The number of requests that share the engine now.
+    pub(crate) fn running(&self) -> u32 {
+        self.batch.as_ref().map_or(0, |b| b.running())
+    }
+
+    fn forget(mut self) {
+        self.batch = None;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if let Some(batch) = self.batch.take() {
+            batch.release();
+        }
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        self.batch.state().waiting.remove(&self.turn);
+    }
+}
--- /dev/null
+++ b/stand-in/src/engine/text.rs
@@ -0,0 +1,153 @@
+//! The text of answers: the same tokens for the same version and prompt, on every engine.
+//!
+//! The first token is `q` and three digits: the answer's true quality in hundredths. A prompt may
+//! set its difficulty with a word such as `difficulty=0.3` and its answer's length with `tokens=40`.
+
+use std::str::FromStr;
+
+use compact_str::{CompactString, format_compact};
+use platform_api::engine::ChatMessage;
+
+/// The difficulty of a prompt that names none.
+const DEFAULT_DIFFICULTY: f64 = 0.3;
+
+/// The shortest answer to a prompt that names no length.
+const MIN_TOKENS: u32 = 16;
+
+/// The number of different lengths of such answers.
+const TOKENS_SPREAD: u64 = 32;
+
+/// The longest answer that a prompt can ask for.
+const MAX_TOKENS: u32 = 100_000;
+
+/// The greatest part of the true quality that is left to chance, to either side.
+const QUALITY_SPREAD: f64 = 0.1;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// A hash that is the same in every process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Hash(u64);
+
+impl Hash {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(FNV_OFFSET ^ seed)
+    }
+
+    pub(crate) fn with(self, text: &str) -> Self {
+        let end = [0xff];
+        let bytes = text.as_bytes().iter().chain(&end);
+        Self(bytes.fold(self.0, |h, b| (h ^ u64::from(*b)).wrapping_mul(FNV_PRIME)))
+    }
+
+    /// All bits mixed (the finaliser of SplitMix64).
+    pub(crate) fn finish(self) -> u64 {
+        let mut z = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// Evenly from 0 to 1.
+    pub(crate) fn unit(self) -> f64 {
+        f64::from((self.finish() >> 32) as u32) / f64::from(u32::MAX)
+    }
+}
+
+/// What a conversation asks for.
+#[derive(Clone, Debug)]
+pub(crate) struct Prompt {
+    hash: Hash,
+    difficulty: f64,
+    wanted: Option<u32>,
+    /// The number of words, taken for tokens.
+    pub(crate) tokens: u32,
+}
+
+impl Prompt {
+    pub(crate) fn new(messages: &[ChatMessage]) -> Self {
+        let text = |name| {
+            messages
+                .iter()
+                .rev()
+                .find_map(|m| setting(&m.content, name))
+        };
+        let hash = messages
+            .iter()
+            .fold(Hash::new(0), |h, m| h.with(&m.role).with(&m.content));
+        let words: usize = messages
+            .iter()
+            .map(|m| m.content.split_whitespace().count())
+            .sum();
+        Self {
+            hash,
+            difficulty: text("difficulty=")
+                .and_then(parse)
+                .unwrap_or(DEFAULT_DIFFICULTY),
+            wanted: text("tokens=").and_then(parse),
+            tokens: u32::try_from(words).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// The number of tokens of the whole answer of a version.
+    pub(crate) fn answer_tokens(&self, version: &str) -> u32 {
+        let spread = self.hash.with(version).finish() % TOKENS_SPREAD;
+        self.wanted
+            .unwrap_or(MIN_TOKENS + spread as u32)
+            .clamp(1, MAX_TOKENS)
+    }
+
+    /// The true quality of a version's answer, rounded as the answer tells it.
+    pub(crate) fn quality(&self, version: &str, skill: f64) -> f64 {
+        let chance = self.hash.with(version).with("quality").unit();
+        let spread = QUALITY_SPREAD * (2.0 * chance - 1.0);
+        let quality = 0.6 + skill - self.difficulty + spread;
+        (quality.clamp(0.0, 1.0) * 100.0).round() / 100.0
+    }
+
+    /// The text of one token.
+    pub(crate) fn token(&self, version: &str, quality: f64, index: u32) -> CompactString {
+        if index == 0 {
+            return format_compact!("q{:03} ", (quality * 100.0).round() as u32);
+        }
+        let word = self
+            .hash
+            .with(version)
+            .with(&format_compact!("{index}"))
+            .finish();
+        format_compact!("w{:04x} ", word & 0xffff)
+    }
+}
+
+/// The true quality that an answer of the engine stand-in tells.
+pub fn true_quality_of(answer: &str) -> Option<f64> {
+    let digits = answer.split_whitespace().next()?.strip_prefix('q')?;
+    let hundredths: u32 = digits.parse().ok()?;
+    (digits.len() == 3).then_some(f64::from(hundredths) / 100.0)
+}
+
+/// The whole text that a version answers, for tests that check an answer to be whole.
+pub fn whole_answer(
+    version: &str,
+    skill: f64,
+    messages: &[ChatMessage],
+    max_tokens: Option<u32>,
+) -> String {
+    let prompt = Prompt::new(messages);
+    let quality = prompt.quality(version, skill);
+    let tokens = prompt
+        .answer_tokens(version)
+        .min(max_tokens.unwrap_or(u32::MAX));
+    (0..tokens)
+        .map(|index| prompt.token(version, quality, index))
+        .collect()
+}
+
+fn setting<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    text.split_whitespace().find_map(|w| w.strip_prefix(name))
+}
+
+fn parse<T: FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
--- /dev/null
+++ b/stand-in/src/exchange.rs
@@ -0,0 +1,179 @@
+//! One HTTP exchange under the faults of its role, and the control address.
+
+use std::{
+    convert::Infallible,
+    fmt::Write,
+    sync::{Arc, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::{StreamExt, future::BoxFuture, stream};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform_api::engine::INCARNATION_HEADER;
+use tokio::{net::TcpListener, task::JoinSet};
+
+use crate::{
+    control::{CONTROL_PATH, Control, Down, STATS_PATH},
+    fault::Faults,
+    gate::{Extra, Gate},
+    http::{Answer, Cut, full, json, read_json, refusal, set_header},
+    server::Station,
+    stats::RoleStats,
+};
+
+/// Path on the control address of the executions of a plain service, read with `GET`.
+const EXECUTIONS_PATH: &str = "/executions";
+
+/// How long bytes that have been written get to reach the wire before the connection is cut.
+pub(crate) const FLUSH_PAUSE: Duration = Duration::from_millis(10);
+
+/// Answers one request of a role that speaks HTTP.
+pub(crate) trait Answers: Send + Sync + 'static {
+    fn answer(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Answer>;
+}
+
+/// Serves one connection of a role that speaks HTTP.
+pub(crate) fn serve<A: Answers>(
+    role: Arc<A>,
+    gate: Gate,
+    faults: Arc<Faults>,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let extra = gate.extra();
+        let service =
+            service_fn(move |req| exchange(role.clone(), faults.clone(), extra.clone(), req));
+        let _ = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(gate), service)
+            .await;
+    })
+}
+
+async fn exchange<A: Answers>(
+    role: Arc<A>,
+    faults: Arc<Faults>,
+    extra: Extra,
+    req: Request<Incoming>,
+) -> Result<Answer, Cut> {
+    faults.thawed().await;
+    let (slow, down) = {
+        let lasting = faults.lasting.borrow();
+        (lasting.slow, lasting.down)
+    };
+    if down == Some(Down::Unavailable) {
+        return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, "down"));
+    }
+    if !slow.is_zero() {
+        tokio::time::sleep(slow).await;
+    }
+    faults.counts.requests.fetch_add(1, Ordering::Relaxed);
+    let path = req.uri().path().to_owned();
+    let mut res = role.answer(req).await;
+    set_header(
+        &mut res,
+        INCARNATION_HEADER,
+        &faults.incarnation().to_string(),
+    );
+    faults.thawed().await;
+    if faults.take_lose(&path) {
+        let _ = res.into_body().collect().await;
+        return Err(Cut);
+    }
+    if let Some(by) = faults.take_delay(&path) {
+        tokio::time::sleep(by).await;
+    }
+    res = faults.cross(&path, res).await;
+    if let Some(after) = faults.take_truncate(&path) {
+        return truncate(res, after).await;
+    }
+    if faults.take_duplicate(&path) {
+        return duplicate(res, &extra).await;
+    }
+    Ok(res)
+}
+
+/// Declares the whole length, sends the first bytes and cuts the connection.
+async fn truncate(res: Answer, after_bytes: usize) -> Result<Answer, Cut> {
+    let (mut parts, body) = res.into_parts();
+    let whole = body.collect().await?.to_bytes();
+    parts
+        .headers
+        .insert(header::CONTENT_LENGTH, whole.len().into());
+    let first = whole.slice(..after_bytes.min(whole.len()));
+    let frames = stream::iter([Ok(Frame::data(first)), Err(Cut)]);
+    let frames = frames.then(|frame| async {
+        if frame.is_err() {
+            tokio::time::sleep(FLUSH_PAUSE).await;
+        }
+        frame
+    });
+    let body = StreamBody::new(frames).boxed_unsync();
+    Ok(Answer::from_parts(parts, body))
+}
+
+/// Sends the answer and puts a copy of it behind.
+async fn duplicate(res: Answer, extra: &Extra) -> Result<Answer, Cut> {
+    let (parts, body) = res.into_parts();
+    let whole = body.collect().await?.to_bytes();
+    let mut head = format!("HTTP/1.1 {}\r\n", parts.status.as_u16());
+    for (name, value) in &parts.headers {
+        if let Ok(value) = value.to_str() {
+            let _ = write!(head, "{name}: {value}\r\n");
+        }
+    }
+    let _ = write!(head, "content-length: {}\r\n\r\n", whole.len());
+    let copy = [Bytes::from(head), whole.clone()].concat();
+    extra
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .extend(copy);
+    Ok(Answer::from_parts(parts, full(whole)))
+}
+
+/// Serves the control address; faults don't touch it.
+pub(crate) async fn serve_control(station: Arc<Station>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let station = station.clone();
+                connections.spawn(async move {
+                    let service = service_fn(move |req| take_control(station.clone(), req));
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        }
+    }
+}
+
+async fn take_control(station: Arc<Station>, req: Request<Incoming>) -> Result<Answer, Infallible> {
+    let path = req.uri().path();
+    let res = match (req.method(), path) {
+        (&Method::POST, CONTROL_PATH) => match read_json::<Control>(req).await {
+            Ok(control) => match station.control(&control) {
+                Ok(()) => json(&()),
+                Err(e) => refusal(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            Err(res) => res,
+        },
+        (&Method::GET, STATS_PATH) => json(&station.stats()),
+        (&Method::GET, EXECUTIONS_PATH) => match station.role.stats() {
+            RoleStats::Service(stats) => json(&stats),
+            _ => refusal(StatusCode::NOT_FOUND, "not a service"),
+        },
+        _ => refusal(StatusCode::NOT_FOUND, "no such path"),
+    };
+    Ok(res)
+}
--- /dev/null
+++ b/stand-in/src/http.rs
@@ -0,0 +1,77 @@
+//! Bodies and answers.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use platform_api::engine::NOT_RUN_HEADER;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// The greatest length of a request's body.
+pub(crate) const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// The connection is closed in the middle of an exchange, on purpose.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("cut")]
+pub(crate) struct Cut;
+
+/// The body of an answer.
+pub(crate) type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// An answer, whole or streamed.
+pub(crate) type Answer = Response<Body>;
+
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|e: Infallible| match e {})
+        .boxed_unsync()
+}
+
+pub(crate) fn json<T: Serialize>(value: &T) -> Answer {
+    match serde_json::to_vec(value) {
+        Ok(body) => typed("application/json", full(body)),
+        Err(e) => refusal(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    }
+}
+
+pub(crate) fn typed(content_type: &'static str, body: Body) -> Answer {
+    let mut res = Response::new(body);
+    res.headers_mut()
+        .insert(CONTENT_TYPE, http::HeaderValue::from_static(content_type));
+    res
+}
+
+/// An answer to a request that was not carried out.
+pub(crate) fn refusal(status: StatusCode, reason: &str) -> Answer {
+    let mut res = Response::new(full(reason.to_owned()));
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(NOT_RUN_HEADER, http::HeaderValue::from_static("true"));
+    res
+}
+
+pub(crate) fn header<'a, B>(req: &'a Request<B>, name: &str) -> Option<&'a str> {
+    req.headers().get(name)?.to_str().ok()
+}
+
+/// Sets a header, unless the value can't stand in one.
+pub(crate) fn set_header(res: &mut Answer, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        res.headers_mut().insert(name, value);
+    }
+}
+
+pub(crate) async fn read_bytes(req: Request<Incoming>) -> Result<Bytes, Answer> {
+    let limited = Limited::new(req.into_body(), MAX_BODY_BYTES);
+    match limited.collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) => Err(refusal(StatusCode::BAD_REQUEST, &e.to_string())),
+    }
+}
+
+pub(crate) async fn read_json<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, Answer> {
+    let body = read_bytes(req).await?;
+    serde_json::from_slice(&body).map_err(|e| refusal(StatusCode::BAD_REQUEST, &e.to_string()))
+}
--- /dev/null
+++ b/stand-in/src/lagging.rs
@@ -0,0 +1,64 @@
+//! A value whose readers see it as it was a while ago.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// The greatest number of states kept; within one lag, later changes then replace the newest.
+const MAX_STATES: usize = 256;
+
+/// A value whose readers see it as it was one lag ago.
+#[derive(Debug)]
+pub(crate) struct Lagging<T> {
+    lag: Duration,
+    seen: T,
+    pending: VecDeque<Pending<T>>,
+}
+
+#[derive(Debug)]
+struct Pending<T> {
+    written: Instant,
+    value: T,
+}
+
+impl<T: Clone> Lagging<T> {
+    pub(crate) fn new(lag: Duration, value: T) -> Self {
+        Self {
+            lag,
+            seen: value,
+            pending: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
+    pub(crate) fn write(&mut self, now: Instant, value: T) {
+        self.settle(now);
+        let full = self.pending.len() >= MAX_STATES;
+        match self.pending.back_mut() {
+            Some(last) if full => last.value = value,
+            _ => self.pending.push_back(Pending {
+                written: now,
+                value,
+            }),
+        }
+    }
+
+    pub(crate) fn read(&mut self, now: Instant) -> T {
+        self.settle(now);
+        self.seen.clone()
+    }
+
+    fn settle(&mut self, now: Instant) {
+        while let Some(first) = self.pending.front()
+            && now.duration_since(first.written) >= self.lag
+        {
+            if let Some(first) = self.pending.pop_front() {
+                self.seen = first.value;
+            }
+        }
+    }
+}
--- a/stand-in/src/lib.rs
+++ b/stand-in/src/lib.rs
@@ -1,1 +1,23 @@
-//! Stand-ins.
+//! Stand-ins for the platform and the upstreams, with faults on request, for the demo and the tests.
+//!
+//! Each role serves the messages of `platform-api` as JSON over HTTP/1.1 on one address and takes
+//! [`control::Control`] messages on a second one, which keeps working while faults are on.
+
+pub mod client;
+pub mod control;
+pub mod engine;
+mod exchange;
+pub mod fault;
+mod gate;
+mod http;
+pub mod instances;
+mod lagging;
+mod millis;
+pub mod objects;
+pub mod rating;
+pub mod relay;
+pub mod server;
+pub mod service;
+pub mod stats;
+pub mod table;
+pub mod weights;
--- /dev/null
+++ b/stand-in/src/rating.rs
@@ -0,0 +1,115 @@
+//! The rating service: the true quality that the engine stand-in hides in its answers, with noise.
+
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+use futures::future::BoxFuture;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use platform_api::rating::{PATH, RateRequest, Rating};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    control::Control,
+    engine::text::{Hash, true_quality_of},
+    exchange::{self, Answers},
+    fault::Faults,
+    gate::Gate,
+    http::{Answer, json, read_json, refusal},
+    server::{Listen, Result, Role, Running},
+    stats::{RatingStats, RoleStats},
+};
+
+/// What the rating service is told at its start.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RatingConfig {
+    /// The seed of the noise.
+    pub seed: u64,
+    /// The greatest error of a rating.
+    pub noise: f64,
+}
+
+impl Default for RatingConfig {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            noise: 0.05,
+        }
+    }
+}
+
+/// The rating service.
+pub struct RatingService {
+    seed: u64,
+    noise: Mutex<f64>,
+    rated: AtomicU64,
+}
+
+impl RatingService {
+    /// Starts the service.
+    pub async fn spawn(cfg: RatingConfig, listen: impl Into<Listen>) -> Result<Running> {
+        let role = Arc::new(Self {
+            seed: cfg.seed,
+            noise: Mutex::new(cfg.noise),
+            rated: AtomicU64::new(0),
+        });
+        Running::spawn(role, Arc::default(), listen.into()).await
+    }
+
+    async fn execute(&self, req: Request<Incoming>) -> Result<Answer, Answer> {
+        if req.uri().path() != PATH {
+            return Err(refusal(StatusCode::NOT_FOUND, "no such path"));
+        }
+        let req: RateRequest = read_json(req).await?;
+        self.rated.fetch_add(1, Ordering::Relaxed);
+        Ok(json(&self.rate(&req)))
+    }
+
+    /// The same request always gets the same rating; an answer without a quality gets the worst.
+    fn rate(&self, req: &RateRequest) -> Rating {
+        let Some(quality) = true_quality_of(&req.answer) else {
+            return Rating { quality: 0.0 };
+        };
+        let noise = *self.noise.lock().unwrap_or_else(PoisonError::into_inner);
+        let unit = Hash::new(self.seed)
+            .with(&req.request_id)
+            .with(&req.version)
+            .unit();
+        let error = noise * (2.0 * unit - 1.0);
+        Rating {
+            quality: (quality + error).clamp(0.0, 1.0),
+        }
+    }
+}
+
+impl Answers for RatingService {
+    fn answer(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        Box::pin(async move { self.execute(req).await.unwrap_or_else(|refused| refused) })
+    }
+}
+
+impl Role for RatingService {
+    fn name(&self) -> &'static str {
+        "rating"
+    }
+
+    fn serve(self: Arc<Self>, gate: Gate, faults: Arc<Faults>) -> BoxFuture<'static, ()> {
+        exchange::serve(self, gate, faults)
+    }
+
+    fn control(&self, control: &Control) -> bool {
+        let Control::SetNoise { noise } = control else {
+            return false;
+        };
+        *self.noise.lock().unwrap_or_else(PoisonError::into_inner) = *noise;
+        true
+    }
+
+    fn stats(&self) -> RoleStats {
+        let rated = self.rated.load(Ordering::Relaxed);
+        RoleStats::Rating(RatingStats { rated })
+    }
+}
--- /dev/null
+++ b/stand-in/src/service.rs
@@ -0,0 +1,163 @@
+//! A plain service that counts how often each request is executed.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use compact_str::{CompactString, ToCompactString};
+use futures::future::BoxFuture;
+use http::Request;
+use hyper::body::Incoming;
+use platform_api::engine::ATTEMPT_HEADER;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    control::Control,
+    exchange::{self, Answers},
+    fault::Faults,
+    gate::Gate,
+    http::{Answer, header, json, read_bytes, set_header},
+    millis,
+    server::{Listen, Result, Role, Running},
+    stats::{Execution, RoleStats, ServiceStats},
+};
+
+/// Request header with the key that makes a repeated request the same request.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// What a plain service is told at its start.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceConfig {
+    /// How long a request takes after it has been counted.
+    #[serde(with = "millis")]
+    pub work: Duration,
+    /// A request whose body contains this crashes the service.
+    pub poison: Option<CompactString>,
+    /// How long nothing listens after such a crash.
+    #[serde(with = "millis")]
+    pub restart: Duration,
+}
+
+/// The answer to each request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceAnswer {
+    /// The idempotency key; empty if there was none.
+    pub key: CompactString,
+    /// The path.
+    pub path: CompactString,
+    /// The number of requests executed before, on all paths.
+    pub serial: u64,
+}
+
+/// A plain service.
+pub struct Service {
+    cfg: ServiceConfig,
+    faults: Arc<Faults>,
+    record: Mutex<Record>,
+}
+
+#[derive(Default)]
+struct Record {
+    executed: u64,
+    executions: BTreeMap<CallId, u32>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct CallId {
+    key: CompactString,
+    path: CompactString,
+}
+
+impl Service {
+    /// Starts a plain service.
+    pub async fn spawn(cfg: ServiceConfig, listen: impl Into<Listen>) -> Result<Running> {
+        let faults = Arc::new(Faults::default());
+        let role = Arc::new(Self {
+            cfg,
+            faults: faults.clone(),
+            record: Mutex::default(),
+        });
+        Running::spawn(role, faults, listen.into()).await
+    }
+
+    async fn execute(&self, req: Request<Incoming>) -> Answer {
+        let key = header(&req, IDEMPOTENCY_HEADER)
+            .unwrap_or_default()
+            .to_compact_string();
+        let path = req.uri().path().to_compact_string();
+        let attempt = header(&req, ATTEMPT_HEADER).map(CompactString::from);
+        let body = match read_bytes(req).await {
+            Ok(body) => body,
+            Err(res) => return res,
+        };
+        let serial = self.count(&key, &path);
+        if self.is_poison(&body) {
+            self.faults.crash(self.cfg.restart);
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(self.cfg.work).await;
+        let mut res = json(&ServiceAnswer { key, path, serial });
+        if let Some(attempt) = attempt {
+            set_header(&mut res, ATTEMPT_HEADER, &attempt);
+        }
+        res
+    }
+
+    fn count(&self, key: &CompactString, path: &CompactString) -> u64 {
+        let mut record = self.record();
+        let id = CallId {
+            key: key.clone(),
+            path: path.clone(),
+        };
+        *record.executions.entry(id).or_default() += 1;
+        record.executed += 1;
+        record.executed - 1
+    }
+
+    fn is_poison(&self, body: &[u8]) -> bool {
+        let Some(poison) = &self.cfg.poison else {
+            return false;
+        };
+        String::from_utf8_lossy(body).contains(poison.as_str())
+    }
+
+    fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Answers for Service {
+    fn answer(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        Box::pin(async move { self.execute(req).await })
+    }
+}
+
+impl Role for Service {
+    fn name(&self) -> &'static str {
+        "service"
+    }
+
+    fn serve(self: Arc<Self>, gate: Gate, faults: Arc<Faults>) -> BoxFuture<'static, ()> {
+        exchange::serve(self, gate, faults)
+    }
+
+    fn control(&self, _: &Control) -> bool {
+        false
+    }
+
+    fn stats(&self) -> RoleStats {
+        let record = self.record();
+        let executions = record.executions.iter().map(|(id, count)| Execution {
+            key: id.key.clone(),
+            path: id.path.clone(),
+            count: *count,
+        });
+        RoleStats::Service(ServiceStats {
+            executed: record.executed,
+            executions: executions.collect(),
+        })
+    }
+}
--- /dev/null
+++ b/stand-in/src/weights.rs
@@ -0,0 +1,132 @@
+//! The rate-limited weight store.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use futures::future::BoxFuture;
+use http::{Request, StatusCode, header::RETRY_AFTER};
+use hyper::body::Incoming;
+use platform_api::weights::PATH;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    control::Control,
+    exchange::{self, Answers},
+    fault::Faults,
+    gate::Gate,
+    http::{Answer, full, refusal, set_header, typed},
+    server::{Listen, Result, Role, Running},
+    stats::{RoleStats, WeightsStats},
+};
+
+/// What the weight store is told at its start.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightsConfig {
+    /// Reads per second that it bears in the long run.
+    pub reads_per_second: f64,
+    /// Reads that it bears at once after a pause.
+    pub burst: f64,
+    /// The length of the weights of each version.
+    pub weight_bytes: usize,
+}
+
+impl Default for WeightsConfig {
+    fn default() -> Self {
+        Self {
+            reads_per_second: 2.0,
+            burst: 2.0,
+            weight_bytes: 1024,
+        }
+    }
+}
+
+/// The weight store.
+pub struct WeightStore {
+    state: Mutex<State>,
+}
+
+/// A token bucket with the record.
+struct State {
+    cfg: WeightsConfig,
+    allowance: f64,
+    filled: Instant,
+    stats: WeightsStats,
+}
+
+impl WeightStore {
+    /// Starts the store.
+    pub async fn spawn(cfg: WeightsConfig, listen: impl Into<Listen>) -> Result<Running> {
+        let state = Mutex::new(State {
+            allowance: cfg.burst,
+            cfg,
+            filled: Instant::now(),
+            stats: WeightsStats::default(),
+        });
+        Running::spawn(Arc::new(Self { state }), Arc::default(), listen.into()).await
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read(&self, path: &str) -> Answer {
+        if !path.starts_with(PATH) {
+            return refusal(StatusCode::NOT_FOUND, "no such path");
+        }
+        let mut state = self.state();
+        if state.take(Instant::now()) {
+            let weights = vec![0; state.cfg.weight_bytes];
+            return typed("application/octet-stream", full(weights));
+        }
+        let mut res = refusal(StatusCode::TOO_MANY_REQUESTS, "over the rate");
+        set_header(&mut res, RETRY_AFTER.as_str(), "1");
+        res
+    }
+}
+
+impl State {
+    fn take(&mut self, now: Instant) -> bool {
+        let elapsed = now.duration_since(self.filled).as_secs_f64();
+        let filled = self.allowance + elapsed * self.cfg.reads_per_second;
+        self.allowance = filled.min(self.cfg.burst);
+        self.filled = now;
+        if self.allowance < 1.0 {
+            self.stats.refused += 1;
+            return false;
+        }
+        self.allowance -= 1.0;
+        self.stats.served += 1;
+        true
+    }
+}
+
+impl Answers for WeightStore {
+    fn answer(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        Box::pin(async move { self.read(req.uri().path()) })
+    }
+}
+
+impl Role for WeightStore {
+    fn name(&self) -> &'static str {
+        "weights"
+    }
+
+    fn serve(self: Arc<Self>, gate: Gate, faults: Arc<Faults>) -> BoxFuture<'static, ()> {
+        exchange::serve(self, gate, faults)
+    }
+
+    fn control(&self, control: &Control) -> bool {
+        let Control::SetRate { reads_per_second } = control else {
+            return false;
+        };
+        self.state().cfg.reads_per_second = *reads_per_second;
+        true
+    }
+
+    fn stats(&self) -> RoleStats {
+        RoleStats::Weights(self.state().stats.clone())
+    }
+}
