--- a/src/coordination/configuration/mod.rs
+++ b/src/coordination/configuration/mod.rs
@@ -6,6 +6,7 @@
 pub mod contact;
 pub mod edit;
 pub mod follower;
+pub mod outcome;
 pub mod publisher;
 pub mod rows;
 pub mod spread;
--- a/src/daemon/configuration/publish.rs
+++ b/src/daemon/configuration/publish.rs
@@ -13,7 +13,8 @@
     coordination::{
         configuration::{
             follower::Event,
-            publisher::{End, Input, Outcome, Publication, PublishRequest, Step},
+            outcome::{Outcome, PublishRequest},
+            publisher::{End, Input, Publication, Step},
             rows,
         },
         membership::DaemonName,
