--- a/src/coordination/claims/journal.rs
+++ b/src/coordination/claims/journal.rs
@@ -71,8 +71,8 @@
         self.writing.clone()
     }
 
-    fn written(&mut self) {
-        if self.writing.take().is_some() {
+    fn written(&mut self, key: &str) {
+        if self.writing.take_if(|write| write.key == key).is_some() {
             self.batches += 1;
         }
     }
@@ -95,9 +95,9 @@
         self.journal.next()
     }
 
-    /// Notes that the last journal row handed out is in the table.
-    pub fn journal_written(&mut self) {
-        self.journal.written();
+    /// Notes that the journal row with this key is in the table.
+    pub fn journal_written(&mut self, key: &str) {
+        self.journal.written(key);
     }
 }
 
--- a/src/coordination/claims/table_claim.rs
+++ b/src/coordination/claims/table_claim.rs
@@ -195,6 +195,13 @@
         Step::Refuse(Refused::unknown(reason))
     }
 
+    /// Gives up an attempt whose claim is not held yet; it is never dispatched.
+    pub fn withdraw(&mut self, permit: &Permit) {
+        if self.claiming(permit).is_some() {
+            self.forget(permit);
+        }
+    }
+
     fn claiming(&mut self, permit: &Permit) -> Option<&mut Claiming> {
         match &mut self.entry_mut(permit)?.phase {
             Phase::Claiming(claiming) => Some(claiming),
--- a/src/coordination/claims/types.rs
+++ b/src/coordination/claims/types.rs
@@ -6,6 +6,7 @@
 };
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use super::{
     record::{Answer, AttemptId, ClaimId, Fingerprint, Holder, Outcome},
@@ -139,7 +140,7 @@
 }
 
 /// What a daemon says of an attempt of its own.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptState {
     /// It waits or runs.
     Running,
--- a/src/protocol/session.rs
+++ b/src/protocol/session.rs
@@ -85,8 +85,8 @@
 
 /// Opens a token that any of the session keys has sealed.
 pub fn open(
-    token: &str,
     keys: &BTreeMap<CompactString, SessionKey>,
+    token: &str,
 ) -> Result<Session, SessionError> {
     if keys.is_empty() {
         return Err(SessionError::NoKey);
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -39,7 +39,7 @@
 fn open_gives_back_what_was_sealed() {
     let keys = keys(&[("a", OLD)]);
     let token = seal(&session(), &keys).unwrap();
-    assert_eq!(open(&token, &keys), Ok(session()));
+    assert_eq!(open(&keys, &token), Ok(session()));
 }
 
 #[test]
@@ -49,9 +49,9 @@
     let new = keys(&[("b", NEW)]);
     let sealed_old = seal(&session(), &old).unwrap();
     let sealed_both = seal(&session(), &both).unwrap();
-    assert_eq!(open(&sealed_old, &both), Ok(session()));
-    assert_eq!(open(&sealed_both, &new), Ok(session()));
-    assert_eq!(open(&sealed_old, &new), Err(SessionError::Tampered));
+    assert_eq!(open(&both, &sealed_old), Ok(session()));
+    assert_eq!(open(&new, &sealed_both), Ok(session()));
+    assert_eq!(open(&new, &sealed_old), Err(SessionError::Tampered));
 }
 
 #[test]
@@ -62,7 +62,7 @@
         let mut altered = token.clone().into_bytes();
         altered[at] = if altered[at] == b'A' { b'B' } else { b'A' };
         let altered = String::from_utf8(altered).unwrap();
-        assert!(open(&altered, &keys).is_err(), "character {at}");
+        assert!(open(&keys, &altered).is_err(), "character {at}");
     }
 }
 
@@ -73,7 +73,7 @@
     let (content, code) = token.split_once('.').unwrap();
     for length in [0, 4, 8, 40] {
         let short = format!("{content}.{}", &code[..length]);
-        assert_eq!(open(&short, &keys), Err(SessionError::Tampered));
+        assert_eq!(open(&keys, &short), Err(SessionError::Tampered));
     }
 }
 
