--- a/stand-in/tests/engine.rs
+++ b/stand-in/tests/engine.rs
@@ -21,7 +21,7 @@
 };
 
 async fn engine(cfg: EngineConfig) -> Running {
-    Engine::spawn(cfg, loopback()).await.unwrap()
+    Engine::spawn(cfg, loopback()).await.expect("spawn")
 }
 
 #[tokio::test]
