--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,4 +1,8 @@
 //! The state layer: configuration objects, checked snapshots and tables of counts.
 
+pub mod check;
+pub mod diff;
+pub mod document;
+pub mod names;
 pub mod objects;
 pub mod snapshot;
