--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or reads a clock; time and randomness are passed in.
 
+pub mod configuration;
 pub mod admission;
 pub mod cascade;
 pub mod claims;
