Keep bills with two peers or the table before an answer's end

Bills go to a stable pair of peers in other failure domains and in batches to the table; holders of a dead owner write its bills among their own, and the fold takes one bill for each customer and request.

--- /dev/null
+++ b/src/coordination/bills/holders.rs
@@ -0,0 +1,53 @@
+//! Which peers hold a daemon's bills.
+
+use sha2::{Digest, Sha256};
+
+use crate::coordination::membership::Member;
+
+/// The number of peers that hold each bill.
+pub(super) const COPIES: usize = 2;
+
+/// Chooses up to two of `candidates` for the bills of `owner`, in distinct failure domains other
+/// than its own as far as there are any.
+///
+/// The choice is by rendezvous hash: it stays the same while the members chosen stay.
+pub fn choose_holders(owner: &Member, candidates: &[Member]) -> Vec<Member> {
+    let mut ranked: Vec<&Member> = candidates
+        .iter()
+        .filter(|m| m.name != owner.name && m.reachable())
+        .collect();
+    ranked.sort_by_cached_key(|m| (score(owner, m), m.name.clone()));
+    let mut chosen: Vec<&Member> = Vec::with_capacity(COPIES);
+    while chosen.len() < COPIES {
+        let rank = |m: &Member| distance(owner, &chosen, m);
+        let free = ranked
+            .iter()
+            .filter(|m| chosen.iter().all(|c| c.name != m.name));
+        let Some(next) = free.min_by_key(|m| rank(m)) else {
+            break;
+        };
+        chosen.push(next);
+    }
+    chosen.into_iter().cloned().collect()
+}
+
+/// How much a member shares with the owner and those chosen; less is better.
+fn distance(owner: &Member, chosen: &[&Member], member: &Member) -> u8 {
+    let domain = &member.failure_domain;
+    let of_owner = *domain == owner.failure_domain;
+    let of_chosen = chosen.iter().any(|c| c.failure_domain == *domain);
+    match (of_owner, of_chosen) {
+        (false, false) => 0,
+        (false, true) => 1,
+        (true, false) => 2,
+        (true, true) => 3,
+    }
+}
+
+fn score(owner: &Member, member: &Member) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(owner.name.as_bytes());
+    hash.update([0]);
+    hash.update(member.name.as_bytes());
+    hash.finalize().into()
+}
--- /dev/null
+++ b/src/coordination/bills/own.rs
@@ -0,0 +1,318 @@
+//! The bills of one daemon until the table has them.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+use platform_api::table::Key;
+
+use super::{Bill, BillRow, choose_holders, holders::COPIES, row_key};
+use crate::coordination::membership::{DaemonName, Incarnation, Member};
+
+/// The number of a bill within one incarnation of its daemon.
+pub type BillNumber = u64;
+
+/// The greatest number of bills sent to a holder at once.
+const MAX_HOLD: usize = 512;
+
+/// How long a peer that failed to hold bills is passed over.
+const PASS_OVER: Duration = Duration::from_secs(5);
+
+/// What bounds the bills kept in memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The number of bills not in the table at which no new work is taken.
+    pub unflushed: usize,
+    /// The greatest number of bills in one row.
+    pub batch: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            unflushed: 20_000,
+            batch: 2_000,
+        }
+    }
+}
+
+/// Why bills cannot be kept safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoHolder {
+    /// No peer holds bills, and the table does not answer.
+    #[error("neither a peer nor the table keeps bills")]
+    Nobody,
+    /// Too many bills wait for the table.
+    #[error("too many bills wait for the table")]
+    Full,
+    /// The bill was not safe in time; it is still being tried.
+    #[error("the bill was not safe in time")]
+    TimedOut,
+}
+
+/// Bills for a peer to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldBatch {
+    /// The peer.
+    pub holder: Member,
+    /// The number of the first bill.
+    pub from: BillNumber,
+    /// The bills, numbered on from there.
+    pub bills: Vec<Bill>,
+    /// The table has all bills with smaller numbers.
+    pub flushed: BillNumber,
+}
+
+/// A row to insert; it may be tried again and again, because its content never changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BatchWrite {
+    /// The row's key.
+    pub key: Key,
+    /// The row's value.
+    pub value: String,
+    end: BillNumber,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    since: Instant,
+    bill: Bill,
+}
+
+/// A peer that holds bills.
+#[derive(Debug)]
+struct Link {
+    member: Member,
+    acked: BillNumber,
+    told_flushed: BillNumber,
+    calling: bool,
+}
+
+#[derive(Debug)]
+struct PassedOver {
+    name: CompactString,
+    until: Instant,
+}
+
+/// The bills of one daemon incarnation.
+#[derive(Debug)]
+pub struct OwnBills {
+    daemon: DaemonName,
+    incarnation: Incarnation,
+    limits: Limits,
+    bills: VecDeque<Waiting>,
+    flushed: BillNumber,
+    rows: u64,
+    writing: Option<BatchWrite>,
+    links: Vec<Link>,
+    passed_over: Vec<PassedOver>,
+    table_failing: bool,
+}
+
+impl OwnBills {
+    /// A daemon incarnation without bills.
+    pub fn new(daemon: DaemonName, incarnation: Incarnation, limits: Limits) -> Self {
+        Self {
+            daemon,
+            incarnation,
+            limits,
+            bills: VecDeque::new(),
+            flushed: 0,
+            rows: 0,
+            writing: None,
+            links: Vec::new(),
+            passed_over: Vec::new(),
+            table_failing: false,
+        }
+    }
+
+    /// Takes a bill; it is safe once [`Self::is_safe`] says so.
+    pub fn record(&mut self, now: Instant, bill: Bill) -> BillNumber {
+        self.bills.push_back(Waiting { since: now, bill });
+        self.end() - 1
+    }
+
+    /// Whether new work may be taken.
+    pub fn may_take_work(&self) -> Result<(), NoHolder> {
+        if !self.has_room() {
+            return Err(NoHolder::Full);
+        }
+        if self.table_failing && self.links.is_empty() {
+            return Err(NoHolder::Nobody);
+        }
+        Ok(())
+    }
+
+    /// Whether fewer bills than the limit wait for the table.
+    pub fn has_room(&self) -> bool {
+        self.bills.len() < self.limits.unflushed
+    }
+
+    /// The number of bills that the table does not have.
+    pub fn unflushed(&self) -> usize {
+        self.bills.len()
+    }
+
+    /// The number of peers that hold bills now.
+    pub fn holders(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether enough peers hold the bill, or the table has it.
+    pub fn is_safe(&self, number: BillNumber) -> bool {
+        number < self.safe_end()
+    }
+
+    /// Whether every bill is held by the peers that there are, or is in the table.
+    pub fn all_handed_over(&self) -> bool {
+        let held = |link: &Link| link.acked >= self.end();
+        self.bills.is_empty() || !self.links.is_empty() && self.links.iter().all(held)
+    }
+
+    fn safe_end(&self) -> BillNumber {
+        let mut acked: Vec<BillNumber> = self.links.iter().map(|link| link.acked).collect();
+        acked.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = if self.table_failing {
+            acked.len().clamp(1, COPIES)
+        } else {
+            COPIES
+        };
+        let held = acked.get(needed - 1).copied().unwrap_or(0);
+        held.max(self.flushed)
+    }
+
+    /// Whether a bill has waited longer than `patience` to be safe.
+    pub fn overdue(&self, now: Instant, patience: Duration) -> bool {
+        let first = usize::try_from(self.safe_end() - self.flushed).unwrap_or(usize::MAX);
+        self.bills
+            .get(first)
+            .is_some_and(|waiting| now >= waiting.since + patience)
+    }
+
+    /// Chooses the holders anew among the members of the fleet.
+    pub fn choose(&mut self, now: Instant, own: &Member, members: &[Member]) {
+        self.passed_over.retain(|p| now < p.until);
+        let passed = |m: &Member| self.passed_over.iter().any(|p| p.name == m.name);
+        let candidates: Vec<Member> = members.iter().filter(|m| !passed(m)).cloned().collect();
+        let chosen = choose_holders(own, &candidates);
+        let mut links = Vec::with_capacity(chosen.len());
+        for member in chosen {
+            links.push(self.link_to(member));
+        }
+        self.links = links;
+    }
+
+    fn link_to(&mut self, member: Member) -> Link {
+        let same = |link: &Link| is_link_of(link, &member);
+        match self.links.iter().position(same) {
+            Some(at) => Link {
+                member,
+                ..self.links.swap_remove(at)
+            },
+            None => Link {
+                member,
+                acked: self.flushed,
+                told_flushed: self.flushed,
+                calling: false,
+            },
+        }
+    }
+
+    /// The bills to send now, at most one message for each holder at a time.
+    pub fn next_holds(&mut self) -> Vec<HoldBatch> {
+        let end = self.end();
+        let flushed = self.flushed;
+        let mut batches = Vec::new();
+        for link in &mut self.links {
+            link.acked = link.acked.max(flushed);
+            let news = link.acked < end || link.told_flushed < flushed;
+            if link.calling || !news {
+                continue;
+            }
+            link.calling = true;
+            let skip = usize::try_from(link.acked - flushed).unwrap_or(usize::MAX);
+            let bills = self.bills.iter().skip(skip).take(MAX_HOLD);
+            batches.push(HoldBatch {
+                holder: link.member.clone(),
+                from: link.acked,
+                bills: bills.map(|waiting| waiting.bill.clone()).collect(),
+                flushed,
+            });
+        }
+        batches
+    }
+
+    /// Notes that a peer holds a batch.
+    pub fn held(&mut self, batch: &HoldBatch) {
+        if let Some(link) = self.link_of(&batch.holder) {
+            link.calling = false;
+            link.acked = link.acked.max(batch.from + batch.bills.len() as u64);
+            link.told_flushed = link.told_flushed.max(batch.flushed);
+        }
+    }
+
+    /// Notes that a peer did not take a batch; it is passed over for a while.
+    pub fn hold_failed(&mut self, now: Instant, batch: &HoldBatch) {
+        let Some(at) = self.links.iter().position(|l| is_link_of(l, &batch.holder)) else {
+            return;
+        };
+        let link = self.links.swap_remove(at);
+        self.passed_over.push(PassedOver {
+            name: link.member.name,
+            until: now + PASS_OVER,
+        });
+    }
+
+    /// The next row to insert, the same one until it is [written](Self::written).
+    pub fn next_write(&mut self) -> Option<BatchWrite> {
+        if self.writing.is_none() && !self.bills.is_empty() {
+            let count = self.bills.len().min(self.limits.batch);
+            let bills = self.bills.iter().take(count).map(|w| w.bill.clone());
+            let row = BillRow {
+                bills: bills.collect(),
+            };
+            self.writing = Some(BatchWrite {
+                key: row_key(&self.daemon, self.incarnation, self.rows),
+                value: serde_json::to_string(&row).unwrap_or_default(),
+                end: self.flushed + count as u64,
+            });
+        }
+        self.writing.clone()
+    }
+
+    /// Notes that a row is in the table.
+    pub fn written(&mut self, write: &BatchWrite) {
+        self.table_failing = false;
+        if self.writing.take_if(|w| w.key == write.key).is_none() {
+            return;
+        }
+        self.rows += 1;
+        let count = usize::try_from(write.end - self.flushed).unwrap_or(0);
+        self.bills.drain(..count);
+        self.flushed = write.end;
+    }
+
+    /// Notes whether the table answers.
+    pub fn table_answers(&mut self, answers: bool) {
+        self.table_failing = !answers;
+    }
+
+    /// Whether the table did not take the last row or did not answer the last probe.
+    pub fn is_table_failing(&self) -> bool {
+        self.table_failing
+    }
+
+    fn link_of(&mut self, member: &Member) -> Option<&mut Link> {
+        self.links.iter_mut().find(|link| is_link_of(link, member))
+    }
+
+    fn end(&self) -> BillNumber {
+        self.flushed + self.bills.len() as u64
+    }
+}
+
+fn is_link_of(link: &Link, member: &Member) -> bool {
+    link.member.name == member.name && link.member.incarnation == member.incarnation
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or reads a clock; time and randomness are passed in.
 
+pub mod bills;
 pub mod claims;
 pub mod decisions;
 pub mod membership;
--- /dev/null
+++ b/src/daemon/billing.rs
@@ -0,0 +1,214 @@
+//! Billing: has each bill held by peers or the table before its answer's end is released.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
+
+use crate::{
+    coordination::{
+        bills::{
+            Bill, BillNumber, HeldBills, HoldBatch, Invoice, Limits, NoHolder, OwnBills, Owner,
+            ROWS_PREFIX, fold,
+        },
+        membership::Member,
+    },
+    daemon::core::Core,
+    protocol::peer::{
+        PeerRequest, PeerResponse,
+        bills::{Hold, Request, Response},
+    },
+    transport::table::{TableClient, TableError},
+};
+
+mod flush;
+
+/// The greatest number of bills held for other daemons.
+const MAX_HELD: usize = 40_000;
+/// How long a caller's answer waits for its bill to be safe.
+const RECORD_LIMIT: Duration = Duration::from_secs(5);
+/// How long a peer may take to hold bills.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often the holders are chosen again though no member has changed.
+const CHOOSE_INTERVAL: Duration = Duration::from_millis(500);
+/// How often bills of dead owners are looked for.
+const ORPHAN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The bills of a running daemon.
+pub struct Billing {
+    core: Arc<Core>,
+    own: Mutex<OwnBills>,
+    held: Mutex<HeldBills>,
+    closed: AtomicBool,
+    changes: watch::Sender<u64>,
+    to_hold: Notify,
+    to_flush: Notify,
+}
+
+impl Billing {
+    /// Starts the tasks that hand bills to peers and write them to the table.
+    pub fn spawn(core: Arc<Core>) -> Arc<Self> {
+        let own = OwnBills::new(core.name().clone(), core.incarnation, Limits::default());
+        let billing = Arc::new(Self {
+            own: Mutex::new(own),
+            held: Mutex::new(HeldBills::new(MAX_HELD)),
+            closed: AtomicBool::new(false),
+            changes: watch::Sender::default(),
+            to_hold: Notify::new(),
+            to_flush: Notify::new(),
+            core,
+        });
+        billing.choose_holders();
+        tokio::spawn(Self::hand_out(Arc::downgrade(&billing)));
+        tokio::spawn(Self::write_rows(Arc::downgrade(&billing)));
+        tokio::spawn(Self::adopt_orphans(Arc::downgrade(&billing)));
+        tokio::spawn(Self::probe_table(Arc::downgrade(&billing)));
+        billing
+    }
+
+    /// Whether new work may be taken.
+    pub fn may_take_work(&self) -> Result<(), NoHolder> {
+        self.own().may_take_work()
+    }
+
+    /// Keeps a bill; returns once it is safe.
+    ///
+    /// After an error the bill is still being tried.
+    pub async fn record(&self, bill: Bill) -> Result<(), NoHolder> {
+        let mut changes = self.changes.subscribe();
+        let now = self.core.clock.now();
+        let number = self.own().record(now, bill);
+        self.to_hold.notify_one();
+        self.to_flush.notify_one();
+        self.safe_before(&mut changes, number, now + RECORD_LIMIT)
+            .await
+    }
+
+    async fn safe_before(
+        &self,
+        changes: &mut watch::Receiver<u64>,
+        number: BillNumber,
+        until: Instant,
+    ) -> Result<(), NoHolder> {
+        while !self.own().is_safe(number) {
+            let left = until.saturating_duration_since(self.core.clock.now());
+            if timeout(left, changes.changed()).await.is_err() {
+                return Err(NoHolder::TimedOut);
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a call from a peer.
+    pub async fn answer(&self, req: Request) -> Response {
+        let Request::Hold(hold) = req;
+        if self.closed.load(Ordering::SeqCst) {
+            return Response::Full;
+        }
+        let now = self.core.clock.now();
+        let mut held = self.held();
+        match held.hold(now, &hold.owner, hold.from, hold.bills, hold.flushed) {
+            Ok(()) => Response::Held,
+            Err(_) => Response::Full,
+        }
+    }
+
+    async fn hand_out(billing: Weak<Self>) {
+        while let Some(this) = billing.upgrade() {
+            this.choose_holders();
+            let batches = this.own().next_holds();
+            for batch in batches {
+                tokio::spawn(this.clone().call_holder(batch));
+            }
+            let _ = timeout(CHOOSE_INTERVAL, this.to_hold.notified()).await;
+        }
+    }
+
+    async fn call_holder(self: Arc<Self>, batch: HoldBatch) {
+        let req = PeerRequest::Bills(Request::Hold(Hold {
+            owner: Owner {
+                daemon: self.core.name().clone(),
+                incarnation: self.core.incarnation,
+            },
+            from: batch.from,
+            bills: batch.bills.clone(),
+            flushed: batch.flushed,
+        }));
+        let said = self.core.peers.call(&batch.holder, req, HOLD_TIMEOUT).await;
+        match said {
+            Ok(PeerResponse::Bills(Response::Held)) => self.own().held(&batch),
+            _ => self.hold_failed(&batch),
+        }
+        self.note_change();
+        self.to_hold.notify_one();
+    }
+
+    fn hold_failed(&self, batch: &HoldBatch) {
+        let peer = &batch.holder.name;
+        log::warn!("step=hold peer={peer} bills={} failed", batch.bills.len());
+        self.own().hold_failed(self.core.clock.now(), batch);
+    }
+
+    fn choose_holders(&self) {
+        let members = self.core.members();
+        let Some(own) = members.iter().find(|m| m.name == *self.core.name()) else {
+            return;
+        };
+        let others: Vec<Member> = self.core.other_members();
+        let now = self.core.clock.now();
+        self.own().choose(now, own, &others);
+    }
+
+    async fn adopt_orphans(billing: Weak<Self>) {
+        while let Some(this) = billing.upgrade() {
+            this.adopt(|held, now, members| held.take_orphans(now, members));
+            drop(this);
+            tokio::time::sleep(ORPHAN_INTERVAL).await;
+        }
+    }
+
+    fn adopt(&self, take: impl Fn(&mut HeldBills, Instant, &[Member]) -> Vec<Bill>) {
+        let members = self.core.members();
+        let now = self.core.clock.now();
+        while self.own().has_room() {
+            let bills = take(&mut self.held(), now, &members);
+            if bills.is_empty() {
+                return;
+            }
+            log::info!("step=adopt bills={}", bills.len());
+            let mut own = self.own();
+            for bill in bills {
+                own.record(now, bill);
+            }
+            drop(own);
+            self.to_hold.notify_one();
+            self.to_flush.notify_one();
+        }
+    }
+
+    fn note_change(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn own(&self) -> MutexGuard<'_, OwnBills> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn held(&self) -> MutexGuard<'_, HeldBills> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads all batches from the table and folds them.
+pub async fn invoice(table: &TableClient) -> Result<Invoice, TableError> {
+    let rows = table.scan(ROWS_PREFIX).await?;
+    Ok(fold(rows.iter().map(|row| row.value.as_str())))
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,4 +1,5 @@
 //! One daemon: the assembly of all layers into running tasks.
 
+pub mod billing;
 pub mod claims;
 pub mod core;
