--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod admission;
 pub mod cascade;
+pub mod bills;
 pub mod claims;
 pub mod decisions;
 pub mod hash;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! One daemon: the assembly of all layers into running tasks.
 
+pub mod billing;
 pub mod claims;
 pub mod configuration;
 pub mod core;
