--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -5,4 +5,4 @@
 mod rates;
 
 pub use limit::{Limit, engine_capacity, service_capacity};
-pub use queue::{Admission, Admit, Arrival, Grant, Refused, RefusedWhy, WaiterId};
+pub use queue::{Admission, Admit, AdmitRequest, Arrival, Grant, Refused, RefusedWhy, WaiterId};
--- a/src/coordination/admission/queue.rs
+++ b/src/coordination/admission/queue.rs
@@ -8,7 +8,10 @@
 
 use derive_more::Display;
 
-use crate::{coordination::admission::rates::HoldTime, state::objects::CustomerName};
+use crate::{
+    coordination::{admission::rates::HoldTime, decisions::RequestId},
+    state::objects::CustomerName,
+};
 
 /// The lead in virtual time, in requests of weight 1, that a high priority may gain.
 const PRIORITY_LEAD: f64 = 8.0;
@@ -19,6 +22,19 @@
 /// The greatest number of customers with a record; idle ones are forgotten first.
 const MAX_CUSTOMERS: usize = 1_024;
 
+/// Asks for a place in one of a daemon's pools.
+#[derive(Clone, Debug)]
+pub struct AdmitRequest {
+    /// The request.
+    pub request_id: RequestId,
+    /// The customer.
+    pub customer: CustomerName,
+    /// The priority; larger goes first.
+    pub priority: u8,
+    /// When the answer is no longer of use.
+    pub deadline: Instant,
+}
+
 /// Identifies a waiting or admitted request at one daemon.
 pub type WaiterId = u64;
 
@@ -43,14 +59,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 #[display(rename_all = "snake_case")]
 pub enum RefusedWhy {
-    /// The customer is not in the configuration.
+    /// The customer or the pool is not in the configuration.
     Unknown,
     /// Its customer's queue is full.
     QueueFull,
     /// It would not be served before its deadline.
     Deadline,
-    /// The daemon takes no new work.
-    Leaving,
 }
 
 /// A refusal, final and at once.
--- a/src/coordination/hash.rs
+++ b/src/coordination/hash.rs
@@ -8,6 +8,11 @@
     mix(extend(OFFSET, bytes))
 }
 
+/// Hashes a text; equal on every machine and in every build.
+pub fn hash_text(text: &str) -> u64 {
+    hash_bytes(text.as_bytes())
+}
+
 /// Hashes two texts; the boundary between them counts.
 pub fn hash_pair(a: &str, b: &str) -> u64 {
     let state = extend(OFFSET, a.as_bytes());
--- a/src/coordination/poison.rs
+++ b/src/coordination/poison.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     coordination::{
-        hash::{hash_bytes, mix},
+        hash::{hash_bytes, hash_text, mix},
         routing::Outcome,
     },
     state::objects::UpstreamName,
@@ -28,6 +28,12 @@
 /// Crashes of one upstream this near in time are one crash, unless the request ran alone.
 const SAME_CRASH: Duration = Duration::from_secs(2);
 
+/// The longest solo run that keeps the same request out elsewhere.
+const TRIAL_TTL: Duration = Duration::from_secs(30);
+
+/// When to come back while the same request runs alone elsewhere.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The greatest number of suspects remembered.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -43,13 +49,8 @@
 
 impl Fingerprint {
     /// The fingerprint of a customer's request.
-    pub fn of(customer: &str, body: &[u8]) -> Self {
-        Self(mix(hash_bytes(customer.as_bytes())) ^ hash_bytes(body))
-    }
-
-    /// A number by which to spread solo runs over upstreams.
-    pub fn spread(self) -> u64 {
-        mix(self.0)
+    pub fn of(customer: &str, body: impl AsRef<[u8]>) -> Self {
+        Self(mix(hash_text(customer)) ^ hash_bytes(body.as_ref()))
     }
 }
 
@@ -63,11 +64,28 @@
     Usual,
     /// It runs alone on its upstream.
     Solo,
-    /// It is refused for good.
-    Refuse {
-        /// When to come back.
-        retry_after: Duration,
-    },
+    /// It is refused.
+    Refuse(Quarantined),
+}
+
+/// Why a suspect is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "snake_case")]
+pub enum QuarantinedWhy {
+    /// It has crashed upstreams; this is final until it may come back.
+    Crashes,
+    /// The same request runs alone elsewhere, to find out whether it crashes upstreams.
+    OnTrial,
+}
+
+/// The refusal of a suspect, at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("quarantined={why} retry_after_ms={}", retry_after.as_millis())]
+pub struct Quarantined {
+    /// Why.
+    pub why: QuarantinedWhy,
+    /// When to come back.
+    pub retry_after: Duration,
 }
 
 /// What a daemon tells its peers at once.
@@ -91,8 +109,12 @@
         /// Drawn by the daemon that saw it, so that no crash is counted twice.
         id: CrashId,
     },
+    /// The request is about to run alone.
+    OnTrial,
     /// The request ran alone, and the upstream stood.
     Cleared,
+    /// The request ran alone, and nothing was learned.
+    Undecided,
 }
 
 #[derive(Clone, Debug)]
@@ -106,6 +128,7 @@
 struct Suspect {
     crashes: Vec<Crash>,
     until: Instant,
+    on_trial_until: Option<Instant>,
 }
 
 impl Suspect {
@@ -127,7 +150,7 @@
     seed: u64,
     crashes: u64,
     suspects: BTreeMap<Fingerprint, Suspect>,
-    running: HashMap<Fingerprint, u32>,
+    running: HashMap<UpstreamName, Vec<Fingerprint>>,
 }
 
 impl Poison {
@@ -143,19 +166,23 @@
 
     /// What is done with a request now.
     pub fn treatment(&self, now: Instant, fingerprint: Fingerprint) -> Treatment {
-        match self.suspects.get(&fingerprint) {
-            Some(suspect) if now >= suspect.until => Treatment::Usual,
-            Some(suspect) if suspect.refused() => Treatment::Refuse {
+        let suspect = self.suspects.get(&fingerprint);
+        let Some(suspect) = suspect.filter(|s| now < s.until) else {
+            return Treatment::Usual;
+        };
+        if suspect.refused() {
+            return Treatment::Refuse(Quarantined {
+                why: QuarantinedWhy::Crashes,
                 retry_after: suspect.until.saturating_duration_since(now),
-            },
-            Some(_) => Treatment::Solo,
-            None => Treatment::Usual,
+            });
         }
-    }
-
-    /// Whether a suspect runs already, so that another run of it must wait.
-    pub fn running(&self, fingerprint: Fingerprint) -> bool {
-        self.running.contains_key(&fingerprint)
+        if suspect.on_trial_until.is_some_and(|until| now < until) {
+            return Treatment::Refuse(Quarantined {
+                why: QuarantinedWhy::OnTrial,
+                retry_after: TRIAL_RETRY_AFTER,
+            });
+        }
+        Treatment::Solo
     }
 
     /// The upstreams that have crashed under a request; it is not sent there again.
@@ -166,9 +193,20 @@
         })
     }
 
-    /// A request was dispatched.
-    pub fn started(&mut self, fingerprint: Fingerprint) {
-        *self.running.entry(fingerprint).or_default() += 1;
+    /// A request was dispatched; returns what peers must know at once.
+    pub fn started(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        upstream: &UpstreamName,
+        solo: bool,
+    ) -> Option<Note> {
+        let running = self.running.entry(upstream.clone()).or_default();
+        running.push(fingerprint);
+        if !solo {
+            return None;
+        }
+        self.news(now, fingerprint, Event::OnTrial)
     }
 
     /// A dispatched request has ended; returns what peers must know at once.
@@ -180,28 +218,56 @@
         solo: bool,
         outcome: Outcome,
     ) -> Option<Note> {
-        if let Some(count) = self.running.get_mut(&fingerprint) {
-            *count -= 1;
-            if *count == 0 {
-                self.running.remove(&fingerprint);
-            }
-        }
+        self.forget_run(fingerprint, upstream);
         let event = match outcome {
-            Outcome::Crashed => {
-                self.crashes += 1;
-                Event::Crashed {
-                    upstream: upstream.clone(),
-                    solo,
-                    id: mix(self.seed ^ mix(self.crashes)),
-                }
-            }
+            Outcome::Crashed => self.crash(upstream, solo),
             Outcome::Answered { .. } if solo => Event::Cleared,
+            _ if solo => Event::Undecided,
             _ => return None,
         };
+        self.news(now, fingerprint, event)
+    }
+
+    /// An upstream has crashed: all that still ran there is suspect; returns what peers must know.
+    pub fn upstream_crashed(&mut self, now: Instant, upstream: &UpstreamName) -> Vec<Note> {
+        let mut running = self.running.get(upstream).cloned().unwrap_or_default();
+        running.sort_unstable();
+        running.dedup();
+        running
+            .into_iter()
+            .filter_map(|fingerprint| {
+                let event = self.crash(upstream, false);
+                self.news(now, fingerprint, event)
+            })
+            .collect()
+    }
+
+    fn crash(&mut self, upstream: &UpstreamName, solo: bool) -> Event {
+        self.crashes += 1;
+        Event::Crashed {
+            upstream: upstream.clone(),
+            solo,
+            id: mix(self.seed ^ mix(self.crashes)),
+        }
+    }
+
+    fn news(&mut self, now: Instant, fingerprint: Fingerprint, event: Event) -> Option<Note> {
         let note = Note { fingerprint, event };
         self.note(now, &note).then_some(note)
     }
 
+    fn forget_run(&mut self, fingerprint: Fingerprint, upstream: &UpstreamName) {
+        let Some(running) = self.running.get_mut(upstream) else {
+            return;
+        };
+        if let Some(i) = running.iter().position(|f| *f == fingerprint) {
+            running.swap_remove(i);
+        }
+        if running.is_empty() {
+            self.running.remove(upstream);
+        }
+    }
+
     /// Takes in what happened to a suspect; returns whether it was news.
     pub fn note(&mut self, now: Instant, note: &Note) -> bool {
         match &note.event {
@@ -213,6 +279,8 @@
                 };
                 self.crashed(note.fingerprint, crash, *solo)
             }
+            Event::OnTrial => self.set_trial(note.fingerprint, Some(now + TRIAL_TTL)),
+            Event::Undecided => self.set_trial(note.fingerprint, None),
             Event::Cleared => self.cleared(note.fingerprint),
         }
     }
@@ -226,7 +294,9 @@
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
             crashes: Vec::with_capacity(CRASHES_TO_REFUSE),
             until: now + SUSPECT_TTL,
+            on_trial_until: None,
         });
+        suspect.on_trial_until = None;
         if suspect.refused() || suspect.knows(&crash, solo) {
             return false;
         }
@@ -240,6 +310,15 @@
         true
     }
 
+    fn set_trial(&mut self, fingerprint: Fingerprint, until: Option<Instant>) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return false;
+        };
+        let changed = suspect.on_trial_until.is_some() != until.is_some();
+        suspect.on_trial_until = until;
+        changed
+    }
+
     fn cleared(&mut self, fingerprint: Fingerprint) -> bool {
         let refused = self.suspects.get(&fingerprint).is_none_or(Suspect::refused);
         !refused && self.suspects.remove(&fingerprint).is_some()
--- a/src/coordination/quality.rs
+++ b/src/coordination/quality.rs
@@ -6,6 +6,7 @@
 };
 
 use derive_more::Display;
+use platform_api::engine::ChatRequest;
 use serde::{Deserialize, Serialize};
 
 use crate::state::objects::{RuleName, VersionName};
@@ -53,8 +54,13 @@
     const SHORT_BYTES: usize = 1_000;
     const LONG_BYTES: usize = 4_000;
 
+    /// The class of a request.
+    pub fn of(req: &ChatRequest) -> Self {
+        Self::of_length(req.messages.iter().map(|m| m.content.len()).sum())
+    }
+
     /// The class of a prompt of this length.
-    pub fn of(prompt_bytes: usize) -> Self {
+    pub fn of_length(prompt_bytes: usize) -> Self {
         if prompt_bytes <= Self::BRIEF_BYTES {
             Self::Brief
         } else if prompt_bytes <= Self::SHORT_BYTES {
--- a/src/coordination/rollout/trial.rs
+++ b/src/coordination/rollout/trial.rs
@@ -116,6 +116,11 @@
         self.unrated
     }
 
+    /// Whether there are signs that it has turned bad.
+    pub fn suspected(&self) -> bool {
+        self.evidence.suspicion() > 0.0
+    }
+
     /// The part of the requests that it may answer, in hundredths of a percent.
     pub fn stage(&self) -> u64 {
         STAGES[self.stage]
--- a/src/coordination/rollout/trials.rs
+++ b/src/coordination/rollout/trials.rs
@@ -76,9 +76,20 @@
 pub struct Trials {
     trials: BTreeMap<VersionName, Trial>,
     verdicts: BTreeMap<VersionName, Verdict>,
+    known: bool,
 }
 
 impl Trials {
+    /// The kept verdicts have been read; until then no version on trial is used.
+    pub fn set_known(&mut self) {
+        self.known = true;
+    }
+
+    /// Whether the kept verdicts have been read.
+    pub fn known(&self) -> bool {
+        self.known
+    }
+
     /// Follows the configuration and the fleet.
     pub fn refresh(&mut self, now: Instant, snapshot: &Snapshot, fleet: Fleet<'_>) {
         let versions = &snapshot.objects.versions;
@@ -110,6 +121,7 @@
     pub fn gate(&self, now: Instant, name: &str, version: &Version, req: &RouteRequest) -> Gate {
         let own_session = req.session.is_some();
         match self.trials.get(name) {
+            Some(trial) if trial.standing() == Standing::OnTrial && !self.known => Gate::Exposure,
             Some(trial) => trial.gate(now, &req.request_id, own_session),
             None if version.rollout.is_some() => Gate::Exposure,
             None => Gate::Open,
@@ -169,11 +181,15 @@
         applies && trial.standing() != Standing::Demoted && trial.convict(now).is_some()
     }
 
-    /// Whether ratings of this version are told to peers one by one.
-    pub fn watched(&self, version: &str) -> bool {
-        self.trials
-            .get(version)
-            .is_some_and(|t| t.standing() != Standing::Ejected)
+    /// Whether a version is on trial, so that its answers must be rated in the end.
+    pub fn on_trial(&self, version: &str) -> bool {
+        let trial = self.trials.get(version);
+        trial.is_some_and(|t| matches!(t.standing(), Standing::OnTrial | Standing::Demoted))
+    }
+
+    /// Whether there are signs that a trusted version has turned bad.
+    pub fn suspected(&self, version: &str) -> bool {
+        self.trials.get(version).is_some_and(Trial::suspected)
     }
 
     /// The record of a version.
--- a/src/coordination/routing/mod.rs
+++ b/src/coordination/routing/mod.rs
@@ -1,5 +1,7 @@
 //! Routing: which version and which upstream a request runs on, and why.
 
+mod candidates;
+mod pools;
 mod replicas;
 mod request;
 mod router;
@@ -8,7 +10,7 @@
 
 pub use replicas::{Outcome, ReplicaView};
 pub use request::{
-    Choice, NoRoute, NoRouteWhy, Reason, Rejected, RouteRequest, ServiceRequest, Why,
+    Choice, ChoiceId, NoRoute, NoRouteWhy, Reason, Rejected, RouteRequest, ServiceRequest, Why,
 };
 pub use router::{Router, Views};
 pub use subset::{SubsetSize, subset};
--- /dev/null
+++ b/src/coordination/routing/pools.rs
@@ -0,0 +1,112 @@
+//! The upstreams that one daemon uses, by version and by plain service.
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::{
+    coordination::{
+        hash::hash_pair,
+        membership::DaemonName,
+        routing::{
+            SubsetSize,
+            replicas::{Nearness, Replicas, Slot},
+            subset,
+        },
+    },
+    state::{
+        objects::{DomainName, ServiceName, UpstreamName, VersionName},
+        snapshot::{Generation, Snapshot},
+    },
+};
+
+/// The daemon for which pools are built, and the upstreams that it must leave out.
+pub(super) struct Place<'a> {
+    pub(super) daemon: &'a DaemonName,
+    pub(super) failure_domain: &'a DomainName,
+    pub(super) leaving: &'a [UpstreamName],
+}
+
+/// The subsets of all pools, for one configuration and fleet.
+#[derive(Debug, Default)]
+pub(super) struct Pools {
+    generation: Generation,
+    members: Arc<[DaemonName]>,
+    versions: HashMap<VersionName, Box<[Slot]>>,
+    services: HashMap<ServiceName, Box<[Slot]>>,
+}
+
+impl Pools {
+    /// Whether the pools were built for this configuration and fleet.
+    pub(super) fn fits(&self, snapshot: &Snapshot, members: &Arc<[DaemonName]>) -> bool {
+        self.generation == snapshot.generation && self.members == *members
+    }
+
+    /// Builds the pools, with a table of the upstreams in them.
+    pub(super) fn build(
+        place: &Place<'_>,
+        snapshot: &Snapshot,
+        members: &Arc<[DaemonName]>,
+    ) -> (Self, Replicas) {
+        let mut replicas = Replicas::default();
+        let mut pools = Self {
+            generation: snapshot.generation,
+            members: members.clone(),
+            ..Self::default()
+        };
+        for version in snapshot.objects.versions.keys() {
+            let names = snapshot.engines(version);
+            let slots = place.pool(snapshot, names, members, &mut replicas);
+            pools.versions.insert(version.clone(), slots);
+        }
+        for service in snapshot.objects.services.keys() {
+            let names = snapshot.servers(service);
+            let slots = place.pool(snapshot, names, members, &mut replicas);
+            pools.services.insert(service.clone(), slots);
+        }
+        (pools, replicas)
+    }
+
+    /// The upstreams that the daemon uses for a version.
+    pub(super) fn version(&self, name: &str) -> &[Slot] {
+        self.versions.get(name).map_or(&[], |slots| slots)
+    }
+
+    /// The upstreams that the daemon uses for a plain service, if it exists.
+    pub(super) fn service(&self, name: &str) -> Option<&[Slot]> {
+        self.services.get(name).map(AsRef::as_ref)
+    }
+}
+
+impl Place<'_> {
+    fn pool(
+        &self,
+        snapshot: &Snapshot,
+        names: &[UpstreamName],
+        members: &[DaemonName],
+        replicas: &mut Replicas,
+    ) -> Box<[Slot]> {
+        let serving: Vec<_> = names
+            .iter()
+            .filter(|name| !self.leaving.contains(name))
+            .filter_map(|name| Some((name, &snapshot.in_service(name)?.failure_domain)))
+            .collect();
+        let size = SubsetSize::of(serving.len(), members.len());
+        let chosen = subset(self.daemon, self.failure_domain, serving.into_iter(), size);
+        chosen
+            .into_iter()
+            .map(|(name, domain)| {
+                let nearness = Nearness {
+                    near: domain == self.failure_domain,
+                    own: self.owns(name, members),
+                };
+                replicas.insert(name, nearness)
+            })
+            .collect()
+    }
+
+    /// Whether the daemon has the highest rendezvous weight for an upstream.
+    fn owns(&self, upstream: &str, members: &[DaemonName]) -> bool {
+        let own = hash_pair(upstream, self.daemon);
+        let weights = members.iter().map(|m| hash_pair(upstream, m));
+        weights.max().is_none_or(|greatest| own >= greatest)
+    }
+}
--- a/src/coordination/routing/replicas.rs
+++ b/src/coordination/routing/replicas.rs
@@ -29,6 +29,9 @@
 /// The added cost of leaving the own failure domain, in seconds.
 const DISTANCE_S: f64 = 0.002;
 
+/// How long an upstream is kept free of new requests so that a suspect can run alone there.
+const DRAIN_FOR_SOLO: Duration = Duration::from_secs(2);
+
 /// The place of an upstream in the table.
 pub(super) type Slot = usize;
 
@@ -78,20 +81,33 @@
 #[derive(Debug)]
 pub(super) struct Replica {
     pub(super) name: UpstreamName,
-    near: bool,
+    nearness: Nearness,
     in_flight: u32,
     solo: bool,
+    drained_until: Option<Instant>,
+    reserved_until: Option<Instant>,
     first_token_s: f64,
     health: Health,
 }
 
+/// How an upstream lies to this daemon.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Nearness {
+    /// Whether it is in the daemon's failure domain.
+    pub(super) near: bool,
+    /// Whether this daemon, of all, runs suspects there first.
+    pub(super) own: bool,
+}
+
 impl Replica {
-    fn new(name: UpstreamName, near: bool) -> Self {
+    fn new(name: UpstreamName, nearness: Nearness) -> Self {
         Self {
             name,
-            near,
+            nearness,
             in_flight: 0,
             solo: false,
+            drained_until: None,
+            reserved_until: None,
             first_token_s: FIRST_TOKEN_PRIOR_S,
             health: Health::default(),
         }
@@ -99,13 +115,21 @@
 
     /// The expected wait behind this daemon's own requests; less is better.
     fn score(&self, now: Instant) -> f64 {
-        let distance = if self.near { 0.0 } else { DISTANCE_S };
+        let distance = if self.nearness.near { 0.0 } else { DISTANCE_S };
         let load = f64::from(self.in_flight + 1) / self.health.share(now);
         load * (self.first_token_s + distance)
     }
 
     fn usable(&self, now: Instant, solo: bool) -> bool {
-        !self.solo && (!solo || self.in_flight == 0) && self.health.usable(now)
+        let before = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        if self.solo || before(self.reserved_until) || !self.health.usable(now) {
+            return false;
+        }
+        if solo {
+            self.in_flight == 0
+        } else {
+            !before(self.drained_until)
+        }
     }
 
     /// Whether it must be tried now because its ejection has ended.
@@ -148,12 +172,12 @@
         self.index.get(name).copied()
     }
 
-    pub(super) fn insert(&mut self, name: &UpstreamName, near: bool) -> Slot {
+    pub(super) fn insert(&mut self, name: &UpstreamName, nearness: Nearness) -> Slot {
         if let Some(slot) = self.slot(name) {
             return slot;
         }
         self.index.insert(name.clone(), self.slots.len());
-        self.slots.push(Replica::new(name.clone(), near));
+        self.slots.push(Replica::new(name.clone(), nearness));
         self.slots.len() - 1
     }
 
@@ -162,8 +186,11 @@
         for replica in old.slots {
             match self.slot(&replica.name) {
                 Some(slot) => {
-                    let near = self.slots[slot].near;
-                    self.slots[slot] = Replica { near, ..replica };
+                    let nearness = self.slots[slot].nearness;
+                    self.slots[slot] = Replica {
+                        nearness,
+                        ..replica
+                    };
                 }
                 None if replica.in_flight > 0 => {
                     self.index.insert(replica.name.clone(), self.slots.len());
@@ -188,7 +215,7 @@
     }
 
     pub(super) fn started(&mut self, now: Instant, name: &str, solo: bool) {
-        let slot = self.insert(&name.into(), false);
+        let slot = self.insert(&name.into(), Nearness::default());
         let replica = &mut self.slots[slot];
         replica.in_flight += 1;
         replica.solo |= solo;
@@ -203,6 +230,7 @@
         replica.in_flight = replica.in_flight.saturating_sub(1);
         if solo {
             replica.solo = false;
+            replica.drained_until = None;
         }
         match outcome {
             Outcome::Answered { first_token, .. } => {
@@ -218,6 +246,36 @@
         }
     }
 
+    /// Keeps an upstream free for another daemon's suspect until then, or no longer; returns the
+    /// requests that still run there.
+    pub(super) fn reserve(&mut self, name: &str, until: Option<Instant>) -> u32 {
+        let Some(slot) = self.slot(name) else {
+            return 0;
+        };
+        let replica = &mut self.slots[slot];
+        replica.reserved_until = until;
+        replica.in_flight
+    }
+
+    /// Picks one of `subset` for a request that must run alone, or begins to empty one for it.
+    fn pick_solo(&mut self, subset: &[Slot], pick: &Pick<'_>) -> Result<Slot, NoPick> {
+        let order = |slot: &Slot| {
+            let replica = &self.slots[*slot];
+            let drained = replica.drained_until.is_none();
+            (!replica.nearness.own, drained, replica.in_flight)
+        };
+        let allowed = || subset.iter().filter(|s| self.allowed(**s, pick));
+        let free = allowed().copied().filter(|s| self.free(*s, pick));
+        if let Some(slot) = free.min_by_key(order) {
+            return Ok(slot);
+        }
+        let Some(slot) = allowed().copied().min_by_key(order) else {
+            return Err(NoPick::None);
+        };
+        self.slots[slot].drained_until = Some(pick.now + DRAIN_FOR_SOLO);
+        Err(NoPick::Busy)
+    }
+
     /// The time until the first ejected upstream of `subset` is tried again.
     pub(super) fn next_probe(&self, now: Instant, subset: &[Slot]) -> Option<Duration> {
         subset
@@ -229,11 +287,14 @@
 
     /// Picks one of `subset`: the affine one unless it is loaded, else the better of two.
     pub(super) fn pick(
-        &self,
+        &mut self,
         subset: &[Slot],
         pick: &Pick<'_>,
         rng: &mut Xoroshiro128PlusPlus,
     ) -> Result<Slot, NoPick> {
+        if pick.solo {
+            return self.pick_solo(subset, pick);
+        }
         if let Some(slot) = self.affine(subset, pick) {
             return Ok(slot);
         }
--- a/src/coordination/routing/request.rs
+++ b/src/coordination/routing/request.rs
@@ -87,7 +87,7 @@
     Draining,
     /// It is withdrawn.
     Withdrawn,
-    /// It has answered already and fell short.
+    /// It, or one at least as dear, has answered already and fell short.
     Tried,
     /// Ratings have shown it to be bad.
     Ejected,
@@ -109,15 +109,22 @@
     pub why: Why,
 }
 
+/// Identifies one choice of one router.
+pub type ChoiceId = u64;
+
 /// Where a request runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
+    /// The choice's id; never used twice by one router.
+    pub id: ChoiceId,
     /// The version, or the plain service's name.
     pub version: CompactString,
     /// The upstream.
     pub upstream: UpstreamName,
     /// Why this version.
     pub reason: Reason,
+    /// The kind of request.
+    pub class: RequestClass,
     /// The probability that the answer is good enough, as learned so far.
     pub pass: f64,
     /// Whether no other request of this daemon may run on the upstream meanwhile.
@@ -169,6 +176,30 @@
     pub rejected: Vec<Rejected>,
 }
 
+impl NoRoute {
+    /// When to come back while all upstreams are busy.
+    pub(super) const BUSY: Duration = Duration::from_secs(1);
+
+    /// When to come back while no upstream is in service.
+    pub(super) const NO_UPSTREAM: Duration = Duration::from_secs(5);
+
+    pub(super) fn never(why: NoRouteWhy, rejected: Vec<Rejected>) -> Self {
+        Self {
+            why,
+            retry_after: None,
+            rejected,
+        }
+    }
+
+    pub(super) fn later(why: NoRouteWhy, after: Duration, rejected: Vec<Rejected>) -> Self {
+        Self {
+            why,
+            retry_after: Some(after),
+            rejected,
+        }
+    }
+}
+
 impl fmt::Display for NoRoute {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "no_route={}", self.why)?;
--- a/src/coordination/routing/router.rs
+++ b/src/coordination/routing/router.rs
@@ -1,41 +1,35 @@
 //! The router: subsets of the pools in force, and the choice of version and upstream.
 
 use std::{
-    collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use compact_str::CompactString;
 use rand::SeedableRng;
 use rand_xoshiro::Xoroshiro128PlusPlus;
 
 use crate::{
     coordination::{
         cascade::{Candidate, Goal, rank},
-        hash::hash_bytes,
-        quality::Quality,
-        rollout::{Gate, Trials},
+        hash::hash_text,
+        membership::DaemonName,
+        quality::{Quality, RequestClass},
+        rollout::Trials,
         routing::{
-            Choice, NoRoute, NoRouteWhy, Outcome, Reason, Rejected, ReplicaView, RouteRequest,
-            ServiceRequest, SubsetSize, Why,
+            Choice, ChoiceId, NoRoute, NoRouteWhy, Outcome, Reason, Rejected, ReplicaView,
+            RouteRequest, ServiceRequest, Why,
+            candidates::Asked,
+            pools::{Place, Pools},
             replicas::{NoPick, Pick, Replicas, Slot},
-            subset,
             times::Times,
         },
     },
     state::{
-        objects::{Customer, DomainName, Rule, UpstreamName, Version, VersionName, VersionState},
-        snapshot::{Generation, Snapshot},
+        objects::{DomainName, UpstreamName},
+        snapshot::Snapshot,
     },
 };
 
-/// When to come back while all upstreams are busy.
-const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// When to come back while no upstream is in service.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// What a decision may look at besides the configuration.
 pub struct Views<'a> {
     /// The requests that may be sent to an upstream now, by its permits.
@@ -48,32 +42,24 @@
     pub rating: Option<Duration>,
 }
 
-/// The upstreams of each pool that this daemon uses, for one configuration and fleet size.
-#[derive(Debug, Default)]
-struct Pools {
-    generation: Generation,
-    daemons: usize,
-    versions: HashMap<VersionName, Box<[Slot]>>,
-    services: HashMap<CompactString, Box<[Slot]>>,
-}
-
 /// Chooses versions and upstreams for one daemon.
 #[derive(Debug)]
 pub struct Router {
-    daemon: CompactString,
+    daemon: DaemonName,
     failure_domain: DomainName,
     pools: Pools,
     leaving: Arc<[UpstreamName]>,
     stale: bool,
     replicas: Replicas,
     times: Times,
+    choices: ChoiceId,
     rng: Xoroshiro128PlusPlus,
 }
 
 impl Router {
     /// A router of the daemon of this name and failure domain.
-    pub fn new(daemon: CompactString, failure_domain: DomainName, seed: u64) -> Self {
-        let seed = seed ^ hash_bytes(daemon.as_bytes());
+    pub fn new(daemon: DaemonName, failure_domain: DomainName, seed: u64) -> Self {
+        let seed = seed ^ hash_text(&daemon);
         Self {
             daemon,
             failure_domain,
@@ -82,6 +68,7 @@
             stale: true,
             replicas: Replicas::default(),
             times: Times::default(),
+            choices: 0,
             rng: Xoroshiro128PlusPlus::seed_from_u64(seed),
         }
     }
@@ -94,58 +81,29 @@
         }
     }
 
-    /// Rebuilds the subsets if the configuration or the number of daemons has changed.
-    pub fn refresh(&mut self, snapshot: &Snapshot, daemons: usize) {
-        let pools = &self.pools;
-        if !self.stale && pools.generation == snapshot.generation && pools.daemons == daemons {
+    /// Rebuilds the subsets if the configuration or the fleet has changed.
+    ///
+    /// `members` are the reachable daemons in name order, this one included.
+    pub fn refresh(&mut self, snapshot: &Snapshot, members: &Arc<[DaemonName]>) {
+        if self.pools.fits(snapshot, members) && !self.stale {
             return;
         }
-        let mut replicas = Replicas::default();
-        let mut pools = Pools {
-            generation: snapshot.generation,
-            daemons,
-            ..Pools::default()
+        let place = Place {
+            daemon: &self.daemon,
+            failure_domain: &self.failure_domain,
+            leaving: &self.leaving,
         };
-        for version in snapshot.objects.versions.keys() {
-            let subset = self.pool(snapshot, snapshot.engines(version), daemons, &mut replicas);
-            pools.versions.insert(version.clone(), subset);
-        }
-        for service in snapshot.objects.services.keys() {
-            let subset = self.pool(snapshot, snapshot.servers(service), daemons, &mut replicas);
-            pools.services.insert(service.clone(), subset);
-        }
+        let (pools, mut replicas) = Pools::build(&place, snapshot, members);
         replicas.inherit(std::mem::take(&mut self.replicas));
         self.replicas = replicas;
         self.pools = pools;
         self.stale = false;
     }
 
-    fn pool(
-        &self,
-        snapshot: &Snapshot,
-        names: &[UpstreamName],
-        daemons: usize,
-        replicas: &mut Replicas,
-    ) -> Box<[Slot]> {
-        let members: Vec<_> = names
-            .iter()
-            .filter(|name| !self.leaving.contains(name))
-            .filter_map(|name| Some((name, &snapshot.in_service(name)?.failure_domain)))
-            .collect();
-        let size = SubsetSize::of(members.len(), daemons);
-        let chosen = subset(
-            &self.daemon,
-            &self.failure_domain,
-            members.into_iter(),
-            size,
-        );
-        chosen
-            .into_iter()
-            .map(|name| {
-                let domain = snapshot.in_service(name).map(|u| &u.failure_domain);
-                replicas.insert(name, domain == Some(&self.failure_domain))
-            })
-            .collect()
+    /// Keeps an upstream free for another daemon's suspect until then, or no longer; returns this
+    /// daemon's requests that still run there.
+    pub fn reserve(&mut self, upstream: &str, until: Option<Instant>) -> u32 {
+        self.replicas.reserve(upstream, until)
     }
 
     /// Chooses where a model request runs.
@@ -165,119 +123,69 @@
         if !customer.rules.contains(&req.rule) {
             return Err(NoRoute::never(NoRouteWhy::NotAllowed, Vec::new()));
         }
-        let mut rejected = Vec::new();
-        let candidates =
-            self.candidates(now, snapshot, req, (customer, rule), views, &mut rejected);
+        let asked = Asked {
+            now,
+            snapshot,
+            req,
+            customer,
+            rule,
+            views,
+            times: &self.times,
+        };
+        let (candidates, rejected) = asked.candidates();
         if candidates.is_empty() {
-            return Err(no_version(req, rejected));
-        }
-        let goal = goal(now, req, views);
-        let ranked = rank(candidates, &goal);
-        self.first_free(now, req, &ranked, views, rejected)
-    }
-
-    fn candidates<'s>(
-        &self,
-        now: Instant,
-        snapshot: &'s Snapshot,
-        req: &RouteRequest,
-        (customer, rule): (&Customer, &'s Rule),
-        views: &Views<'_>,
-        rejected: &mut Vec<Rejected>,
-    ) -> Vec<Candidate<'s>> {
-        let estimates = views.quality.of(&req.rule);
-        let mut candidates = Vec::with_capacity(rule.versions.len());
-        for name in &rule.versions {
-            if req.session.as_ref().is_some_and(|pinned| pinned != name) {
-                continue;
-            }
-            let version = snapshot.objects.versions.get(name);
-            match admissible(name, version, customer, req) {
-                Ok(version) => {
-                    let gate = views.trials.gate(now, name, version, req);
-                    if let Some(why) = gate.rejection() {
-                        rejected.push(Rejected::new(name, why));
-                        continue;
-                    }
-                    let pass = estimates.pass(name, req.class, version.prior_quality, rule.quality);
-                    candidates.push(Candidate {
-                        version: name,
-                        cost: version.cost,
-                        pass: if gate == Gate::LastResort { 0.0 } else { pass },
-                        whole: self.times.whole(name, req.class),
-                        replaces: replaced(gate, version),
-                    });
-                }
-                Err(why) => rejected.push(Rejected::new(name, why)),
-            }
+            return Err(NoRoute::no_version(req, rejected));
         }
-        candidates
+        let ranked = rank(candidates, &goal(now, req, views));
+        let pick = Pick {
+            now,
+            available: views.available,
+            excluded: &req.excluded,
+            affinity: req.affinity,
+            solo: req.solo,
+        };
+        self.first_free(req, &ranked, &pick, rejected)
     }
 
+    /// Takes the first version in order of preference that has a free upstream.
     fn first_free(
         &mut self,
-        now: Instant,
         req: &RouteRequest,
         ranked: &[(Candidate<'_>, Reason)],
-        views: &Views<'_>,
+        pick: &Pick<'_>,
         mut rejected: Vec<Rejected>,
     ) -> Result<Choice, NoRoute> {
-        let pick = Pick {
-            now,
-            available: views.available,
-            excluded: &req.excluded,
-            affinity: req.affinity,
-            solo: req.solo,
-        };
         let mut busy = false;
         for (i, (candidate, reason)) in ranked.iter().enumerate() {
-            let subset = self.pools.versions.get(candidate.version.as_str());
-            let subset = subset.map_or(&[][..], |s| s);
-            match self.replicas.pick(subset, &pick, &mut self.rng) {
+            let subset = self.pools.version(candidate.version);
+            let why = match self.replicas.pick(subset, pick, &mut self.rng) {
                 Ok(slot) => {
+                    self.choices += 1;
                     return Ok(Choice {
+                        id: self.choices,
                         version: candidate.version.clone(),
                         upstream: self.replicas.name(slot).clone(),
-                        reason: self.reason(req, i, *reason),
+                        reason: final_reason(req, i, *reason),
+                        class: req.class,
                         pass: candidate.pass,
                         solo: req.solo,
                         rejected,
                     });
                 }
-                Err(NoPick::Busy) => {
-                    busy = true;
-                    rejected.push(Rejected::new(candidate.version, Why::Busy));
-                }
-                Err(NoPick::None) => {
-                    rejected.push(Rejected::new(candidate.version, Why::NoUpstream));
-                }
-            }
+                Err(NoPick::Busy) => Why::Busy,
+                Err(NoPick::None) => Why::NoUpstream,
+            };
+            busy |= why == Why::Busy;
+            rejected.push(Rejected::new(candidate.version, why));
         }
         if busy {
-            return Err(NoRoute::later(NoRouteWhy::Busy, BUSY_RETRY_AFTER, rejected));
+            return Err(NoRoute::later(NoRouteWhy::Busy, NoRoute::BUSY, rejected));
         }
-        let after = ranked
-            .iter()
-            .filter_map(|(c, _)| self.pools.versions.get(c.version.as_str()))
-            .filter_map(|subset| self.replicas.next_probe(now, subset))
-            .min()
-            .unwrap_or(NO_UPSTREAM_RETRY_AFTER);
+        let subsets = ranked.iter().map(|(c, _)| self.pools.version(c.version));
+        let after = self.next_probe(pick.now, subsets);
         Err(NoRoute::later(NoRouteWhy::NoUpstream, after, rejected))
     }
 
-    fn reason(&self, req: &RouteRequest, rank: usize, reason: Reason) -> Reason {
-        if req.session.is_some() {
-            return Reason::Session;
-        }
-        if rank > 0 {
-            return Reason::Spill;
-        }
-        if !req.tried.is_empty() {
-            return Reason::Escalation;
-        }
-        reason
-    }
-
     /// Chooses where a request to a plain service runs.
     pub fn choose_server(
         &mut self,
@@ -285,7 +193,7 @@
         req: &ServiceRequest,
         available: &dyn Fn(&str) -> u32,
     ) -> Result<Choice, NoRoute> {
-        let Some(subset) = self.pools.services.get(&req.service) else {
+        let Some(subset) = self.pools.service(&req.service) else {
             return Err(NoRoute::never(NoRouteWhy::Unknown, Vec::new()));
         };
         let pick = Pick {
@@ -296,44 +204,46 @@
             solo: req.solo,
         };
         match self.replicas.pick(subset, &pick, &mut self.rng) {
-            Ok(slot) => Ok(Choice {
-                version: req.service.clone(),
-                upstream: self.replicas.name(slot).clone(),
-                reason: Reason::Service,
-                pass: 1.0,
-                solo: req.solo,
-                rejected: Vec::new(),
-            }),
-            Err(NoPick::Busy) => Err(NoRoute::later(
-                NoRouteWhy::Busy,
-                BUSY_RETRY_AFTER,
-                Vec::new(),
-            )),
+            Ok(slot) => {
+                self.choices += 1;
+                Ok(Choice {
+                    id: self.choices,
+                    version: req.service.clone(),
+                    upstream: self.replicas.name(slot).clone(),
+                    reason: Reason::Service,
+                    class: RequestClass::Brief,
+                    pass: 1.0,
+                    solo: req.solo,
+                    rejected: Vec::new(),
+                })
+            }
+            Err(NoPick::Busy) => Err(NoRoute::later(NoRouteWhy::Busy, NoRoute::BUSY, Vec::new())),
             Err(NoPick::None) => {
-                let after = self.replicas.next_probe(now, subset);
-                let after = after.unwrap_or(NO_UPSTREAM_RETRY_AFTER);
+                let after = self.next_probe(now, std::iter::once(subset));
                 Err(NoRoute::later(NoRouteWhy::NoUpstream, after, Vec::new()))
             }
         }
     }
 
+    /// The time until the first ejected upstream is tried again.
+    fn next_probe<'a>(&self, now: Instant, subsets: impl Iterator<Item = &'a [Slot]>) -> Duration {
+        subsets
+            .filter_map(|subset| self.replicas.next_probe(now, subset))
+            .min()
+            .unwrap_or(NoRoute::NO_UPSTREAM)
+    }
+
     /// A request was dispatched as chosen.
     pub fn started(&mut self, now: Instant, choice: &Choice) {
         self.replicas.started(now, &choice.upstream, choice.solo);
     }
 
     /// A dispatched request has ended.
-    pub fn finished(
-        &mut self,
-        now: Instant,
-        choice: &Choice,
-        class: crate::coordination::quality::RequestClass,
-        outcome: Outcome,
-    ) {
+    pub fn finished(&mut self, now: Instant, choice: &Choice, outcome: Outcome) {
         self.replicas
             .finished(now, &choice.upstream, choice.solo, outcome);
         if choice.reason != Reason::Service {
-            self.times.add(&choice.version, class, outcome);
+            self.times.add(&choice.version, choice.class, outcome);
         }
     }
 
@@ -344,13 +254,8 @@
 
     /// The names of the upstreams that the daemon uses for a version.
     pub fn subset_of(&self, version: &str) -> Vec<UpstreamName> {
-        let subset = self.pools.versions.get(version);
-        subset.map_or_else(Vec::new, |slots| {
-            slots
-                .iter()
-                .map(|s| self.replicas.name(*s).clone())
-                .collect()
-        })
+        let subset = self.pools.version(version).iter();
+        subset.map(|s| self.replicas.name(*s).clone()).collect()
     }
 
     /// The number of upstreams about which anything is remembered.
@@ -359,30 +264,18 @@
     }
 }
 
-fn admissible<'s>(
-    name: &VersionName,
-    version: Option<&'s Version>,
-    customer: &Customer,
-    req: &RouteRequest,
-) -> Result<&'s Version, Why> {
-    let version = version.ok_or(Why::Unknown)?;
-    if !customer.versions.contains(name) {
-        return Err(Why::NotAllowed);
+/// Why a version was chosen, given its place in the order of preference.
+fn final_reason(req: &RouteRequest, rank: usize, reason: Reason) -> Reason {
+    if req.session.is_some() {
+        return Reason::Session;
     }
-    match version.state {
-        VersionState::Withdrawn => return Err(Why::Withdrawn),
-        VersionState::Draining if req.session.is_none() => return Err(Why::Draining),
-        VersionState::Draining | VersionState::Enabled => {}
+    if rank > 0 {
+        return Reason::Spill;
     }
-    if req.tried.contains(name) {
-        return Err(Why::Tried);
+    if !req.tried.is_empty() {
+        return Reason::Escalation;
     }
-    Ok(version)
-}
-
-fn replaced(gate: Gate, version: &Version) -> Option<&VersionName> {
-    let rollout = version.rollout.as_ref()?;
-    (gate == Gate::Trial).then_some(&rollout.replaces)
+    reason
 }
 
 fn goal(now: Instant, req: &RouteRequest, views: &Views<'_>) -> Goal {
@@ -394,46 +287,3 @@
         _ => Goal::Once,
     }
 }
-
-fn no_version(req: &RouteRequest, rejected: Vec<Rejected>) -> NoRoute {
-    if rejected.iter().any(|r| r.why == Why::Exposure) {
-        return NoRoute::later(NoRouteWhy::Busy, BUSY_RETRY_AFTER, rejected);
-    }
-    if req.session.is_some() {
-        return NoRoute::never(NoRouteWhy::SessionEnded, rejected);
-    }
-    if !rejected.is_empty() && rejected.iter().all(|r| r.why == Why::NotAllowed) {
-        return NoRoute::never(NoRouteWhy::NotAllowed, rejected);
-    }
-    if rejected.iter().any(|r| r.why == Why::Ejected) {
-        return NoRoute::later(NoRouteWhy::NoVersion, NO_UPSTREAM_RETRY_AFTER, rejected);
-    }
-    NoRoute::never(NoRouteWhy::NoVersion, rejected)
-}
-
-impl NoRoute {
-    fn never(why: NoRouteWhy, rejected: Vec<Rejected>) -> Self {
-        Self {
-            why,
-            retry_after: None,
-            rejected,
-        }
-    }
-
-    fn later(why: NoRouteWhy, after: Duration, rejected: Vec<Rejected>) -> Self {
-        Self {
-            why,
-            retry_after: Some(after),
-            rejected,
-        }
-    }
-}
-
-impl Rejected {
-    fn new(version: &VersionName, why: Why) -> Self {
-        Self {
-            version: version.clone(),
-            why,
-        }
-    }
-}
--- a/src/coordination/routing/subset.rs
+++ b/src/coordination/routing/subset.rs
@@ -34,7 +34,7 @@
     nearest: &str,
     pool: impl Iterator<Item = (&'a UpstreamName, &'a DomainName)>,
     size: SubsetSize,
-) -> Vec<&'a UpstreamName> {
+) -> Vec<(&'a UpstreamName, &'a DomainName)> {
     let mut domains: BTreeMap<&DomainName, Vec<(u64, &UpstreamName)>> = BTreeMap::new();
     for (name, domain) in pool {
         let weight = hash_pair(daemon, name);
@@ -48,11 +48,11 @@
     let mut chosen = Vec::with_capacity(size.0);
     while chosen.len() < size.0 {
         let before = chosen.len();
-        for (_, names) in &mut ranked {
+        for (domain, names) in &mut ranked {
             if chosen.len() < size.0
                 && let Some((_, name)) = names.pop()
             {
-                chosen.push(name);
+                chosen.push((name, *domain));
             }
         }
         if chosen.len() == before {
--- /dev/null
+++ b/src/daemon/policy/admit.rs
@@ -0,0 +1,175 @@
+//! Admission: tickets, waiting and refusal.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::oneshot;
+
+use crate::{
+    coordination::admission::{Admit, AdmitRequest, Arrival, Grant, Refused, RefusedWhy, WaiterId},
+    daemon::policy::{
+        Policy,
+        pools::{Pending, PoolName},
+    },
+    state::objects::ServiceName,
+};
+
+/// When to come back after a refusal that waiting alone does not mend.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The right to run one request; its place is free again when this is dropped.
+#[must_use]
+pub struct Ticket {
+    policy: Arc<Policy>,
+    pool: PoolName,
+    admitted: Instant,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let held = self.policy.core.clock.now() - self.admitted;
+        if let Some(pool) = self.policy.lock().pools.get(&self.pool) {
+            pool.admission.release(held);
+        }
+        self.policy.dispatch(&self.pool);
+    }
+}
+
+/// A waiting request, given up when this is dropped.
+struct Waiter<'a> {
+    policy: &'a Arc<Policy>,
+    pool: &'a PoolName,
+    arrival: Arrival,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.policy.lock().pools.get(self.pool)
+            && pool.pending.remove(&self.arrival.id).is_some()
+        {
+            pool.admission.cancel(&self.arrival);
+        }
+    }
+}
+
+/// What a waiting request is to be told.
+struct Told {
+    to: Pending,
+    what: Result<Ticket, Refused>,
+}
+
+impl Policy {
+    /// Waits for a place among the requests to engines, or refuses at once.
+    pub async fn admit(self: &Arc<Self>, req: AdmitRequest) -> Result<Ticket, Refused> {
+        self.admit_to(PoolName::Engines, req).await
+    }
+
+    /// Waits for a place among the requests to a plain service, or refuses at once.
+    pub async fn admit_service(
+        self: &Arc<Self>,
+        service: ServiceName,
+        req: AdmitRequest,
+    ) -> Result<Ticket, Refused> {
+        self.admit_to(PoolName::Service(service), req).await
+    }
+
+    async fn admit_to(
+        self: &Arc<Self>,
+        pool: PoolName,
+        req: AdmitRequest,
+    ) -> Result<Ticket, Refused> {
+        let (arrival, rx) = match self.arrive(&pool, &req)? {
+            Arrived::Ticket(ticket) => return Ok(ticket),
+            Arrived::Waiting(arrival, rx) => (arrival, rx),
+        };
+        let _waiter = Waiter {
+            policy: self,
+            pool: &pool,
+            arrival,
+        };
+        rx.await.unwrap_or(Err(REFUSED_UNKNOWN))
+    }
+
+    fn arrive(self: &Arc<Self>, pool: &PoolName, req: &AdmitRequest) -> Result<Arrived, Refused> {
+        let now = self.core.clock.now();
+        let snapshot = self.core.snapshot();
+        let customer = snapshot.objects.customers.get(&req.customer);
+        let customer = customer.ok_or(REFUSED_UNKNOWN)?;
+        let mut state = self.lock();
+        state.refresh(now, &self.core, &snapshot);
+        let arrival = Arrival {
+            id: state.pools.next_waiter(),
+            customer: req.customer.clone(),
+            weight: customer.weight,
+            queue: customer.queue,
+            priority: req.priority,
+            deadline: req.deadline,
+        };
+        let entry = state.pools.get(pool).ok_or(REFUSED_UNKNOWN)?;
+        entry.admission.set_places(entry.limit.places());
+        match entry.admission.arrive(now, &arrival) {
+            Admit::Now => Ok(Arrived::Ticket(self.ticket(pool, now))),
+            Admit::Refused(refused) => Err(refused),
+            Admit::Queued => {
+                let (tx, rx) = oneshot::channel();
+                entry.pending.insert(arrival.id, tx);
+                Ok(Arrived::Waiting(arrival, rx))
+            }
+        }
+    }
+
+    /// Fills the free places of a pool and refuses what has become hopeless.
+    pub(super) fn dispatch(self: &Arc<Self>, name: &PoolName) {
+        let now = self.core.clock.now();
+        let grants = {
+            let mut state = self.lock();
+            let Some(pool) = state.pools.get(name) else {
+                return;
+            };
+            pool.admission.set_places(pool.limit.places());
+            let grants = pool.admission.dispatch(now);
+            let told = |grant| Some((pool.pending.remove(&waiter(&grant))?, grant));
+            grants.into_iter().filter_map(told).collect::<Vec<_>>()
+        };
+        for (to, grant) in grants {
+            let what = match grant {
+                Grant::Run(_) => Ok(self.ticket(name, now)),
+                Grant::Refuse(_, refused) => Err(refused),
+            };
+            Told { to, what }.tell();
+        }
+    }
+
+    fn ticket(self: &Arc<Self>, pool: &PoolName, admitted: Instant) -> Ticket {
+        Ticket {
+            policy: self.clone(),
+            pool: pool.clone(),
+            admitted,
+        }
+    }
+}
+
+impl Told {
+    /// A ticket for a request that was given up meanwhile is dropped, which frees its place.
+    fn tell(self) {
+        drop(self.to.send(self.what));
+    }
+}
+
+enum Arrived {
+    Ticket(Ticket),
+    Waiting(Arrival, oneshot::Receiver<Result<Ticket, Refused>>),
+}
+
+const REFUSED_UNKNOWN: Refused = Refused {
+    why: RefusedWhy::Unknown,
+    retry_after: RETRY_AFTER,
+};
+
+fn waiter(grant: &Grant) -> WaiterId {
+    match grant {
+        Grant::Run(id) | Grant::Refuse(id, _) => *id,
+    }
+}
--- /dev/null
+++ b/src/daemon/policy/mod.rs
@@ -0,0 +1,189 @@
+//! Admission, routing and what is learned from ratings, for the tasks of one daemon.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+    time::Duration,
+};
+
+use derive_more::Display;
+use tokio::sync::Notify;
+
+use crate::{
+    coordination::{
+        poison::{Fingerprint, Quarantined, Treatment},
+        routing::{Choice, NoRoute, NoRouteWhy, Outcome, Reason, RouteRequest, ServiceRequest},
+    },
+    daemon::{
+        core::Core,
+        policy::{rating::Rater, state::State},
+    },
+    state::objects::UpstreamName,
+};
+
+mod admit;
+mod gossip;
+mod pools;
+mod rating;
+mod state;
+mod verdicts;
+
+pub use admit::Ticket;
+
+/// Tells how many requests may be sent to an upstream now.
+pub type Available = Arc<dyn Fn(&str) -> u32 + Send + Sync>;
+
+/// Whether an answer is delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Verdict {
+    /// It is.
+    Deliver,
+    /// A dearer version should answer instead.
+    Escalate,
+}
+
+/// The decisions of one daemon.
+pub struct Policy {
+    core: Arc<Core>,
+    state: Mutex<State>,
+    rater: Option<Rater>,
+    available: OnceLock<Available>,
+    news: Notify,
+}
+
+impl Policy {
+    /// Starts the policy of a daemon; its tasks end with the process or with the last handle.
+    pub fn spawn(core: Arc<Core>) -> Arc<Self> {
+        let rater = core.settings.platform.rating.map(Rater::new);
+        let policy = Arc::new(Self {
+            state: Mutex::new(State::new(&core)),
+            core,
+            rater,
+            available: OnceLock::new(),
+            news: Notify::new(),
+        });
+        gossip::spawn(&policy);
+        policy
+    }
+
+    /// Sets where the number of requests that may be sent to an upstream comes from.
+    pub fn set_available(&self, available: Available) {
+        // Set once at start; a second call changes nothing.
+        let _ = self.available.set(available);
+    }
+
+    /// Whether a request must run alone, or is refused because it crashes upstreams.
+    pub fn check_poison(&self, fingerprint: Fingerprint) -> Result<bool, Quarantined> {
+        let now = self.core.clock.now();
+        match self.lock().poison.treatment(now, fingerprint) {
+            Treatment::Usual => Ok(false),
+            Treatment::Solo => Ok(true),
+            Treatment::Refuse(quarantined) => Err(quarantined),
+        }
+    }
+
+    /// The upstreams that have crashed under a request; it is not sent there again.
+    pub fn crashed_on(&self, fingerprint: Fingerprint) -> Vec<UpstreamName> {
+        self.lock().poison.crashed_on(fingerprint)
+    }
+
+    /// Chooses where a model request runs, by the configuration in force now.
+    pub fn choose(&self, req: &RouteRequest) -> Result<Choice, NoRoute> {
+        let now = self.core.clock.now();
+        let snapshot = self.core.snapshot();
+        let rating = self.rater.as_ref().and_then(|r| r.expected(now));
+        let mut state = self.lock();
+        state.refresh(now, &self.core, &snapshot);
+        let in_service = |upstream: &str| u32::from(snapshot.in_service(upstream).is_some());
+        let available: &dyn Fn(&str) -> u32 = match self.available.get() {
+            Some(available) => &**available,
+            None => &in_service,
+        };
+        let chosen = state.choose(now, &snapshot, req, rating, available);
+        if let Err(no) = &chosen
+            && no.why == NoRouteWhy::Busy
+            && !req.solo
+            && req.session.is_none()
+        {
+            state.busy(now);
+        }
+        chosen
+    }
+
+    /// Chooses where a request to a plain service runs.
+    pub fn choose_server(&self, req: &ServiceRequest) -> Result<Choice, NoRoute> {
+        let now = self.core.clock.now();
+        let snapshot = self.core.snapshot();
+        let mut state = self.lock();
+        state.refresh(now, &self.core, &snapshot);
+        let in_service = |upstream: &str| u32::from(snapshot.in_service(upstream).is_some());
+        let available: &dyn Fn(&str) -> u32 = match self.available.get() {
+            Some(available) => &**available,
+            None => &in_service,
+        };
+        state.router.choose_server(now, req, available)
+    }
+
+    /// A request is about to be dispatched as chosen.
+    pub fn started(&self, choice: &Choice, fingerprint: Fingerprint) {
+        let now = self.core.clock.now();
+        let told = self.lock().started(now, choice, fingerprint);
+        if told {
+            self.news.notify_one();
+        }
+    }
+
+    /// A dispatched request has ended.
+    pub fn finished(&self, choice: &Choice, outcome: Outcome) {
+        let now = self.core.clock.now();
+        let told = self.lock().finished(now, choice, outcome);
+        if told {
+            self.news.notify_one();
+        }
+    }
+
+    /// An upstream has crashed; what still runs there is suspect from now on.
+    pub fn crashed(&self, upstream: &str) {
+        let now = self.core.clock.now();
+        let told = self.lock().crashed(now, &upstream.into());
+        if told {
+            self.news.notify_one();
+        }
+    }
+
+    /// Whether a failed request may be tried again.
+    pub fn may_retry(&self) -> bool {
+        self.lock().retries.take()
+    }
+
+    /// Whether a slow request may be sent to a second upstream as well.
+    pub fn may_hedge(&self) -> bool {
+        self.lock().hedges.take()
+    }
+
+    /// Whether a whole answer is delivered, given its rating if there is one.
+    pub fn judge(&self, req: &RouteRequest, choice: &Choice, quality: Option<f64>) -> Verdict {
+        let now = self.core.clock.now();
+        let snapshot = self.core.snapshot();
+        let Some(rule) = snapshot.objects.rules.get(&req.rule) else {
+            return Verdict::Deliver;
+        };
+        let late = req.deadline <= now;
+        if late || req.session.is_some() || choice.reason == Reason::Service {
+            return Verdict::Deliver;
+        }
+        match quality {
+            Some(quality) if quality >= rule.quality => Verdict::Deliver,
+            Some(_) => Verdict::Escalate,
+            // Without a rating the estimate by which the version was chosen stands.
+            None => Verdict::Deliver,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How long background work waits between two looks at the state.
+const TICK: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/src/daemon/policy/state.rs
@@ -0,0 +1,269 @@
+//! What the policy knows, behind one lock.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant, UNIX_EPOCH},
+};
+
+use crate::{
+    coordination::{
+        membership::DaemonName,
+        poison::{Fingerprint, Note, Poison},
+        quality::{Quality, Subject},
+        retry::Budget,
+        rollout::{Fleet, RatingNote, Trials, Verdict},
+        routing::{Choice, ChoiceId, NoRoute, Outcome, Reason, RouteRequest, Router, Views},
+    },
+    daemon::{
+        core::{Core, MemberList},
+        policy::pools::{PoolName, Pools},
+    },
+    state::{
+        objects::{Objects, UpstreamName},
+        snapshot::{Generation, Snapshot},
+    },
+};
+
+/// How long the remainder of an uneven exposure budget stays with the same daemons.
+const EPOCH: Duration = Duration::from_secs(60);
+
+/// The greatest number of notes that wait for peers.
+const MAX_OUTBOX: usize = 1_024;
+
+/// How long an upstream is reserved for a solo run.
+const RESERVATION: Duration = Duration::from_secs(10);
+
+/// What peers are to be told at once.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    pub(super) suspects: Vec<Note>,
+    pub(super) ratings: Vec<RatingNote>,
+    pub(super) verdicts: Vec<Verdict>,
+    pub(super) reservations: Vec<Reservation>,
+}
+
+/// An upstream that is kept free for a suspect, or no longer if the time is zero.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    pub(super) upstream: UpstreamName,
+    pub(super) length: Duration,
+}
+
+impl Outbox {
+    pub(super) fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+            && self.ratings.is_empty()
+            && self.verdicts.is_empty()
+            && self.reservations.is_empty()
+    }
+}
+
+/// What the policy knows.
+pub(super) struct State {
+    pub(super) router: Router,
+    pub(super) quality: Quality,
+    pub(super) trials: Trials,
+    pub(super) poison: Poison,
+    pub(super) retries: Budget,
+    pub(super) hedges: Budget,
+    pub(super) pools: Pools,
+    pub(super) outbox: Outbox,
+    pub(super) unkept: Vec<Verdict>,
+    own: DaemonName,
+    running: HashMap<ChoiceId, Fingerprint>,
+    members: MemberList,
+    names: Arc<[DaemonName]>,
+    generation: Generation,
+    epoch: u64,
+}
+
+impl State {
+    pub(super) fn new(core: &Core) -> Self {
+        let settings = &core.settings;
+        let own = settings.name.clone();
+        let domain = settings.failure_domain.clone();
+        Self {
+            router: Router::new(own.clone(), domain, core.incarnation),
+            quality: Quality::default(),
+            trials: Trials::default(),
+            poison: Poison::new(core.incarnation),
+            retries: Budget::retries(),
+            hedges: Budget::hedges(),
+            pools: Pools::default(),
+            outbox: Outbox::default(),
+            unkept: Vec::new(),
+            names: Arc::from([own.clone()]),
+            own,
+            running: HashMap::new(),
+            members: Arc::from([]),
+            generation: 0,
+            epoch: u64::MAX,
+        }
+    }
+
+    /// Follows the configuration, the fleet and the wall clock's minutes.
+    pub(super) fn refresh(&mut self, now: Instant, core: &Core, snapshot: &Snapshot) {
+        let members = core.members();
+        let moved = !Arc::ptr_eq(&members, &self.members);
+        if moved {
+            self.names = reachable(&members, &self.own);
+            self.members = members;
+        }
+        let wall = core.clock.wall().duration_since(UNIX_EPOCH);
+        let epoch = wall.map_or(0, |d| d.as_secs() / EPOCH.as_secs());
+        let changed = moved || self.generation != snapshot.generation;
+        if !changed && self.epoch == epoch {
+            return;
+        }
+        self.epoch = epoch;
+        self.router.refresh(snapshot, &self.names);
+        let fleet = Fleet {
+            own: &self.own,
+            members: &self.names,
+            epoch,
+        };
+        self.trials.refresh(now, snapshot, fleet);
+        self.pools.refresh(snapshot, self.names.len());
+        if self.generation != snapshot.generation {
+            self.generation = snapshot.generation;
+            let objects = &snapshot.objects;
+            self.quality.retain(|rule, version| {
+                objects.rules.contains_key(rule) && objects.versions.contains_key(version)
+            });
+        }
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        now: Instant,
+        snapshot: &Snapshot,
+        req: &RouteRequest,
+        rating: Option<Duration>,
+        available: &dyn Fn(&str) -> u32,
+    ) -> Result<Choice, NoRoute> {
+        let views = Views {
+            available,
+            quality: &self.quality,
+            trials: &self.trials,
+            rating,
+        };
+        self.router.choose(now, snapshot, req, &views)
+    }
+
+    /// All upstreams were busy for an admitted request.
+    pub(super) fn busy(&mut self, now: Instant) {
+        if let Some(pool) = self.pools.get(&PoolName::Engines) {
+            pool.limit.busy(now);
+        }
+    }
+
+    /// Returns whether peers must be told something at once.
+    pub(super) fn started(
+        &mut self,
+        now: Instant,
+        choice: &Choice,
+        fingerprint: Fingerprint,
+    ) -> bool {
+        self.router.started(now, choice);
+        if choice.reason != Reason::Service {
+            self.trials.started(&choice.version);
+        }
+        self.running.insert(choice.id, fingerprint);
+        let note = self
+            .poison
+            .started(now, fingerprint, &choice.upstream, choice.solo);
+        if choice.solo {
+            self.reserve(&choice.upstream, RESERVATION);
+        }
+        self.tell(note)
+    }
+
+    /// Returns whether peers must be told something at once.
+    pub(super) fn finished(&mut self, now: Instant, choice: &Choice, outcome: Outcome) -> bool {
+        let Some(fingerprint) = self.running.remove(&choice.id) else {
+            return false;
+        };
+        self.router.finished(now, choice, outcome);
+        if let Outcome::Answered { .. } = outcome {
+            self.retries.succeeded();
+            self.hedges.succeeded();
+            if let Some(pool) = self.pools.get(&PoolName::of(choice)) {
+                pool.limit.served();
+            }
+        } else if choice.reason != Reason::Service {
+            self.trials.settled(&choice.version);
+        }
+        if choice.solo {
+            self.reserve(&choice.upstream, Duration::ZERO);
+        }
+        let upstream = &choice.upstream;
+        let note = self
+            .poison
+            .finished(now, fingerprint, upstream, choice.solo, outcome);
+        self.tell(note)
+    }
+
+    /// Returns whether peers must be told something at once.
+    pub(super) fn crashed(&mut self, now: Instant, upstream: &UpstreamName) -> bool {
+        let notes = self.poison.upstream_crashed(now, upstream);
+        self.tell(notes)
+    }
+
+    /// Takes in a rating of an own answer; returns the verdict if that is one.
+    pub(super) fn rated(
+        &mut self,
+        now: Instant,
+        objects: &Objects,
+        subject: Subject,
+        passed: bool,
+    ) -> Option<Verdict> {
+        self.trials.settled(&subject.version);
+        let note = RatingNote { subject, passed };
+        let verdict = self.weigh(now, objects, &note);
+        self.quality.rated(&note.subject, passed);
+        let version = &note.subject.version;
+        let suspected = self.names.len() <= SMALL_FLEET && self.trials.suspected(version);
+        if (suspected || self.trials.on_trial(version)) && self.outbox.ratings.len() < MAX_OUTBOX {
+            self.outbox.ratings.push(note);
+        }
+        verdict
+    }
+
+    /// Weighs a rating by this daemon or a peer; returns the verdict if that is one.
+    pub(super) fn weigh(
+        &mut self,
+        now: Instant,
+        objects: &Objects,
+        note: &RatingNote,
+    ) -> Option<Verdict> {
+        let own = &self.own;
+        let verdict = self.trials.rated(now, objects, &self.quality, note, own)?;
+        self.outbox.verdicts.push(verdict.clone());
+        Some(verdict)
+    }
+
+    fn reserve(&mut self, upstream: &UpstreamName, length: Duration) {
+        self.outbox.reservations.push(Reservation {
+            upstream: upstream.clone(),
+            length,
+        });
+    }
+
+    fn tell(&mut self, notes: impl IntoIterator<Item = Note>) -> bool {
+        let room = MAX_OUTBOX.saturating_sub(self.outbox.suspects.len());
+        self.outbox.suspects.extend(notes.into_iter().take(room));
+        !self.outbox.is_empty()
+    }
+}
+
+/// The fleet size up to which ratings of suspected versions are told to peers one by one.
+const SMALL_FLEET: usize = 20;
+
+fn reachable(members: &MemberList, own: &DaemonName) -> Arc<[DaemonName]> {
+    let others = members.iter().filter(|m| m.reachable()).map(|m| &m.name);
+    let mut names: Vec<_> = others.chain([own]).cloned().collect();
+    names.sort_unstable();
+    names.dedup();
+    names.into()
+}
--- a/src/protocol/peer/policy.rs
+++ b/src/protocol/peer/policy.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     coordination::{
-        membership::Incarnation,
         poison::Note,
         quality::Delta,
         rollout::{RatingNote, Verdict},
@@ -40,8 +39,6 @@
     Reserve {
         /// The upstream.
         upstream: UpstreamName,
-        /// Who asks.
-        by: Incarnation,
         /// For how long, in milliseconds; 0 ends it.
         millis: u32,
     },
@@ -57,6 +54,4 @@
         /// Requests that still run there.
         running: u32,
     },
-    /// Another daemon has reserved the upstream.
-    Contended,
 }
