--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,3 +4,4 @@
 pub mod claims;
 pub mod configuration;
 pub mod core;
+pub mod policy;
