--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod cascade;
+pub mod bills;
 pub mod claims;
 pub mod configuration;
 pub mod decisions;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,4 +1,7 @@
 //! One daemon: the assembly of all layers into running tasks.
 
+pub mod billing;
+pub mod claims;
 pub mod configuration;
 pub mod core;
+pub mod policy;
