Serve operators over HTTP and carry out their verbs

One publish id is kept over all daemons that a verb tries, so that a lost answer is looked up at the next one; a refusal that a lost attempt may overtake ends in status 3.

--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,11 +1,35 @@
-//! The verb `explain`: shows the decisions about one request.
+//! The verb `explain`: shows the decisions about one request, in order.
 
 use std::process::ExitCode;
 
-use crate::{cli::ExplainArgs, commands::Status};
+use crate::{
+    cli::ExplainArgs,
+    commands::{Status, query},
+    protocol::operators::{EXPLAIN_PATH, Explanation},
+    state::names::is_name,
+};
 
 /// Runs the verb.
-pub async fn run(_args: ExplainArgs) -> ExitCode {
-    eprintln!("explain: not built yet");
-    Status::Failed.into()
+pub async fn run(args: ExplainArgs) -> ExitCode {
+    if !is_name(&args.request) {
+        eprintln!("{:?} is no request id", args.request);
+        return Status::Usage.into();
+    }
+    let path = format!("{EXPLAIN_PATH}{}", args.request);
+    query::run(&args.remote, &path, show).await
+}
+
+fn show(explanation: &Explanation) {
+    if explanation.decisions.is_empty() {
+        println!("no daemon remembers this request");
+    }
+    for decision in &explanation.decisions {
+        println!(
+            "{} {} step={} {}",
+            decision.at_ms, decision.daemon, decision.step, decision.detail
+        );
+    }
+    for daemon in &explanation.silent {
+        println!("{daemon} did not answer and may know more");
+    }
 }
--- /dev/null
+++ b/src/commands/files.rs
@@ -0,0 +1,98 @@
+//! Configuration files: one set of objects in one or several files.
+
+use std::{collections::BTreeMap, path::PathBuf};
+
+use compact_str::CompactString;
+use serde_json::Value;
+
+use crate::state::{
+    check::Fault,
+    diff::{Change, ChangeError, Kind, ObjectId},
+    document::{Document, DocumentError},
+    objects::Objects,
+};
+
+/// The objects of a file as they are written there, before defaults are filled in.
+type RawObjects = BTreeMap<String, BTreeMap<CompactString, Value>>;
+
+/// A set of objects and the places where they are written.
+#[derive(Debug, Default)]
+pub struct Files {
+    documents: Vec<Document>,
+    /// The objects.
+    pub objects: Objects,
+    /// The objects as they are written.
+    pub changes: Vec<Change>,
+    homes: BTreeMap<ObjectId, usize>,
+}
+
+impl Files {
+    /// Reads all files; stops at the first file that cannot be read.
+    pub fn open(paths: &[PathBuf]) -> Result<Self, DocumentError> {
+        let mut files = Self::default();
+        for path in paths {
+            files.add(Document::open(path)?)?;
+        }
+        Ok(files)
+    }
+
+    /// Where a fault is and what it is.
+    pub fn locate(&self, fault: &Fault) -> String {
+        match self.homes.get(&fault.id) {
+            Some(home) => self.documents[*home]
+                .fault(&steps(fault), fault.reason.clone())
+                .to_string(),
+            None => fault.to_string(),
+        }
+    }
+
+    fn add(&mut self, document: Document) -> Result<(), DocumentError> {
+        // The typed reading gives the errors, the raw one what is really written.
+        document.parse::<Objects>()?;
+        let raw: RawObjects = document.parse()?;
+        let written = changes(&raw);
+        for change in &written {
+            let id = change.id();
+            if self
+                .homes
+                .insert(id.clone(), self.documents.len())
+                .is_some()
+            {
+                let reason = "stands in another file too";
+                return Err(document.fault(&[id.kind.field(), &id.name], reason));
+            }
+        }
+        self.objects
+            .apply(&written)
+            .map_err(|e| unreadable(&document, &e))?;
+        self.changes.extend(written);
+        self.documents.push(document);
+        Ok(())
+    }
+}
+
+fn changes(raw: &RawObjects) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for kind in Kind::ALL {
+        for (name, object) in raw.get(kind.field()).into_iter().flatten() {
+            let name = name.clone();
+            changes.push(Change::Put {
+                id: ObjectId { kind, name },
+                json: object.to_string(),
+            });
+        }
+    }
+    changes
+}
+
+fn unreadable(document: &Document, e: &ChangeError) -> DocumentError {
+    document.fault(&[e.id.kind.field(), &e.id.name], e.reason.clone())
+}
+
+fn steps(fault: &Fault) -> Vec<&str> {
+    let mut steps = vec![fault.id.kind.field(), fault.id.name.as_str()];
+    if fault.field != "name" {
+        steps.extend(fault.field.split('.').filter(|step| !step.is_empty()));
+    }
+    steps
+}
--- a/src/commands/generations.rs
+++ b/src/commands/generations.rs
@@ -2,10 +2,42 @@
 
 use std::process::ExitCode;
 
-use crate::{cli::StatusArgs, commands::Status};
+use crate::{
+    cli::StatusArgs,
+    commands::query,
+    protocol::operators::{GENERATIONS_PATH, GenerationSummary},
+};
+
+/// The greatest number of objects named for one generation.
+const MAX_NAMED: usize = 8;
 
 /// Runs the verb.
-pub async fn run(_args: StatusArgs) -> ExitCode {
-    eprintln!("generations: not built yet");
-    Status::Failed.into()
+pub async fn run(args: StatusArgs) -> ExitCode {
+    query::run(&args.remote, GENERATIONS_PATH, show).await
+}
+
+fn show(generations: &Vec<GenerationSummary>) {
+    for summary in generations {
+        println!(
+            "{} at_ms={} operator={} id={} objects={}",
+            summary.generation,
+            summary.at_ms,
+            summary.operator,
+            summary.publish_id,
+            named(summary)
+        );
+    }
+}
+
+fn named(summary: &GenerationSummary) -> String {
+    let names = summary
+        .objects
+        .iter()
+        .take(MAX_NAMED)
+        .map(ToString::to_string);
+    let names = names.collect::<Vec<_>>().join(",");
+    match summary.objects.len().checked_sub(MAX_NAMED) {
+        Some(more) if more > 0 => format!("{names} and {more} more"),
+        _ => names,
+    }
 }
--- a/src/commands/invoice.rs
+++ b/src/commands/invoice.rs
@@ -2,10 +2,35 @@
 
 use std::process::ExitCode;
 
-use crate::{cli::InvoiceArgs, commands::Status};
+use crate::{
+    cli::InvoiceArgs,
+    commands::{Status, query},
+    coordination::bills::Invoice,
+    protocol::operators::INVOICE_PATH,
+    state::names::is_name,
+};
 
 /// Runs the verb.
-pub async fn run(_args: InvoiceArgs) -> ExitCode {
-    eprintln!("invoice: not built yet");
-    Status::Failed.into()
+pub async fn run(args: InvoiceArgs) -> ExitCode {
+    let path = match &args.customer {
+        None => INVOICE_PATH.into(),
+        Some(customer) if is_name(customer) => format!("{INVOICE_PATH}?customer={customer}"),
+        Some(customer) => {
+            eprintln!("{customer:?} is no customer's name");
+            return Status::Usage.into();
+        }
+    };
+    query::run(&args.remote, &path, show).await
+}
+
+fn show(invoice: &Invoice) {
+    for (customer, total) in &invoice.customers {
+        println!(
+            "{customer} requests={} units={} cost={}",
+            total.requests, total.units, total.cost
+        );
+    }
+    if invoice.unreadable > 0 {
+        println!("{} rows could not be read", invoice.unreadable);
+    }
 }
--- /dev/null
+++ b/src/commands/remote.rs
@@ -0,0 +1,258 @@
+//! Calls to daemons as an operator: the next daemon is tried when one does not answer.
+
+use std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration};
+
+use bytes::Bytes;
+use http::{
+    Method, Request, StatusCode,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+};
+use http_body_util::Full;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    cli::RemoteArgs,
+    commands::Status,
+    coordination::configuration::outcome::{Outcome, Refusal},
+    protocol::operators::{PUBLISH_PATH, PublishBody, PublishReport, Rejection},
+    transport::http_client::{HttpClient, HttpError, Reuse, Sent, Timeouts},
+};
+
+/// The greatest length of an answer.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_secs(2),
+    head: Duration::from_secs(20),
+    chunk: Duration::from_secs(5),
+};
+
+/// Why a verb could not be carried out through any daemon.
+#[derive(Debug, thiserror::Error)]
+pub enum RemoteError {
+    /// The key file cannot be used.
+    #[error("{}: {reason}", file.display())]
+    KeyFile {
+        /// The file.
+        file: PathBuf,
+        /// What is wrong with it.
+        reason: io::Error,
+    },
+    /// What was asked cannot be sent.
+    #[error("cannot be asked: {0}")]
+    Request(#[from] http::Error),
+    /// Every daemon was tried; this is what the last one said.
+    #[error("{daemon}: {status}: {error}")]
+    Rejected {
+        /// The daemon.
+        daemon: SocketAddr,
+        /// The HTTP status.
+        status: StatusCode,
+        /// What it said.
+        error: String,
+    },
+    /// No daemon answered, and none has acted.
+    #[error("no daemon answered: {0}")]
+    NoAnswer(HttpError),
+    /// A daemon may have acted, and none told the outcome.
+    #[error("outcome unknown, run it again: {0}")]
+    Unknown(String),
+}
+
+impl RemoteError {
+    /// The exit status that goes with it.
+    pub fn status(&self) -> Status {
+        match self {
+            Self::KeyFile { .. } | Self::Request(_) => Status::Usage,
+            Self::Rejected { .. } | Self::NoAnswer(_) => Status::Failed,
+            Self::Unknown(_) => Status::Unknown,
+        }
+    }
+}
+
+/// The fleet as an operator reaches it.
+#[derive(Debug)]
+pub struct Remote {
+    daemons: Vec<SocketAddr>,
+    key: String,
+}
+
+/// One daemon's answer.
+struct Answer {
+    daemon: SocketAddr,
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl Remote {
+    /// Reads the operator's key.
+    pub fn open(args: &RemoteArgs) -> Result<Self, RemoteError> {
+        let failed = |reason| RemoteError::KeyFile {
+            file: args.key_file.clone(),
+            reason,
+        };
+        let key = fs::read_to_string(&args.key_file).map_err(failed)?;
+        let key = key.trim().to_owned();
+        if key.is_empty() || !key.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(failed(io::Error::other(
+                "must hold one key of visible ASCII characters",
+            )));
+        }
+        Ok(Self {
+            daemons: args.daemons.clone(),
+            key,
+        })
+    }
+
+    /// Reads from the first daemon that can answer.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, RemoteError> {
+        let mut failure = None;
+        for daemon in &self.daemons {
+            match send(*daemon, self.request(Method::GET, path, Bytes::new())?).await {
+                Ok(answer) if answer.status == StatusCode::OK => match answer.parse() {
+                    Ok(value) => return Ok(value),
+                    Err(e) => failure = Some(e),
+                },
+                Ok(answer) => failure = Some(answer.rejected()),
+                Err(e) => failure = failure.or(Some(RemoteError::NoAnswer(e))),
+            }
+        }
+        Err(failure.unwrap_or_else(|| RemoteError::Unknown("no daemon was named".into())))
+    }
+
+    /// Publishes through the first daemon that can tell the outcome, under one id.
+    pub async fn publish(&self, body: &PublishBody) -> Result<PublishReport, RemoteError> {
+        let body = encode(body)?;
+        let mut tries = Tries::default();
+        for daemon in &self.daemons {
+            let req = self.request(Method::POST, PUBLISH_PATH, body.clone())?;
+            match send(*daemon, req).await {
+                Ok(answer) => match answer.parse::<PublishReport>() {
+                    Ok(report) if is_final(&report.outcome) => return tries.conclude(report),
+                    Ok(report) => tries.inconclusive(report),
+                    Err(_) => tries.rejected(&answer),
+                },
+                Err(e) => tries.failed(e),
+            }
+        }
+        tries.end()
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, RemoteError> {
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))?;
+        Ok(req)
+    }
+}
+
+async fn send(daemon: SocketAddr, req: Request<Full<Bytes>>) -> Result<Answer, HttpError> {
+    let client = HttpClient::new(daemon);
+    let mut exchange = client.send(req, Reuse::Fresh, TIMEOUTS).await?;
+    let status = exchange.status();
+    let body = exchange.bytes(MAX_ANSWER_BYTES).await?;
+    Ok(Answer {
+        daemon,
+        status,
+        body,
+    })
+}
+
+impl Answer {
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, RemoteError> {
+        serde_json::from_slice(&self.body).map_err(|e| RemoteError::Rejected {
+            daemon: self.daemon,
+            status: self.status,
+            error: e.to_string(),
+        })
+    }
+
+    fn rejected(&self) -> RemoteError {
+        let error = match serde_json::from_slice::<Rejection>(&self.body) {
+            Ok(rejection) => rejection.error.into(),
+            Err(_) => String::from_utf8_lossy(&self.body).into_owned(),
+        };
+        RemoteError::Rejected {
+            daemon: self.daemon,
+            status: self.status,
+            error,
+        }
+    }
+}
+
+/// What the daemons tried so far have said of one publication.
+#[derive(Default)]
+struct Tries {
+    /// Whether one of them may have acted without telling the outcome.
+    unsure: bool,
+    report: Option<PublishReport>,
+    failure: Option<RemoteError>,
+}
+
+impl Tries {
+    fn inconclusive(&mut self, report: PublishReport) {
+        self.unsure |= matches!(report.outcome, Outcome::Unknown { .. });
+        self.report = Some(report);
+    }
+
+    fn rejected(&mut self, answer: &Answer) {
+        self.unsure |= answer.status == StatusCode::GATEWAY_TIMEOUT;
+        self.failure = Some(answer.rejected());
+    }
+
+    fn failed(&mut self, e: HttpError) {
+        self.unsure |= e.sent == Sent::Maybe;
+        if self.failure.is_none() {
+            self.failure = Some(RemoteError::NoAnswer(e));
+        }
+    }
+
+    /// A refusal that another daemon's lost attempt may still overtake is no outcome.
+    fn conclude(&self, report: PublishReport) -> Result<PublishReport, RemoteError> {
+        match report.outcome {
+            Outcome::Refused(Refusal::Raced { .. }) if self.unsure => {
+                Err(RemoteError::Unknown(report.outcome.to_string()))
+            }
+            _ => Ok(report),
+        }
+    }
+
+    fn end(self) -> Result<PublishReport, RemoteError> {
+        let failure = self.failure;
+        match self.report {
+            Some(report) if self.unsure && report.outcome.generation().is_none() => {
+                Err(RemoteError::Unknown(report.outcome.to_string()))
+            }
+            Some(report) => Ok(report),
+            None if self.unsure => Err(RemoteError::Unknown(
+                failure.map_or_else(|| "no daemon answered".into(), |e| e.to_string()),
+            )),
+            None => {
+                Err(failure.unwrap_or_else(|| RemoteError::Unknown("no daemon was named".into())))
+            }
+        }
+    }
+}
+
+/// Whether another daemon could say nothing better.
+fn is_final(outcome: &Outcome) -> bool {
+    !matches!(
+        outcome,
+        Outcome::Unknown { .. }
+            | Outcome::Refused(Refusal::TableDown { .. } | Refusal::TableUnreadable { .. })
+    )
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Bytes, RemoteError> {
+    serde_json::to_vec(value)
+        .map(Bytes::from)
+        .map_err(|e| RemoteError::Unknown(e.to_string()))
+}
--- a/src/commands/service.rs
+++ b/src/commands/service.rs
@@ -2,7 +2,12 @@
 
 use std::process::ExitCode;
 
-use crate::{cli::ServiceArgs, commands::Status};
+use crate::{
+    cli::{ServiceArgs, ServiceVerb},
+    commands::publish,
+    coordination::configuration::edit::Edit,
+    state::objects::ServiceState,
+};
 
 /// What is taken out or in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,7 +19,15 @@
 }
 
 /// Runs the verb.
-pub async fn run(_target: Target, _args: ServiceArgs) -> ExitCode {
-    eprintln!("domain and upstream: not built yet");
-    Status::Failed.into()
+pub async fn run(target: Target, args: ServiceArgs) -> ExitCode {
+    let name = args.name;
+    let state = match args.verb {
+        ServiceVerb::Out => ServiceState::Out,
+        ServiceVerb::In => ServiceState::In,
+    };
+    let edit = match target {
+        Target::FailureDomain => Edit::FailureDomain { name, state },
+        Target::Upstream => Edit::Upstream { name, state },
+    };
+    publish::run_edit(&args.remote, edit).await
 }
--- a/src/daemon/configuration/mod.rs
+++ b/src/daemon/configuration/mod.rs
@@ -25,7 +25,7 @@
 mod push;
 mod table;
 
-pub use publish::{GenerationSummary, PublishReport, Reach};
+pub use publish::Reach;
 
 /// How often the follower is told that time has passed.
 const TICK: Duration = Duration::from_millis(100);
--- a/src/daemon/configuration/publish.rs
+++ b/src/daemon/configuration/publish.rs
@@ -6,23 +6,21 @@
 };
 
 use platform_api::table::CommitOutcome;
-use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use crate::{
     coordination::{
         configuration::{
             follower::Event,
-            outcome::{Outcome, PublishRequest},
+            outcome::PublishRequest,
             publisher::{End, Input, Publication, Step},
             rows,
         },
         membership::DaemonName,
     },
     daemon::configuration::{Configuration, table},
+    protocol::operators::{GenerationSummary, PublishReport},
     state::{
-        diff::{Change, Difference, ObjectId},
-        objects::OperatorName,
         record::{PublishId, Record},
         snapshot::Generation,
     },
@@ -35,37 +33,6 @@
 /// The greatest number of generations that are listed.
 const MAX_LISTED: Generation = 100;
 
-/// What became of a publication and where it is in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PublishReport {
-    /// Its id.
-    pub id: PublishId,
-    /// How it ended.
-    #[serde(flatten)]
-    pub outcome: Outcome,
-    /// What it changes.
-    pub differences: Vec<Difference>,
-    /// The daemons on which its generation is in force.
-    pub in_force: Vec<DaemonName>,
-    /// The daemons in touch on which it is not yet.
-    pub awaited: Vec<DaemonName>,
-}
-
-/// One published generation, as it is listed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GenerationSummary {
-    /// The generation.
-    pub generation: Generation,
-    /// The publication that made it.
-    pub publish_id: PublishId,
-    /// Who published it.
-    pub operator: OperatorName,
-    /// Milliseconds since the Unix epoch.
-    pub at_ms: u64,
-    /// The objects that it changed.
-    pub objects: Vec<ObjectId>,
-}
-
 /// The daemons in touch, by whether one generation is in force on them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reach {
@@ -86,18 +53,6 @@
     }
 }
 
-impl From<Record> for GenerationSummary {
-    fn from(record: Record) -> Self {
-        Self {
-            generation: record.generation,
-            publish_id: record.publish_id,
-            operator: record.operator,
-            at_ms: record.at_ms,
-            objects: record.changes.iter().map(Change::id).cloned().collect(),
-        }
-    }
-}
-
 impl Configuration {
     /// Publishes, and waits until the peers in touch have had their push.
     pub async fn publish(self: &Arc<Self>, request: PublishRequest) -> PublishReport {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod commands;
 pub mod coordination;
 pub mod daemon;
+pub mod metrics;
 pub mod protocol;
 pub mod settings;
 pub mod state;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod codec;
 pub mod home_key;
 pub mod mac;
+pub mod operators;
 pub mod peer;
 pub mod problem;
 pub mod session;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,5 +3,6 @@
 pub mod engine;
 pub mod http_client;
 pub mod http_server;
+pub mod operators;
 pub mod peers;
 pub mod table;
--- /dev/null
+++ b/src/transport/operators/auth.rs
@@ -0,0 +1,57 @@
+//! Which operator a bearer key belongs to.
+
+use http::{HeaderMap, header::AUTHORIZATION};
+use sha2::{Digest, Sha256};
+use subtle::{Choice, ConstantTimeEq};
+
+use crate::{
+    settings::Settings,
+    state::objects::{KeyHash, Objects, OperatorName},
+};
+
+/// The greatest length of a key.
+const MAX_KEY_BYTES: usize = 512;
+/// The name of the operator of [`Settings::bootstrap_operator`].
+const BOOTSTRAP: &str = "bootstrap";
+
+/// The operator whose key the headers carry.
+///
+/// Every configured hash is compared in constant time, and all of them are, so that the time
+/// taken tells nothing of them.
+pub(super) fn operator(
+    headers: &HeaderMap,
+    settings: &Settings,
+    objects: &Objects,
+) -> Option<OperatorName> {
+    let hash = hash(bearer(headers)?);
+    if objects.operators.is_empty() {
+        let bootstrap = settings.bootstrap_operator.as_ref()?;
+        return bool::from(same(bootstrap, &hash)).then(|| BOOTSTRAP.into());
+    }
+    let mut found = None;
+    for (name, operator) in &objects.operators {
+        for key in &operator.keys {
+            if bool::from(same(key, &hash)) {
+                found = Some(name.clone());
+            }
+        }
+    }
+    found
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    let key = key.trim();
+    let fits = !key.is_empty() && key.len() <= MAX_KEY_BYTES;
+    (scheme.eq_ignore_ascii_case("bearer") && fits).then_some(key)
+}
+
+fn hash(key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn same(configured: &KeyHash, hash: &str) -> Choice {
+    configured.as_bytes().ct_eq(hash.as_bytes())
+}
--- /dev/null
+++ b/src/transport/operators/mod.rs
@@ -0,0 +1,174 @@
+//! The operators' listener: publications, the state of the fleet, metrics and health.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::future::{BoxFuture, FutureExt};
+use http::StatusCode;
+use tokio::time::timeout;
+use viz::{Request, Response, Router, Tree};
+
+use crate::{
+    daemon::{configuration::Configuration, core::Core},
+    protocol::operators::{GENERATIONS_PATH, INVOICE_PATH, PUBLISH_PATH, Readiness, STATUS_PATH},
+    state::objects::OperatorName,
+    transport::{http_server::HttpServer, operators::reply::Rejected},
+};
+
+mod auth;
+mod publish;
+mod query;
+mod reply;
+
+/// The greatest number of connections at once.
+const MAX_CONNECTIONS: usize = 128;
+/// How long one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The running listener.
+#[derive(Debug)]
+pub struct Operators {
+    server: HttpServer,
+}
+
+/// What the listener's handlers share.
+struct Portal {
+    core: Arc<Core>,
+    configuration: Arc<Configuration>,
+}
+
+impl Operators {
+    /// Listens at `address`.
+    pub async fn bind(
+        address: SocketAddr,
+        core: Arc<Core>,
+        configuration: Arc<Configuration>,
+    ) -> io::Result<Self> {
+        let portal = Arc::new(Portal {
+            core,
+            configuration,
+        });
+        let tree = Tree::from(routes(&portal));
+        let server = HttpServer::bind(address, tree, MAX_CONNECTIONS).await?;
+        Ok(Self { server })
+    }
+
+    /// The address bound.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Accepts no more, and returns once every answer begun has been sent.
+    pub async fn shutdown(self) {
+        self.server.shutdown().await;
+    }
+}
+
+/// What can be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Endpoint {
+    Health,
+    Ready,
+    Metrics,
+    Publish,
+    FailureDomain,
+    Upstream,
+    Version,
+    Status,
+    Generations,
+    Explain,
+    Invoice,
+}
+
+fn routes(portal: &Arc<Portal>) -> Router {
+    let serve = |endpoint| handler(portal, endpoint);
+    Router::new()
+        .get("/health", serve(Endpoint::Health))
+        .get("/ready", serve(Endpoint::Ready))
+        .get("/metrics", serve(Endpoint::Metrics))
+        .post(PUBLISH_PATH, serve(Endpoint::Publish))
+        .post(
+            "/failure_domains/:name/:state",
+            serve(Endpoint::FailureDomain),
+        )
+        .post("/upstreams/:name/:state", serve(Endpoint::Upstream))
+        .post("/versions/:name/:state", serve(Endpoint::Version))
+        .get(STATUS_PATH, serve(Endpoint::Status))
+        .get(GENERATIONS_PATH, serve(Endpoint::Generations))
+        .get("/explain/:request", serve(Endpoint::Explain))
+        .get(INVOICE_PATH, serve(Endpoint::Invoice))
+}
+
+fn handler(
+    portal: &Arc<Portal>,
+    endpoint: Endpoint,
+) -> impl Fn(Request) -> BoxFuture<'static, viz::Result<Response>> + Clone + Send + Sync + 'static {
+    let portal = portal.clone();
+    move |req| {
+        let portal = portal.clone();
+        async move { Ok(portal.serve(endpoint, req).await) }.boxed()
+    }
+}
+
+impl Portal {
+    async fn serve(&self, endpoint: Endpoint, req: Request) -> Response {
+        let served = match endpoint {
+            Endpoint::Health => Ok(reply::text("healthy\n".into())),
+            Endpoint::Ready => Ok(self.ready()),
+            Endpoint::Metrics => Ok(self.metrics()),
+            _ => timeout(CALL_TIMEOUT, self.serve_operator(endpoint, req))
+                .await
+                .unwrap_or_else(|_| {
+                    let reason = "not finished in time; the outcome is unknown";
+                    Err(Rejected::new(StatusCode::GATEWAY_TIMEOUT, reason))
+                }),
+        };
+        served.unwrap_or_else(Rejected::into_response)
+    }
+
+    async fn serve_operator(
+        &self,
+        endpoint: Endpoint,
+        mut req: Request,
+    ) -> Result<Response, Rejected> {
+        let operator = self.authenticate(&req)?;
+        match endpoint {
+            Endpoint::Publish => self.publish(operator, &mut req).await,
+            Endpoint::FailureDomain | Endpoint::Upstream | Endpoint::Version => {
+                self.set_state(operator, endpoint, &req).await
+            }
+            Endpoint::Generations => Ok(self.generations().await),
+            Endpoint::Explain => self.explain(&req).await,
+            Endpoint::Invoice => self.invoice(&req).await,
+            Endpoint::Health | Endpoint::Ready | Endpoint::Metrics | Endpoint::Status => {
+                Ok(self.status())
+            }
+        }
+    }
+
+    fn authenticate(&self, req: &Request) -> Result<OperatorName, Rejected> {
+        let snapshot = self.core.snapshot();
+        auth::operator(req.headers(), &self.core.settings, &snapshot.objects).ok_or_else(|| {
+            let reason = "the bearer key is missing or belongs to no operator";
+            Rejected::new(StatusCode::UNAUTHORIZED, reason)
+        })
+    }
+
+    fn readiness(&self) -> Readiness {
+        if *self.core.leaving.borrow() {
+            return Readiness::Leaving;
+        }
+        match self.configuration.readiness() {
+            Ok(()) => Readiness::Ready,
+            Err(not_ready) => Readiness::NotReady(not_ready),
+        }
+    }
+}
+
+impl Readiness {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Ready => StatusCode::OK,
+            Self::Leaving | Self::NotReady(_) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/operators/publish.rs
@@ -0,0 +1,144 @@
+//! Publications and changes of one state.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use http::StatusCode;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use rand::Rng;
+use tokio::time::timeout;
+use viz::{Request, RequestExt, Response};
+
+use crate::{
+    coordination::configuration::{edit::Edit, outcome::PublishRequest},
+    metrics,
+    protocol::operators::PublishBody,
+    state::{
+        names::is_name,
+        objects::{OperatorName, ServiceState, VersionState},
+        record::PublishId,
+    },
+    transport::operators::{
+        Endpoint, Portal,
+        reply::{self, Rejected},
+    },
+};
+
+/// The greatest length of a publication.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// How long the body of a publication may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The request header that carries the publish id of a change of state.
+const PUBLISH_ID_HEADER: &str = "idempotency-key";
+
+impl Portal {
+    pub(super) async fn publish(
+        &self,
+        operator: OperatorName,
+        req: &mut Request,
+    ) -> Result<Response, Rejected> {
+        let body = read_body(req).await?;
+        let body: PublishBody =
+            serde_json::from_slice(&body).map_err(|e| Rejected::bad_request(e.to_string()))?;
+        self.run(PublishRequest {
+            id: body.id,
+            operator,
+            edit: body.edit,
+            base: body.base,
+            dry_run: body.dry_run,
+        })
+        .await
+    }
+
+    pub(super) async fn set_state(
+        &self,
+        operator: OperatorName,
+        endpoint: Endpoint,
+        req: &Request,
+    ) -> Result<Response, Rejected> {
+        let name = param(req, "name")?;
+        let state = param(req, "state")?;
+        let edit = match endpoint {
+            Endpoint::FailureDomain => Edit::FailureDomain {
+                name,
+                state: service_state(&state)?,
+            },
+            Endpoint::Upstream => Edit::Upstream {
+                name,
+                state: service_state(&state)?,
+            },
+            _ => Edit::Version {
+                name,
+                state: version_state(&state)?,
+            },
+        };
+        self.run(PublishRequest {
+            id: req.header(PUBLISH_ID_HEADER).unwrap_or_else(random_id),
+            operator,
+            edit,
+            base: None,
+            dry_run: false,
+        })
+        .await
+    }
+
+    async fn run(&self, request: PublishRequest) -> Result<Response, Rejected> {
+        if !is_name(&request.id) {
+            return Err(Rejected::bad_request("the publish id is not a name"));
+        }
+        let configuration = self.configuration.clone();
+        // On a task of its own, so that a caller that goes away does not stop it halfway.
+        let report = tokio::spawn(async move { configuration.publish(request).await })
+            .await
+            .map_err(|e| Rejected::new(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))?;
+        let labels = [self.core.name().as_str(), report.outcome.label()];
+        metrics::PUBLICATIONS.with_label_values(&labels).inc();
+        Ok(reply::json(reply::status_of(&report.outcome), &report))
+    }
+}
+
+fn random_id() -> PublishId {
+    format!("{:032x}", rand::rng().random::<u128>()).into()
+}
+
+pub(super) fn param(req: &Request, name: &str) -> Result<CompactString, Rejected> {
+    req.param::<String>(name)
+        .map(CompactString::from)
+        .map_err(|e| Rejected::bad_request(e.to_string()))
+}
+
+fn service_state(text: &str) -> Result<ServiceState, Rejected> {
+    match text {
+        "in" => Ok(ServiceState::In),
+        "out" => Ok(ServiceState::Out),
+        _ => Err(Rejected::bad_request("the state must be in or out")),
+    }
+}
+
+fn version_state(text: &str) -> Result<VersionState, Rejected> {
+    match text {
+        "enabled" => Ok(VersionState::Enabled),
+        "draining" => Ok(VersionState::Draining),
+        "withdrawn" => Ok(VersionState::Withdrawn),
+        _ => {
+            let reason = "the state must be enabled, draining or withdrawn";
+            Err(Rejected::bad_request(reason))
+        }
+    }
+}
+
+async fn read_body(req: &mut Request) -> Result<Vec<u8>, Rejected> {
+    let body = Limited::new(std::mem::take(req.body_mut()), MAX_BODY_BYTES);
+    match timeout(BODY_TIMEOUT, body.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes().into()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let reason = format!("the body is longer than {MAX_BODY_BYTES} bytes");
+            Err(Rejected::new(StatusCode::PAYLOAD_TOO_LARGE, reason))
+        }
+        Ok(Err(e)) => Err(Rejected::bad_request(e.to_string())),
+        Err(_) => {
+            let reason = "the body did not arrive in time";
+            Err(Rejected::new(StatusCode::REQUEST_TIMEOUT, reason))
+        }
+    }
+}
