--- a/src/daemon/billing.rs
+++ b/src/daemon/billing.rs
@@ -10,7 +10,7 @@
 
 use tokio::{
     sync::{Notify, watch},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -169,29 +169,31 @@
 
     async fn adopt_orphans(billing: Weak<Self>) {
         while let Some(this) = billing.upgrade() {
-            this.adopt(|held, now, members| held.take_orphans(now, members));
+            let members = this.core.members();
+            while this.own().has_room() {
+                let now = this.core.clock.now();
+                let orphans = this.held().take_orphans(now, &members);
+                if orphans.is_empty() {
+                    break;
+                }
+                this.adopt(orphans);
+            }
             drop(this);
-            tokio::time::sleep(ORPHAN_INTERVAL).await;
+            sleep(ORPHAN_INTERVAL).await;
         }
     }
 
-    fn adopt(&self, take: impl Fn(&mut HeldBills, Instant, &[Member]) -> Vec<Bill>) {
-        let members = self.core.members();
+    /// Takes over bills of other daemons among the own.
+    fn adopt(&self, bills: Vec<Bill>) {
+        log::info!("step=adopt bills={}", bills.len());
         let now = self.core.clock.now();
-        while self.own().has_room() {
-            let bills = take(&mut self.held(), now, &members);
-            if bills.is_empty() {
-                return;
-            }
-            log::info!("step=adopt bills={}", bills.len());
-            let mut own = self.own();
-            for bill in bills {
-                own.record(now, bill);
-            }
-            drop(own);
-            self.to_hold.notify_one();
-            self.to_flush.notify_one();
+        let mut own = self.own();
+        for bill in bills {
+            own.record(now, bill);
         }
+        drop(own);
+        self.to_hold.notify_one();
+        self.to_flush.notify_one();
     }
 
     fn note_change(&self) {
--- a/src/daemon/billing/flush.rs
+++ b/src/daemon/billing/flush.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Weak, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use platform_api::table::{ABSENT, CommitOutcome, CommitRequest, Condition, Write};
@@ -32,12 +32,14 @@
 
 impl Billing {
     pub(super) async fn write_rows(billing: Weak<Self>) {
+        let mut last = None;
         while let Some(this) = billing.upgrade() {
             if this.own().unflushed() == 0 {
                 let _ = timeout(MIN_INTERVAL, this.to_flush.notified()).await;
                 continue;
             }
-            this.wait_until_due().await;
+            this.wait_until_due(last).await;
+            last = Some(this.core.clock.now());
             if !this.flush_once().await {
                 sleep(RETRY_PAUSE).await;
             }
@@ -45,10 +47,12 @@
     }
 
     /// Waits for the regular interval, or less while an answer waits for the row.
-    async fn wait_until_due(&self) {
+    async fn wait_until_due(&self, last: Option<Instant>) {
         let started = self.core.clock.now();
         let interval = flush_interval(self.core.members().len());
-        sleep(URGENT_INTERVAL).await;
+        if let Some(last) = last {
+            sleep((last + URGENT_INTERVAL).saturating_duration_since(started)).await;
+        }
         while !self.is_urgent() && self.core.clock.now() < started + interval {
             let _ = timeout(URGENT_INTERVAL, self.to_flush.notified()).await;
         }
@@ -122,7 +126,8 @@
     /// how many neither has.
     pub async fn drain(&self) -> usize {
         self.closed.store(true, Ordering::SeqCst);
-        self.adopt(|held, _, _| held.take_all());
+        let held = self.held().take_all();
+        self.adopt(held);
         let started = self.core.clock.now();
         let mut changes = self.changes.subscribe();
         self.to_flush.notify_one();
