--- /dev/null
+++ b/src/coordination/routing/router.rs
@@ -0,0 +1,289 @@
+//! The router: subsets of the pools in force, and the choice of version and upstream.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoroshiro128PlusPlus;
+
+use crate::{
+    coordination::{
+        cascade::{Candidate, Goal, rank},
+        hash::hash_text,
+        membership::DaemonName,
+        quality::{Quality, RequestClass},
+        rollout::Trials,
+        routing::{
+            Choice, ChoiceId, NoRoute, NoRouteWhy, Outcome, Reason, Rejected, ReplicaView,
+            RouteRequest, ServiceRequest, Why,
+            candidates::Asked,
+            pools::{Place, Pools},
+            replicas::{NoPick, Pick, Replicas, Slot},
+            times::Times,
+        },
+    },
+    state::{
+        objects::{DomainName, UpstreamName},
+        snapshot::Snapshot,
+    },
+};
+
+/// What a decision may look at besides the configuration.
+pub struct Views<'a> {
+    /// The requests that may be sent to an upstream now, by its permits.
+    pub available: &'a dyn Fn(&str) -> u32,
+    /// The learned pass probabilities.
+    pub quality: &'a Quality,
+    /// The versions under trial and the verdicts.
+    pub trials: &'a Trials,
+    /// The time a rating takes; `None` while answers can't be rated.
+    pub rating: Option<Duration>,
+}
+
+/// Chooses versions and upstreams for one daemon.
+#[derive(Debug)]
+pub struct Router {
+    daemon: DaemonName,
+    failure_domain: DomainName,
+    pools: Pools,
+    leaving: Arc<[UpstreamName]>,
+    stale: bool,
+    replicas: Replicas,
+    times: Times,
+    choices: ChoiceId,
+    rng: Xoroshiro128PlusPlus,
+}
+
+impl Router {
+    /// A router of the daemon of this name and failure domain.
+    pub fn new(daemon: DaemonName, failure_domain: DomainName, seed: u64) -> Self {
+        let seed = seed ^ hash_text(&daemon);
+        Self {
+            daemon,
+            failure_domain,
+            pools: Pools::default(),
+            leaving: Arc::from([]),
+            stale: true,
+            replicas: Replicas::default(),
+            times: Times::default(),
+            choices: 0,
+            rng: Xoroshiro128PlusPlus::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in the upstreams that are leaving; they get no new work.
+    pub fn set_leaving(&mut self, leaving: Arc<[UpstreamName]>) {
+        if self.leaving != leaving {
+            self.leaving = leaving;
+            self.stale = true;
+        }
+    }
+
+    /// Rebuilds the subsets if the configuration or the fleet has changed.
+    ///
+    /// `members` are the reachable daemons in name order, this one included.
+    pub fn refresh(&mut self, snapshot: &Snapshot, members: &Arc<[DaemonName]>) {
+        if self.pools.fits(snapshot, members) && !self.stale {
+            return;
+        }
+        let place = Place {
+            daemon: &self.daemon,
+            failure_domain: &self.failure_domain,
+            leaving: &self.leaving,
+        };
+        let (pools, mut replicas) = Pools::build(&place, snapshot, members);
+        replicas.inherit(std::mem::take(&mut self.replicas));
+        self.replicas = replicas;
+        self.pools = pools;
+        self.stale = false;
+    }
+
+    /// Keeps an upstream free for another daemon's suspect until then, or no longer; returns this
+    /// daemon's requests that still run there.
+    pub fn reserve(&mut self, upstream: &str, until: Option<Instant>) -> u32 {
+        self.replicas.reserve(upstream, until)
+    }
+
+    /// Chooses where a model request runs.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        snapshot: &Snapshot,
+        req: &RouteRequest,
+        views: &Views<'_>,
+    ) -> Result<Choice, NoRoute> {
+        let objects = &snapshot.objects;
+        let customer = objects.customers.get(&req.customer);
+        let rule = objects.rules.get(&req.rule);
+        let (Some(customer), Some(rule)) = (customer, rule) else {
+            return Err(NoRoute::never(NoRouteWhy::Unknown, Vec::new()));
+        };
+        if !customer.rules.contains(&req.rule) {
+            return Err(NoRoute::never(NoRouteWhy::NotAllowed, Vec::new()));
+        }
+        let asked = Asked {
+            now,
+            snapshot,
+            req,
+            customer,
+            rule,
+            views,
+            times: &self.times,
+        };
+        let (candidates, rejected) = asked.candidates();
+        if candidates.is_empty() {
+            return Err(NoRoute::no_version(req, rejected));
+        }
+        let ranked = rank(candidates, &goal(now, req, views));
+        let pick = Pick {
+            now,
+            available: views.available,
+            excluded: &req.excluded,
+            affinity: req.affinity,
+            solo: req.solo,
+        };
+        self.first_free(req, &ranked, &pick, rejected)
+    }
+
+    /// Takes the first version in order of preference that has a free upstream.
+    fn first_free(
+        &mut self,
+        req: &RouteRequest,
+        ranked: &[(Candidate<'_>, Reason)],
+        pick: &Pick<'_>,
+        mut rejected: Vec<Rejected>,
+    ) -> Result<Choice, NoRoute> {
+        let mut busy = false;
+        for (i, (candidate, reason)) in ranked.iter().enumerate() {
+            let subset = self.pools.version(candidate.version);
+            let why = match self.replicas.pick(subset, pick, &mut self.rng) {
+                Ok(slot) => {
+                    self.choices += 1;
+                    return Ok(Choice {
+                        id: self.choices,
+                        version: candidate.version.clone(),
+                        upstream: self.replicas.name(slot).clone(),
+                        reason: final_reason(req, i, *reason),
+                        class: req.class,
+                        pass: candidate.pass,
+                        solo: req.solo,
+                        rejected,
+                    });
+                }
+                Err(NoPick::Busy) => Why::Busy,
+                Err(NoPick::None) => Why::NoUpstream,
+            };
+            busy |= why == Why::Busy;
+            rejected.push(Rejected::new(candidate.version, why));
+        }
+        if busy {
+            return Err(NoRoute::later(NoRouteWhy::Busy, NoRoute::BUSY, rejected));
+        }
+        let subsets = ranked.iter().map(|(c, _)| self.pools.version(c.version));
+        let after = self.next_probe(pick.now, subsets);
+        Err(NoRoute::later(NoRouteWhy::NoUpstream, after, rejected))
+    }
+
+    /// Chooses where a request to a plain service runs.
+    pub fn choose_server(
+        &mut self,
+        now: Instant,
+        req: &ServiceRequest,
+        available: &dyn Fn(&str) -> u32,
+    ) -> Result<Choice, NoRoute> {
+        let Some(subset) = self.pools.service(&req.service) else {
+            return Err(NoRoute::never(NoRouteWhy::Unknown, Vec::new()));
+        };
+        let pick = Pick {
+            now,
+            available,
+            excluded: &req.excluded,
+            affinity: None,
+            solo: req.solo,
+        };
+        match self.replicas.pick(subset, &pick, &mut self.rng) {
+            Ok(slot) => {
+                self.choices += 1;
+                Ok(Choice {
+                    id: self.choices,
+                    version: req.service.clone(),
+                    upstream: self.replicas.name(slot).clone(),
+                    reason: Reason::Service,
+                    class: RequestClass::Brief,
+                    pass: 1.0,
+                    solo: req.solo,
+                    rejected: Vec::new(),
+                })
+            }
+            Err(NoPick::Busy) => Err(NoRoute::later(NoRouteWhy::Busy, NoRoute::BUSY, Vec::new())),
+            Err(NoPick::None) => {
+                let after = self.next_probe(now, std::iter::once(subset));
+                Err(NoRoute::later(NoRouteWhy::NoUpstream, after, Vec::new()))
+            }
+        }
+    }
+
+    /// The time until the first ejected upstream is tried again.
+    fn next_probe<'a>(&self, now: Instant, subsets: impl Iterator<Item = &'a [Slot]>) -> Duration {
+        subsets
+            .filter_map(|subset| self.replicas.next_probe(now, subset))
+            .min()
+            .unwrap_or(NoRoute::NO_UPSTREAM)
+    }
+
+    /// A request was dispatched as chosen.
+    pub fn started(&mut self, now: Instant, choice: &Choice) {
+        self.replicas.started(now, &choice.upstream, choice.solo);
+    }
+
+    /// A dispatched request has ended.
+    pub fn finished(&mut self, now: Instant, choice: &Choice, outcome: Outcome) {
+        self.replicas
+            .finished(now, &choice.upstream, choice.solo, outcome);
+        if choice.reason != Reason::Service {
+            self.times.add(&choice.version, choice.class, outcome);
+        }
+    }
+
+    /// What is known of an upstream in the daemon's subsets.
+    pub fn replica(&self, now: Instant, upstream: &str) -> Option<ReplicaView> {
+        self.replicas.view(now, upstream)
+    }
+
+    /// The names of the upstreams that the daemon uses for a version.
+    pub fn subset_of(&self, version: &str) -> Vec<UpstreamName> {
+        let subset = self.pools.version(version).iter();
+        subset.map(|s| self.replicas.name(*s).clone()).collect()
+    }
+
+    /// The number of upstreams about which anything is remembered.
+    pub fn remembered(&self) -> usize {
+        self.replicas.len()
+    }
+}
+
+/// Why a version was chosen, given its place in the order of preference.
+fn final_reason(req: &RouteRequest, rank: usize, reason: Reason) -> Reason {
+    if req.session.is_some() {
+        return Reason::Session;
+    }
+    if rank > 0 {
+        return Reason::Spill;
+    }
+    if !req.tried.is_empty() {
+        return Reason::Escalation;
+    }
+    reason
+}
+
+fn goal(now: Instant, req: &RouteRequest, views: &Views<'_>) -> Goal {
+    match views.rating {
+        Some(rating) if !req.streamed && req.session.is_none() => Goal::Cascade {
+            remaining: req.deadline.saturating_duration_since(now),
+            rating,
+        },
+        _ => Goal::Once,
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod billing;
 pub mod claims;
+pub mod configuration;
 pub mod core;
+pub mod policy;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! The protocol layer: typed messages and their codecs.
 
+pub mod codec;
 pub mod home_key;
 pub mod mac;
 pub mod peer;
