--- a/stand-in/src/main.rs
+++ b/stand-in/src/main.rs
@@ -7,7 +7,7 @@
 use stand_in::{
     engine::Engine,
     instances::InstanceList,
-    objects::Objects,
+    objects::ObjectStore,
     rating::RatingService,
     relay::Relay,
     server::{Listen, Running},
@@ -127,7 +127,7 @@
 async fn spawn(role: Role, listen: Listen) -> Result<Running, Error> {
     let running = match role {
         Role::Table => Table::spawn(listen).await?,
-        Role::Objects => Objects::spawn(listen).await?,
+        Role::Objects => ObjectStore::spawn(listen).await?,
         Role::Instances { config } => InstanceList::spawn(parse(&config)?, listen).await?,
         Role::Weights { config } => WeightStore::spawn(parse(&config)?, listen).await?,
         Role::Rating { config } => RatingService::spawn(parse(&config)?, listen).await?,
--- a/stand-in/src/objects.rs
+++ b/stand-in/src/objects.rs
@@ -24,7 +24,7 @@
 
 /// The object store.
 #[derive(Default)]
-pub struct Objects {
+pub struct ObjectStore {
     store: Mutex<Store>,
 }
 
@@ -34,7 +34,7 @@
     stats: ObjectsStats,
 }
 
-impl Objects {
+impl ObjectStore {
     /// Starts an empty store.
     pub async fn spawn(listen: impl Into<Listen>) -> Result<Running> {
         let role = Arc::new(Self::default());
@@ -68,13 +68,13 @@
     }
 }
 
-impl Answers for Objects {
+impl Answers for ObjectStore {
     fn answer(self: Arc<Self>, req: Request<Incoming>) -> BoxFuture<'static, Answer> {
         Box::pin(async move { self.execute(req).await.unwrap_or_else(|refused| refused) })
     }
 }
 
-impl Role for Objects {
+impl Role for ObjectStore {
     fn name(&self) -> &'static str {
         "objects"
     }
--- a/stand-in/tests/platform.rs
+++ b/stand-in/tests/platform.rs
@@ -18,7 +18,7 @@
     client,
     control::Control,
     instances::{InstanceList, InstancesConfig},
-    objects::Objects,
+    objects::ObjectStore,
     rating::{RatingConfig, RatingService},
     server::Running,
     stats::{RoleStats, TableStats},
@@ -112,7 +112,7 @@
 
 #[tokio::test]
 async fn objects_kept_whole() {
-    let objects = Objects::spawn(loopback()).await.unwrap();
+    let objects = ObjectStore::spawn(loopback()).await.unwrap();
     let get = || client::call(objects.address, Method::GET, "/objects/a/b", "");
     assert_eq!(get().await.unwrap().status(), 404);
     let put = client::call(objects.address, Method::PUT, "/objects/a/b", "whole");
