Serve calls of plain services: retried if idempotent, at most once if not

Keys bound to another daemon are sent on to it. HttpClient::open is additive: it parts connecting from sending. Not yet run against upstreams: process tests follow.

--- a/src/coordination/claims/types.rs
+++ b/src/coordination/claims/types.rs
@@ -155,7 +155,8 @@
 }
 
 impl Refused {
-    pub(super) fn not_run(reason: Reason) -> Self {
+    /// A refusal of a request that has not run.
+    pub fn not_run(reason: Reason) -> Self {
         Self {
             reason,
             not_run: true,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,3 +5,4 @@
 pub mod configuration;
 pub mod core;
 pub mod policy;
+pub mod service;
--- /dev/null
+++ b/src/daemon/service/forward.rs
@@ -0,0 +1,173 @@
+//! Calls whose key is bound to another daemon: sent on to it, or looked up once it is gone.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use super::{
+    Call, ServiceAnswer, ServiceCall, Services,
+    once::{claim_id, refusal},
+};
+use crate::{
+    coordination::{
+        claims::{Answer, JournalState, Outcome, Place, Reason, Refused},
+        membership::Member,
+    },
+    daemon::claims::KeyPlace,
+    protocol::{
+        home_key::Home,
+        peer::{
+            PeerRequest, PeerResponse,
+            claims::{ForwardedCall, Response},
+        },
+        problem::Refusal,
+    },
+};
+
+/// The time that a home may take beyond the deadline it is told.
+const CALL_MARGIN: Duration = Duration::from_millis(500);
+/// How often a home that has not answered yet is asked whether it is there.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a home may take to say that it is there.
+const PING_TIMEOUT: Duration = Duration::from_millis(800);
+/// The number of pings in a row that a silent home leaves unanswered.
+const MISSED_PINGS: u32 = 2;
+
+impl Services {
+    /// Has a call run by its key's home.
+    pub(super) async fn forward(
+        self: &Arc<Self>,
+        call: Call,
+        home: Home,
+    ) -> Result<ServiceAnswer, Refusal> {
+        if let Some(member) = self.claims.member(&home.daemon, home.incarnation) {
+            let daemon = &home.daemon;
+            self.decide(&call, "claim", format_args!("forwarded={daemon}"));
+            match self.call_home(&call, &member).await {
+                Some(Response::Answered(answer)) => return Ok(answer.as_ref().into()),
+                Some(Response::Refused(message)) => return Err(message.into()),
+                _ => {}
+            }
+        }
+        self.without_home(call, home).await
+    }
+
+    async fn call_home(&self, call: &Call, home: &Member) -> Option<Response> {
+        let left = self.time_left(call);
+        let asked = &call.asked;
+        let req = PeerRequest::Claims(crate::protocol::peer::claims::Request::Run(ForwardedCall {
+            incarnation: home.incarnation,
+            request_id: asked.request_id.clone(),
+            customer: asked.customer.clone(),
+            service: asked.service.clone(),
+            method: asked.method.clone(),
+            path: asked.path.clone(),
+            headers: asked.headers.clone(),
+            body: asked.body.to_vec(),
+            key: asked.idempotency_key.clone().unwrap_or_default(),
+            time_left: left.saturating_sub(CALL_MARGIN),
+        }));
+        tokio::select! {
+            said = self.core.peers.call(home, req, left) => match said {
+                Ok(PeerResponse::Claims(response)) => Some(response),
+                _ => None,
+            },
+            () = self.gone_silent(home) => None,
+        }
+    }
+
+    /// Ends when the home leaves several pings in a row unanswered.
+    async fn gone_silent(&self, home: &Member) {
+        let mut missed = 0;
+        while missed < MISSED_PINGS {
+            sleep(PING_INTERVAL).await;
+            let pong = self
+                .core
+                .peers
+                .call(home, PeerRequest::Ping, PING_TIMEOUT)
+                .await;
+            missed = if pong.is_ok() { 0 } else { missed + 1 };
+        }
+    }
+
+    /// Serves a call whose home does not answer, from what the home has left in the table.
+    async fn without_home(
+        self: &Arc<Self>,
+        call: Call,
+        home: Home,
+    ) -> Result<ServiceAnswer, Refusal> {
+        let silent = || Err(refusal(Refused::unknown(Reason::HolderSilent)));
+        if self.time_left(&call).is_zero() {
+            return silent();
+        }
+        let Some(journal) = self.claims.journal_of(&home).await else {
+            return silent();
+        };
+        let state = journal.state_of(&claim_id(&call));
+        let daemon = &home.daemon;
+        self.decide(
+            &call,
+            "claim",
+            format_args!(
+                "home={daemon} silent=true journalled={}",
+                state != JournalState::Unknown
+            ),
+        );
+        match state {
+            JournalState::NeverRan => self.run_once(call, Place::Table).await,
+            JournalState::Unknown => silent(),
+            JournalState::Ended(fingerprint, _) if fingerprint != call.asked.fingerprint() => {
+                Err(refusal(Refused::not_run(Reason::KeyReused)))
+            }
+            JournalState::Ended(_, outcome) => self.repeat_outcome(&call, &outcome).await,
+        }
+    }
+
+    async fn repeat_outcome(
+        &self,
+        call: &Call,
+        outcome: &Outcome,
+    ) -> Result<ServiceAnswer, Refusal> {
+        match outcome {
+            Outcome::Answered(Some(answer)) => self.repeat(call, answer).await,
+            Outcome::Answered(None) => Err(refusal(Refused::unknown(Reason::AnswerGone))),
+            Outcome::Unknown => Err(refusal(Refused::unknown(Reason::OutcomeUnknown))),
+        }
+    }
+
+    /// Runs a call that a peer sent on, if its key is bound to this daemon.
+    pub(super) async fn run_forwarded(self: &Arc<Self>, forwarded: ForwardedCall) -> Response {
+        let place = self.claims.place(&forwarded.key);
+        let KeyPlace::Here { expires } = place else {
+            return Response::OtherIncarnation;
+        };
+        if forwarded.incarnation != self.core.incarnation {
+            return Response::OtherIncarnation;
+        }
+        let call = Call {
+            deadline: self.core.clock.now() + forwarded.time_left,
+            asked: Arc::new(forwarded.into()),
+        };
+        match self.run_once(call, Place::Home { expires }).await {
+            Ok(answer) => Response::Answered(Arc::new(Answer::from(&answer))),
+            Err(refusal) => Response::Refused(refusal.into()),
+        }
+    }
+}
+
+impl From<ForwardedCall> for ServiceCall {
+    fn from(forwarded: ForwardedCall) -> Self {
+        Self {
+            request_id: forwarded.request_id,
+            customer: forwarded.customer,
+            service: forwarded.service,
+            method: forwarded.method,
+            path: forwarded.path,
+            headers: forwarded.headers,
+            body: Bytes::from(forwarded.body),
+            idempotency_key: Some(forwarded.key),
+            deadline: None,
+        }
+    }
+}
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -99,6 +99,13 @@
     chunk: Duration,
 }
 
+/// A new connection that has carried nothing yet.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    client: HttpClient,
+}
+
 impl HttpClient {
     /// A client without connections.
     pub fn new(peer: SocketAddr) -> Self {
@@ -145,6 +152,15 @@
         }
     }
 
+    /// Opens a new connection for one request, so that the caller can decide once more before it sends.
+    pub async fn open(&self, limit: Duration) -> Result<Connection, HttpError> {
+        let sender = self.connect(limit).await?;
+        Ok(Connection {
+            sender,
+            client: self.clone(),
+        })
+    }
+
     async fn connect(&self, limit: Duration) -> Result<SendRequest<Full<Bytes>>, HttpError> {
         let failed = |timed_out, reason: &dyn ToString| {
             self.error(Step::Connect, Sent::No, timed_out, &reason.to_string())
@@ -241,6 +257,25 @@
     }
 }
 
+impl Connection {
+    /// Sends the request and waits for the response's head.
+    pub async fn send(
+        mut self,
+        mut req: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<Exchange, HttpError> {
+        let client = &self.client;
+        client.set_host(&mut req);
+        match client.exchange(&mut self.sender, req, timeouts.head).await {
+            Ok(res) => Ok(client.begin(res, self.sender, timeouts.chunk)),
+            Err(Failure::Unsent(_)) => {
+                Err(client.error(Step::Head, Sent::No, false, "closed before the request"))
+            }
+            Err(Failure::Final(e)) => Err(e),
+        }
+    }
+}
+
 impl Exchange {
     /// The status.
     pub fn status(&self) -> StatusCode {
