--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! Nothing here does I/O or reads a clock; time and randomness are passed in.
 
-pub mod configuration;
 pub mod admission;
-pub mod cascade;
 pub mod bills;
+pub mod cascade;
 pub mod claims;
+pub mod configuration;
 pub mod decisions;
 pub mod hash;
 pub mod health;
