--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,12 @@
 //! messages and codecs) → `coordination` (decisions, free of I/O) → `state` (objects, snapshots,
 //! counts). `daemon` assembles them into one process.
 
+pub mod cli;
 pub mod clock;
+pub mod commands;
 pub mod coordination;
 pub mod daemon;
+pub mod metrics;
 pub mod protocol;
 pub mod settings;
 pub mod state;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,5 +3,9 @@
 pub mod gossip;
 pub mod http_client;
 pub mod instances;
+pub mod engine;
+pub mod http_client;
+pub mod http_server;
+pub mod operators;
 pub mod peers;
 pub mod table;
