--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,11 +1,10 @@
 //! The transport layer: sockets, HTTP servers and clients, links between peers.
 
-pub mod gossip;
-pub mod http_client;
-pub mod instances;
 pub mod engine;
+pub mod gossip;
 pub mod http_client;
 pub mod http_server;
+pub mod instances;
 pub mod operators;
 pub mod peers;
 pub mod table;
