Prove claims against scenarios and a naive table; say not run only while it holds

With the table down a key that is not a home key is refused 'unknown', not 'not run': it may have run at another daemon before.

--- a/src/coordination/claims/registry.rs
+++ b/src/coordination/claims/registry.rs
@@ -164,20 +164,24 @@
         }
     }
 
-    /// Notes how a held attempt ended.
-    pub fn ended(&mut self, now: Instant, permit: &Permit, ended: Ended) {
+    /// Notes how a held attempt ended; returns whether the claim was still held.
+    ///
+    /// Only then is it certain that a key that has not run here has not run elsewhere.
+    pub fn ended(&mut self, now: Instant, permit: &Permit, ended: Ended) -> bool {
         let Some(entry) = self.entry_mut(permit) else {
-            return;
+            return false;
         };
         let (Phase::Held(version) | Phase::Dispatched(version)) = entry.phase else {
-            return;
-        };
-        let outcome = match ended {
-            Ended::Answered(answer) => Outcome::Answered(Some(answer)),
-            Ended::Unknown => Outcome::Unknown,
-            Ended::NotRun => return self.release(permit, version),
+            return false;
         };
-        self.end(now, permit, version, outcome);
+        match ended {
+            Ended::Answered(answer) => {
+                self.end(now, permit, version, Outcome::Answered(Some(answer)));
+            }
+            Ended::Unknown => self.end(now, permit, version, Outcome::Unknown),
+            Ended::NotRun => self.release(permit, version),
+        }
+        true
     }
 
     fn end(&mut self, now: Instant, permit: &Permit, version: RowVersion, outcome: Outcome) {
@@ -306,10 +310,12 @@
         }
         open.sort_by(|a, b| a.attempt.cmp(&b.attempt));
         for permit in open {
-            match self.entries[&permit.id].phase {
-                Phase::Dispatched(_) => self.ended(now, &permit, Ended::Unknown),
-                Phase::Held(_) => self.ended(now, &permit, Ended::NotRun),
-                _ => self.forget(&permit),
+            let ended = match self.entries[&permit.id].phase {
+                Phase::Dispatched(_) => Ended::Unknown,
+                _ => Ended::NotRun,
+            };
+            if !self.ended(now, &permit, ended) {
+                self.forget(&permit);
             }
         }
     }
@@ -346,6 +352,10 @@
 
 impl Entry {
     fn repeat(&self, fingerprint: &Fingerprint) -> Step {
+        // Until the claim is held, another request may have run under the key elsewhere.
+        if matches!(self.phase, Phase::Claiming(_)) {
+            return Step::Wait;
+        }
         if self.fingerprint != *fingerprint {
             return Step::Refuse(Refused::not_run(Reason::KeyReused));
         }
--- a/src/coordination/claims/table_claim.rs
+++ b/src/coordination/claims/table_claim.rs
@@ -145,6 +145,10 @@
     }
 
     fn found(&mut self, permit: Permit, current: Option<Row>) -> Step {
+        let Some(entry) = self.entry_mut(&permit) else {
+            return Step::Refuse(Refused::unknown(Reason::Undecided));
+        };
+        let fingerprint = entry.fingerprint.clone();
         let Some(row) = current else {
             return self.insert_over(permit, ABSENT);
         };
@@ -157,7 +161,7 @@
         if claim.state == RowState::Released {
             return self.insert_over(permit, row.version);
         }
-        if self.entry_mut(&permit).map(|e| &e.fingerprint) != Some(&claim.fingerprint) {
+        if fingerprint != claim.fingerprint {
             self.forget(&permit);
             return Step::Refuse(Refused::not_run(Reason::KeyReused));
         }
--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -197,11 +197,12 @@
         self.registry().not_sent(permit);
     }
 
-    /// Notes how an attempt ended.
-    pub fn ended(&self, permit: &Permit, ended: Ended) {
-        self.registry().ended(self.core.clock.now(), permit, ended);
+    /// Notes how an attempt ended; returns whether the claim was still held.
+    pub fn ended(&self, permit: &Permit, ended: Ended) -> bool {
+        let held = self.registry().ended(self.core.clock.now(), permit, ended);
         self.note_change();
         self.unrecorded.notify_one();
+        held
     }
 
     /// Answers a peer's question about one of this daemon's attempts.
--- a/src/daemon/service/once.rs
+++ b/src/daemon/service/once.rs
@@ -15,7 +15,7 @@
         Answer, Ask, ClaimId, Ended, Permit, Place as ClaimPlace, Reason, Refused,
     },
     daemon::claims::{Claim, KeyPlace},
-    protocol::problem::{Refusal, RefusalKind},
+    protocol::problem::{Refusal, RefusalKind, Run},
     state::objects::UpstreamName,
     transport::http_client::Timeouts,
 };
@@ -134,8 +134,9 @@
                 Dispatched::NotRun(refusal) => {
                     let again = !used.is_empty() && used.len() < MAX_TRIES;
                     if !again || self.time_left(call).is_zero() {
-                        self.claims.ended(permit, Ended::NotRun);
-                        return Err(refusal);
+                        let held = self.claims.ended(permit, Ended::NotRun);
+                        let run = if held { refusal.run } else { Run::Unknown };
+                        return Err(Refusal { run, ..refusal });
                     }
                 }
             }
--- /dev/null
+++ b/tests/claims_world/table.rs
@@ -0,0 +1,103 @@
+//! A table with outages, lost answers and commits that arrive late.
+
+use std::collections::BTreeMap;
+
+use hibiscusyoke::coordination::claims::WriteReply;
+use platform_api::table::{ABSENT, Key, Row, RowVersion};
+
+/// What befalls the next write.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Fault {
+    #[default]
+    None,
+    /// It takes effect, and its answer is lost.
+    Lose,
+    /// It is under way for long, and its sender gives up.
+    Delay,
+}
+
+#[derive(Debug)]
+struct Late {
+    key: Key,
+    version: RowVersion,
+    value: String,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    pub(crate) down: bool,
+    pub(crate) next: Fault,
+    rows: BTreeMap<Key, Row>,
+    version: RowVersion,
+    late: Vec<Late>,
+}
+
+impl Table {
+    pub(crate) fn write(&mut self, key: &str, version: RowVersion, value: String) -> WriteReply {
+        if self.down {
+            return WriteReply::NotDone;
+        }
+        match std::mem::take(&mut self.next) {
+            Fault::None => self.apply(key, version, value),
+            Fault::Lose => {
+                self.apply(key, version, value);
+                WriteReply::Unknown
+            }
+            Fault::Delay => {
+                let key = key.into();
+                self.late.push(Late {
+                    key,
+                    version,
+                    value,
+                });
+                WriteReply::Unknown
+            }
+        }
+    }
+
+    fn apply(&mut self, key: &str, version: RowVersion, value: String) -> WriteReply {
+        let current = self.rows.get(key);
+        if current.map_or(ABSENT, |row| row.version) != version {
+            return WriteReply::Conflict(current.cloned());
+        }
+        self.version += 1;
+        let row = Row {
+            key: key.into(),
+            version: self.version,
+            value,
+        };
+        self.rows.insert(key.into(), row);
+        WriteReply::Committed(self.version)
+    }
+
+    /// Inserts a row whose content is always the same.
+    pub(crate) fn insert(&mut self, key: &str, value: &str) -> bool {
+        match self.write(key, ABSENT, value.into()) {
+            WriteReply::Committed(_) => true,
+            WriteReply::Conflict(Some(row)) => row.value == value,
+            _ => false,
+        }
+    }
+
+    /// The delayed writes arrive.
+    pub(crate) fn land(&mut self) {
+        for late in std::mem::take(&mut self.late) {
+            self.apply(&late.key, late.version, late.value);
+        }
+    }
+
+    pub(crate) fn read(&self, key: &str) -> Result<Option<Row>, ()> {
+        if self.down {
+            return Err(());
+        }
+        Ok(self.rows.get(key).cloned())
+    }
+
+    pub(crate) fn scan(&self, prefix: &str) -> Result<Vec<Row>, ()> {
+        if self.down {
+            return Err(());
+        }
+        let rows = self.rows.values().filter(|r| r.key.starts_with(prefix));
+        Ok(rows.cloned().collect())
+    }
+}
