Take no service call on a configuration that may be stale

Services::spawn takes the configuration as its last argument; a claimed call asks for readiness while it holds the claim, so that its 'not run' stays true.

--- a/src/daemon/service.rs
+++ b/src/daemon/service.rs
@@ -17,7 +17,7 @@
         claims::{Answer, Fingerprint, Header, IdempotencyKey},
         decisions::RequestId,
     },
-    daemon::{billing::Billing, claims::Claims, core::Core},
+    daemon::{billing::Billing, claims::Claims, configuration::Configuration, core::Core},
     protocol::{
         peer::claims::{Request, Response},
         problem::{Refusal, RefusalKind},
@@ -82,19 +82,26 @@
     core: Arc<Core>,
     claims: Arc<Claims>,
     billing: Arc<Billing>,
+    configuration: Arc<Configuration>,
     upstreams: Upstreams,
     attempts: AtomicU64,
     hedges: idempotent::Budget,
 }
 
 impl Services {
-    /// Serves with the claims and bills of a running daemon.
-    pub fn spawn(core: Arc<Core>, claims: Arc<Claims>, billing: Arc<Billing>) -> Arc<Self> {
+    /// Serves with the claims, bills and configuration of a running daemon.
+    pub fn spawn(
+        core: Arc<Core>,
+        claims: Arc<Claims>,
+        billing: Arc<Billing>,
+        configuration: Arc<Configuration>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             upstreams: Upstreams::new(core.clone()),
             core,
             claims,
             billing,
+            configuration,
             attempts: AtomicU64::new(0),
             hedges: idempotent::Budget::default(),
         })
@@ -142,10 +149,16 @@
     }
 
     fn check_ready(&self) -> Result<(), Refusal> {
-        self.billing.may_take_work().map_err(|e| {
-            Refusal::not_run(RefusalKind::NotReady, "ready", e.to_string())
+        let refuse = |reason: String| {
+            Refusal::not_run(RefusalKind::NotReady, "ready", reason)
                 .retry_after(Duration::from_secs(1))
-        })
+        };
+        self.configuration
+            .readiness()
+            .map_err(|e| refuse(e.to_string()))?;
+        self.billing
+            .may_take_work()
+            .map_err(|e| refuse(e.to_string()))
     }
 
     async fn bill(&self, call: &Call) -> Result<(), Refusal> {
