Serve the whole path: callers, completions, plain services, operators, peers, demo

A request goes from the callers' listener through readiness, quarantine, admission, routing, dispatch, rating and bill to its delivery; streams resume on the same version and end explicitly.

Slots on upstreams are not leased yet: each daemon uses up to a fixed number. Plain services are not admitted through the fair queues yet.

--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -2,10 +2,15 @@
 
 use std::process::ExitCode;
 
-use crate::{cli::DemoArgs, commands::Status};
+use crate::{cli::DemoArgs, commands::Status, demo};
 
 /// Runs the verb.
-pub async fn run(_args: DemoArgs) -> ExitCode {
-    eprintln!("demo: not built yet");
-    Status::Failed.into()
+pub async fn run(args: DemoArgs) -> ExitCode {
+    match demo::run(args.hold).await {
+        Ok(()) => Status::Done.into(),
+        Err(e) => {
+            eprintln!("demo: {e}");
+            Status::Failed.into()
+        }
+    }
 }
--- /dev/null
+++ b/src/daemon/callers/chat_request.rs
@@ -0,0 +1,86 @@
+//! Turns an HTTP request for a completion into a typed call.
+
+use std::time::Duration;
+
+use platform_api::engine::ChatRequest;
+
+use crate::{
+    daemon::{
+        callers::{head::Head, malformed},
+        chat::call::{ChatCall, SessionAsk},
+        node::Node,
+    },
+    protocol::{
+        problem::{Refusal, RefusalKind},
+        session,
+    },
+    state::snapshot::Snapshot,
+};
+
+/// The session header's value that opens a session.
+const NEW_SESSION: &str = "new";
+
+/// Checks a completion request against the configuration in force.
+pub(super) fn read(
+    node: &Node,
+    request_id: &str,
+    head: Head,
+    body: &[u8],
+) -> Result<ChatCall, Refusal> {
+    let req: ChatRequest =
+        serde_json::from_slice(body).map_err(|e| malformed(format!("the body: {e}")))?;
+    if req.messages.is_empty() {
+        return Err(malformed("messages is empty"));
+    }
+    let snapshot = node.core.snapshot();
+    let rule = snapshot.objects.rules.get(&req.model).ok_or_else(|| {
+        let detail = format!("no rule is named {:?}", req.model);
+        Refusal::not_run(RefusalKind::NotFound, "parse", detail)
+    })?;
+    check_allowed(&snapshot, &head, &req)?;
+    let deadline = head.deadline_at(Duration::from_millis(rule.deadline_ms));
+    Ok(ChatCall {
+        request_id: head
+            .idempotency_key
+            .clone()
+            .unwrap_or_else(|| request_id.into()),
+        log_id: request_id.into(),
+        session: session_ask(&snapshot, &head)?,
+        priority: rule.priority,
+        rule: req.model.clone(),
+        customer: head.customer,
+        received: head.received,
+        deadline,
+        req,
+    })
+}
+
+fn check_allowed(snapshot: &Snapshot, head: &Head, req: &ChatRequest) -> Result<(), Refusal> {
+    let customer = snapshot.objects.customers.get(&head.customer);
+    if customer.is_some_and(|c| c.rules.contains(&req.model)) {
+        return Ok(());
+    }
+    let detail = format!("customer {} may not use rule {}", head.customer, req.model);
+    Err(Refusal::not_run(
+        RefusalKind::NotAllowed,
+        "authorize",
+        detail,
+    ))
+}
+
+fn session_ask(snapshot: &Snapshot, head: &Head) -> Result<SessionAsk, Refusal> {
+    let Some(text) = &head.session else {
+        return Ok(SessionAsk::None);
+    };
+    if text == NEW_SESSION {
+        return Ok(SessionAsk::New);
+    }
+    let invalid =
+        |detail: String| Refusal::not_run(RefusalKind::SessionInvalid, "authorize", detail);
+    let session =
+        session::open(&snapshot.objects.session_keys, text).map_err(|e| invalid(e.to_string()))?;
+    if session.customer != head.customer {
+        return Err(invalid("the session belongs to another customer".into()));
+    }
+    Ok(SessionAsk::Existing(session))
+}
--- /dev/null
+++ b/src/daemon/callers/head.rs
@@ -0,0 +1,129 @@
+//! What a caller says in the head of its request.
+
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use http::header::AUTHORIZATION;
+use viz::{Body, Request};
+
+use crate::{
+    coordination::claims::Header,
+    daemon::{
+        callers::{malformed, unauthenticated},
+        node::Node,
+    },
+    protocol::problem::Refusal,
+    state::{credentials::hash_key, objects::CustomerName},
+};
+
+/// Header with the time in which an answer is wanted, in milliseconds.
+pub(super) const DEADLINE_HEADER: &str = "deadline";
+/// Header with the key under which a request may be sent again without running twice.
+pub(super) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Header with a session token, or `new` to open a session.
+pub(super) const SESSION_HEADER: &str = "session";
+/// The headers that go on to a plain service.
+const PASSED_HEADERS: [&str; 5] = [
+    "accept",
+    "accept-language",
+    "content-type",
+    "if-match",
+    "if-none-match",
+];
+/// The greatest length of an idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 256;
+/// The longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(6 * 3_600);
+
+/// The head of one request, its caller known.
+#[derive(Clone, Debug)]
+pub(super) struct Head {
+    /// Who calls.
+    pub(super) customer: CustomerName,
+    /// When the head was read.
+    pub(super) received: Instant,
+    /// The time in which an answer is wanted, if the caller says.
+    pub(super) deadline: Option<Duration>,
+    /// The idempotency key, if there is one.
+    pub(super) idempotency_key: Option<CompactString>,
+    /// The session header, if there is one.
+    pub(super) session: Option<CompactString>,
+    /// The headers that go on to a plain service.
+    pub(super) passed: Vec<Header>,
+}
+
+impl Head {
+    /// Reads the head and authenticates the caller; the body comes back unread.
+    pub(super) fn read(node: &Node, req: Request) -> Result<(Self, Body), Refusal> {
+        let received = node.core.clock.now();
+        let customer = authenticate(node, &req)?;
+        let head = Self {
+            customer,
+            received,
+            deadline: deadline(&req)?,
+            idempotency_key: idempotency_key(&req)?,
+            session: header(&req, SESSION_HEADER)?,
+            passed: passed(&req)?,
+        };
+        Ok((head, req.into_body()))
+    }
+
+    /// The moment by which an answer is wanted; `default` from receipt if the caller did not say.
+    pub(super) fn deadline_at(&self, default: Duration) -> Instant {
+        self.received + self.deadline.unwrap_or(default)
+    }
+}
+
+fn authenticate(node: &Node, req: &Request) -> Result<CustomerName, Refusal> {
+    let header = req.headers().get(AUTHORIZATION);
+    let header = header.and_then(|h| h.to_str().ok());
+    let key = header
+        .and_then(|h| h.strip_prefix("Bearer "))
+        .ok_or_else(|| unauthenticated("a bearer key is required"))?;
+    let snapshot = node.core.snapshot();
+    let customer = snapshot.customer_by_key(&hash_key(key));
+    customer
+        .map(|(name, _)| name.clone())
+        .ok_or_else(|| unauthenticated("the key belongs to no customer"))
+}
+
+fn deadline(req: &Request) -> Result<Option<Duration>, Refusal> {
+    let Some(text) = header(req, DEADLINE_HEADER)? else {
+        return Ok(None);
+    };
+    let millis: u64 = text
+        .parse()
+        .map_err(|_| malformed("deadline is not a number of milliseconds"))?;
+    Ok(Some(Duration::from_millis(millis).min(MAX_DEADLINE)))
+}
+
+fn idempotency_key(req: &Request) -> Result<Option<CompactString>, Refusal> {
+    let key = header(req, IDEMPOTENCY_HEADER)?;
+    match &key {
+        Some(key) if key.is_empty() || key.len() > MAX_KEY_BYTES => Err(malformed(format!(
+            "an idempotency key has 1 to {MAX_KEY_BYTES} bytes"
+        ))),
+        _ => Ok(key),
+    }
+}
+
+fn passed(req: &Request) -> Result<Vec<Header>, Refusal> {
+    let mut passed = Vec::new();
+    for name in PASSED_HEADERS {
+        if let Some(value) = header(req, name)? {
+            let name = name.into();
+            passed.push(Header { name, value });
+        }
+    }
+    Ok(passed)
+}
+
+fn header(req: &Request, name: &str) -> Result<Option<CompactString>, Refusal> {
+    let Some(value) = req.headers().get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| malformed(format!("header {name} is not printable ASCII")))?;
+    Ok(Some(text.into()))
+}
--- /dev/null
+++ b/src/daemon/callers/service_request.rs
@@ -0,0 +1,68 @@
+//! Turns an HTTP request for a plain service into a typed call, and its answer into a response.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, StatusCode, Uri};
+use viz::{Body, Response};
+
+use crate::{
+    daemon::{
+        callers::{head::Head, malformed, reply::tag},
+        node::Node,
+        service::{ServiceAnswer, ServiceCall},
+    },
+    protocol::problem::Refusal,
+};
+
+/// The path prefix of all plain services.
+const PREFIX: &str = "/v1/services/";
+
+/// Serves one call of a plain service.
+pub(super) async fn serve(
+    node: &Arc<Node>,
+    request_id: &str,
+    head: Head,
+    method: &Method,
+    uri: &Uri,
+    body: Bytes,
+) -> Result<Response, Refusal> {
+    let (service, path) = split(uri)?;
+    let call = ServiceCall {
+        request_id: request_id.into(),
+        deadline: head.deadline.map(|d| head.received + d),
+        customer: head.customer,
+        service: service.into(),
+        method: method.as_str().into(),
+        path,
+        headers: head.passed,
+        body,
+        idempotency_key: head.idempotency_key,
+    };
+    let answer = node.services.serve(call).await?;
+    Ok(to_response(request_id, answer))
+}
+
+/// The service's name, and the path and query after it.
+fn split(uri: &Uri) -> Result<(&str, String), Refusal> {
+    let rest = uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let (service, path) = rest
+        .split_once('/')
+        .ok_or_else(|| malformed("the path names no operation"))?;
+    let query = uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+    Ok((service, format!("/{path}{query}")))
+}
+
+fn to_response(request_id: &str, answer: ServiceAnswer) -> Response {
+    let mut res = Response::new(Body::from(http_body_util::Full::from(answer.body)));
+    *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in &answer.headers {
+        let name = HeaderName::try_from(header.name.as_str());
+        let value = HeaderValue::try_from(header.value.as_str());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            res.headers_mut().insert(name, value);
+        }
+    }
+    tag(&mut res, request_id);
+    res
+}
--- /dev/null
+++ b/src/daemon/chat/deliver.rs
@@ -0,0 +1,59 @@
+//! What comes before an answer's end: session token, bill and rating.
+
+use compact_str::CompactString;
+use platform_api::engine::Usage;
+
+use crate::{
+    coordination::{bills::Bill, routing::Choice},
+    daemon::chat::{call::SessionAsk, refuse, run::Run},
+    protocol::{
+        problem::{Refusal, RefusalKind},
+        session::{self, Session},
+    },
+};
+
+/// The session token that goes with the answer, if the call belongs to a session.
+pub(super) fn session(run: &Run, version: &str) -> Result<Option<CompactString>, Refusal> {
+    let snapshot = run.node.core.snapshot();
+    let session = match &run.call.session {
+        SessionAsk::None => return Ok(None),
+        SessionAsk::Existing(session) => session.clone(),
+        SessionAsk::New => Session {
+            id: run.call.log_id.clone(),
+            customer: run.call.customer.clone(),
+            version: version.into(),
+            generation: snapshot.generation,
+        },
+    };
+    session::seal(&session, &snapshot.objects.session_keys)
+        .map(|token| Some(token.into()))
+        .map_err(|e| Refusal::unknown(RefusalKind::Internal, "deliver", e.to_string()))
+}
+
+/// Has the bill kept before the end of the answer is released.
+pub(super) async fn bill(run: &Run, choice: &Choice, usage: Usage) -> Result<(), Refusal> {
+    let core = &run.node.core;
+    let bill = Bill::for_completion(
+        &core.snapshot(),
+        &run.call.customer,
+        &run.call.request_id,
+        &choice.version,
+        usage,
+        core.clock.wall(),
+    );
+    core.decide(&run.call.log_id, "bill", &bill);
+    run.node.billing.record(bill).await.map_err(|e| {
+        core.decide(&run.call.log_id, "bill", format_args!("failed={e}"));
+        refuse::unbilled()
+    })
+}
+
+/// Has a streamed answer rated after its delivery.
+pub(super) fn rate_later(run: &Run, choice: &Choice, text: &str) {
+    let policy = run.node.policy.clone();
+    let route = run.route.clone();
+    let choice = choice.clone();
+    let prompt = super::prompt(&run.call);
+    let text = text.to_owned();
+    tokio::spawn(async move { policy.rate(&route, &choice, &prompt, &text).await });
+}
--- /dev/null
+++ b/src/daemon/chat/mod.rs
@@ -0,0 +1,110 @@
+//! The path of one completion: admission, routing, dispatch, rating, bill, delivery.
+
+use std::sync::Arc;
+
+use crate::{
+    coordination::{
+        admission::AdmitRequest,
+        hash::{hash_bytes, hash_text},
+        poison::Fingerprint,
+        quality::RequestClass,
+        routing::RouteRequest,
+    },
+    daemon::{
+        chat::{
+            call::{ChatCall, ChatReply, SessionAsk},
+            run::Run,
+        },
+        node::Node,
+    },
+    protocol::problem::{Refusal, RefusalKind},
+};
+
+pub mod call;
+mod deliver;
+mod pick;
+mod refuse;
+mod run;
+mod stream;
+mod whole;
+
+/// Serves one completion.
+pub async fn serve(node: &Arc<Node>, call: ChatCall) -> Result<ChatReply, Refusal> {
+    node.check_ready()?;
+    let fingerprint = Fingerprint::of(&call.customer, prompt(&call));
+    let solo = node
+        .policy
+        .check_poison(fingerprint)
+        .map_err(|q| refuse::quarantined(&q))?;
+    let ticket = node
+        .policy
+        .admit(AdmitRequest {
+            request_id: call.log_id.clone(),
+            customer: call.customer.clone(),
+            priority: call.priority,
+            deadline: call.deadline,
+        })
+        .await
+        .map_err(|r| refuse::overloaded(&r))?;
+    if node.core.clock.now() >= call.deadline {
+        let detail = "the deadline passed in the queue";
+        return Err(Refusal::not_run(
+            RefusalKind::DeadlineExceeded,
+            "admit",
+            detail,
+        ));
+    }
+    node.core.decide(
+        &call.log_id,
+        "admit",
+        format_args!(
+            "customer={} rule={} stream={} solo={solo}",
+            call.customer, call.rule, call.req.stream
+        ),
+    );
+    let route = route_request(&call, solo);
+    let run = Run::new(node.clone(), call, route, fingerprint, ticket);
+    if run.call.req.stream {
+        stream::serve(run).await
+    } else {
+        whole::serve(run).await
+    }
+}
+
+fn route_request(call: &ChatCall, solo: bool) -> RouteRequest {
+    let session = match &call.session {
+        SessionAsk::Existing(session) => Some(session.version.clone()),
+        SessionAsk::New | SessionAsk::None => None,
+    };
+    RouteRequest {
+        request_id: call.log_id.clone(),
+        customer: call.customer.clone(),
+        rule: call.rule.clone(),
+        class: RequestClass::of(&call.req),
+        session,
+        streamed: call.req.stream,
+        deadline: call.deadline,
+        tried: Vec::new(),
+        excluded: Vec::new(),
+        affinity: affinity(call),
+        solo,
+    }
+}
+
+/// The conversation as one text, for ratings and fingerprints.
+fn prompt(call: &ChatCall) -> String {
+    let texts = call.req.messages.iter().map(|m| m.content.as_str());
+    texts.collect::<Vec<_>>().join("\n")
+}
+
+/// What binds a request to the upstream whose caches know its beginning.
+fn affinity(call: &ChatCall) -> Option<u64> {
+    /// The length of a prompt's beginning that is worth a cache entry, in bytes.
+    const PREFIX_BYTES: usize = 256;
+    if let SessionAsk::Existing(session) = &call.session {
+        return Some(hash_text(&session.id));
+    }
+    let first = call.req.messages.first()?;
+    let prefix = first.content.as_bytes().get(..PREFIX_BYTES)?;
+    Some(hash_bytes(prefix))
+}
--- /dev/null
+++ b/src/daemon/chat/pick.rs
@@ -0,0 +1,103 @@
+//! Waits until a version and an upstream with a free slot can be had.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    coordination::routing::{Choice, NoRoute, NoRouteWhy, Outcome},
+    daemon::{
+        chat::{refuse, run::Run},
+        node::Node,
+        permits::{Acquire, Slot},
+    },
+    protocol::problem::Refusal,
+    state::objects::DomainName,
+};
+
+/// How long to wait before asking again for a slot.
+const POLL: Duration = Duration::from_millis(10);
+
+/// A version and an upstream with a slot, held until the attempt ends.
+pub(super) struct Pick {
+    pub(super) choice: Choice,
+    pub(super) address: SocketAddr,
+    pub(super) failure_domain: DomainName,
+    node: Arc<Node>,
+    slot: Option<Slot>,
+    finished: bool,
+}
+
+impl Pick {
+    /// The attempt gave its whole answer.
+    pub(super) fn succeeded(mut self, outcome: Outcome) {
+        if let Some(slot) = self.slot.take() {
+            slot.succeeded();
+        }
+        self.end(outcome);
+    }
+
+    /// The attempt ended otherwise.
+    pub(super) fn finished(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        self.finished = true;
+        self.node.policy.finished(&self.choice, outcome);
+    }
+}
+
+impl Drop for Pick {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.end(Outcome::Cancelled);
+        }
+    }
+}
+
+/// Picks a version and an upstream by the configuration in force now, waiting for a free slot.
+pub(super) async fn pick(run: &Run) -> Result<Pick, Refusal> {
+    loop {
+        match run.node.policy.choose(&run.route) {
+            Ok(choice) => {
+                if let Some(pick) = take_slot(run, choice) {
+                    return Ok(pick);
+                }
+            }
+            Err(no) if no.why == NoRouteWhy::Busy => {}
+            Err(no) => return Err(refuse_route(run, &no)),
+        }
+        if run.remaining() <= POLL {
+            return Err(refuse::no_slot(run.may_have_run()));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Picks at once or not at all.
+pub(super) fn pick_now(run: &Run) -> Option<Pick> {
+    let choice = run.node.policy.choose(&run.route).ok()?;
+    take_slot(run, choice)
+}
+
+fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
+    let node = &run.node;
+    let snapshot = node.core.snapshot();
+    let upstream = snapshot.in_service(&choice.upstream)?;
+    let Acquire::Slot(slot) = node.permits.try_acquire(&choice.upstream) else {
+        return None;
+    };
+    node.policy.started(&choice, run.fingerprint);
+    Some(Pick {
+        address: upstream.address,
+        failure_domain: upstream.failure_domain.clone(),
+        choice,
+        node: node.clone(),
+        slot: Some(slot),
+        finished: false,
+    })
+}
+
+fn refuse_route(run: &Run, no: &NoRoute) -> Refusal {
+    run.node.core.decide(&run.call.log_id, "route", no);
+    refuse::no_route(no, run.may_have_run())
+}
--- a/src/daemon/locate.rs
+++ b/src/daemon/locate.rs
@@ -10,9 +10,6 @@
 
 use crate::{coordination::locate::locate, daemon::core::Core, state::objects::DomainName};
 
-/// How long a caller may keep an answer, and a leaving daemon takes strays.
-pub const KEEP_SECONDS: u64 = 10;
-
 /// What a caller may say of itself.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct LocateQuery {
@@ -28,7 +25,7 @@
     pub addresses: Vec<SocketAddr>,
     /// How long the answer may be kept.
     pub keep_seconds: u64,
-    /// The prefix of idempotency keys whose home is the first address, if there is one.
+    /// The prefix of idempotency keys whose home is the daemon that answers.
     #[serde(default)]
     pub key_prefix: Option<CompactString>,
 }
@@ -40,8 +37,13 @@
 }
 
 impl Locate {
-    /// Answers one caller, without a key prefix.
-    pub fn answer(&self, core: &Core, query: &LocateQuery) -> LocateAnswer {
+    /// Answers one caller; `key_prefix` binds idempotency keys to this daemon.
+    pub fn answer(
+        &self,
+        core: &Core,
+        query: &LocateQuery,
+        key_prefix: Option<CompactString>,
+    ) -> LocateAnswer {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
         let members = core.members();
         let snapshot = core.snapshot();
@@ -52,8 +54,8 @@
         let found = locate(&members, &snapshot, failure_domain, turn);
         LocateAnswer {
             addresses: found.iter().map(|m| m.callers).collect(),
-            keep_seconds: KEEP_SECONDS,
-            key_prefix: None,
+            keep_seconds: core.settings.keep_seconds,
+            key_prefix,
         }
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,10 +1,18 @@
 //! One daemon: the assembly of all layers into running tasks.
 
+mod assembly;
 pub mod billing;
+pub mod callers;
+pub mod chat;
 pub mod claims;
 pub mod configuration;
 pub mod core;
+pub mod engines;
 pub mod locate;
 pub mod membership;
+pub mod node;
+pub mod permits;
 pub mod policy;
 pub mod service;
+
+pub use assembly::{Daemon, StartError};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod commands;
 pub mod coordination;
 pub mod daemon;
+pub mod demo;
+pub mod local;
 pub mod metrics;
 pub mod protocol;
 pub mod settings;
--- /dev/null
+++ b/src/local/caller.rs
@@ -0,0 +1,209 @@
+//! A caller of a local fleet: asks for an address, then sends requests there.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use eventsource_stream::Eventsource;
+use futures::{StreamExt, stream};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::Full;
+use platform_api::engine::{ChatChunk, ChatMessage, ChatRequest};
+
+use crate::{
+    local::LocalError,
+    transport::{
+        engine::stream::DONE,
+        http_client::{Exchange, HttpClient, Reuse, Timeouts},
+    },
+};
+
+/// The greatest length of an answer in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// How long a caller waits for any step; longer than the deadlines it sends.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One caller with its key and the daemon that it uses.
+#[derive(Clone, Debug)]
+pub struct LocalCaller {
+    http: HttpClient,
+    key: CompactString,
+}
+
+/// A response read to its end.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A streamed response read to its end.
+#[derive(Clone, Debug, Default)]
+pub struct Streamed {
+    /// The response's headers.
+    pub headers: HeaderMap,
+    /// The text of all tokens.
+    pub text: String,
+    /// The number of tokens.
+    pub tokens: u32,
+    /// Whether the explicit end came.
+    pub whole: bool,
+    /// The explicit error that ended it, if one did.
+    pub error: Option<String>,
+    /// From sending to the first token.
+    pub first_token: Duration,
+}
+
+impl LocalCaller {
+    /// A caller that uses the daemon whose callers' address this is.
+    pub fn new(daemon: SocketAddr, key: &str) -> Self {
+        Self {
+            http: HttpClient::new(daemon),
+            key: key.into(),
+        }
+    }
+
+    /// Asks which addresses to use.
+    pub async fn locate(&self) -> Result<Answer, LocalError> {
+        self.call(Method::GET, "/v1/locate", &HeaderMap::new(), Bytes::new())
+            .await
+    }
+
+    /// Sends a whole-answer completion.
+    pub async fn chat(
+        &self,
+        rule: &str,
+        prompt: &str,
+        headers: &HeaderMap,
+    ) -> Result<Answer, LocalError> {
+        let body = chat_body(rule, prompt, false);
+        self.call(Method::POST, "/v1/chat/completions", headers, body)
+            .await
+    }
+
+    /// Sends a streamed completion and reads it to its end.
+    pub async fn stream(
+        &self,
+        rule: &str,
+        prompt: &str,
+        headers: &HeaderMap,
+    ) -> Result<Streamed, LocalError> {
+        let begun = std::time::Instant::now();
+        let body = chat_body(rule, prompt, true);
+        let exchange = self
+            .send(Method::POST, "/v1/chat/completions", headers, body)
+            .await?;
+        if exchange.status() != StatusCode::OK {
+            let answer = read(exchange).await?;
+            return Ok(Streamed {
+                error: Some(String::from_utf8_lossy(&answer.body).into_owned()),
+                headers: answer.headers,
+                ..Streamed::default()
+            });
+        }
+        let mut streamed = Streamed {
+            headers: exchange.head.headers.clone(),
+            ..Streamed::default()
+        };
+        let parts = stream::unfold(exchange, |mut exchange| async move {
+            let part = exchange.chunk().await.transpose()?;
+            Some((part, exchange))
+        });
+        let mut events = Box::pin(parts.eventsource());
+        while let Some(event) = events.next().await {
+            let Ok(event) = event else { break };
+            if event.event == "error" {
+                streamed.error = Some(event.data);
+                break;
+            }
+            if event.data == DONE {
+                streamed.whole = true;
+                break;
+            }
+            let chunk: ChatChunk =
+                serde_json::from_str(&event.data).map_err(|e| LocalError::Answer(e.to_string()))?;
+            if chunk.finish_reason.is_none() {
+                if streamed.tokens == 0 {
+                    streamed.first_token = begun.elapsed();
+                }
+                streamed.tokens += 1;
+                streamed.text.push_str(&chunk.delta);
+            }
+        }
+        Ok(streamed)
+    }
+
+    /// Sends a request to a plain service.
+    pub async fn service(
+        &self,
+        method: Method,
+        service: &str,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Answer, LocalError> {
+        let path = format!("/v1/services/{service}/{path}");
+        self.call(method, &path, headers, body).await
+    }
+
+    /// Sends any request and reads the answer to its end.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Answer, LocalError> {
+        read(self.send(method, path, headers, body).await?).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Exchange, LocalError> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("authorization", format!("Bearer {}", self.key))
+            .body(Full::new(body))
+            .map_err(|e| LocalError::Answer(e.to_string()))?;
+        for (name, value) in headers {
+            req.headers_mut().insert(name, value.clone());
+        }
+        let timeouts = Timeouts {
+            connect: PATIENCE,
+            head: PATIENCE,
+            chunk: PATIENCE,
+        };
+        Ok(self.http.send(req, Reuse::Idle, timeouts).await?)
+    }
+}
+
+async fn read(mut exchange: Exchange) -> Result<Answer, LocalError> {
+    let body = exchange.bytes(MAX_BODY_BYTES).await?;
+    Ok(Answer {
+        status: exchange.head.status,
+        headers: exchange.head.headers,
+        body,
+    })
+}
+
+fn chat_body(rule: &str, prompt: &str, stream: bool) -> Bytes {
+    let req = ChatRequest {
+        model: rule.into(),
+        messages: vec![ChatMessage {
+            role: "user".into(),
+            content: prompt.into(),
+        }],
+        stream,
+        max_tokens: None,
+    };
+    serde_json::to_vec(&req).unwrap_or_default().into()
+}
--- a/src/protocol/problem.rs
+++ b/src/protocol/problem.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// Says that the request may have run, if an earlier attempt may have.
+    #[must_use]
+    pub fn ran(self, may_have_run: bool) -> Self {
+        if may_have_run {
+            return Self {
+                run: Run::Unknown,
+                ..self
+            };
+        }
+        self
+    }
+
     /// Names the peer at which it failed.
     #[must_use]
     pub fn at(self, peer: impl Into<CompactString>) -> Self {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,11 +32,19 @@
     pub platform: Platform,
     /// The key that all daemons of the fleet share, in hexadecimal.
     pub fleet_key: CompactString,
+    /// How long a caller may go on using an address after it was named, in seconds; a leaving daemon
+    /// serves for as long.
+    #[serde(default = "default_keep_seconds")]
+    pub keep_seconds: u64,
     /// The hash of a key that may publish while no configuration names an operator.
     #[serde(default)]
     pub bootstrap_operator: Option<KeyHash>,
 }
 
+fn default_keep_seconds() -> u64 {
+    10
+}
+
 /// Addresses of the platform's services.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state layer: configuration objects, checked snapshots and tables of counts.
 
 pub mod check;
+pub mod credentials;
 pub mod diff;
 pub mod document;
 pub mod names;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,4 +7,5 @@
 pub mod instances;
 pub mod operators;
 pub mod peers;
+pub mod rating;
 pub mod table;
--- /dev/null
+++ b/src/transport/rating.rs
@@ -0,0 +1,81 @@
+//! The client of the service that rates answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode, header::CONTENT_TYPE};
+use http_body_util::Full;
+use platform_api::rating::{PATH, RateRequest, Rating};
+
+use crate::transport::http_client::{HttpClient, HttpError, Reuse, Timeouts};
+
+/// The greatest length of an answer in bytes.
+const MAX_BODY_BYTES: usize = 4 << 10;
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Why an answer could not be rated.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum RatingError {
+    /// The exchange failed.
+    #[error("rating service: {0}")]
+    Http(#[from] HttpError),
+    /// The service refused.
+    #[error("rating service {peer} refused: status {status}")]
+    Refused {
+        /// The service.
+        peer: SocketAddr,
+        /// The HTTP status.
+        status: StatusCode,
+    },
+    /// The rating could not be read.
+    #[error("rating service {peer} answered nonsense: {reason}")]
+    Answer {
+        /// The service.
+        peer: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// The client; clones share connections.
+#[derive(Clone, Debug)]
+pub struct RatingClient {
+    http: HttpClient,
+}
+
+impl RatingClient {
+    /// A client of the service at `address`; connections are opened on demand.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::new(address),
+        }
+    }
+
+    /// Asks for a rating and waits at most `limit` for each step; the service is idempotent.
+    pub async fn rate(&self, req: &RateRequest, limit: Duration) -> Result<Rating, RatingError> {
+        let nonsense = |e: &dyn ToString| RatingError::Answer {
+            peer: self.http.peer(),
+            reason: e.to_string(),
+        };
+        let body = serde_json::to_vec(req).map_err(|e| nonsense(&e))?;
+        let req = Request::post(PATH)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| nonsense(&e))?;
+        let timeouts = Timeouts {
+            connect: CONNECT_TIMEOUT.min(limit),
+            head: limit,
+            chunk: limit,
+        };
+        let mut exchange = self.http.send(req, Reuse::Idle, timeouts).await?;
+        if exchange.status() != StatusCode::OK {
+            return Err(RatingError::Refused {
+                peer: self.http.peer(),
+                status: exchange.status(),
+            });
+        }
+        let body = exchange.bytes(MAX_BODY_BYTES).await?;
+        serde_json::from_slice(&body).map_err(|e| nonsense(&e))
+    }
+}
--- a/tests/membership_locate.rs
+++ b/tests/membership_locate.rs
@@ -14,7 +14,7 @@
     },
     daemon::{
         core::Core,
-        locate::{KEEP_SECONDS, Locate, LocateQuery},
+        locate::{Locate, LocateQuery},
         membership::Membership,
     },
     settings::Settings,
@@ -215,10 +215,10 @@
     };
     wait_for("the generation", limit, || generation(&cores[0]) == Some(7)).await;
 
-    let answer = Locate::default().answer(&cores[0], &LocateQuery::default());
+    let answer = Locate::default().answer(&cores[0], &LocateQuery::default(), None);
     assert_eq!(answer.addresses.len(), 3);
     assert_eq!(answer.addresses[0], addrs[0]);
-    assert_eq!(answer.keep_seconds, KEEP_SECONDS);
+    assert_eq!(answer.keep_seconds, cores[0].settings.keep_seconds);
 
     running[2].leave().await;
     let leaving = Some(MemberState::Leaving);
@@ -229,6 +229,6 @@
     running[2].depart().await;
     let dead = Some(MemberState::Dead);
     wait_for("departed", limit, || state(&cores[0], "m2") == dead).await;
-    let answer = Locate::default().answer(&cores[0], &LocateQuery::default());
+    let answer = Locate::default().answer(&cores[0], &LocateQuery::default(), None);
     assert_eq!(answer.addresses, [addrs[0], addrs[1]]);
 }
