--- /dev/null
+++ b/tests/support/daemon.rs
@@ -0,0 +1,167 @@
+//! Daemons as processes, each on a loopback address of its own.
+
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+
+use super::{
+    process::{Process, Signal},
+    wait_until,
+};
+
+/// The key that the daemons of a test share.
+const FLEET_KEY: &str = "7465737420666c656574206b65792031";
+const CALLERS_PORT: u16 = 7001;
+const PEERS_PORT: u16 = 7002;
+const OPERATORS_PORT: u16 = 7003;
+/// The number of log lines shown when a test fails.
+const SHOWN_LOG_LINES: usize = 60;
+
+/// Where a daemon runs and what it is told.
+#[derive(Clone, Debug)]
+pub struct DaemonPlan {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Addresses of the platform's services, as its settings name them.
+    pub platform: PlatformAddresses,
+    /// The hash of the operator's key that may publish first.
+    pub bootstrap_operator: String,
+    /// Further settings.
+    pub more: Value,
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformAddresses {
+    /// The table service.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+    /// The instance list.
+    pub instances: SocketAddr,
+    /// The rating service.
+    pub rating: SocketAddr,
+    /// The weight store.
+    pub weights: SocketAddr,
+}
+
+/// A daemon process.
+pub struct Daemon {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// The process.
+    pub process: Process,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a daemon with its files in `dir`.
+    pub fn spawn(plan: &DaemonPlan, dir: &Path) -> Self {
+        let ip = next_ip();
+        let at = |port| SocketAddr::new(ip, port);
+        let mut settings = json!({
+            "name": plan.name,
+            "failure_domain": plan.failure_domain,
+            "callers": at(CALLERS_PORT),
+            "peers": at(PEERS_PORT),
+            "operators": at(OPERATORS_PORT),
+            "platform": {
+                "table": plan.platform.table,
+                "objects": plan.platform.objects,
+                "instances": plan.platform.instances,
+                "rating": plan.platform.rating,
+                "weights": plan.platform.weights,
+            },
+            "fleet_key": FLEET_KEY,
+            "bootstrap_operator": plan.bootstrap_operator,
+        });
+        if let (Value::Object(all), Value::Object(more)) = (&mut settings, plan.more.clone()) {
+            all.extend(more);
+        }
+        let path = dir.join(format!("{}.jsonc", plan.name));
+        let log = dir.join(format!("{}.log", plan.name));
+        fs::write(&path, settings.to_string()).unwrap();
+        Self {
+            name: plan.name.clone(),
+            callers: at(CALLERS_PORT),
+            peers: at(PEERS_PORT),
+            operators: at(OPERATORS_PORT),
+            process: serve(&path, &log),
+            settings: path,
+            log,
+        }
+    }
+
+    /// Kills the process at once and starts another one with the same settings.
+    pub fn replace(&mut self) {
+        self.process.kill();
+        self.process = serve(&self.settings, &self.log);
+    }
+
+    /// Asks it to stop as planned and waits for its end.
+    pub async fn stop(&mut self, limit: Duration) {
+        self.process.signal(Signal::Terminate);
+        let process = &mut self.process;
+        wait_until("the daemon to stop", limit, async || {
+            process.ended().is_some()
+        })
+        .await;
+    }
+
+    /// The log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        let from = lines.len().saturating_sub(SHOWN_LOG_LINES);
+        eprintln!("--- last log lines of {}", self.name);
+        for line in &lines[from..] {
+            eprintln!("{line}");
+        }
+    }
+}
+
+fn serve(settings: &Path, log: &Path) -> Process {
+    let log = File::options().create(true).append(true).open(log).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hibiscusyoke"));
+    command
+        .arg("serve")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(log);
+    Process::spawn(&mut command)
+}
+
+/// A loopback address that no other daemon of this or another test process has.
+fn next_ip() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [high, low, ..] = u16::try_from(std::process::id() & 0xffff)
+        .unwrap()
+        .to_be_bytes();
+    let own = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, own))
+}
--- /dev/null
+++ b/tests/support/objects.rs
@@ -0,0 +1,153 @@
+//! The configuration objects of the tests.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use compact_str::CompactString;
+use hibiscusyoke::state::objects::{
+    Customer, FailureDomain, Model, Objects, Offer, Operation, Operator, Rule, Service,
+    ServiceState, SessionKey, Upstream, Version, VersionState,
+};
+use sha2::{Digest, Sha256};
+
+/// The failure domains.
+pub const DOMAINS: [&str; 3] = ["padana-a", "padana-b", "padana-c"];
+/// The version that all engines have.
+pub const VERSION: &str = "draft-1";
+/// Its skill in the stand-ins.
+pub const SKILL: f64 = 0.7;
+/// The rule that names the version.
+pub const RULE: &str = "draft";
+/// The plain service, whose `POST book` may not be repeated.
+pub const SERVICE: &str = "registry";
+/// The customer's bearer key.
+pub const CUSTOMER_KEY: &str = "clerk";
+/// The operator's bearer key.
+pub const OPERATOR_KEY: &str = "operator";
+/// The deadline of requests that name none, in milliseconds.
+pub const DEADLINE_MS: u64 = 20_000;
+
+/// What an upstream of a test is.
+#[derive(Clone, Debug)]
+pub struct UpstreamPlan {
+    /// Its name.
+    pub name: CompactString,
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+    /// Its address, as daemons are told it.
+    pub address: SocketAddr,
+    /// What it offers.
+    pub offer: Offer,
+}
+
+/// An engine's offer of the one version.
+pub fn engine_offer(warm: u32, cold: u32) -> Offer {
+    Offer::Engine {
+        versions: vec![VERSION.into()],
+        warm,
+        cold,
+        fenced: true,
+    }
+}
+
+/// A replica of the plain service.
+pub fn service_offer() -> Offer {
+    Offer::Service {
+        service: SERVICE.into(),
+        concurrency: 16,
+    }
+}
+
+/// The whole set: one customer, one version, one rule, one service and these upstreams.
+pub fn objects(upstreams: &[UpstreamPlan]) -> Objects {
+    Objects {
+        customers: one("clerks", customer()),
+        models: one("draft", Model::default()),
+        versions: one(VERSION, version()),
+        failure_domains: DOMAINS.iter().map(|d| ((*d).into(), domain())).collect(),
+        rules: one(RULE, rule()),
+        services: one(SERVICE, service()),
+        upstreams: upstreams.iter().map(upstream).collect(),
+        operators: one("night", operator()),
+        session_keys: one("2026", session_key()),
+    }
+}
+
+/// The hash under which a bearer key is configured.
+pub fn key_hash(key: &str) -> CompactString {
+    let hash = Sha256::digest(key.as_bytes());
+    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn customer() -> Customer {
+    Customer {
+        keys: vec![key_hash(CUSTOMER_KEY)],
+        versions: vec![VERSION.into()],
+        rules: vec![RULE.into()],
+        services: vec![SERVICE.into()],
+        weight: 1,
+        queue: 256,
+    }
+}
+
+fn version() -> Version {
+    Version {
+        model: "draft".into(),
+        state: VersionState::Enabled,
+        cost: 100,
+        prior_quality: 0.9,
+        rollout: None,
+    }
+}
+
+fn domain() -> FailureDomain {
+    FailureDomain {
+        region: "padana".into(),
+        state: ServiceState::In,
+    }
+}
+
+fn rule() -> Rule {
+    Rule {
+        versions: vec![VERSION.into()],
+        quality: 0.5,
+        priority: 0,
+        deadline_ms: DEADLINE_MS,
+    }
+}
+
+fn service() -> Service {
+    Service {
+        non_idempotent: vec![Operation {
+            method: "POST".into(),
+            path: "book".into(),
+        }],
+        deadline_ms: DEADLINE_MS,
+        priority: 0,
+    }
+}
+
+fn upstream(plan: &UpstreamPlan) -> (CompactString, Upstream) {
+    let upstream = Upstream {
+        address: plan.address,
+        failure_domain: plan.failure_domain.clone(),
+        state: ServiceState::In,
+        offer: plan.offer.clone(),
+    };
+    (plan.name.clone(), upstream)
+}
+
+fn operator() -> Operator {
+    Operator {
+        keys: vec![key_hash(OPERATOR_KEY)],
+    }
+}
+
+fn session_key() -> SessionKey {
+    SessionKey {
+        secret: "30".repeat(32).into(),
+    }
+}
+
+fn one<T>(name: &str, object: T) -> BTreeMap<CompactString, T> {
+    BTreeMap::from([(name.into(), object)])
+}
--- /dev/null
+++ b/tests/support/stand_in.rs
@@ -0,0 +1,141 @@
+//! Stand-ins as processes.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Command, Stdio},
+};
+
+use serde::Serialize;
+use stand_in::{
+    client,
+    control::Control,
+    engine::EngineConfig,
+    instances::InstancesConfig,
+    rating::RatingConfig,
+    service::ServiceConfig,
+    stats::{EngineStats, RoleStats, ServiceStats, Stats, TableStats},
+    weights::WeightsConfig,
+};
+
+use super::process::Process;
+
+/// A stand-in process.
+pub struct StandIn {
+    /// The address of its own interface.
+    pub address: SocketAddr,
+    /// Its control address.
+    pub control: SocketAddr,
+    /// The process.
+    pub process: Process,
+}
+
+impl StandIn {
+    /// Starts the table service.
+    pub fn table() -> Self {
+        Self::spawn(&["table"])
+    }
+
+    /// Starts the object store.
+    pub fn objects() -> Self {
+        Self::spawn(&["objects"])
+    }
+
+    /// Starts the instance list.
+    pub fn instances(cfg: &InstancesConfig) -> Self {
+        Self::configured("instances", cfg)
+    }
+
+    /// Starts the rating service.
+    pub fn rating(cfg: &RatingConfig) -> Self {
+        Self::configured("rating", cfg)
+    }
+
+    /// Starts the weight store.
+    pub fn weights(cfg: &WeightsConfig) -> Self {
+        Self::configured("weights", cfg)
+    }
+
+    /// Starts a model engine.
+    pub fn engine(cfg: &EngineConfig) -> Self {
+        Self::configured("engine", cfg)
+    }
+
+    /// Starts a plain service.
+    pub fn service(cfg: &ServiceConfig) -> Self {
+        Self::configured("service", cfg)
+    }
+
+    /// Starts a relay.
+    pub fn relay(target: SocketAddr) -> Self {
+        Self::spawn(&["relay", "--target", &target.to_string()])
+    }
+
+    /// Sends a control message.
+    pub async fn tell(&self, control: Control) {
+        client::control(self.control, &control).await.unwrap();
+    }
+
+    /// The record.
+    pub async fn stats(&self) -> Stats {
+        client::stats(self.control).await.unwrap()
+    }
+
+    /// The record of an engine.
+    pub async fn engine_stats(&self) -> EngineStats {
+        match self.stats().await.role {
+            RoleStats::Engine(stats) => stats,
+            other => panic!("not an engine: {other:?}"),
+        }
+    }
+
+    /// The record of a plain service.
+    pub async fn service_stats(&self) -> ServiceStats {
+        match self.stats().await.role {
+            RoleStats::Service(stats) => stats,
+            other => panic!("not a service: {other:?}"),
+        }
+    }
+
+    /// The record of a table.
+    pub async fn table_stats(&self) -> TableStats {
+        match self.stats().await.role {
+            RoleStats::Table(stats) => stats,
+            other => panic!("not a table: {other:?}"),
+        }
+    }
+
+    fn configured(role: &str, cfg: &impl Serialize) -> Self {
+        let cfg = serde_json::to_string(cfg).unwrap();
+        Self::spawn(&[role, "--config", &cfg])
+    }
+
+    fn spawn(args: &[&str]) -> Self {
+        let mut command = Command::new(binary());
+        command.args(args).stdout(Stdio::piped());
+        let mut process = Process::spawn(&mut command);
+        let out = process.child().stdout.take().unwrap();
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line).unwrap();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let ["listening", address, "control", control] = words[..] else {
+            panic!("stand-in {args:?} said {line:?}");
+        };
+        Self {
+            address: address.parse().unwrap(),
+            control: control.parse().unwrap(),
+            process,
+        }
+    }
+}
+
+/// The stand-in's binary, which is built beside the daemon's by every test of the workspace.
+fn binary() -> PathBuf {
+    let path = Path::new(env!("CARGO_BIN_EXE_hibiscusyoke")).with_file_name("stand-in");
+    assert!(
+        path.exists(),
+        "run `cargo build --workspace` first: no {path:?}"
+    );
+    path
+}
