Prove the configuration's following and publishing with scenarios and naive versions

At 340 daemons in step the fleet read the head 204 times a second against the limit of 200; reads now drift apart by up to a quarter interval.

--- a/src/coordination/configuration/follower.rs
+++ b/src/coordination/configuration/follower.rs
@@ -26,6 +26,8 @@
 const FLEET_READS_PER_SECOND: u32 = 200;
 /// The least time between two reads of the head by one daemon.
 const MIN_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// By what part of the interval a read may be late, so that the daemons' reads drift apart.
+const POLL_JITTER: f64 = 0.25;
 /// How often a peer is asked while the table is heard.
 const CALM_ASK_INTERVAL: Duration = Duration::from_secs(2);
 /// How often a peer is asked while it is not.
@@ -202,7 +204,7 @@
         self.records.iter().cloned().collect()
     }
 
-    /// The time between two reads of the table's head, such that the whole fleet stays within its
+    /// The least time between two reads of the table's head, such that the whole fleet stays within its
     /// rate.
     pub fn poll_interval(&self) -> Duration {
         let daemons = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
@@ -328,7 +330,8 @@
     fn schedule(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if now >= self.read_at && !self.reading {
             self.reading = true;
-            self.read_at = now + self.poll_interval();
+            let jitter = self.rng.random_range(1.0..1.0 + POLL_JITTER);
+            self.read_at = now + self.poll_interval().mul_f64(jitter);
             actions.push(Action::ReadHead);
         }
         if now >= self.ask_at
@@ -350,7 +353,7 @@
     }
 
     fn ask_interval(&self, now: Instant) -> Duration {
-        let limit = self.poll_interval() + POLL_SLACK;
+        let limit = self.poll_interval().mul_f64(1.0 + POLL_JITTER) + POLL_SLACK;
         let calm = self.generation() > 0 && self.contact.table_within(now, limit);
         if calm {
             CALM_ASK_INTERVAL
--- a/src/state/check.rs
+++ b/src/state/check.rs
@@ -23,7 +23,7 @@
 
 /// One thing that is wrong with one object.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
-#[display("{id}: {field}: {reason}")]
+#[display("{id}: {field}{}{reason}", if field.is_empty() { "" } else { ": " })]
 pub struct Fault {
     /// The object.
     pub id: ObjectId,
--- /dev/null
+++ b/tests/configuration/language.rs
@@ -0,0 +1,267 @@
+//! The scenario language: one directive for each thing that can happen to a fleet.
+
+use std::time::Duration;
+
+use datadriven::TestCase;
+use hibiscusyoke::{
+    coordination::configuration::{
+        edit::Edit,
+        follower::{Event, Pulled, Source},
+        outcome::{Outcome, PublishRequest, Refusal},
+        publisher::End,
+    },
+    state::{
+        diff::Change,
+        objects::{ServiceState, VersionState},
+    },
+};
+
+use crate::{
+    fleet::{Fleet, Loss},
+    objects::small_set,
+};
+
+/// The time within which an accepted configuration is in force everywhere.
+const TARGET: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(100);
+
+#[derive(Default)]
+pub(crate) struct Script {
+    fleet: Option<Fleet>,
+}
+
+impl Script {
+    pub(crate) fn run(&mut self, mut case: TestCase) -> String {
+        if case.directive == "fleet" {
+            let daemons = case.take_arg("daemons").unwrap();
+            case.expect_empty().unwrap();
+            return self.begin(daemons);
+        }
+        let fleet = self.fleet.as_mut().expect("a fleet first");
+        let output = directive(fleet, &mut case);
+        case.expect_empty().unwrap();
+        output
+    }
+
+    /// A fleet in which a small set is in force as generation 1.
+    fn begin(&mut self, daemons: usize) -> String {
+        let mut fleet = Fleet::new(daemons);
+        let changes = small_set().puts();
+        let edit = Edit::Objects {
+            changes,
+            prune: false,
+        };
+        let request = request("first", edit, None);
+        assert_eq!(fleet.begin("d1", request), None);
+        fleet.commit("first", Loss::None);
+        fleet.run(TARGET);
+        let output = everywhere(&fleet, 1);
+        self.fleet = Some(fleet);
+        output
+    }
+}
+
+fn directive(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    match case.directive.as_str() {
+        "begin" => match begin(fleet, case).end {
+            Some(end) => told(&end),
+            None => "about to commit\n".into(),
+        },
+        "commit" => {
+            let id = text(case, "id");
+            told(&fleet.commit(&id, loss(case)))
+        }
+        "publish" => {
+            let loss = loss(case);
+            let begun = begin(fleet, case);
+            told(&begun.end.unwrap_or_else(|| fleet.commit(&begun.id, loss)))
+        }
+        "await" => await_everywhere(fleet, case.take_arg("generation").unwrap()),
+        "reads" => reads(fleet, case.take_arg("seconds").unwrap()),
+        "show" => show(fleet),
+        _ => {
+            happen(fleet, case);
+            String::new()
+        }
+    }
+}
+
+/// What happens without an answer.
+fn happen(fleet: &mut Fleet, case: &mut TestCase) {
+    match case.directive.as_str() {
+        "run" => {
+            let time = case.take_arg("ms").unwrap();
+            fleet.run(Duration::from_millis(time));
+        }
+        "cut" => {
+            let from = text(case, "from");
+            fleet.cut(&from, &text(case, "to"));
+        }
+        "heal" => fleet.heal(),
+        "freeze" => fleet.freeze(&text(case, "daemon")),
+        "thaw" => fleet.thaw(&text(case, "daemon")),
+        "replace" => fleet.start(&text(case, "daemon")),
+        "late" => late(fleet, case),
+        other => panic!("no directive {other}"),
+    }
+}
+
+struct Begun {
+    id: String,
+    end: Option<End>,
+}
+
+fn begin(fleet: &mut Fleet, case: &mut TestCase) -> Begun {
+    let id = text(case, "id");
+    let via = text(case, "via");
+    let base = case.try_take_arg("base").unwrap();
+    let edit = edit(case);
+    let end = fleet.begin(&via, request(&id, edit, base));
+    Begun { id, end }
+}
+
+fn request(id: &str, edit: Edit, base: Option<u64>) -> PublishRequest {
+    PublishRequest {
+        id: id.into(),
+        operator: format!("operator-{id}").into(),
+        edit,
+        base,
+        dry_run: false,
+    }
+}
+
+fn edit(case: &mut TestCase) -> Edit {
+    if let Some(name) = case.try_take_arg::<String>("domain").unwrap() {
+        let state = service_state(&text(case, "state"));
+        return Edit::FailureDomain {
+            name: name.into(),
+            state,
+        };
+    }
+    if let Some(name) = case.try_take_arg::<String>("version").unwrap() {
+        let state = match text(case, "state").as_str() {
+            "withdrawn" => VersionState::Withdrawn,
+            "draining" => VersionState::Draining,
+            _ => VersionState::Enabled,
+        };
+        return Edit::Version {
+            name: name.into(),
+            state,
+        };
+    }
+    Edit::Objects {
+        changes: case.input.lines().map(change).collect(),
+        prune: case.take_flag("prune").unwrap(),
+    }
+}
+
+/// A line `put KIND/NAME JSON` or `remove KIND/NAME`.
+fn change(line: &str) -> Change {
+    let (verb, rest) = line.split_once(' ').unwrap();
+    match (verb, rest.split_once(' ')) {
+        ("put", Some((id, json))) => Change::Put {
+            id: id.parse().unwrap(),
+            json: json.into(),
+        },
+        ("remove", None) => Change::Remove {
+            id: rest.parse().unwrap(),
+        },
+        _ => panic!("no change: {line}"),
+    }
+}
+
+fn service_state(text: &str) -> ServiceState {
+    match text {
+        "out" => ServiceState::Out,
+        _ => ServiceState::In,
+    }
+}
+
+fn loss(case: &mut TestCase) -> Loss {
+    match case.try_take_arg::<String>("lose").unwrap().as_deref() {
+        None => Loss::None,
+        Some("answer") => Loss::Answer,
+        Some("answer-and-table") => Loss::AnswerAndTable,
+        Some("request") => Loss::Request,
+        Some(other) => panic!("nothing loses {other}"),
+    }
+}
+
+/// An old record and an old whole set arrive at a daemon.
+fn late(fleet: &mut Fleet, case: &mut TestCase) {
+    let daemon = text(case, "to");
+    let generation: usize = case.take_arg("generation").unwrap();
+    let record = fleet.history[generation - 1].clone();
+    let mut objects = hibiscusyoke::state::objects::Objects::default();
+    objects.apply(&record.changes).unwrap();
+    fleet.feed(&daemon, Event::Pushed(record.clone()));
+    let from = Source::Table;
+    let pulled = Pulled::Whole(record.generation, Box::new(objects));
+    fleet.feed(&daemon, Event::Pulled { from, pulled });
+}
+
+fn told(end: &End) -> String {
+    let mut lines = vec![match end.outcome.generation() {
+        Some(generation) => format!("{} generation={generation}", end.outcome),
+        None => end.outcome.to_string(),
+    }];
+    lines.extend(end.differences.iter().map(ToString::to_string));
+    match &end.outcome {
+        Outcome::Refused(Refusal::Conflicts { conflicts }) => {
+            lines.extend(conflicts.iter().map(ToString::to_string));
+        }
+        Outcome::Refused(Refusal::Faults { faults }) => {
+            lines.extend(faults.iter().map(ToString::to_string));
+        }
+        _ => {}
+    }
+    lines.iter().map(|line| format!("{line}\n")).collect()
+}
+
+fn await_everywhere(fleet: &mut Fleet, generation: u64) -> String {
+    let deadline = fleet.now + TARGET;
+    while fleet.now < deadline && !behind(fleet, generation).is_empty() {
+        fleet.run(POLL);
+    }
+    everywhere(fleet, generation)
+}
+
+fn everywhere(fleet: &Fleet, generation: u64) -> String {
+    let behind = behind(fleet, generation);
+    if behind.is_empty() {
+        return format!("generation {generation} in force everywhere\n");
+    }
+    format!("generation {generation} not on {}\n", behind.join(" "))
+}
+
+fn behind(fleet: &Fleet, generation: u64) -> Vec<String> {
+    let mut names = fleet.names();
+    names.retain(|name| fleet.follower(name).generation() < generation);
+    names
+}
+
+fn reads(fleet: &mut Fleet, seconds: u64) -> String {
+    let before = fleet.table.reads;
+    fleet.run(Duration::from_secs(seconds));
+    let rate = (fleet.table.reads - before) / seconds;
+    match rate {
+        0..=200 => "at most 200 reads a second\n".into(),
+        _ => format!("{rate} reads a second\n"),
+    }
+}
+
+fn show(fleet: &Fleet) -> String {
+    let line = |name: String| {
+        let follower = fleet.follower(&name);
+        let readiness = match follower.readiness(fleet.now) {
+            Ok(()) => "ready".into(),
+            Err(e) => format!("not ready: {e}"),
+        };
+        format!("{name} generation={} {readiness}\n", follower.generation())
+    };
+    fleet.names().into_iter().map(line).collect()
+}
+
+fn text(case: &mut TestCase, arg: &str) -> String {
+    case.take_arg(arg).unwrap()
+}
