--- /dev/null
+++ b/tests/bills_world/mod.rs
@@ -0,0 +1,217 @@
+//! Several daemons' bills and a table, without sockets.
+
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+#[path = "../claims_world/table.rs"]
+pub(crate) mod table;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+use hibiscusyoke::coordination::{
+    bills::{
+        Bill, BillNumber, BilledItem, HeldBills, Invoice, Limits, OwnBills, Owner, ROWS_PREFIX,
+        fold,
+    },
+    membership::{Member, MemberState},
+};
+
+use table::Table;
+
+/// The number of bills that a daemon holds for others at most.
+const MAX_HELD: usize = 1_000;
+
+/// One daemon incarnation.
+pub(crate) struct Daemon {
+    pub(crate) own: OwnBills,
+    pub(crate) held: HeldBills,
+    pub(crate) member: Member,
+    pub(crate) alive: bool,
+    pub(crate) frozen: bool,
+}
+
+/// A bill that was handed in, and where.
+pub(crate) struct HandedIn {
+    pub(crate) at: CompactString,
+    pub(crate) number: BillNumber,
+}
+
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    pub(crate) table: Table,
+    pub(crate) daemons: BTreeMap<CompactString, Daemon>,
+    pub(crate) bills: BTreeMap<CompactString, HandedIn>,
+    pub(crate) limits: Limits,
+    incarnations: u64,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        Self {
+            now: Instant::now(),
+            table: Table::default(),
+            daemons: BTreeMap::new(),
+            bills: BTreeMap::new(),
+            limits: Limits::default(),
+            incarnations: 0,
+        }
+    }
+}
+
+/// The bill of one call; a later one of the same request differs by its time.
+pub(crate) fn bill(request: &str, at_ms: u64) -> Bill {
+    Bill {
+        at_ms,
+        customer: "gate".into(),
+        request_id: request.into(),
+        item: BilledItem::Service("registry".into()),
+        units: 1,
+        cost: 10,
+    }
+}
+
+impl World {
+    pub(crate) fn add_daemon(&mut self, name: &str, domain: &str) {
+        self.incarnations += 1;
+        let incarnation = self.incarnations;
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let daemon = Daemon {
+            own: OwnBills::new(name.into(), incarnation, self.limits),
+            held: HeldBills::new(MAX_HELD),
+            member: Member {
+                name: name.into(),
+                incarnation,
+                failure_domain: domain.into(),
+                callers: address,
+                peers: address,
+                state: MemberState::Alive,
+                generation: 0,
+            },
+            alive: true,
+            frozen: false,
+        };
+        self.daemons.insert(name.into(), daemon);
+    }
+
+    fn members(&self) -> Vec<Member> {
+        self.daemons.values().map(|d| d.member.clone()).collect()
+    }
+
+    pub(crate) fn runs(&self, name: &str) -> bool {
+        let daemon = &self.daemons[name];
+        daemon.alive && !daemon.frozen
+    }
+
+    pub(crate) fn record(&mut self, name: &str, at: &str, bill: Bill) {
+        let now = self.now;
+        let daemon = self.daemons.get_mut(at).expect("a daemon");
+        let number = daemon.own.record(now, bill);
+        let at = at.into();
+        self.bills.insert(name.into(), HandedIn { at, number });
+    }
+
+    /// Whether the answer that goes with a bill may be released.
+    pub(crate) fn is_safe(&self, name: &str) -> bool {
+        let handed_in = &self.bills[name];
+        let daemon = &self.daemons[&handed_in.at];
+        daemon.own.is_safe(handed_in.number)
+    }
+
+    /// Has a daemon's bills held by peers; returns who was asked and whether they took them.
+    pub(crate) fn spread(&mut self, name: &str) -> String {
+        let members = self.members();
+        let now = self.now;
+        let daemon = self.daemons.get_mut(name).expect("a daemon");
+        let member = daemon.member.clone();
+        daemon.own.choose(now, &member, &members);
+        let batches = daemon.own.next_holds();
+        let mut said = Vec::new();
+        for batch in batches {
+            let peer = batch.holder.name.clone();
+            let owner = Owner {
+                daemon: name.into(),
+                incarnation: member.incarnation,
+            };
+            let took = self.runs(&peer) && {
+                let holder = self.daemons.get_mut(&peer).expect("a daemon");
+                let bills = batch.bills.clone();
+                holder
+                    .held
+                    .hold(now, &owner, batch.from, bills, batch.flushed)
+                    .is_ok()
+            };
+            let own = &mut self.daemons.get_mut(name).expect("a daemon").own;
+            if took {
+                own.held(&batch);
+            } else {
+                own.hold_failed(now, &batch);
+            }
+            said.push(format!("{peer}={took}"));
+        }
+        said.sort();
+        if said.is_empty() {
+            said.push("nobody to ask".into());
+        }
+        said.join(" ")
+    }
+
+    /// Writes one row; returns whether the table took it.
+    pub(crate) fn flush(&mut self, name: &str) -> bool {
+        let Self { daemons, table, .. } = self;
+        let own = &mut daemons.get_mut(name).expect("a daemon").own;
+        let Some(write) = own.next_write() else {
+            return true;
+        };
+        let written = table.insert(&write.key, &write.value);
+        if written {
+            own.written(&write);
+        } else {
+            own.table_answers(false);
+        }
+        written
+    }
+
+    /// Takes over the bills of owners that are gone; returns how many.
+    pub(crate) fn adopt(&mut self, name: &str) -> usize {
+        let members = self.members();
+        let now = self.now;
+        let daemon = self.daemons.get_mut(name).expect("a daemon");
+        let mut adopted = 0;
+        loop {
+            let orphans = daemon.held.take_orphans(now, &members);
+            if orphans.is_empty() {
+                return adopted;
+            }
+            adopted += orphans.len();
+            for bill in orphans {
+                daemon.own.record(now, bill);
+            }
+        }
+    }
+
+    /// A planned stop's first step: held bills become the daemon's own.
+    pub(crate) fn adopt_all(&mut self, name: &str) {
+        let now = self.now;
+        let daemon = self.daemons.get_mut(name).expect("a daemon");
+        for bill in daemon.held.take_all() {
+            daemon.own.record(now, bill);
+        }
+    }
+
+    pub(crate) fn believe(&mut self, name: &str, state: MemberState) {
+        self.daemons.get_mut(name).expect("a daemon").member.state = state;
+    }
+
+    pub(crate) fn advance(&mut self, by: Duration) {
+        self.now += by;
+    }
+
+    pub(crate) fn invoice(&self) -> Invoice {
+        let rows = self.table.scan(ROWS_PREFIX).expect("a table that is up");
+        fold(rows.iter().map(|row| row.value.as_str()))
+    }
+}
