--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,5 +4,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod core;
+pub mod locate;
+pub mod membership;
 pub mod policy;
 pub mod service;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,8 @@
 //! The protocol layer: typed messages and their codecs.
 
 pub mod codec;
+pub mod fleet_key;
+pub mod gossip;
 pub mod home_key;
 pub mod mac;
 pub mod operators;
