--- /dev/null
+++ b/tests/claims_services.rs
@@ -0,0 +1,242 @@
+//! Calls of plain services through three daemons; the service's own count is the judge.
+
+mod claims_fleet;
+
+use std::time::{Duration, Instant};
+
+use claims_fleet::{Fleet, Outcome, until};
+use futures::future::join_all;
+use hibiscusyoke::{
+    coordination::membership::MemberState,
+    daemon::{billing::invoice, service::ServiceAnswer},
+    protocol::problem::{RefusalKind, Run},
+};
+use stand_in::{
+    control::{Control, Down, Next},
+    service::ServiceAnswer as Executed,
+};
+
+const NO_WORK: Duration = Duration::ZERO;
+/// A lost or silent connection must not cost more than this.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+fn next(count: u32) -> Next {
+    Next {
+        count,
+        path: "/".into(),
+    }
+}
+
+fn answer_for(outcome: &Outcome) -> Executed {
+    let answer: &ServiceAnswer = outcome.as_ref().expect("an answer");
+    serde_json::from_slice(&answer.body).expect("a service's answer")
+}
+
+fn run(outcome: &Outcome) -> Run {
+    outcome.as_ref().expect_err("a refusal").run
+}
+
+#[tokio::test]
+async fn home_key_repeated_elsewhere_runs_once() {
+    let fleet = Fleet::spawn(Duration::from_millis(300)).await;
+    let key = fleet.home_key(0, "1");
+    let calls = [0, 1, 2, 1].map(|number| fleet.intake(number, &key));
+    for outcome in join_all(calls).await {
+        assert_eq!(answer_for(&outcome).key, key);
+    }
+    assert_eq!(fleet.executions(&key), 1);
+    let other = fleet.send(1, "POST", "/intake", "other", Some(&key)).await;
+    let refusal = other.expect_err("a refusal");
+    assert_eq!(
+        (refusal.kind, refusal.run),
+        (RefusalKind::KeyReused, Run::NotRun)
+    );
+}
+
+#[tokio::test]
+async fn other_key_at_three_daemons_runs_once() {
+    let fleet = Fleet::spawn(Duration::from_millis(300)).await;
+    let calls = [0, 1, 2, 0, 1].map(|number| fleet.intake(number, "plain"));
+    for outcome in join_all(calls).await {
+        match &outcome {
+            Ok(_) => assert_eq!(answer_for(&outcome).key, "plain"),
+            Err(refusal) => assert_eq!(refusal.run, Run::Unknown, "{refusal}"),
+        }
+    }
+    assert_eq!(fleet.executions("plain"), 1);
+}
+
+#[tokio::test]
+async fn store_outage_leaves_home_keys_in_service() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    fleet.on_table(&Control::Down { how: Down::Refuse });
+    let key = fleet.home_key(0, "1");
+    assert_eq!(answer_for(&fleet.intake(1, &key).await).key, key);
+    assert_eq!(answer_for(&fleet.intake(2, &key).await).key, key);
+    assert_eq!(fleet.executions(&key), 1);
+    assert_eq!(run(&fleet.intake(1, "plain").await), Run::Unknown);
+    assert_eq!(fleet.executions("plain"), 0);
+    fleet.on_table(&Control::Heal);
+    assert!(fleet.intake(1, "plain").await.is_ok());
+    let table = fleet.daemons[0].core.table.clone();
+    let started = Instant::now();
+    loop {
+        let invoice = invoice(&table).await.expect("an invoice");
+        let total = invoice.customers.get("gate").copied().unwrap_or_default();
+        if total.requests == 2 {
+            return;
+        }
+        assert!(started.elapsed() < Duration::from_secs(10), "{invoice:?}");
+    }
+}
+
+#[tokio::test]
+async fn lost_insert_runs_once() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    for number in 0..5 {
+        let key = format!("plain-{number}");
+        fleet.on_table(&Control::LoseAnswers {
+            next: Next {
+                count: 1,
+                path: "/table/commit".into(),
+            },
+        });
+        assert_eq!(answer_for(&fleet.intake(number % 3, &key).await).key, key);
+        assert_eq!(fleet.executions(&key), 1);
+    }
+}
+
+#[tokio::test]
+async fn broken_connection_after_execution_is_never_repeated() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    for key in [fleet.home_key(0, "1").as_str(), "plain"] {
+        fleet.on_replicas(&Control::LoseAnswers { next: next(1) });
+        assert_eq!(run(&fleet.intake(0, key).await), Run::Unknown);
+        fleet.on_replicas(&Control::Heal);
+        for number in [0, 1, 2] {
+            assert_eq!(run(&fleet.intake(number, key).await), Run::Unknown);
+        }
+        assert_eq!(fleet.executions(key), 1);
+    }
+}
+
+#[tokio::test]
+async fn refused_by_upstreams_is_not_run_and_may_run_later() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    let downs = [Down::Unavailable, Down::Refuse];
+    for (number, how) in downs.into_iter().enumerate() {
+        for key in [
+            fleet.home_key(0, &number.to_string()),
+            format!("plain-{number}").into(),
+        ] {
+            fleet.on_replicas(&Control::Down { how });
+            assert_eq!(run(&fleet.intake(0, &key).await), Run::NotRun, "{how:?}");
+            assert_eq!(fleet.executions(&key), 0);
+            fleet.on_replicas(&Control::Heal);
+            assert!(fleet.intake(1, &key).await.is_ok(), "{how:?} {key}");
+            assert_eq!(fleet.executions(&key), 1);
+        }
+    }
+}
+
+#[tokio::test]
+async fn planned_stop_lets_others_tell_and_take_over() {
+    let mut fleet = Fleet::spawn(NO_WORK).await;
+    let ran = fleet.home_key(0, "ran");
+    let unused = fleet.home_key(0, "unused");
+    assert!(fleet.intake(0, &ran).await.is_ok());
+    assert!(fleet.daemons[0].claims.complete().await);
+    fleet.daemons[0].cut_off().await;
+    assert_eq!(answer_for(&fleet.intake(1, &ran).await).key, ran);
+    let calls = [1, 2, 1].map(|number| fleet.intake(number, &unused));
+    let outcomes = join_all(calls).await;
+    assert!(outcomes.iter().any(Result::is_ok), "{outcomes:?}");
+    assert_eq!(fleet.executions(&ran), 1);
+    assert_eq!(fleet.executions(&unused), 1);
+}
+
+#[tokio::test]
+async fn silent_home_is_never_taken_over() {
+    let mut fleet = Fleet::spawn(NO_WORK).await;
+    let key = fleet.home_key(0, "1");
+    fleet.daemons[0].cut_off().await;
+    for state in [MemberState::Alive, MemberState::Dead] {
+        fleet.believe(0, state);
+        let refusal = fleet.intake(1, &key).await.expect_err("a refusal");
+        assert_eq!(refusal.run, Run::Unknown);
+        assert!(refusal.retry_after.is_some());
+    }
+    assert_eq!(fleet.executions(&key), 0);
+}
+
+#[tokio::test]
+async fn silent_connections_cost_no_idempotent_call() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    let warm = (0..20).map(|n| fleet.send(n % 3, "GET", "/timetable", "", None));
+    assert!(join_all(warm).await.iter().all(Result::is_ok));
+    fleet.on_replicas(&Control::SilenceEstablished);
+    let started = Instant::now();
+    let calls = (0..20).map(|n| fleet.send(n % 3, "GET", "/timetable", "", None));
+    for outcome in join_all(calls).await {
+        assert_eq!(answer_for(&outcome).path, "/timetable");
+    }
+    assert!(started.elapsed() < SILENCE_LIMIT, "{:?}", started.elapsed());
+}
+
+#[tokio::test]
+async fn silent_replica_costs_no_idempotent_call() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    fleet.replicas[0]
+        .control(&Control::Freeze { millis: None })
+        .unwrap();
+    let started = Instant::now();
+    let calls = (0..9).map(|n| fleet.send(n % 3, "GET", "/timetable", "", None));
+    assert!(join_all(calls).await.iter().all(Result::is_ok));
+    assert!(started.elapsed() < SILENCE_LIMIT, "{:?}", started.elapsed());
+}
+
+#[tokio::test]
+async fn crossed_answers_never_reach_another_caller() {
+    let fleet = Fleet::spawn(Duration::from_millis(50)).await;
+    fleet.on_replicas(&Control::CrossAnswers { next: next(8) });
+    let paths: Vec<String> = (0..24).map(|n| format!("/timetable/{n}")).collect();
+    let calls = paths.iter().enumerate();
+    let calls = calls.map(|(n, path)| fleet.send(n % 3, "GET", path, "", None));
+    for (outcome, path) in join_all(calls).await.iter().zip(&paths) {
+        assert_eq!(answer_for(outcome).path, *path);
+    }
+    fleet.on_replicas(&Control::CrossAnswers { next: next(8) });
+    let keys: Vec<String> = (0..24).map(|n| format!("plain-{n}")).collect();
+    let calls = keys.iter().enumerate();
+    let calls = calls.map(|(n, key)| fleet.intake(n % 3, key));
+    for (outcome, key) in join_all(calls).await.iter().zip(&keys) {
+        match outcome {
+            Ok(_) => assert_eq!(answer_for(outcome).key, *key),
+            Err(refusal) => assert_eq!(refusal.run, Run::Unknown, "{refusal}"),
+        }
+        assert_eq!(fleet.executions(key), 1);
+    }
+}
+
+#[tokio::test]
+async fn another_spelling_of_the_path_runs_once_too() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    for path in ["/%69ntake", "//intake", "/x/../intake", "/INTAKE/1?a=b"] {
+        fleet.on_replicas(&Control::LoseAnswers { next: next(1) });
+        let outcome = fleet.send(0, "post", path, "bale", Some(path)).await;
+        assert_eq!(run(&outcome), Run::Unknown, "{path}");
+        fleet.on_replicas(&Control::Heal);
+        assert_eq!(fleet.executions(path), 1, "{path}");
+    }
+}
+
+#[tokio::test]
+async fn caller_that_goes_away_leaves_the_answer_for_its_repeat() {
+    let fleet = Fleet::spawn(Duration::from_millis(300)).await;
+    let key = fleet.home_key(0, "1");
+    let given_up = tokio::time::timeout(Duration::from_millis(100), fleet.intake(0, &key)).await;
+    assert!(given_up.is_err());
+    until("executed", || fleet.executions(&key) == 1).await;
+    assert_eq!(answer_for(&fleet.intake(1, &key).await).key, key);
+    assert_eq!(fleet.executions(&key), 1);
+}
