--- a/tests/claims_fleet/mod.rs
+++ b/tests/claims_fleet/mod.rs
@@ -14,11 +14,12 @@
 use hibiscusyoke::{
     clock::SystemClock,
     coordination::{
+        bills::CustomerTotal,
         configuration::{edit::Edit, outcome::PublishRequest},
         membership::{Member, MemberState},
     },
     daemon::{
-        billing::Billing,
+        billing::{Billing, invoice},
         claims::Claims,
         configuration::Configuration,
         core::Core,
@@ -30,7 +31,10 @@
     },
     settings::Settings,
     state::objects::Objects,
-    transport::peers::{Handler, PeerServer},
+    transport::{
+        peers::{Handler, PeerServer},
+        table::TableClient,
+    },
 };
 use serde_json::json;
 use stand_in::{
@@ -40,6 +44,7 @@
     stats::RoleStats,
     table::Table,
 };
+use tokio::runtime::Runtime;
 
 const FLEET_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 const FLEET: [[&str; 2]; 3] = [["a", "x"], ["b", "y"], ["c", "z"]];
@@ -50,7 +55,7 @@
 
 pub(crate) type Outcome = Result<ServiceAnswer, Refusal>;
 
-/// One daemon's parts.
+/// One daemon's parts, on a runtime of its own, so that it can be killed.
 pub(crate) struct Daemon {
     pub(crate) core: Arc<Core>,
     pub(crate) claims: Arc<Claims>,
@@ -58,6 +63,8 @@
     pub(crate) services: Arc<Services>,
     pub(crate) configuration: Arc<Configuration>,
     server: Option<PeerServer>,
+    peers: SocketAddr,
+    runtime: Option<Runtime>,
 }
 
 pub(crate) struct Fleet {
@@ -160,6 +167,34 @@
         serde_json::from_value(objects).expect("objects")
     }
 
+    /// Takes the table up again and waits until it answers.
+    pub(crate) async fn table_up(&self) {
+        self.on_table(&Control::Heal);
+        let client = TableClient::new(self.table.address);
+        let started = Instant::now();
+        while client.read_one("any").await.is_err() {
+            assert!(started.elapsed() < LIMIT, "the table answers");
+        }
+    }
+
+    /// Waits until the invoice has this many requests, and returns its totals.
+    pub(crate) async fn billed(&self, requests: u64) -> CustomerTotal {
+        let client = TableClient::new(self.table.address);
+        let started = Instant::now();
+        loop {
+            let invoice = invoice(&client).await.expect("an invoice");
+            let total = invoice.customers.get("gate").copied().unwrap_or_default();
+            if total.requests >= requests {
+                return total;
+            }
+            assert!(
+                started.elapsed() < LIMIT,
+                "{requests} requests, {invoice:?}"
+            );
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// The number of executions of a key by all replicas.
     pub(crate) fn executions(&self, key: &str) -> u32 {
         let mut count = 0;
@@ -213,22 +248,31 @@
             idempotency_key: key.map(CompactString::from),
             deadline: None,
         };
-        self.daemons[number].services.serve(call).await
+        self.daemons[number].serve(call).await
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
     }
 }
 
 impl Daemon {
     async fn spawn(name: &str, domain: &str, incarnation: u64, table: SocketAddr) -> Self {
-        let settings: Settings = serde_json::from_value(json!({
-            "name": name,
-            "failure_domain": domain,
-            "callers": any_port(),
-            "peers": any_port(),
-            "operators": any_port(),
-            "platform": {"table": table, "objects": table, "instances": table},
-            "fleet_key": FLEET_KEY,
-        }))
-        .expect("settings");
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let settings = settings(name, domain, table);
+        let starting = runtime.spawn(Self::start(settings, incarnation));
+        let mut daemon = starting.await.expect("a start");
+        daemon.runtime = Some(runtime);
+        daemon
+    }
+
+    async fn start(settings: Settings, incarnation: u64) -> Self {
         let core = Arc::new(Core::new(settings, Arc::new(SystemClock), incarnation));
         let claims = Claims::spawn(core.clone());
         let billing = Billing::spawn(core.clone());
@@ -241,13 +285,16 @@
         );
         let handler = handler(services.clone(), billing.clone(), configuration.clone());
         let server = PeerServer::bind(any_port(), FLEET_KEY, handler).await;
+        let server = server.expect("a listener");
         Self {
+            peers: server.local_addr(),
+            runtime: None,
             core,
             claims,
             billing,
             services,
             configuration,
-            server: Some(server.expect("a listener")),
+            server: Some(server),
         }
     }
 
@@ -267,6 +314,20 @@
         }
     }
 
+    async fn serve(&self, call: ServiceCall) -> Outcome {
+        let services = self.services.clone();
+        let runtime = self.runtime.as_ref().expect("a live daemon");
+        let served = runtime.spawn(async move { services.serve(call).await });
+        served.await.expect("an end")
+    }
+
+    /// Ends it at once, wherever it is.
+    pub(crate) fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
     /// Lets nobody reach it any more.
     pub(crate) async fn cut_off(&mut self) {
         if let Some(server) = self.server.take() {
@@ -275,6 +336,19 @@
     }
 }
 
+fn settings(name: &str, domain: &str, table: SocketAddr) -> Settings {
+    serde_json::from_value(json!({
+        "name": name,
+        "failure_domain": domain,
+        "callers": any_port(),
+        "peers": any_port(),
+        "operators": any_port(),
+        "platform": {"table": table, "objects": table, "instances": table},
+        "fleet_key": FLEET_KEY,
+    }))
+    .expect("settings")
+}
+
 fn handler(
     services: Arc<Services>,
     billing: Arc<Billing>,
--- a/tests/claims_services.rs
+++ b/tests/claims_services.rs
@@ -8,7 +8,7 @@
 use futures::future::join_all;
 use hibiscusyoke::{
     coordination::membership::MemberState,
-    daemon::{billing::invoice, service::ServiceAnswer},
+    daemon::service::ServiceAnswer,
     protocol::problem::{RefusalKind, Run},
 };
 use stand_in::{
@@ -76,18 +76,9 @@
     assert_eq!(fleet.executions(&key), 1);
     assert_eq!(run(&fleet.intake(1, "plain").await), Run::Unknown);
     assert_eq!(fleet.executions("plain"), 0);
-    fleet.on_table(&Control::Heal);
+    fleet.table_up().await;
     assert!(fleet.intake(1, "plain").await.is_ok());
-    let table = fleet.daemons[0].core.table.clone();
-    let started = Instant::now();
-    loop {
-        let invoice = invoice(&table).await.expect("an invoice");
-        let total = invoice.customers.get("gate").copied().unwrap_or_default();
-        if total.requests == 2 {
-            return;
-        }
-        assert!(started.elapsed() < Duration::from_secs(10), "{invoice:?}");
-    }
+    assert_eq!(fleet.billed(2).await.requests, 2);
 }
 
 #[tokio::test]
@@ -240,3 +231,25 @@
     assert_eq!(answer_for(&fleet.intake(1, &key).await).key, key);
     assert_eq!(fleet.executions(&key), 1);
 }
+
+#[tokio::test]
+async fn home_killed_at_any_moment_runs_once_at_most() {
+    for wait_ms in [0, 20, 60, 120, 240] {
+        let mut fleet = Fleet::spawn(Duration::from_millis(100)).await;
+        let keys = [fleet.home_key(0, "1"), "plain".into()];
+        for key in &keys {
+            let given_up = fleet.intake(0, key);
+            let _ = tokio::time::timeout(Duration::from_millis(wait_ms), given_up).await;
+        }
+        fleet.daemons[0].kill();
+        for key in &keys {
+            for number in [1, 2] {
+                match fleet.intake(number, key).await {
+                    Ok(answer) => assert_eq!(answer_for(&Ok(answer)).key, *key),
+                    Err(refusal) => assert_eq!(refusal.run, Run::Unknown, "{refusal}"),
+                }
+            }
+            assert!(fleet.executions(key) <= 1, "{key} after {wait_ms} ms");
+        }
+    }
+}
