Bound the answers of a version that turns bad, and test it on a fleet event by event

Now all ratings are told, expectations are capped at 0.9 and taken two deviations low, and failed ratings hold their part of the exposure.

--- a/src/coordination/cascade.rs
+++ b/src/coordination/cascade.rs
@@ -22,6 +22,8 @@
     pub cost: MicroCost,
     /// The probability that its answer is good enough.
     pub pass: f64,
+    /// The highest such probability that is still likely; it keeps unlucky versions in use.
+    pub hoped: f64,
     /// The time within which its whole answer comes; zero while unknown.
     pub whole: Duration,
     /// Set while it is rolled out: the version whose place it takes.
@@ -47,6 +49,7 @@
 struct Plan {
     cost: f64,
     pass: f64,
+    hoped: f64,
     time: Duration,
 }
 
@@ -55,6 +58,7 @@
         Self {
             cost: candidate.cost as f64,
             pass: candidate.pass,
+            hoped: candidate.hoped,
             time: candidate.whole,
         }
     }
@@ -63,6 +67,7 @@
         Self {
             cost: self.cost + (1.0 - self.pass) * next.cost,
             pass: self.pass + (1.0 - self.pass) * next.pass,
+            hoped: self.hoped + (1.0 - self.hoped) * next.hoped,
             time: self.time + rating + next.time,
         }
     }
@@ -106,7 +111,7 @@
     ranked
         .into_iter()
         .map(|(candidate, plan)| {
-            let reason = if plan.pass >= target {
+            let reason = if plan.hoped >= target {
                 meeting
             } else {
                 Reason::BestPassProbability
@@ -118,7 +123,7 @@
 
 fn prefer(a: &Plan, b: &Plan, target: f64) -> Ordering {
     let by_pass = b.pass.total_cmp(&a.pass);
-    match (a.pass >= target, b.pass >= target) {
+    match (a.hoped >= target, b.hoped >= target) {
         (true, true) => a.cost.total_cmp(&b.cost).then(by_pass),
         (true, false) => Ordering::Less,
         (false, true) => Ordering::Greater,
--- a/src/coordination/quality.rs
+++ b/src/coordination/quality.rs
@@ -148,24 +148,39 @@
 pub struct Estimate {
     /// The expected pass probability.
     pub mean: f64,
-    /// One standard deviation below it.
+    /// Two standard deviations below it.
     pub low: f64,
+    /// One standard deviation above it.
+    pub high: f64,
     /// The ratings behind it, faded ones counted in part.
     pub ratings: f64,
 }
 
+impl Estimate {
+    /// The estimate of a version of which nothing good is expected.
+    pub const NONE: Self = Self {
+        mean: 0.0,
+        low: 0.0,
+        high: 0.0,
+        ratings: 0.0,
+    };
+
+    /// The estimate of a version that is under suspicion.
+    pub fn halved(self) -> Self {
+        Self {
+            mean: self.mean / 2.0,
+            low: self.low / 2.0,
+            high: self.high / 2.0,
+            ratings: self.ratings,
+        }
+    }
+}
+
 /// The counts of one rule.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimates<'a>(Option<&'a ByVersion>);
 
 impl Estimates<'_> {
-    /// The expected pass probability of a version for a class.
-    pub fn pass(&self, version: &str, class: RequestClass, prior_quality: f64, good: f64) -> f64 {
-        let counts = self.counts(version, class);
-        let prior = prior_pass(prior_quality, good);
-        (PRIOR_WEIGHT * prior + counts.passed) / (PRIOR_WEIGHT + counts.rated)
-    }
-
     /// The pass probability of a version for a class with its uncertainty.
     pub fn estimate(
         &self,
@@ -174,13 +189,16 @@
         prior_quality: f64,
         good: f64,
     ) -> Estimate {
-        let mean = self.pass(version, class, prior_quality, good);
-        let ratings = self.counts(version, class).rated;
-        let deviation = (mean * (1.0 - mean) / (PRIOR_WEIGHT + ratings + 1.0)).sqrt();
+        let counts = self.counts(version, class);
+        let prior = prior_pass(prior_quality, good);
+        let weight = PRIOR_WEIGHT + counts.rated;
+        let mean = (PRIOR_WEIGHT * prior + counts.passed) / weight;
+        let deviation = (mean * (1.0 - mean) / (weight + 1.0)).sqrt();
         Estimate {
             mean,
-            low: mean - deviation,
-            ratings,
+            low: mean - 2.0 * deviation,
+            high: (mean + deviation).min(1.0),
+            ratings: counts.rated,
         }
     }
 
--- a/src/coordination/rollout/evidence.rs
+++ b/src/coordination/rollout/evidence.rs
@@ -11,7 +11,7 @@
 
 /// The bounds of the expected pass probability within which the test works.
 const MIN_EXPECTED: f64 = 0.2;
-const MAX_EXPECTED: f64 = 0.98;
+const MAX_EXPECTED: f64 = 0.9;
 
 /// What is expected of an answer, had the version not turned bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,9 +37,14 @@
         self.slight = (self.slight + slight).clamp(0.0, THRESHOLD);
     }
 
-    /// Whether the version is judged bad.
-    pub fn bad(&self) -> bool {
-        self.plain >= THRESHOLD || self.slight >= THRESHOLD
+    /// Whether the version is judged plainly bad.
+    pub fn plainly_bad(&self) -> bool {
+        self.plain >= THRESHOLD
+    }
+
+    /// Whether the version is judged worse than expected, plainly or slightly.
+    pub fn worse(&self) -> bool {
+        self.plainly_bad() || self.slight >= THRESHOLD
     }
 
     /// How near the version is to being judged plainly bad, from 0 to 1.
--- a/src/coordination/rollout/mod.rs
+++ b/src/coordination/rollout/mod.rs
@@ -6,6 +6,6 @@
 mod trials;
 
 pub use evidence::{Baseline, Evidence};
-pub use shares::share;
+pub use shares::{Share, share};
 pub use trial::{Gate, Standing, Trial};
-pub use trials::{Fleet, RatingNote, Trials, Verdict, VerdictKind};
+pub use trials::{Fleet, Ratings, Trials, Verdict, VerdictKind};
--- a/src/coordination/rollout/shares.rs
+++ b/src/coordination/rollout/shares.rs
@@ -5,7 +5,16 @@
     membership::DaemonName,
 };
 
-/// The part of `exposure` that `own` may use; over all members the parts sum to `exposure`.
+/// The part of an exposure budget that one daemon may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// The unrated answers that it may have.
+    pub answers: u32,
+    /// Whether it, alone of the fleet, goes on with single answers while a version is suspected.
+    pub probes: bool,
+}
+
+/// The share of `own`; over all members the answers sum to `exposure`.
 ///
 /// The remainder of an uneven split goes to other daemons in each `epoch`.
 pub fn share<'a>(
@@ -14,7 +23,7 @@
     version: &str,
     exposure: u32,
     epoch: u64,
-) -> u32 {
+) -> Share {
     let weight = |name: &str| (mix(hash_pair(version, name) ^ mix(epoch)), name.to_owned());
     let own_weight = weight(own);
     let mut others = 0_u32;
@@ -24,5 +33,8 @@
         before += u32::from(weight(member) < own_weight);
     }
     let members = others + 1;
-    exposure / members + u32::from(before < exposure % members)
+    Share {
+        answers: exposure / members + u32::from(before < exposure % members),
+        probes: exposure > 0 && before == 0,
+    }
 }
--- a/src/coordination/rollout/trial.rs
+++ b/src/coordination/rollout/trial.rs
@@ -6,7 +6,10 @@
 
 use crate::coordination::{
     hash::{hash_bytes, mix},
-    rollout::evidence::{Baseline, Evidence},
+    rollout::{
+        evidence::{Baseline, Evidence},
+        shares::Share,
+    },
     routing::Why,
 };
 
@@ -32,6 +35,8 @@
     Open,
     /// It may, in place of the version that it replaces.
     Trial,
+    /// It may, but one that is not suspected goes first.
+    Wary,
     /// It may if there is no other.
     LastResort,
     /// The stage leaves this request out.
@@ -46,7 +51,7 @@
     /// Why the version may not be chosen, if so.
     pub fn rejection(self) -> Option<Why> {
         match self {
-            Self::Open | Self::Trial | Self::LastResort => None,
+            Self::Open | Self::Trial | Self::Wary | Self::LastResort => None,
             Self::Stage | Self::Exposure => Some(Why::Exposure),
             Self::Ejected => Some(Why::Ejected),
         }
@@ -72,7 +77,7 @@
 pub struct Trial {
     standing: Standing,
     rolled_out: bool,
-    share: u32,
+    share: Share,
     unrated: u32,
     evidence: Evidence,
     stage: usize,
@@ -91,7 +96,7 @@
                 Standing::Trusted
             },
             rolled_out,
-            share: 0,
+            share: Share::default(),
             unrated: 0,
             evidence: Evidence::default(),
             stage: 0,
@@ -116,18 +121,13 @@
         self.unrated
     }
 
-    /// Whether there are signs that it has turned bad.
-    pub fn suspected(&self) -> bool {
-        self.evidence.suspicion() > 0.0
-    }
-
     /// The part of the requests that it may answer, in hundredths of a percent.
     pub fn stage(&self) -> u64 {
         STAGES[self.stage]
     }
 
     /// Sets this daemon's part of the exposure budget.
-    pub fn set_share(&mut self, share: u32) {
+    pub fn set_share(&mut self, share: Share) {
         self.share = share;
     }
 
@@ -135,20 +135,23 @@
     pub fn gate(&self, now: Instant, request_id: &str, own_session: bool) -> Gate {
         match self.standing {
             Standing::Ejected => Gate::Ejected,
-            Standing::Trusted if self.evidence.suspicion() < WARY_SUSPICION => Gate::Open,
-            Standing::Trusted if own_session || self.within_budget() => Gate::Open,
-            Standing::Trusted => Gate::LastResort,
-            Standing::Demoted if own_session => Gate::Open,
+            Standing::OnTrial if !self.within_budget() => Gate::Exposure,
+            Standing::OnTrial if own_session => Gate::Open,
+            Standing::OnTrial => self.staged(request_id),
+            Standing::Trusted | Standing::Demoted if own_session => Gate::Open,
+            Standing::Trusted if self.wary() => Gate::Wary,
+            Standing::Trusted => Gate::Open,
             Standing::Demoted if self.rested(now) && self.within_budget() => {
                 self.staged(request_id)
             }
             Standing::Demoted => Gate::LastResort,
-            Standing::OnTrial if !self.within_budget() => Gate::Exposure,
-            Standing::OnTrial if own_session => Gate::Open,
-            Standing::OnTrial => self.staged(request_id),
         }
     }
 
+    fn wary(&self) -> bool {
+        self.evidence.suspicion() >= WARY_SUSPICION && !self.within_budget()
+    }
+
     fn staged(&self, request_id: &str) -> Gate {
         let lot = mix(hash_bytes(request_id.as_bytes())) % STAGES[STAGES.len() - 1];
         if lot < self.stage() {
@@ -166,8 +169,11 @@
 
     /// Failed ratings hold their part of the budget until passes outweigh them.
     fn within_budget(&self) -> bool {
-        let trusted = 1.0 - self.evidence.suspicion();
-        f64::from(self.unrated + 1) <= (f64::from(self.share) * trusted).ceil()
+        let suspicion = self.evidence.suspicion();
+        if suspicion > 0.0 && self.share.probes && self.unrated == 0 {
+            return true;
+        }
+        f64::from(self.unrated + 1) <= f64::from(self.share.answers) * (1.0 - suspicion)
     }
 
     fn rested(&self, now: Instant) -> bool {
@@ -190,7 +196,11 @@
             return None;
         }
         self.evidence.add(passed, baseline);
-        if self.evidence.bad() {
+        let bad = match self.standing {
+            Standing::Trusted => self.evidence.plainly_bad(),
+            _ => self.evidence.worse(),
+        };
+        if bad {
             return self.convict(now);
         }
         if self.standing == Standing::Trusted {
--- a/src/coordination/rollout/trials.rs
+++ b/src/coordination/rollout/trials.rs
@@ -24,8 +24,11 @@
 /// The unrated answers of a version that is no longer fully trusted, over the whole fleet.
 const DEFAULT_EXPOSURE: u32 = 20;
 
+/// The failed ratings in a row after which a version is judged.
+const FAILURES_TO_JUDGE: u32 = 6;
+
 /// The ratings that must be known of a trusted version before it can be found to have turned bad.
-const MIN_OWN_RATINGS: f64 = 20.0;
+const MIN_OWN_RATINGS: f64 = 50.0;
 
 /// The greatest number of verdicts remembered.
 const MAX_VERDICTS: usize = 256;
@@ -51,13 +54,33 @@
     pub by: DaemonName,
 }
 
-/// One rating as told to peers.
+/// Ratings of one kind of answer, as told to peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RatingNote {
+pub struct Ratings {
     /// What was rated.
     pub subject: Subject,
-    /// Whether it was good enough.
-    pub passed: bool,
+    /// Answers good enough.
+    pub passed: u16,
+    /// Answers that were not.
+    pub failed: u16,
+}
+
+impl Ratings {
+    /// One rating.
+    pub fn one(subject: Subject, passed: bool) -> Self {
+        Self {
+            subject,
+            passed: u16::from(passed),
+            failed: u16::from(!passed),
+        }
+    }
+
+    /// The single ratings, the failed ones spread evenly among the others.
+    fn each(&self) -> impl Iterator<Item = bool> + use<> {
+        let (passed, failed) = (u32::from(self.passed), u32::from(self.failed));
+        let total = passed + failed;
+        (0..total).map(move |i| (i + 1) * failed / total == i * failed / total)
+    }
 }
 
 /// The fleet as far as shares need it.
@@ -108,10 +131,8 @@
                 }
                 trial
             });
-            let exposure = version
-                .rollout
-                .as_ref()
-                .map_or(DEFAULT_EXPOSURE, |r| r.exposure);
+            let exposure = version.rollout.as_ref().map(|r| r.exposure);
+            let exposure = usable_exposure(exposure.unwrap_or(DEFAULT_EXPOSURE));
             let members = fleet.members.iter();
             trial.set_share(share(fleet.own, members, name, exposure, fleet.epoch));
         }
@@ -142,24 +163,25 @@
         }
     }
 
-    /// Takes in a rating by this daemon or a peer; returns the verdict if that is one.
+    /// Takes in ratings by this daemon or a peer; returns the verdict if they lead to one.
     pub fn rated(
         &mut self,
         now: Instant,
         objects: &Objects,
         quality: &Quality,
-        note: &RatingNote,
+        ratings: &Ratings,
         own: &DaemonName,
     ) -> Option<Verdict> {
-        let baseline = baseline(objects, quality, &note.subject)?;
-        let trial = self.trials.get_mut(&note.subject.version)?;
-        let kind = match trial.rated(now, note.passed, baseline)? {
+        let baseline = baseline(objects, quality, &ratings.subject)?;
+        let trial = self.trials.get_mut(&ratings.subject.version)?;
+        let mut standings = ratings.each().filter_map(|p| trial.rated(now, p, baseline));
+        let kind = match standings.next()? {
             Standing::Ejected => VerdictKind::Ejected,
             Standing::Demoted => VerdictKind::Demoted,
             Standing::Trusted | Standing::OnTrial => return None,
         };
         let verdict = Verdict {
-            version: note.subject.version.clone(),
+            version: ratings.subject.version.clone(),
             kind,
             by: own.clone(),
         };
@@ -187,11 +209,6 @@
         trial.is_some_and(|t| matches!(t.standing(), Standing::OnTrial | Standing::Demoted))
     }
 
-    /// Whether there are signs that a trusted version has turned bad.
-    pub fn suspected(&self, version: &str) -> bool {
-        self.trials.get(version).is_some_and(Trial::suspected)
-    }
-
     /// The record of a version.
     pub fn of(&self, version: &str) -> Option<&Trial> {
         self.trials.get(version)
@@ -212,6 +229,13 @@
     }
 }
 
+/// The exposure that leaves room for the answers given while failed ratings come in.
+fn usable_exposure(exposure: u32) -> u32 {
+    exposure
+        .saturating_sub(FAILURES_TO_JUDGE)
+        .max(exposure.div_ceil(2))
+}
+
 /// What is expected of an answer: what the replaced version, or the version itself, has shown.
 fn baseline(objects: &Objects, quality: &Quality, subject: &Subject) -> Option<Baseline> {
     let version = objects.versions.get(&subject.version)?;
--- a/src/coordination/routing/candidates.rs
+++ b/src/coordination/routing/candidates.rs
@@ -5,6 +5,7 @@
 use crate::{
     coordination::{
         cascade::Candidate,
+        quality::Estimate,
         rollout::Gate,
         routing::{NoRoute, Rejected, RouteRequest, Views, Why, times::Times},
     },
@@ -57,27 +58,36 @@
         if let Some(why) = gate.rejection() {
             return Err(why);
         }
+        let estimate = self.estimate(name, version, gate);
         let rollout = version.rollout.as_ref().filter(|_| gate == Gate::Trial);
         Ok(Candidate {
             version: name,
             cost: version.cost,
-            pass: self.pass(name, version, gate),
+            pass: estimate.mean,
+            hoped: estimate.high,
             whole: self.times.whole(name, self.req.class),
             replaces: rollout.map(|r| &r.replaces),
         })
     }
 
-    fn pass(&self, name: &str, version: &Version, gate: Gate) -> f64 {
-        if gate == Gate::LastResort {
-            return 0.0;
-        }
+    fn estimate(&self, name: &str, version: &Version, gate: Gate) -> Estimate {
         let estimates = self.views.quality.of(&self.req.rule);
-        estimates.pass(
+        let estimate = estimates.estimate(
             name,
             self.req.class,
             version.prior_quality,
             self.rule.quality,
-        )
+        );
+        match gate {
+            Gate::LastResort => Estimate::NONE,
+            Gate::Wary if self.delivers_unrated() => estimate.halved(),
+            _ => estimate,
+        }
+    }
+
+    /// Whether the answer is delivered before it is rated.
+    fn delivers_unrated(&self) -> bool {
+        self.req.streamed || self.views.rating.is_none()
     }
 
     fn admissible(&self, name: &VersionName) -> Result<&'s Version, Why> {
--- a/src/daemon/policy/gossip.rs
+++ b/src/daemon/policy/gossip.rs
@@ -12,7 +12,7 @@
         hash::hash_pair,
         membership::Member,
         poison::MAX_NOTES,
-        rollout::{RatingNote, Verdict},
+        rollout::{Ratings, Verdict},
     },
     daemon::policy::{Policy, TICK, state::Outbox},
     protocol::peer::{
@@ -106,7 +106,7 @@
         let now = self.core.clock.now();
         match req {
             Request::Counts(deltas) => self.lock().quality.merge(&deltas),
-            Request::Ratings(notes) => self.weigh(now, &notes),
+            Request::Ratings(ratings) => self.weigh(now, &ratings),
             Request::Verdict { verdict, hops } => {
                 if self.lock().trials.judged(now, &verdict) {
                     self.judged(&verdict);
@@ -132,10 +132,10 @@
         Response::Taken
     }
 
-    fn weigh(&self, now: Instant, notes: &[RatingNote]) {
+    fn weigh(&self, now: Instant, ratings: &[Ratings]) {
         let snapshot = self.core.snapshot();
-        for note in notes.iter().take(MAX_RATINGS) {
-            let verdict = self.lock().weigh(now, &snapshot.objects, note);
+        for ratings in ratings.iter().take(MAX_RATINGS) {
+            let verdict = self.lock().weigh(now, &snapshot.objects, ratings);
             if let Some(verdict) = verdict {
                 self.judged(&verdict);
                 self.news.notify_one();
@@ -187,7 +187,7 @@
     }
 
     /// Tells the daemons that weigh a version of its ratings.
-    fn tell_ratings(self: &Arc<Self>, mut ratings: Vec<RatingNote>) {
+    fn tell_ratings(self: &Arc<Self>, mut ratings: Vec<Ratings>) {
         if ratings.is_empty() {
             return;
         }
--- a/src/daemon/policy/rating.rs
+++ b/src/daemon/policy/rating.rs
@@ -250,13 +250,17 @@
         let rule = snapshot.objects.rules.get(&subject.rule);
         let passed = rule.is_some_and(|rule| quality >= rule.quality);
         let now = self.core.clock.now();
-        let verdict = {
+        let (verdict, urgent) = {
             let mut state = self.lock();
-            state.rated(now, &snapshot.objects, subject, passed)
+            let urgent = state.trials.on_trial(&subject.version);
+            let verdict = state.rated(now, &snapshot.objects, subject, passed);
+            (verdict, urgent)
         };
-        if let Some(verdict) = verdict {
-            self.judged(&verdict);
+        if let Some(verdict) = &verdict {
+            self.judged(verdict);
+        }
+        if urgent || verdict.is_some() {
+            self.news.notify_one();
         }
-        self.news.notify_one();
     }
 }
--- a/src/daemon/policy/state.rs
+++ b/src/daemon/policy/state.rs
@@ -12,7 +12,7 @@
         poison::{Fingerprint, Note, Poison},
         quality::{Quality, Subject},
         retry::Budget,
-        rollout::{Fleet, RatingNote, Trials, Verdict},
+        rollout::{Fleet, Ratings, Trials, Verdict},
         routing::{Choice, ChoiceId, NoRoute, Outcome, Reason, RouteRequest, Router, Views},
     },
     daemon::{
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     pub(super) suspects: Vec<Note>,
-    pub(super) ratings: Vec<RatingNote>,
+    pub(super) ratings: Vec<Ratings>,
     pub(super) verdicts: Vec<Verdict>,
     pub(super) reservations: Vec<Reservation>,
 }
@@ -51,6 +51,18 @@
 }
 
 impl Outbox {
+    /// Adds ratings to those of the same kind.
+    fn rate(&mut self, ratings: Ratings) {
+        let same = |r: &Ratings| r.subject == ratings.subject;
+        if let Some(place) = self.ratings.iter().rposition(same) {
+            let known = &mut self.ratings[place];
+            known.passed = known.passed.saturating_add(ratings.passed);
+            known.failed = known.failed.saturating_add(ratings.failed);
+        } else if self.ratings.len() < MAX_OUTBOX {
+            self.ratings.push(ratings);
+        }
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.suspects.is_empty()
             && self.ratings.is_empty()
@@ -219,26 +231,27 @@
         passed: bool,
     ) -> Option<Verdict> {
         self.trials.settled(&subject.version);
-        let note = RatingNote { subject, passed };
-        let verdict = self.weigh(now, objects, &note);
-        self.quality.rated(&note.subject, passed);
-        let version = &note.subject.version;
-        let suspected = self.names.len() <= SMALL_FLEET && self.trials.suspected(version);
-        if (suspected || self.trials.on_trial(version)) && self.outbox.ratings.len() < MAX_OUTBOX {
-            self.outbox.ratings.push(note);
+        self.quality.rated(&subject, passed);
+        let told = self.names.len() <= SMALL_FLEET || self.trials.on_trial(&subject.version);
+        let ratings = Ratings::one(subject, passed);
+        let verdict = self.weigh(now, objects, &ratings);
+        if told {
+            self.outbox.rate(ratings);
         }
         verdict
     }
 
-    /// Weighs a rating by this daemon or a peer; returns the verdict if that is one.
+    /// Weighs ratings by this daemon or a peer; returns the verdict if they lead to one.
     pub(super) fn weigh(
         &mut self,
         now: Instant,
         objects: &Objects,
-        note: &RatingNote,
+        ratings: &Ratings,
     ) -> Option<Verdict> {
         let own = &self.own;
-        let verdict = self.trials.rated(now, objects, &self.quality, note, own)?;
+        let verdict = self
+            .trials
+            .rated(now, objects, &self.quality, ratings, own)?;
         self.outbox.verdicts.push(verdict.clone());
         Some(verdict)
     }
@@ -257,7 +270,7 @@
     }
 }
 
-/// The fleet size up to which ratings of suspected versions are told to peers one by one.
+/// The fleet size up to which ratings of trusted versions are told to peers at once.
 const SMALL_FLEET: usize = 20;
 
 fn reachable(members: &MemberList, own: &DaemonName) -> Arc<[DaemonName]> {
--- a/src/protocol/peer/policy.rs
+++ b/src/protocol/peer/policy.rs
@@ -6,7 +6,7 @@
     coordination::{
         poison::Note,
         quality::Delta,
-        rollout::{RatingNote, Verdict},
+        rollout::{Ratings, Verdict},
     },
     state::objects::UpstreamName,
 };
@@ -19,8 +19,8 @@
 pub enum Request {
     /// Ratings counted since the last message, told to a few peers and not passed on.
     Counts(Vec<Delta>),
-    /// Ratings of watched versions, told to the daemons that judge them.
-    Ratings(Vec<RatingNote>),
+    /// The latest ratings, told to the daemons that judge their versions.
+    Ratings(Vec<Ratings>),
     /// A version was judged; passed on.
     Verdict {
         /// The judgement.
--- a/tests/policy_support/mod.rs
+++ b/tests/policy_support/mod.rs
@@ -31,6 +31,8 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoroshiro128PlusPlus;
 
+pub mod fleet;
+
 /// The generated value of a seed; each has a driver of its own, because a driver's bytes run out.
 pub fn generate<T: TypeGenerator>(seed: u64) -> T {
     let rng = Xoroshiro128PlusPlus::seed_from_u64(seed);
