Run suspects alone on their upstream in the whole fleet

A solo run now reserves its upstream with all peers of a small fleet and waits until nothing runs there.

--- a/src/coordination/routing/mod.rs
+++ b/src/coordination/routing/mod.rs
@@ -8,7 +8,7 @@
 mod subset;
 mod times;
 
-pub use replicas::{Outcome, ReplicaView};
+pub use replicas::{Holder, Outcome, ReplicaView, Reservation, Reserved};
 pub use request::{
     Choice, ChoiceId, NoRoute, NoRouteWhy, Reason, Rejected, RouteRequest, ServiceRequest, Why,
 };
--- a/src/coordination/routing/replicas.rs
+++ b/src/coordination/routing/replicas.rs
@@ -85,11 +85,35 @@
     in_flight: u32,
     solo: bool,
     drained_until: Option<Instant>,
-    reserved_until: Option<Instant>,
+    reservation: Option<Reservation>,
     first_token_s: f64,
     health: Health,
 }
 
+/// Identifies one solo run in the fleet.
+pub type Holder = u64;
+
+/// An upstream kept free of new requests, so that a suspect runs alone there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// The solo run.
+    pub holder: Holder,
+    /// When it ends by itself.
+    pub until: Instant,
+}
+
+/// The answer to a [`Reservation`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reserved {
+    /// No new request is sent there.
+    Granted {
+        /// The daemon's requests that still run there.
+        running: u32,
+    },
+    /// Another solo run goes first.
+    Contended,
+}
+
 /// How an upstream lies to this daemon.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Nearness {
@@ -107,7 +131,7 @@
             in_flight: 0,
             solo: false,
             drained_until: None,
-            reserved_until: None,
+            reservation: None,
             first_token_s: FIRST_TOKEN_PRIOR_S,
             health: Health::default(),
         }
@@ -121,17 +145,20 @@
     }
 
     fn usable(&self, now: Instant, solo: bool) -> bool {
-        let before = |until: Option<Instant>| until.is_some_and(|until| now < until);
-        if self.solo || before(self.reserved_until) || !self.health.usable(now) {
+        if self.solo || self.reserved(now) || !self.health.usable(now) {
             return false;
         }
         if solo {
             self.in_flight == 0
         } else {
-            !before(self.drained_until)
+            self.drained_until.is_none_or(|until| now >= until)
         }
     }
 
+    fn reserved(&self, now: Instant) -> bool {
+        self.reservation.is_some_and(|r| now < r.until)
+    }
+
     /// Whether it must be tried now because its ejection has ended.
     fn due(&self, now: Instant) -> bool {
         self.health.state(now) == HealthState::Probing
@@ -192,7 +219,7 @@
                         ..replica
                     };
                 }
-                None if replica.in_flight > 0 => {
+                None if replica.in_flight > 0 || replica.reservation.is_some() => {
                     self.index.insert(replica.name.clone(), self.slots.len());
                     self.slots.push(replica);
                 }
@@ -246,30 +273,47 @@
         }
     }
 
-    /// Keeps an upstream free for another daemon's suspect until then, or no longer; returns the
-    /// requests that still run there.
-    pub(super) fn reserve(&mut self, name: &str, until: Option<Instant>) -> u32 {
-        let Some(slot) = self.slot(name) else {
-            return 0;
-        };
+    pub(super) fn reserve(&mut self, now: Instant, name: &str, by: Reservation) -> Reserved {
+        let slot = self.insert(&name.into(), Nearness::default());
         let replica = &mut self.slots[slot];
-        replica.reserved_until = until;
-        replica.in_flight
+        let other = replica.reservation.is_some_and(|r| r.holder != by.holder);
+        if replica.solo || (other && replica.reserved(now)) {
+            return Reserved::Contended;
+        }
+        replica.reservation = Some(by);
+        Reserved::Granted {
+            running: replica.in_flight,
+        }
+    }
+
+    pub(super) fn release(&mut self, name: &str, holder: Holder) {
+        if let Some(slot) = self.slot(name) {
+            let replica = &mut self.slots[slot];
+            replica.reservation.take_if(|r| r.holder == holder);
+        }
     }
 
     /// Picks one of `subset` for a request that must run alone, or begins to empty one for it.
+    ///
+    /// Upstreams of which this daemon is the first keep suspects of different daemons apart.
     fn pick_solo(&mut self, subset: &[Slot], pick: &Pick<'_>) -> Result<Slot, NoPick> {
         let order = |slot: &Slot| {
             let replica = &self.slots[*slot];
-            let drained = replica.drained_until.is_none();
-            (!replica.nearness.own, drained, replica.in_flight)
+            (replica.drained_until.is_none(), replica.in_flight)
         };
-        let allowed = || subset.iter().filter(|s| self.allowed(**s, pick));
-        let free = allowed().copied().filter(|s| self.free(*s, pick));
+        let allowed: Vec<_> = subset
+            .iter()
+            .copied()
+            .filter(|s| self.allowed(*s, pick))
+            .collect();
+        let is_own = |s: &Slot| self.slots[*s].nearness.own;
+        let any_own = allowed.iter().any(is_own);
+        let usable = || allowed.iter().copied().filter(|s| !any_own || is_own(s));
+        let free = usable().filter(|s| self.free(*s, pick));
         if let Some(slot) = free.min_by_key(order) {
             return Ok(slot);
         }
-        let Some(slot) = allowed().copied().min_by_key(order) else {
+        let Some(slot) = usable().min_by_key(order) else {
             return Err(NoPick::None);
         };
         self.slots[slot].drained_until = Some(pick.now + DRAIN_FOR_SOLO);
--- a/src/coordination/routing/router.rs
+++ b/src/coordination/routing/router.rs
@@ -16,8 +16,8 @@
         quality::{Quality, RequestClass},
         rollout::Trials,
         routing::{
-            Choice, ChoiceId, NoRoute, NoRouteWhy, Outcome, Reason, Rejected, ReplicaView,
-            RouteRequest, ServiceRequest, Why,
+            Choice, ChoiceId, Holder, NoRoute, NoRouteWhy, Outcome, Reason, Rejected, ReplicaView,
+            Reservation, Reserved, RouteRequest, ServiceRequest, Why,
             candidates::Asked,
             pools::{Place, Pools},
             replicas::{NoPick, Pick, Replicas, Slot},
@@ -100,10 +100,14 @@
         self.stale = false;
     }
 
-    /// Keeps an upstream free for another daemon's suspect until then, or no longer; returns this
-    /// daemon's requests that still run there.
-    pub fn reserve(&mut self, upstream: &str, until: Option<Instant>) -> u32 {
-        self.replicas.reserve(upstream, until)
+    /// Keeps an upstream free of new requests for a suspect of this daemon or another.
+    pub fn reserve(&mut self, now: Instant, upstream: &str, by: Reservation) -> Reserved {
+        self.replicas.reserve(now, upstream, by)
+    }
+
+    /// Ends a reservation.
+    pub fn release(&mut self, upstream: &str, holder: Holder) {
+        self.replicas.release(upstream, holder);
     }
 
     /// Chooses where a model request runs.
--- a/src/daemon/policy/gossip.rs
+++ b/src/daemon/policy/gossip.rs
@@ -14,7 +14,10 @@
         poison::MAX_NOTES,
         rollout::{Ratings, Verdict},
     },
-    daemon::policy::{Policy, TICK, state::Outbox},
+    daemon::policy::{
+        Policy, TICK,
+        state::{Outbox, Released},
+    },
     protocol::peer::{
         PeerRequest, PeerResponse,
         policy::{Hops, Request, Response},
@@ -122,11 +125,13 @@
                     self.pass_on(Request::Suspects { notes, hops }, hops);
                 }
             }
-            Request::Reserve { upstream, millis } => {
-                let until = now + Duration::from_millis(u64::from(millis));
-                let until = (millis > 0).then_some(until);
-                let running = self.lock().router.reserve(&upstream, until);
-                return Response::Reserved { running };
+            Request::Reserve {
+                upstream,
+                holder,
+                millis,
+            } => return self.reserve_for(&upstream, holder, millis),
+            Request::Release { upstream, holder } => {
+                self.lock().router.release(&upstream, holder);
             }
         }
         Response::Taken
@@ -163,7 +168,7 @@
             suspects,
             ratings,
             verdicts,
-            reservations,
+            released,
         } = std::mem::take(&mut self.lock().outbox);
         for verdict in verdicts {
             self.lock().unkept.push(verdict.clone());
@@ -175,13 +180,8 @@
             let hops = NOTICE_HOPS;
             self.pass_on(Request::Suspects { notes, hops }, hops + 1);
         }
-        for reservation in reservations {
-            let millis = u32::try_from(reservation.length.as_millis()).unwrap_or(u32::MAX);
-            let req = Request::Reserve {
-                upstream: reservation.upstream,
-                millis,
-            };
-            self.send(self.some_peers(), &req);
+        for Released { upstream, holder } in released {
+            self.send(self.some_peers(), &Request::Release { upstream, holder });
         }
         self.tell_ratings(ratings);
     }
@@ -232,7 +232,7 @@
     }
 
     /// All peers of a small fleet, a few at random of a large one.
-    fn some_peers(&self) -> Vec<Member> {
+    pub(super) fn some_peers(&self) -> Vec<Member> {
         let peers = self.core.other_members();
         if peers.len() <= DIRECT_PEERS {
             return peers;
--- a/src/daemon/policy/mod.rs
+++ b/src/daemon/policy/mod.rs
@@ -22,6 +22,7 @@
 
 mod admit;
 mod gossip;
+mod isolate;
 mod pools;
 mod rating;
 mod state;
--- a/src/daemon/policy/state.rs
+++ b/src/daemon/policy/state.rs
@@ -8,12 +8,15 @@
 
 use crate::{
     coordination::{
-        membership::DaemonName,
+        hash::mix,
+        membership::{DaemonName, Incarnation},
         poison::{Fingerprint, Note, Poison},
         quality::{Quality, Subject},
         retry::Budget,
         rollout::{Fleet, Ratings, Trials, Verdict},
-        routing::{Choice, ChoiceId, NoRoute, Outcome, Reason, RouteRequest, Router, Views},
+        routing::{
+            Choice, ChoiceId, Holder, NoRoute, Outcome, Reason, RouteRequest, Router, Views,
+        },
     },
     daemon::{
         core::{Core, MemberList},
@@ -31,23 +34,20 @@
 /// The greatest number of notes that wait for peers.
 const MAX_OUTBOX: usize = 1_024;
 
-/// How long an upstream is reserved for a solo run.
-const RESERVATION: Duration = Duration::from_secs(10);
-
 /// What peers are to be told at once.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     pub(super) suspects: Vec<Note>,
     pub(super) ratings: Vec<Ratings>,
     pub(super) verdicts: Vec<Verdict>,
-    pub(super) reservations: Vec<Reservation>,
+    pub(super) released: Vec<Released>,
 }
 
-/// An upstream that is kept free for a suspect, or no longer if the time is zero.
+/// An upstream that is no longer kept free for a solo run.
 #[derive(Clone, Debug)]
-pub(super) struct Reservation {
+pub(super) struct Released {
     pub(super) upstream: UpstreamName,
-    pub(super) length: Duration,
+    pub(super) holder: Holder,
 }
 
 impl Outbox {
@@ -67,7 +67,7 @@
         self.suspects.is_empty()
             && self.ratings.is_empty()
             && self.verdicts.is_empty()
-            && self.reservations.is_empty()
+            && self.released.is_empty()
     }
 }
 
@@ -83,6 +83,7 @@
     pub(super) outbox: Outbox,
     pub(super) unkept: Vec<Verdict>,
     own: DaemonName,
+    incarnation: Incarnation,
     running: HashMap<ChoiceId, Fingerprint>,
     members: MemberList,
     names: Arc<[DaemonName]>,
@@ -107,6 +108,7 @@
             unkept: Vec::new(),
             names: Arc::from([own.clone()]),
             own,
+            incarnation: core.incarnation,
             running: HashMap::new(),
             members: Arc::from([]),
             generation: 0,
@@ -185,9 +187,6 @@
         let note = self
             .poison
             .started(now, fingerprint, &choice.upstream, choice.solo);
-        if choice.solo {
-            self.reserve(&choice.upstream, RESERVATION);
-        }
         self.tell(note)
     }
 
@@ -207,7 +206,7 @@
             self.trials.settled(&choice.version);
         }
         if choice.solo {
-            self.reserve(&choice.upstream, Duration::ZERO);
+            self.release(choice);
         }
         let upstream = &choice.upstream;
         let note = self
@@ -256,10 +255,18 @@
         Some(verdict)
     }
 
-    fn reserve(&mut self, upstream: &UpstreamName, length: Duration) {
-        self.outbox.reservations.push(Reservation {
-            upstream: upstream.clone(),
-            length,
+    /// Identifies a solo run in the fleet.
+    pub(super) fn holder(&self, choice: &Choice) -> Holder {
+        mix(self.incarnation ^ mix(choice.id))
+    }
+
+    /// Ends the reservation for a solo run.
+    pub(super) fn release(&mut self, choice: &Choice) {
+        let holder = self.holder(choice);
+        self.router.release(&choice.upstream, holder);
+        self.outbox.released.push(Released {
+            upstream: choice.upstream.clone(),
+            holder,
         });
     }
 
--- a/src/protocol/peer/policy.rs
+++ b/src/protocol/peer/policy.rs
@@ -7,6 +7,7 @@
         poison::Note,
         quality::Delta,
         rollout::{Ratings, Verdict},
+        routing::Holder,
     },
     state::objects::UpstreamName,
 };
@@ -39,9 +40,18 @@
     Reserve {
         /// The upstream.
         upstream: UpstreamName,
-        /// For how long, in milliseconds; 0 ends it.
+        /// The solo run.
+        holder: Holder,
+        /// For how long, in milliseconds.
         millis: u32,
     },
+    /// Ends a reservation.
+    Release {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The solo run.
+        holder: Holder,
+    },
 }
 
 /// The answer to a [`Request`].
@@ -54,4 +64,6 @@
         /// Requests that still run there.
         running: u32,
     },
+    /// Another solo run goes first.
+    Contended,
 }
--- a/tests/policy_support/fleet.rs
+++ b/tests/policy_support/fleet.rs
@@ -8,7 +8,7 @@
 
 use hibiscusyoke::{
     coordination::{
-        rollout::{Ratings, Standing, Verdict},
+        rollout::{Ratings, Standing, Trial, Verdict},
         routing::{Choice, Outcome},
     },
     state::objects::Objects,
@@ -240,7 +240,7 @@
 
     /// The daemons that hold this standing of a version.
     pub fn holding(&self, version: &str, standing: Standing) -> usize {
-        let of = |d: &Daemon| d.trials.of(version).map(|t| t.standing());
+        let of = |d: &Daemon| d.trials.of(version).map(Trial::standing);
         self.daemons
             .iter()
             .filter(|d| of(d) == Some(standing))
