--- a/src/daemon/callers/head.rs
+++ b/src/daemon/callers/head.rs
@@ -74,7 +74,8 @@
     }
 }
 
-fn authenticate(node: &Node, req: &Request) -> Result<CustomerName, Refusal> {
+/// Finds the customer to whom the bearer key belongs.
+pub(super) fn authenticate(node: &Node, req: &Request) -> Result<CustomerName, Refusal> {
     let header = req.headers().get(AUTHORIZATION);
     let header = header.and_then(|h| h.to_str().ok());
     let key = header
--- a/src/daemon/callers/locate.rs
+++ b/src/daemon/callers/locate.rs
@@ -5,15 +5,16 @@
 
 use crate::{
     daemon::{
-        callers::{malformed, reply::json},
+        callers::{head::authenticate, malformed, reply::json},
         locate::LocateQuery,
         node::Node,
     },
     protocol::problem::Refusal,
 };
 
-/// Answers from what the daemon knows now; no key is asked for.
+/// Answers a customer from what the daemon knows now.
 pub(super) fn serve(node: &Node, req: &Request) -> Result<Response, Refusal> {
+    authenticate(node, req)?;
     let query: LocateQuery = req
         .query()
         .map_err(|e| malformed(format!("the query: {e}")))?;
--- a/src/daemon/callers/service_request.rs
+++ b/src/daemon/callers/service_request.rs
@@ -1,18 +1,20 @@
 //! Turns an HTTP request for a plain service into a typed call, and its answer into a response.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, StatusCode, Uri};
 use viz::{Body, Response};
 
 use crate::{
+    coordination::admission::AdmitRequest,
     daemon::{
         callers::{head::Head, malformed, reply::tag},
         node::Node,
+        policy::Ticket,
         service::{ServiceAnswer, ServiceCall},
     },
-    protocol::problem::Refusal,
+    protocol::problem::{Refusal, RefusalKind},
 };
 
 /// The path prefix of all plain services.
@@ -39,10 +41,36 @@
         body,
         idempotency_key: head.idempotency_key,
     };
+    let _ticket = admit(node, &call).await?;
     let answer = node.services.serve(call).await?;
     Ok(to_response(request_id, answer))
 }
 
+/// Waits for the call's turn among all customers' calls of the service.
+async fn admit(node: &Arc<Node>, call: &ServiceCall) -> Result<Ticket, Refusal> {
+    let snapshot = node.core.snapshot();
+    let service = snapshot
+        .objects
+        .services
+        .get(&call.service)
+        .ok_or_else(|| {
+            let detail = format!("no service is named {:?}", call.service);
+            Refusal::not_run(RefusalKind::NotFound, "parse", detail)
+        })?;
+    let default = node.core.clock.now() + Duration::from_millis(service.deadline_ms);
+    let req = AdmitRequest {
+        request_id: call.request_id.clone(),
+        customer: call.customer.clone(),
+        priority: service.priority,
+        deadline: call.deadline.unwrap_or(default),
+    };
+    let admitted = node.policy.admit_service(call.service.clone(), req).await;
+    admitted.map_err(|refused| {
+        Refusal::not_run(RefusalKind::Overloaded, "admit", refused.to_string())
+            .retry_after(refused.retry_after)
+    })
+}
+
 /// The service's name, and the path and query after it.
 fn split(uri: &Uri) -> Result<(&str, String), Refusal> {
     let rest = uri.path().strip_prefix(PREFIX).unwrap_or_default();
--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -59,7 +59,7 @@
     loop {
         match run.node.policy.choose(&run.route) {
             Ok(choice) => {
-                if let Some(pick) = take_slot(run, choice) {
+                if let Some(pick) = take_slot(run, choice).await {
                     return Ok(pick);
                 }
             }
@@ -74,13 +74,17 @@
 }
 
 /// Picks at once or not at all.
-pub(super) fn pick_now(run: &Run) -> Option<Pick> {
+pub(super) async fn pick_now(run: &Run) -> Option<Pick> {
     let choice = run.node.policy.choose(&run.route).ok()?;
-    take_slot(run, choice)
+    take_slot(run, choice).await
 }
 
-fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
+async fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
     let node = &run.node;
+    if choice.solo && !node.policy.isolate(&choice, run.call.deadline).await {
+        return None;
+    }
+    // The configuration may have changed since the choice, so it is read again.
     let snapshot = node.core.snapshot();
     let upstream = snapshot.in_service(&choice.upstream)?;
     let Acquire::Slot(slot) = node.permits.try_acquire(&choice.upstream) else {
--- a/src/daemon/chat/whole.rs
+++ b/src/daemon/chat/whole.rs
@@ -53,7 +53,7 @@
 async fn answer(run: &mut Run, escalating: bool) -> Result<Option<Candidate>, Refusal> {
     loop {
         let pick = if escalating {
-            let Some(pick) = pick_now(run) else {
+            let Some(pick) = pick_now(run).await else {
                 return Ok(None);
             };
             pick
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -121,6 +121,18 @@
         self
     }
 
+    /// Sends another bearer key.
+    pub fn key(mut self, key: &str) -> Self {
+        self.headers.retain(|(name, _)| *name != "authorization");
+        self.header("authorization", format!("Bearer {key}"))
+    }
+
+    /// Replaces the body.
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
     /// Sends the request and reads the whole response.
     pub async fn send(self, daemon: SocketAddr) -> Result<Reply> {
         let begun = Instant::now();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -132,10 +132,26 @@
 
     /// Publishes objects through the first daemon, by the operators' command.
     pub fn publish(&self, objects: &Objects) {
+        let out = self.try_publish(objects);
+        assert!(out.status.success(), "publish: {out:?}");
+    }
+
+    /// Publishes objects like [`Self::publish`], whatever comes of it.
+    pub fn try_publish(&self, objects: &Objects) -> std::process::Output {
         let file = self.dir.path().join("configuration.json");
         fs::write(&file, serde_json::to_vec(objects).unwrap()).unwrap();
-        let out = self.operate(&["publish", file.to_str().unwrap()]);
-        assert!(out.status.success(), "publish: {out:?}");
+        self.operate(&["publish", file.to_str().unwrap()])
+    }
+
+    /// How often the plain service has executed the request of one key, over all replicas.
+    pub async fn executions(&self, key: &str) -> u32 {
+        let mut count = 0;
+        for service in &self.services {
+            let stats = service.service_stats().await;
+            let of_key = stats.executions.iter().filter(|e| e.key == key);
+            count += of_key.map(|e| e.count).sum::<u32>();
+        }
+        count
     }
 
     /// Runs an operators' verb through the first daemon.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,6 +15,9 @@
 
 use std::time::{Duration, Instant};
 
+/// How long a test waits for what the fleet does by itself.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
 /// How often a condition is looked at again.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
