--- a/src/state/check.rs
+++ b/src/state/check.rs
@@ -171,7 +171,8 @@
         let Some(rule) = objects.rules.get(name) else {
             continue;
         };
-        let allowed = rule.versions.iter().any(|v| customer.versions.contains(v));
+        let allowed =
+            rule.versions.is_empty() || rule.versions.iter().any(|v| customer.versions.contains(v));
         if !allowed {
             let reason =
                 format!("none of the versions of rule {name:?} is allowed to the customer");
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,86 @@
+//! Samples of settings and configuration files, good and bad.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    slice,
+};
+
+use hibiscusyoke::{
+    commands::files::Files,
+    settings::Settings,
+    state::{check::check, diff::Kind},
+};
+
+/// The JSON files of a folder, in order.
+fn samples(folder: &str) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).unwrap();
+    let mut files: Vec<PathBuf> = entries.map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    assert!(!files.is_empty(), "{folder} is empty");
+    files
+}
+
+/// The error that a bad sample names in its first line, after the file's name.
+fn expected(file: &Path) -> String {
+    let text = fs::read_to_string(file).unwrap();
+    let first = text.lines().next().unwrap();
+    let error = first
+        .strip_prefix("// ")
+        .expect("the error in the first line");
+    format!("{}:{error}", file.display())
+}
+
+fn faults(file: &PathBuf) -> Vec<String> {
+    match Files::open(slice::from_ref(file)) {
+        Ok(files) => {
+            let faults = check(&files.objects);
+            faults.iter().map(|fault| files.locate(fault)).collect()
+        }
+        Err(e) => vec![e.to_string()],
+    }
+}
+
+#[test]
+fn settings_bad_samples() {
+    for file in samples("tests/samples/settings") {
+        let error = Settings::open(&file).map(|_| ()).unwrap_err();
+        assert_eq!(error.to_string(), expected(&file));
+    }
+}
+
+#[test]
+fn configuration_bad_samples() {
+    for file in samples("tests/samples/configuration") {
+        assert_eq!(faults(&file), [expected(&file)]);
+    }
+}
+
+#[test]
+fn settings_missing_file() {
+    let error = Settings::open(Path::new("tests/samples/none.jsonc"));
+    let error = error.map(|_| ()).unwrap_err().to_string();
+    assert!(error.starts_with("tests/samples/none.jsonc: "), "{error}");
+}
+
+#[test]
+fn examples_accepted() {
+    for (folder, domain) in [("filmverde", "padana-a"), ("korrig", "breizh-rennes")] {
+        let settings = Settings::open(&PathBuf::from(format!("examples/{folder}/settings.jsonc")));
+        assert_eq!(settings.unwrap().failure_domain, domain);
+        let file = PathBuf::from(format!("examples/{folder}/configuration.jsonc"));
+        assert_eq!(faults(&file), Vec::<String>::new());
+        let objects = Files::open(&[file]).unwrap().objects;
+        let count = |kind: Kind| {
+            objects
+                .puts()
+                .iter()
+                .filter(|c| c.id().kind == kind)
+                .count()
+        };
+        assert_eq!(count(Kind::FailureDomain), 3, "{folder}");
+        assert_eq!(count(Kind::Upstream), 13, "{folder}");
+        assert_eq!(count(Kind::Customer), 10, "{folder}");
+    }
+}
