--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod decisions;
 pub mod hash;
 pub mod health;
+pub mod locate;
 pub mod membership;
 pub mod poison;
 pub mod quality;
--- a/src/daemon/policy/state.rs
+++ b/src/daemon/policy/state.rs
@@ -8,12 +8,15 @@
 
 use crate::{
     coordination::{
-        membership::DaemonName,
+        hash::mix,
+        membership::{DaemonName, Incarnation},
         poison::{Fingerprint, Note, Poison},
         quality::{Quality, Subject},
         retry::Budget,
-        rollout::{Fleet, RatingNote, Trials, Verdict},
-        routing::{Choice, ChoiceId, NoRoute, Outcome, Reason, RouteRequest, Router, Views},
+        rollout::{Fleet, Ratings, Trials, Verdict},
+        routing::{
+            Choice, ChoiceId, Holder, NoRoute, Outcome, Reason, RouteRequest, Router, Views,
+        },
     },
     daemon::{
         core::{Core, MemberList},
@@ -31,31 +34,40 @@
 /// The greatest number of notes that wait for peers.
 const MAX_OUTBOX: usize = 1_024;
 
-/// How long an upstream is reserved for a solo run.
-const RESERVATION: Duration = Duration::from_secs(10);
-
 /// What peers are to be told at once.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     pub(super) suspects: Vec<Note>,
-    pub(super) ratings: Vec<RatingNote>,
+    pub(super) ratings: Vec<Ratings>,
     pub(super) verdicts: Vec<Verdict>,
-    pub(super) reservations: Vec<Reservation>,
+    pub(super) released: Vec<Released>,
 }
 
-/// An upstream that is kept free for a suspect, or no longer if the time is zero.
+/// An upstream that is no longer kept free for a solo run.
 #[derive(Clone, Debug)]
-pub(super) struct Reservation {
+pub(super) struct Released {
     pub(super) upstream: UpstreamName,
-    pub(super) length: Duration,
+    pub(super) holder: Holder,
 }
 
 impl Outbox {
+    /// Adds ratings to those of the same kind.
+    fn rate(&mut self, ratings: Ratings) {
+        let same = |r: &Ratings| r.subject == ratings.subject;
+        if let Some(place) = self.ratings.iter().rposition(same) {
+            let known = &mut self.ratings[place];
+            known.passed = known.passed.saturating_add(ratings.passed);
+            known.failed = known.failed.saturating_add(ratings.failed);
+        } else if self.ratings.len() < MAX_OUTBOX {
+            self.ratings.push(ratings);
+        }
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.suspects.is_empty()
             && self.ratings.is_empty()
             && self.verdicts.is_empty()
-            && self.reservations.is_empty()
+            && self.released.is_empty()
     }
 }
 
@@ -71,6 +83,7 @@
     pub(super) outbox: Outbox,
     pub(super) unkept: Vec<Verdict>,
     own: DaemonName,
+    incarnation: Incarnation,
     running: HashMap<ChoiceId, Fingerprint>,
     members: MemberList,
     names: Arc<[DaemonName]>,
@@ -95,6 +108,7 @@
             unkept: Vec::new(),
             names: Arc::from([own.clone()]),
             own,
+            incarnation: core.incarnation,
             running: HashMap::new(),
             members: Arc::from([]),
             generation: 0,
@@ -173,9 +187,6 @@
         let note = self
             .poison
             .started(now, fingerprint, &choice.upstream, choice.solo);
-        if choice.solo {
-            self.reserve(&choice.upstream, RESERVATION);
-        }
         self.tell(note)
     }
 
@@ -195,7 +206,7 @@
             self.trials.settled(&choice.version);
         }
         if choice.solo {
-            self.reserve(&choice.upstream, Duration::ZERO);
+            self.release(choice);
         }
         let upstream = &choice.upstream;
         let note = self
@@ -219,34 +230,43 @@
         passed: bool,
     ) -> Option<Verdict> {
         self.trials.settled(&subject.version);
-        let note = RatingNote { subject, passed };
-        let verdict = self.weigh(now, objects, &note);
-        self.quality.rated(&note.subject, passed);
-        let version = &note.subject.version;
-        let suspected = self.names.len() <= SMALL_FLEET && self.trials.suspected(version);
-        if (suspected || self.trials.on_trial(version)) && self.outbox.ratings.len() < MAX_OUTBOX {
-            self.outbox.ratings.push(note);
+        self.quality.rated(&subject, passed);
+        let told = self.names.len() <= SMALL_FLEET || self.trials.on_trial(&subject.version);
+        let ratings = Ratings::one(subject, passed);
+        let verdict = self.weigh(now, objects, &ratings);
+        if told {
+            self.outbox.rate(ratings);
         }
         verdict
     }
 
-    /// Weighs a rating by this daemon or a peer; returns the verdict if that is one.
+    /// Weighs ratings by this daemon or a peer; returns the verdict if they lead to one.
     pub(super) fn weigh(
         &mut self,
         now: Instant,
         objects: &Objects,
-        note: &RatingNote,
+        ratings: &Ratings,
     ) -> Option<Verdict> {
         let own = &self.own;
-        let verdict = self.trials.rated(now, objects, &self.quality, note, own)?;
+        let verdict = self
+            .trials
+            .rated(now, objects, &self.quality, ratings, own)?;
         self.outbox.verdicts.push(verdict.clone());
         Some(verdict)
     }
 
-    fn reserve(&mut self, upstream: &UpstreamName, length: Duration) {
-        self.outbox.reservations.push(Reservation {
-            upstream: upstream.clone(),
-            length,
+    /// Identifies a solo run in the fleet.
+    pub(super) fn holder(&self, choice: &Choice) -> Holder {
+        mix(self.incarnation ^ mix(choice.id))
+    }
+
+    /// Ends the reservation for a solo run.
+    pub(super) fn release(&mut self, choice: &Choice) {
+        let holder = self.holder(choice);
+        self.router.release(&choice.upstream, holder);
+        self.outbox.released.push(Released {
+            upstream: choice.upstream.clone(),
+            holder,
         });
     }
 
@@ -257,7 +277,7 @@
     }
 }
 
-/// The fleet size up to which ratings of suspected versions are told to peers one by one.
+/// The fleet size up to which ratings of trusted versions are told to peers at once.
 const SMALL_FLEET: usize = 20;
 
 fn reachable(members: &MemberList, own: &DaemonName) -> Arc<[DaemonName]> {
