Choose bill holders only when members change; wait for open claims' deadlines at a stop

Choosing hashes every member, and it ran with every batch sent to a holder: at 340 members that would have grown with load. A planned stop waits for the latest open deadline (300 s at most) instead of 5 s, so that a forwarded call is not cut. Found by reading; no figure measured.

--- a/src/coordination/claims/registry.rs
+++ b/src/coordination/claims/registry.rs
@@ -297,6 +297,13 @@
         self.entries.values().filter(ended).count()
     }
 
+    /// The latest deadline of a claim that has not ended.
+    pub fn open_until(&self) -> Option<Instant> {
+        let open = |entry: &&Entry| !matches!(entry.phase, Phase::Ended { .. });
+        let open = self.entries.values().filter(open);
+        open.map(|entry| entry.deadline).max()
+    }
+
     /// Ends all open claims, the dispatched ones with an unknown outcome, the others as not run.
     pub fn abandon(&mut self, now: Instant) {
         let mut open: Vec<Permit> = Vec::new();
--- a/src/daemon/billing.rs
+++ b/src/daemon/billing.rs
@@ -14,14 +14,11 @@
 };
 
 use crate::{
-    coordination::{
-        bills::{
-            Bill, BillNumber, HeldBills, HoldBatch, Invoice, Limits, NoHolder, OwnBills, Owner,
-            ROWS_PREFIX, fold,
-        },
-        membership::Member,
+    coordination::bills::{
+        Bill, BillNumber, HeldBills, HoldBatch, Invoice, Limits, NoHolder, OwnBills, Owner,
+        ROWS_PREFIX, fold,
     },
-    daemon::core::Core,
+    daemon::core::{Core, MemberList},
     protocol::peer::{
         PeerRequest, PeerResponse,
         bills::{Hold, Request, Response},
@@ -51,6 +48,13 @@
     changes: watch::Sender<u64>,
     to_hold: Notify,
     to_flush: Notify,
+    chosen: Mutex<Option<Chosen>>,
+}
+
+/// Among whom and when the holders were chosen last.
+struct Chosen {
+    members: MemberList,
+    at: Instant,
 }
 
 impl Billing {
@@ -64,6 +68,7 @@
             changes: watch::Sender::default(),
             to_hold: Notify::new(),
             to_flush: Notify::new(),
+            chosen: Mutex::new(None),
             core,
         });
         billing.choose_holders();
@@ -155,16 +160,24 @@
         let peer = &batch.holder.name;
         log::warn!("step=hold peer={peer} bills={} failed", batch.bills.len());
         self.own().hold_failed(self.core.clock.now(), batch);
+        *self.chosen() = None;
     }
 
+    /// Chooses the holders, unless that was done a moment ago among the same members.
     fn choose_holders(&self) {
         let members = self.core.members();
+        let now = self.core.clock.now();
+        if let Some(last) = &*self.chosen()
+            && Arc::ptr_eq(&last.members, &members)
+            && now < last.at + CHOOSE_INTERVAL
+        {
+            return;
+        }
         let Some(own) = members.iter().find(|m| m.name == *self.core.name()) else {
             return;
         };
-        let others: Vec<Member> = self.core.other_members();
-        let now = self.core.clock.now();
-        self.own().choose(now, own, &others);
+        self.own().choose(now, own, &members);
+        *self.chosen() = Some(Chosen { members, at: now });
     }
 
     async fn adopt_orphans(billing: Weak<Self>) {
@@ -200,6 +213,10 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    fn chosen(&self) -> MutexGuard<'_, Option<Chosen>> {
+        self.chosen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn own(&self) -> MutexGuard<'_, OwnBills> {
         self.own.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/daemon/claims/flush.rs
+++ b/src/daemon/claims/flush.rs
@@ -1,6 +1,9 @@
 //! Writes outcomes and the journal of claims to the table.
 
-use std::{sync::Weak, time::Duration};
+use std::{
+    sync::Weak,
+    time::{Duration, Instant},
+};
 
 use platform_api::table::{ABSENT, CommitOutcome, CommitRequest, Condition, RowVersion, Write};
 use tokio::time::{sleep, timeout};
@@ -14,8 +17,10 @@
 const FLEET_JOURNAL_WRITES: u32 = 30;
 /// The greatest number of journal rows written at one flush.
 const MAX_FLUSH_ROWS: usize = 4;
-/// How long a planned stop waits for open claims to end.
-const CLOSE_WAIT: Duration = Duration::from_secs(5);
+/// The longest a planned stop waits for open claims to end.
+const CLOSE_LIMIT: Duration = Duration::from_secs(300);
+/// How long it waits for a claim's end beyond its deadline.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 /// How long a planned stop tries to write what the table lacks.
 const COMPLETE_LIMIT: Duration = Duration::from_secs(8);
 /// The pause after a write that the table did not take.
@@ -25,9 +30,10 @@
     /// Ends all claims and writes that they are complete; returns whether the table has that.
     pub async fn complete(&self) -> bool {
         self.registry().close();
-        let until = self.core.clock.now() + CLOSE_WAIT;
+        let limit = self.core.clock.now() + CLOSE_LIMIT;
         let mut changes = self.changes.subscribe();
-        while self.registry().open_claims() > 0 {
+        while let Some(open_until) = self.open_until() {
+            let until = limit.min(open_until + CLOSE_MARGIN);
             if !self.changed_before(&mut changes, until).await {
                 break;
             }
@@ -40,6 +46,10 @@
         complete
     }
 
+    fn open_until(&self) -> Option<Instant> {
+        self.registry().open_until()
+    }
+
     async fn write_complete(&self) -> bool {
         while !(self.flush_records().await && self.flush_journal(usize::MAX).await) {
             sleep(RETRY_PAUSE).await;
