--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -233,11 +233,7 @@
 
     fn poll(&mut self, at: Duration, run: u64, until: Duration) {
         let now = self.start + at;
-        let Run {
-            daemon: holder,
-            choice,
-            ..
-        } = self.runs[&run].clone();
+        let choice = self.runs[&run].choice.clone();
         let by = Reservation {
             holder: run,
             until: now + LENGTH,
