--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -59,7 +59,7 @@
     loop {
         match run.node.policy.choose(&run.route) {
             Ok(choice) => {
-                if let Some(pick) = take_slot(run, choice) {
+                if let Some(pick) = take(run, choice).await {
                     return Ok(pick);
                 }
             }
@@ -73,6 +73,22 @@
     }
 }
 
+/// Takes a slot; for a suspect, once nothing else runs on the upstream.
+async fn take(run: &Run, choice: Choice) -> Option<Pick> {
+    if !choice.solo {
+        return take_slot(run, choice);
+    }
+    let policy = &run.node.policy;
+    if !policy.isolate(&choice, run.call.deadline).await {
+        return None;
+    }
+    let pick = take_slot(run, choice.clone());
+    if pick.is_none() {
+        policy.release(&choice);
+    }
+    pick
+}
+
 /// Picks at once or not at all.
 pub(super) fn pick_now(run: &Run) -> Option<Pick> {
     let choice = run.node.policy.choose(&run.route).ok()?;
--- a/src/daemon/policy/isolate.rs
+++ b/src/daemon/policy/isolate.rs
@@ -58,13 +58,18 @@
                 Poll::Running | Poll::Contended => false,
             };
             if !isolated {
-                self.lock().release(choice);
-                self.news.notify_one();
+                self.release(choice);
             }
             return isolated;
         }
     }
 
+    /// Gives up an upstream that was kept free for a suspect and not used.
+    pub fn release(&self, choice: &Choice) {
+        self.lock().release(choice);
+        self.news.notify_one();
+    }
+
     async fn poll(&self, now: Instant, choice: &Choice) -> Poll {
         let until = now + LENGTH;
         let holder = self.lock().holder(choice);
