--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -59,7 +59,7 @@
     loop {
         match run.node.policy.choose(&run.route) {
             Ok(choice) => {
-                if let Some(pick) = take_slot(run, choice).await {
+                if let Some(pick) = take(run, choice).await {
                     return Ok(pick);
                 }
             }
@@ -73,17 +73,30 @@
     }
 }
 
+/// Takes a slot; for a suspect, once nothing else runs on the upstream.
+async fn take(run: &Run, choice: Choice) -> Option<Pick> {
+    if !choice.solo {
+        return take_slot(run, choice);
+    }
+    let policy = &run.node.policy;
+    if !policy.isolate(&choice, run.call.deadline).await {
+        return None;
+    }
+    let pick = take_slot(run, choice.clone());
+    if pick.is_none() {
+        policy.release(&choice);
+    }
+    pick
+}
+
 /// Picks at once or not at all.
 pub(super) async fn pick_now(run: &Run) -> Option<Pick> {
     let choice = run.node.policy.choose(&run.route).ok()?;
-    take_slot(run, choice).await
+    take(run, choice).await
 }
 
-async fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
+fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
     let node = &run.node;
-    if choice.solo && !node.policy.isolate(&choice, run.call.deadline).await {
-        return None;
-    }
     // The configuration may have changed since the choice, so it is read again.
     let snapshot = node.core.snapshot();
     let upstream = snapshot.in_service(&choice.upstream)?;
