--- a/tests/path_process.rs
+++ b/tests/path_process.rs
@@ -36,7 +36,7 @@
 }
 
 async fn expect_refusal(call: Call, daemon: SocketAddr, status: StatusCode, kind: RefusalKind) {
-    let reply = call.send(daemon).await.unwrap();
+    let reply = call.send(daemon).await.expect("an answer");
     assert_eq!(reply.status, status, "{kind}");
     let problem = reply.problem();
     assert_eq!(problem.kind, kind);
