Take no new work while a newer generation is known and cannot be had

Cause: a daemon that woke from a pause in touch again, but cut from whoever could send the change, stayed ready by the old generation for 3 s more; a trial without pulls from peers showed it over processes ('generation: 1, readiness: Ready', two peers at generation 2). The limit now counts from when the daemon was last known to have the newest generation. Without it the scenario prints 'd3 generation=1 ready'. The process test's pause is now the whole 5 s of the target, after which the old generation must never be served by.

--- a/src/coordination/configuration/contact.rs
+++ b/src/coordination/configuration/contact.rs
@@ -10,6 +10,10 @@
 /// agrees that the table is down.
 pub const CONTACT_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long a daemon takes new work once it knows of a newer generation, from when it was last
+/// known to have the newest.
+pub const BEHIND_LIMIT: Duration = Duration::from_secs(4);
+
 /// What a daemon tells its peers about how current its configuration is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerHead {
@@ -55,26 +59,24 @@
 pub struct Contact {
     table: Option<Instant>,
     peer: Option<Instant>,
-    behind: Option<Behind>,
+    heard: Option<Instant>,
+    current: Option<Instant>,
+    newer: Option<Generation>,
     reachable: u32,
     fleet: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Behind {
-    newest: Generation,
-    since: Instant,
-}
-
 impl Contact {
     /// The table answered a question sent at `sent`.
     pub fn heard_table(&mut self, sent: Instant) {
+        self.heard = self.heard.max(Some(sent));
         self.table = self.table.max(Some(sent));
         self.fleet = self.reachable;
     }
 
     /// A peer answered a question sent at `sent`.
     pub fn heard_peer(&mut self, sent: Instant, head: &PeerHead) {
+        self.heard = self.heard.max(Some(sent));
         self.peer = self.peer.max(Some(sent));
         let age = head.table_age_ms.map(Duration::from_millis);
         let vouched = age.and_then(|age| sent.checked_sub(age));
@@ -93,12 +95,13 @@
     }
 
     /// `newest` is the newest generation known and `own` the one in force.
-    pub fn compare(&mut self, now: Instant, own: Generation, newest: Generation) {
-        self.behind = match self.behind {
-            _ if own >= newest => None,
-            Some(behind) => Some(Behind { newest, ..behind }),
-            None => Some(Behind { newest, since: now }),
-        };
+    pub fn compare(&mut self, own: Generation, newest: Generation) {
+        if own >= newest {
+            self.newer = None;
+            self.current = self.heard;
+        } else {
+            self.newer = Some(newest);
+        }
     }
 
     /// Whether the table has been heard since `limit` ago, directly or through peers.
@@ -121,12 +124,10 @@
         if own == 0 {
             return Err(NotReady::NoConfiguration);
         }
-        if let Some(behind) = self.behind
-            && now.saturating_duration_since(behind.since) >= CONTACT_LIMIT
+        if let Some(newest) = self.newer
+            && !within(self.current, now, BEHIND_LIMIT)
         {
-            return Err(NotReady::Behind {
-                newest: behind.newest,
-            });
+            return Err(NotReady::Behind { newest });
         }
         if self.table_within(now, CONTACT_LIMIT) {
             return Ok(());
--- a/src/coordination/configuration/follower.rs
+++ b/src/coordination/configuration/follower.rs
@@ -223,7 +223,7 @@
             Event::Pulled { from, pulled } => self.take(now, from, pulled, &mut actions),
             Event::Pushed(record) => self.apply(&[record], &mut actions),
         }
-        self.contact.compare(now, self.generation(), self.newest());
+        self.contact.compare(self.generation(), self.newest());
         self.schedule(now, &mut actions);
         actions
     }
--- a/tests/configuration/language.rs
+++ b/tests/configuration/language.rs
@@ -102,6 +102,7 @@
         "thaw" => fleet.thaw(&text(case, "daemon")),
         "replace" => fleet.start(&text(case, "daemon")),
         "late" => late(fleet, case),
+        "hear" => hear(fleet, case),
         other => panic!("no directive {other}"),
     }
 }
@@ -187,6 +188,20 @@
     }
 }
 
+/// A frozen daemon reads one answer of the table, and nothing more.
+fn hear(fleet: &mut Fleet, case: &mut TestCase) {
+    let daemon = text(case, "daemon");
+    let generation = case.take_arg("generation").unwrap();
+    let sent = fleet.now;
+    fleet.thaw(&daemon);
+    let event = Event::HeadRead {
+        sent,
+        generation: Some(generation),
+    };
+    fleet.feed(&daemon, event);
+    fleet.freeze(&daemon);
+}
+
 /// An old record and an old whole set arrive at a daemon.
 fn late(fleet: &mut Fleet, case: &mut TestCase) {
     let daemon = text(case, "to");
--- a/tests/configuration_process.rs
+++ b/tests/configuration_process.rs
@@ -323,12 +323,12 @@
     }
     site.wait_ready(2, IN_FORCE_LIMIT).await;
 
-    // A daemon that was paused over a change does not serve by the old generation once it wakes.
+    // A daemon that was paused over a change never serves by the old generation once it wakes.
     site.daemons[2].process.signal(Signal::Stop);
     site.operate(&[0], &["domain", "out", "padana-a"], 0);
     let paused = Instant::now();
-    wait_until("the pause to last", IN_FORCE_LIMIT, async || {
-        paused.elapsed() > OUT_OF_TOUCH_LIMIT
+    wait_until("the pause to last", 2 * IN_FORCE_LIMIT, async || {
+        paused.elapsed() > IN_FORCE_LIMIT
     })
     .await;
     site.daemons[2].process.signal(Signal::Continue);
