--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -2,10 +2,15 @@
 
 use std::{fs, path::Path, process::Command, time::Duration};
 
-use hibiscusyoke::state::objects::{Objects, Offer};
+use hibiscusyoke::{
+    daemon::locate::LocateAnswer,
+    state::objects::{Objects, Offer},
+};
 use http::StatusCode;
+use platform_api::instances::{Instance, InstanceState, Role};
 use serde_json::{Value, json};
 use stand_in::{
+    control::Control,
     engine::{EngineConfig, VersionConfig},
     instances::InstancesConfig,
     rating::RatingConfig,
@@ -124,6 +129,7 @@
             configuration: objects(&upstreams),
             dir,
         };
+        fleet.list_daemons().await;
         fleet.wait_for_operators().await;
         fleet.publish(&fleet.configuration);
         fleet.wait_in_force().await;
@@ -132,10 +138,26 @@
 
     /// Publishes objects through the first daemon, by the operators' command.
     pub fn publish(&self, objects: &Objects) {
+        let out = self.try_publish(objects);
+        assert!(out.status.success(), "publish: {out:?}");
+    }
+
+    /// Publishes objects like [`Self::publish`], whatever comes of it.
+    pub fn try_publish(&self, objects: &Objects) -> std::process::Output {
         let file = self.dir.path().join("configuration.json");
         fs::write(&file, serde_json::to_vec(objects).unwrap()).unwrap();
-        let out = self.operate(&["publish", file.to_str().unwrap()]);
-        assert!(out.status.success(), "publish: {out:?}");
+        self.operate(&["publish", file.to_str().unwrap()])
+    }
+
+    /// How often the plain service has executed the request of one key, over all replicas.
+    pub async fn executions(&self, key: &str) -> u32 {
+        let mut count = 0;
+        for service in &self.services {
+            let stats = service.service_stats().await;
+            let of_key = stats.executions.iter().filter(|e| e.key == key);
+            count += of_key.map(|e| e.count).sum::<u32>();
+        }
+        count
     }
 
     /// Runs an operators' verb through the first daemon.
@@ -149,17 +171,35 @@
             .unwrap()
     }
 
-    /// Waits until every daemon serves the customer.
+    /// Waits until every daemon knows the customer and all daemons.
     pub async fn wait_in_force(&self) {
         for daemon in &self.daemons {
             wait_until("the configuration in force", START_LIMIT, async || {
                 let reply = locate().send(daemon.callers).await;
-                reply.is_ok_and(|r| r.status == StatusCode::OK)
+                reply.is_ok_and(|r| {
+                    r.status == StatusCode::OK
+                        && r.json::<LocateAnswer>().addresses.len() == self.daemons.len()
+                })
             })
             .await;
         }
     }
 
+    /// Puts all daemons on the instance list.
+    async fn list_daemons(&self) {
+        let listed = self.daemons.iter().enumerate().map(|(i, d)| Instance {
+            name: d.name.as_str().into(),
+            role: Role::Entry,
+            failure_domain: DOMAINS[i % DOMAINS.len()].into(),
+            address: d.peers,
+            state: InstanceState::Live,
+        });
+        let instances = listed.collect();
+        self.instances
+            .tell(Control::SetInstances { instances })
+            .await;
+    }
+
     async fn wait_for_operators(&self) {
         for daemon in &self.daemons {
             wait_until("the daemon to listen", START_LIMIT, async || {
