--- /dev/null
+++ b/src/coordination/permits/division.rs
@@ -0,0 +1,12 @@
+//! The fair division of slots.
+
+/// The slots that an asker is due: all it wants if there is enough for all wants, otherwise its
+/// share in proportion to its want, and at least one.
+pub(super) fn due(capacity: u32, wanted: u32, wanted_by_all: u32) -> u32 {
+    if wanted_by_all <= capacity {
+        return wanted;
+    }
+    let share = u64::from(capacity) * u64::from(wanted) / u64::from(wanted_by_all);
+    let share = u32::try_from(share).unwrap_or(u32::MAX);
+    share.max(1).min(wanted)
+}
--- /dev/null
+++ b/src/coordination/permits/leases.rs
@@ -0,0 +1,377 @@
+//! What a daemon may send to upstreams, and what it asks of their owners.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    coordination::{
+        membership::{DaemonName, Incarnation},
+        permits::{Ask, EngineIncarnation, Grant, Held, LEASE_TERM, Outcome, Want},
+    },
+    state::objects::UpstreamName,
+};
+
+/// How often leases are renewed.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
+/// The least time between two asks of one owner.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// An upstream without a request for this long is given back.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The greatest number of upstreams in use.
+const MAX_HOLDINGS: usize = 1_024;
+
+/// The outcome of an attempt to take a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// A slot has been taken and is to be given back.
+    Slot,
+    /// All slots of the lease are taken.
+    Full,
+    /// There is no valid lease yet.
+    Unknown,
+}
+
+/// A valid or lapsed lease.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    slots: u32,
+    cold_slots: u32,
+    engine: Option<EngineIncarnation>,
+    expires: Instant,
+}
+
+/// The state of one upstream.
+#[derive(Clone, Debug)]
+struct Holding {
+    lease: Option<Lease>,
+    in_use: u32,
+    refused: u32,
+    peak: u32,
+    answered: u32,
+    confirmed: Option<EngineIncarnation>,
+    crashed: bool,
+    used: Instant,
+    /// When it was last asked for.
+    asked: Option<Instant>,
+    /// Whether it has to be asked for before the renewal is due.
+    urgent: bool,
+}
+
+impl Holding {
+    fn new(now: Instant) -> Self {
+        Self {
+            lease: None,
+            in_use: 0,
+            refused: 0,
+            peak: 0,
+            answered: 0,
+            confirmed: None,
+            crashed: false,
+            used: now,
+            asked: None,
+            urgent: true,
+        }
+    }
+
+    fn valid(&self, now: Instant) -> Option<&Lease> {
+        self.lease.as_ref().filter(|l| now < l.expires)
+    }
+
+    /// The requests that may run at once now.
+    fn slots(&self, now: Instant) -> u32 {
+        self.valid(now).map_or(0, |lease| {
+            if lease.engine.is_some() && lease.engine == self.confirmed {
+                lease.slots
+            } else {
+                lease.cold_slots
+            }
+        })
+    }
+
+    fn is_idle(&self, now: Instant) -> bool {
+        self.in_use == 0 && now.saturating_duration_since(self.used) >= IDLE_TIMEOUT
+    }
+
+    /// One slot more than were needed at once, so that a growing need shows.
+    fn wanted(&self, now: Instant) -> u32 {
+        if self.is_idle(now) {
+            return 0;
+        }
+        self.peak.max(self.in_use + self.refused) + 1
+    }
+
+    fn want(&self, now: Instant, upstream: &UpstreamName) -> Want {
+        let held = self.valid(now).map_or(Held::default(), |lease| {
+            let remaining = lease.expires.saturating_duration_since(now);
+            Held {
+                slots: lease.slots,
+                cold_slots: lease.cold_slots,
+                remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+            }
+        });
+        Want {
+            upstream: upstream.clone(),
+            wanted: self.wanted(now),
+            in_use: self.in_use,
+            held,
+            answered: self.answered,
+            seen: self.confirmed,
+            crashed: self.crashed,
+        }
+    }
+}
+
+/// An ask under way.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    seq: u64,
+    sent: Instant,
+}
+
+/// The leases of one daemon.
+#[derive(Debug)]
+pub struct Leases {
+    own: DaemonName,
+    incarnation: Incarnation,
+    seq: u64,
+    holdings: BTreeMap<UpstreamName, Holding>,
+    pending: BTreeMap<DaemonName, Pending>,
+    asked: BTreeMap<DaemonName, Instant>,
+}
+
+impl Leases {
+    /// Holds nothing yet.
+    pub fn new(own: DaemonName, incarnation: Incarnation) -> Self {
+        Self {
+            own,
+            incarnation,
+            seq: 0,
+            holdings: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            asked: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a slot if the lease is valid at this moment and has one left.
+    pub fn take(&mut self, now: Instant, upstream: &str) -> Taken {
+        let Some(holding) = self.holding(now, upstream) else {
+            return Taken::Unknown;
+        };
+        holding.used = now;
+        let slots = holding.slots(now);
+        if holding.in_use < slots {
+            holding.in_use += 1;
+            holding.peak = holding.peak.max(holding.in_use);
+            return Taken::Slot;
+        }
+        holding.refused = holding.refused.saturating_add(1).min(holding.in_use + 1);
+        if holding.valid(now).is_some() {
+            holding.urgent |= holding.refused == 1;
+            Taken::Full
+        } else {
+            holding.urgent = true;
+            Taken::Unknown
+        }
+    }
+
+    /// Gives a slot back.
+    pub fn give_back(&mut self, upstream: &str) {
+        if let Some(holding) = self.holdings.get_mut(upstream) {
+            holding.in_use = holding.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Counts an answer that succeeded.
+    pub fn succeeded(&mut self, upstream: &str) {
+        if let Some(holding) = self.holdings.get_mut(upstream) {
+            holding.answered = holding.answered.saturating_add(1);
+        }
+    }
+
+    /// The slots that could be taken now.
+    pub fn available(&self, now: Instant, upstream: &str) -> u32 {
+        self.holdings
+            .get(upstream)
+            .map_or(0, |h| h.slots(now).saturating_sub(h.in_use))
+    }
+
+    /// Notes the incarnation that the engine itself named.
+    pub fn saw(&mut self, now: Instant, upstream: &str, engine: EngineIncarnation) {
+        let Some(holding) = self.holdings.get_mut(upstream) else {
+            return;
+        };
+        if holding.confirmed == Some(engine) {
+            return;
+        }
+        holding.confirmed = Some(engine);
+        let leased = holding.valid(now).and_then(|l| l.engine);
+        if leased != Some(engine) {
+            holding.urgent = true;
+        }
+    }
+
+    /// Notes that the engine may have restarted.
+    pub fn crashed(&mut self, upstream: &str) {
+        if let Some(holding) = self.holdings.get_mut(upstream) {
+            holding.confirmed = None;
+            holding.crashed = true;
+            holding.urgent = true;
+        }
+    }
+
+    /// Whether a slot taken earlier may still be used now, such as after a pause.
+    pub fn is_valid(&self, now: Instant, upstream: &str) -> bool {
+        let holding = self.holdings.get(upstream);
+        holding.is_some_and(|h| h.in_use <= h.slots(now))
+    }
+
+    /// What is held and used, for an owner that adopts it; answers on their way are given up.
+    pub fn state(&mut self, now: Instant, upstream: &str) -> (Held, u32) {
+        let Some(holding) = self.holdings.get_mut(upstream) else {
+            return (Held::default(), 0);
+        };
+        holding.asked = None;
+        holding.urgent = true;
+        let want = holding.want(now, &upstream.into());
+        (want.held, want.in_use)
+    }
+
+    /// The upstreams with a valid lease whose engine has not confirmed the lease's incarnation.
+    pub fn unconfirmed(&self, now: Instant) -> Vec<UpstreamName> {
+        let differs = |h: &Holding| h.valid(now).is_some_and(|l| l.engine != h.confirmed);
+        self.holdings
+            .iter()
+            .filter(|(_, h)| differs(h))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// The upstreams in use.
+    pub fn in_use(&self) -> impl Iterator<Item = &UpstreamName> {
+        self.holdings.keys()
+    }
+
+    /// The asks to send now, at most one for each owner.
+    pub fn asks_due<'a>(
+        &mut self,
+        now: Instant,
+        owner: impl Fn(&str) -> Option<&'a DaemonName>,
+    ) -> Vec<(DaemonName, Ask)> {
+        self.pending
+            .retain(|_, p| now.saturating_duration_since(p.sent) < LEASE_TERM);
+        let mut by_owner: BTreeMap<&DaemonName, Vec<&UpstreamName>> = BTreeMap::new();
+        for upstream in self.holdings.keys() {
+            if let Some(owner) = owner(upstream) {
+                by_owner.entry(owner).or_default().push(upstream);
+            }
+        }
+        let due = |upstream: &&UpstreamName| {
+            let holding = &self.holdings[*upstream];
+            let since = holding.asked.map(|at| now.saturating_duration_since(at));
+            holding.urgent || since.is_none_or(|since| since >= RENEWAL_INTERVAL)
+        };
+        let mut asks = Vec::new();
+        for (owner, upstreams) in by_owner {
+            let soon = self
+                .asked
+                .get(owner)
+                .is_some_and(|at| now.saturating_duration_since(*at) < ASK_INTERVAL);
+            if soon || self.pending.contains_key(owner) || !upstreams.iter().any(due) {
+                continue;
+            }
+            let wants = upstreams
+                .iter()
+                .map(|u| self.holdings[*u].want(now, u))
+                .collect();
+            self.seq += 1;
+            let ask = Ask {
+                from: self.own.clone(),
+                incarnation: self.incarnation,
+                seq: self.seq,
+                wants,
+            };
+            asks.push((owner.clone(), ask));
+        }
+        for (owner, ask) in &asks {
+            self.note_sent(now, owner, ask);
+        }
+        self.asked
+            .retain(|_, at| now.saturating_duration_since(*at) < LEASE_TERM);
+        asks
+    }
+
+    /// Takes in the answer to the ask `seq`; one that comes late or twice changes nothing.
+    pub fn answered(&mut self, now: Instant, owner: &str, seq: u64, grants: &[Grant]) {
+        let Some(pending) = self.pending.get(owner).copied().filter(|p| p.seq == seq) else {
+            return;
+        };
+        self.pending.remove(owner);
+        for grant in grants {
+            self.take_in(now, pending.sent, grant);
+        }
+    }
+
+    /// Notes that an ask was not answered; it is asked again soon.
+    pub fn unanswered(&mut self, owner: &str, seq: u64) {
+        if self.pending.get(owner).is_some_and(|p| p.seq == seq) {
+            self.pending.remove(owner);
+        }
+    }
+
+    fn take_in(&mut self, now: Instant, sent: Instant, grant: &Grant) {
+        let Some(holding) = self.holdings.get_mut(&grant.upstream) else {
+            return;
+        };
+        let Outcome::Lease {
+            slots,
+            cold_slots,
+            engine,
+        } = grant.outcome
+        else {
+            return;
+        };
+        if holding.asked != Some(sent) {
+            return;
+        }
+        holding.lease = Some(Lease {
+            slots,
+            cold_slots,
+            engine,
+            expires: sent + LEASE_TERM,
+        });
+        if slots == 0 && holding.is_idle(now) {
+            self.holdings.remove(&grant.upstream);
+        }
+    }
+
+    fn note_sent(&mut self, now: Instant, owner: &DaemonName, ask: &Ask) {
+        let pending = Pending {
+            seq: ask.seq,
+            sent: now,
+        };
+        self.pending.insert(owner.clone(), pending);
+        self.asked.insert(owner.clone(), now);
+        for want in &ask.wants {
+            if let Some(holding) = self.holdings.get_mut(&want.upstream) {
+                holding.asked = Some(now);
+                holding.urgent = false;
+                holding.peak = holding.in_use;
+                holding.refused = 0;
+                holding.answered = 0;
+                holding.crashed = false;
+            }
+        }
+    }
+
+    fn holding(&mut self, now: Instant, upstream: &str) -> Option<&mut Holding> {
+        if !self.holdings.contains_key(upstream) {
+            if self.holdings.len() >= MAX_HOLDINGS {
+                return None;
+            }
+            self.holdings.insert(upstream.into(), Holding::new(now));
+        }
+        self.holdings.get_mut(upstream)
+    }
+}
--- a/src/protocol/peer/permits.rs
+++ b/src/protocol/peer/permits.rs
@@ -2,10 +2,38 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::{
+    coordination::{
+        membership::{DaemonName, Incarnation},
+        permits::{Agreement, Ask, Grant},
+    },
+    state::objects::UpstreamName,
+};
+
 /// A question about the concurrency of upstreams.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Request {}
+pub enum Request {
+    /// Asks an owner for leases.
+    Ask(Ask),
+    /// Asks for consent that the sender owns these upstreams.
+    Agree {
+        /// The sender.
+        owner: DaemonName,
+        /// The upstreams.
+        upstreams: Vec<UpstreamName>,
+    },
+}
 
 /// The answer to a [`Request`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Response {}
+pub enum Response {
+    /// The grants, one for each want.
+    Grants(Vec<Grant>),
+    /// The consents; upstreams are left out whose owner the daemon holds to be another.
+    Agreed {
+        /// Which start of the daemon answers.
+        incarnation: Incarnation,
+        /// The consents.
+        agreements: Vec<Agreement>,
+    },
+}
--- /dev/null
+++ b/src/transport/engine_link.rs
@@ -0,0 +1,73 @@
+//! A connection kept open to an engine only to ask its load and to notice its end.
+//!
+//! An engine that restarts closes its connections, so the end of this one is the first sign of it.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode, header::HOST};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use platform_api::engine::{LOAD_PATH, Load};
+use tokio::{net::TcpStream, sync::watch, time::timeout};
+
+/// How long an exchange may take, the connection included.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The greatest length of a load report.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+/// An open connection to an engine.
+#[derive(Debug)]
+pub struct EngineLink {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    ended: watch::Receiver<bool>,
+}
+
+impl EngineLink {
+    /// Connects.
+    pub async fn open(addr: SocketAddr) -> io::Result<Self> {
+        let stream = timeout(EXCHANGE_TIMEOUT, TcpStream::connect(addr)).await??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let (end, ended) = watch::channel(false);
+        tokio::spawn(async move {
+            let _ = connection.await;
+            end.send_replace(true);
+        });
+        Ok(Self {
+            addr,
+            sender,
+            ended,
+        })
+    }
+
+    /// Asks the engine for its load over this connection.
+    pub async fn load(&mut self) -> io::Result<Load> {
+        timeout(EXCHANGE_TIMEOUT, self.exchange()).await?
+    }
+
+    /// Turns true when the connection has ended.
+    pub fn ended(&self) -> watch::Receiver<bool> {
+        self.ended.clone()
+    }
+
+    async fn exchange(&mut self) -> io::Result<Load> {
+        let req = Request::get(LOAD_PATH)
+            .header(HOST, self.addr.to_string())
+            .body(Full::default())
+            .map_err(io::Error::other)?;
+        self.sender.ready().await.map_err(io::Error::other)?;
+        let res = self.sender.send_request(req).await;
+        let res = res.map_err(io::Error::other)?;
+        if res.status() != StatusCode::OK {
+            return Err(io::Error::other(format!("status {}", res.status())));
+        }
+        let body = Limited::new(res.into_body(), MAX_REPORT_BYTES);
+        let body = body.collect().await.map_err(io::Error::other)?;
+        serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! The transport layer: sockets, HTTP servers and clients, links between peers.
 
 pub mod engine;
+pub mod engine_link;
 pub mod gossip;
 pub mod http_client;
 pub mod http_server;
