--- a/src/coordination/permits/ledger.rs
+++ b/src/coordination/permits/ledger.rs
@@ -52,7 +52,6 @@
     seq: u64,
     wanted: u32,
     in_use: u32,
-    in_use_before: u32,
     /// What was granted last, and until when.
     granted: Slots,
     granted_until: Instant,
@@ -152,14 +151,10 @@
         self.note_engine(now, want);
         self.forget_lapsed(now);
         let key = (ask.from.clone(), ask.incarnation);
-        let before = self.askers.remove(&key);
-        if let Some(before) = &before
-            && before.seq >= ask.seq
-        {
-            let outcome = Outcome::NotOwner;
-            self.askers.insert(key, before.clone());
-            return outcome;
+        if self.askers.get(&key).is_some_and(|a| a.seq >= ask.seq) {
+            return Outcome::NotOwner;
         }
+        self.askers.remove(&key);
         let held = Slots {
             any: want.held.slots,
             cold: want.held.cold_slots,
@@ -170,7 +165,6 @@
             seq: ask.seq,
             wanted: want.wanted,
             in_use: want.in_use,
-            in_use_before: before.map_or(0, |b| b.in_use),
             granted,
             granted_until: now + LEASE_TERM + LEASE_TERM_MARGIN,
             held,
@@ -245,7 +239,6 @@
                 seq: 0,
                 wanted: held.any,
                 in_use: agreement.in_use,
-                in_use_before: 0,
                 granted: Slots::default(),
                 granted_until: now,
                 held,
@@ -298,13 +291,10 @@
     }
 
     /// Frees the slots of vanished askers that the engine's report shows to be unused.
+    ///
+    /// What the others have running is not deducted: their figures are as old as their last asks.
     fn release_vanished(&mut self, now: Instant, inside: u32) {
-        let accounted: u32 = self
-            .askers
-            .values()
-            .map(|a| a.in_use.min(a.in_use_before))
-            .sum();
-        let mut unaccounted = inside.saturating_sub(accounted);
+        let mut unaccounted = inside;
         for vanished in &mut self.vanished {
             if now.saturating_duration_since(vanished.at) >= REPORT_LAG {
                 vanished.slots = vanished.slots.min(unaccounted);
