--- a/src/coordination/permits/leases.rs
+++ b/src/coordination/permits/leases.rs
@@ -115,6 +115,7 @@
             upstream: upstream.clone(),
             wanted: self.wanted(now),
             in_use: self.in_use,
+            idle: self.peak.max(self.refused).max(self.in_use) == 0,
             held,
             answered: self.answered,
             seen: self.confirmed,
@@ -190,11 +191,23 @@
         }
     }
 
-    /// The slots that could be taken now.
-    pub fn available(&self, now: Instant, upstream: &str) -> u32 {
-        self.holdings
-            .get(upstream)
-            .map_or(0, |h| h.slots(now).saturating_sub(h.in_use))
+    /// The slots that could be taken now; asks for some if there are none.
+    pub fn available(&mut self, now: Instant, upstream: &str) -> u32 {
+        let Some(holding) = self.holding(now, upstream) else {
+            return 0;
+        };
+        let free = holding.slots(now).saturating_sub(holding.in_use);
+        if free == 0 {
+            holding.used = now;
+            holding.refused = holding.refused.max(1);
+            holding.urgent |= holding.valid(now).is_none();
+        }
+        free
+    }
+
+    /// The requests that may run at once now.
+    pub fn slots(&self, now: Instant, upstream: &str) -> u32 {
+        self.holdings.get(upstream).map_or(0, |h| h.slots(now))
     }
 
     /// Notes the incarnation that an answer named; a change lowers trust until it is confirmed.
@@ -220,6 +233,13 @@
         }
     }
 
+    /// Notes that the engine's incarnation has to be confirmed anew.
+    pub fn doubt(&mut self, upstream: &str) {
+        if let Some(holding) = self.holdings.get_mut(upstream) {
+            holding.confirmed = None;
+        }
+    }
+
     /// Notes that the engine may have restarted.
     pub fn crashed(&mut self, upstream: &str) {
         if let Some(holding) = self.holdings.get_mut(upstream) {
--- a/src/coordination/permits/ledger.rs
+++ b/src/coordination/permits/ledger.rs
@@ -203,9 +203,15 @@
         let cold_capacity = office.power.of(self.bears.cold);
         let free = any_capacity.saturating_sub(taken.any + vanished);
         let cold_free = cold_capacity.saturating_sub(taken.cold + vanished);
+        let due = |capacity| {
+            if want.idle && wanted_by_all > capacity {
+                return 0;
+            }
+            due(capacity, want.wanted, wanted_by_all)
+        };
         let mut granted = Slots {
-            any: due(any_capacity, want.wanted, wanted_by_all).min(free),
-            cold: due(cold_capacity, want.wanted, wanted_by_all).min(cold_free),
+            any: due(any_capacity).min(free),
+            cold: due(cold_capacity).min(cold_free),
         };
         if office.adopting {
             granted.any = granted.any.min(held.any);
--- a/src/coordination/permits/mod.rs
+++ b/src/coordination/permits/mod.rs
@@ -48,6 +48,8 @@
     pub wanted: u32,
     /// The requests running there now.
     pub in_use: u32,
+    /// Whether none of the slots held has been needed since the last ask.
+    pub idle: bool,
     /// The lease held, by whichever owner granted it.
     pub held: Held,
     /// The answers that succeeded since the last ask that was answered.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,5 +6,6 @@
 pub mod core;
 pub mod locate;
 pub mod membership;
+pub mod permits;
 pub mod policy;
 pub mod service;
--- /dev/null
+++ b/src/daemon/permits/links.rs
@@ -0,0 +1,113 @@
+//! One watched connection to each engine in use.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use platform_api::engine::Load;
+use tokio::{
+    sync::{Mutex as AsyncMutex, watch},
+    time::{Duration, Instant},
+};
+
+use crate::{state::objects::UpstreamName, transport::engine_link::EngineLink};
+
+/// The pause after a failure.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+
+/// The connection of one engine, if it is open, and how often it has been closed.
+#[derive(Debug, Default)]
+struct Entry {
+    link: Arc<AsyncMutex<Option<EngineLink>>>,
+    ended: Option<watch::Receiver<bool>>,
+    closed: u64,
+    failed: Option<Instant>,
+}
+
+/// The connections by upstream.
+#[derive(Debug, Default)]
+pub(super) struct Links {
+    entries: Mutex<BTreeMap<UpstreamName, Entry>>,
+}
+
+impl Links {
+    /// Asks an engine for its load, over the open connection or a new one.
+    ///
+    /// `None` means that another call is at it, that one has just failed, or that the connection
+    /// was closed meanwhile.
+    pub(super) async fn load(&self, upstream: &str, addr: SocketAddr) -> io::Result<Option<Load>> {
+        let (link, closed) = {
+            let mut entries = self.entries();
+            let entry = entries.entry(upstream.into()).or_default();
+            if entry.failed.is_some_and(|at| at.elapsed() < RETRY_INTERVAL) {
+                return Ok(None);
+            }
+            (entry.link.clone(), entry.closed)
+        };
+        let Ok(mut open) = link.try_lock() else {
+            return Ok(None);
+        };
+        let asked = ask(open.take(), addr).await;
+        let mut entries = self.entries();
+        if let Some(entry) = entries.get_mut(upstream) {
+            entry.failed = asked.is_err().then(Instant::now);
+        }
+        let (current, load) = asked?;
+        let ended = current.ended();
+        *open = Some(current);
+        let Some(entry) = entries.get_mut(upstream).filter(|e| e.closed == closed) else {
+            *open = None;
+            return Ok(None);
+        };
+        entry.ended = Some(ended);
+        Ok(Some(load))
+    }
+
+    /// Closes the connection to an engine, so that the next report comes over a new one.
+    pub(super) fn close(&self, upstream: &str) {
+        if let Some(entry) = self.entries().get_mut(upstream) {
+            entry.close();
+        }
+    }
+
+    /// The engines whose connections have ended since the last call.
+    pub(super) fn ended(&self) -> Vec<UpstreamName> {
+        let mut names = Vec::new();
+        for (name, entry) in self.entries().iter_mut() {
+            if entry.ended.as_ref().is_some_and(|ended| *ended.borrow()) {
+                entry.close();
+                names.push(name.clone());
+            }
+        }
+        names
+    }
+
+    /// Closes the connections to all other engines.
+    pub(super) fn retain(&self, keep: impl Fn(&str) -> bool) {
+        self.entries().retain(|name, _| keep(name));
+    }
+
+    fn entries(&self) -> MutexGuard<'_, BTreeMap<UpstreamName, Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Entry {
+    fn close(&mut self) {
+        self.closed += 1;
+        self.ended = None;
+        self.link = Arc::default();
+    }
+}
+
+async fn ask(open: Option<EngineLink>, addr: SocketAddr) -> io::Result<(EngineLink, Load)> {
+    let mut link = match open {
+        Some(link) if !*link.ended().borrow() => link,
+        _ => EngineLink::open(addr).await?,
+    };
+    let load = link.load().await?;
+    Ok((link, load))
+}
--- a/tests/permits/bench.rs
+++ b/tests/permits/bench.rs
@@ -193,15 +193,7 @@
 
     /// The slots that a daemon may use now.
     pub(crate) fn slots(&self, at: &str, upstream: &str) -> u32 {
-        let leases = &self.parts[at].leases;
-        let used = self.engines[upstream].running.iter();
-        let used = used.filter(|r| r.daemon == at && r.start == self.parts[at].start);
-        let used = u32::try_from(used.count()).expect("few");
-        let available = leases.available(self.fleet.now, upstream);
-        if available == 0 && !leases.is_valid(self.fleet.now, upstream) {
-            return 0;
-        }
-        available + used
+        self.parts[at].leases.slots(self.fleet.now, upstream)
     }
 
     fn step(&mut self) {
