--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,9 @@
 /// The least length of the fleet key, in hexadecimal digits.
 const MIN_FLEET_KEY_DIGITS: usize = 32;
 
+/// The longest time for which a leaving daemon serves.
+const MAX_KEEP_SECONDS: u64 = 600;
+
 /// Everything a daemon has to be told before it can meet the others.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -97,6 +100,9 @@
                 "must be 32 or more hexadecimal digits, an even number",
             );
         }
+        if self.keep_seconds > MAX_KEEP_SECONDS {
+            return Impossible::of(&["keep_seconds"], "must be at most 600");
+        }
         if self
             .bootstrap_operator
             .as_ref()
