--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -35,6 +35,8 @@
     Answer,
     /// It takes effect, its answer is lost, and the table can be reached no more.
     AnswerAndTable,
+    /// It takes effect, and the daemon is replaced before it can push or answer.
+    Daemon,
     /// It is lost itself.
     Request,
 }
@@ -186,8 +188,9 @@
         self.proceed(&id)
     }
 
-    /// Commits a publication that has begun, as often as it takes to end.
-    pub(crate) fn commit(&mut self, id: &str, mut loss: Loss) -> End {
+    /// Commits a publication that has begun, as often as it takes to end; `None` if its daemon ends
+    /// first.
+    pub(crate) fn commit(&mut self, id: &str, mut loss: Loss) -> Option<End> {
         loop {
             let pending = self.pending.get_mut(id).unwrap();
             let Step::Commit(commit) = &pending.step else {
@@ -203,10 +206,15 @@
                 let via = self.pending[id].via.clone();
                 self.cut(&via, TABLE);
             }
+            if loss == Loss::Daemon {
+                let via = self.pending.remove(id).unwrap().via;
+                self.start(&via);
+                return None;
+            }
             loss = Loss::None;
             self.step(id, input);
             if let Some(end) = self.proceed(id) {
-                return end;
+                return Some(end);
             }
         }
     }
--- a/tests/configuration/language.rs
+++ b/tests/configuration/language.rs
@@ -69,12 +69,12 @@
         },
         "commit" => {
             let id = text(case, "id");
-            told(&fleet.commit(&id, loss(case)))
+            told_or_gone(fleet.commit(&id, loss(case)))
         }
         "publish" => {
             let loss = loss(case);
             let begun = begin(fleet, case);
-            told(&begun.end.unwrap_or_else(|| fleet.commit(&begun.id, loss)))
+            told_or_gone(begun.end.or_else(|| fleet.commit(&begun.id, loss)))
         }
         "await" => await_everywhere(fleet, case.take_arg("generation").unwrap()),
         "reads" => reads(fleet, case.take_arg("seconds").unwrap()),
@@ -183,6 +183,7 @@
         None => Loss::None,
         Some("answer") => Loss::Answer,
         Some("answer-and-table") => Loss::AnswerAndTable,
+        Some("daemon") => Loss::Daemon,
         Some("request") => Loss::Request,
         Some(other) => panic!("nothing loses {other}"),
     }
@@ -215,6 +216,10 @@
     fleet.feed(&daemon, Event::Pulled { from, pulled });
 }
 
+fn told_or_gone(end: Option<End>) -> String {
+    end.map_or_else(|| "the daemon is gone\n".into(), |end| told(&end))
+}
+
 fn told(end: &End) -> String {
     let mut lines = vec![match end.outcome.generation() {
         Some(generation) => format!("{} generation={generation}", end.outcome),
