--- a/src/cli.rs
+++ b/src/cli.rs
@@ -93,7 +93,10 @@
     #[bpaf(command, footer("Example: hibiscusyoke demo --hold"))]
     Demo(#[bpaf(external(demo_args))] DemoArgs),
     /// Run a measurement against stand-ins in this process.
-    #[bpaf(command, footer("Example: hibiscusyoke measure policy --seed 1"))]
+    #[bpaf(
+        command,
+        footer("Example: hibiscusyoke measure filmverde-gate --policy naive --seed 1")
+    )]
     Measure(#[bpaf(external(measure_args))] MeasureArgs),
 }
 
@@ -279,9 +282,15 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(ignore_rustdoc)]
 pub struct MeasureArgs {
-    /// Print JSON
-    #[bpaf(long, switch)]
-    pub json: bool,
+    /// Write the figures to this file as JSON
+    #[bpaf(long, argument("FILE"))]
+    pub json: Option<PathBuf>,
+    /// Send the same arrivals to a baseline as well; the only one is `naive`
+    #[bpaf(long, argument("POLICY"))]
+    pub policy: Option<CompactString>,
+    /// For how long requests arrive
+    #[bpaf(long, argument("SECONDS"))]
+    pub seconds: Option<u64>,
     /// The seed of everything random
     #[bpaf(long, argument("NUMBER"), fallback(1))]
     pub seed: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod demo;
 pub mod local;
+pub mod measure;
 pub mod metrics;
 pub mod protocol;
 pub mod settings;
--- /dev/null
+++ b/src/measure/bed.rs
@@ -0,0 +1,65 @@
+//! The stand-ins of one run.
+
+use stand_in::{
+    control::Control,
+    instances::InstancesConfig,
+    stats::{EngineStats, RoleStats},
+};
+
+use crate::{
+    local::{
+        LocalError,
+        platform::LocalPlatform,
+        upstreams::{self, LocalUpstreams},
+    },
+    measure::{objects, scenario::Scenario},
+    state::objects::{Objects, Offer},
+};
+
+/// Stand-ins for the platform and the upstreams.
+pub(super) struct Bed {
+    pub(super) scenario: Scenario,
+    pub(super) platform: LocalPlatform,
+    pub(super) upstreams: LocalUpstreams,
+    pub(super) objects: Objects,
+}
+
+impl Bed {
+    pub(super) async fn spawn(scenario: Scenario) -> Result<Self, LocalError> {
+        let platform = LocalPlatform::spawn(InstancesConfig::default()).await?;
+        let upstreams = upstreams::spawn(objects::upstreams(scenario)).await?;
+        let objects = objects::objects(scenario, &upstreams);
+        Ok(Self {
+            scenario,
+            platform,
+            upstreams,
+            objects,
+        })
+    }
+
+    /// Tells all engines, or those of one failure domain, the same.
+    pub(super) fn control_engines(&self, domain: Option<&str>, control: &Control) {
+        for upstream in self.upstreams.values() {
+            let object = &upstream.object;
+            let meant = domain.is_none_or(|domain| object.failure_domain == domain);
+            let engine = matches!(object.offer, Offer::Engine { .. });
+            if meant
+                && engine
+                && let Err(e) = upstream.running.control(control)
+            {
+                log::warn!("step=measure control={control:?} error={e}");
+            }
+        }
+    }
+
+    /// The records of all engines.
+    pub(super) fn engine_stats(&self) -> Vec<EngineStats> {
+        let stats = self.upstreams.values().map(|u| u.running.stats().role);
+        stats
+            .filter_map(|role| match role {
+                RoleStats::Engine(stats) => Some(stats),
+                _ => None,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/measure/report.rs
@@ -0,0 +1,444 @@
+//! The figures of a run, as a table and as JSON.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::measure::{
+    Plan,
+    bed::Bed,
+    objects::{BEST, ROLLED_OUT},
+    sample::{Outcome, Sample},
+    target::Kind,
+    timeline::{event_at, event_over},
+    traffic::Ask,
+};
+
+/// The longest time that a histogram holds, in microseconds.
+const MAX_MICROS: u64 = 200_000_000;
+
+/// The width of the windows in which goodput is looked at.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Times of one kind, in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Times {
+    /// How many.
+    pub count: u64,
+    /// The median.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The greatest.
+    pub max_ms: f64,
+}
+
+/// The figures of one customer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct CustomerReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers before their deadline.
+    pub in_time: u64,
+}
+
+/// The figures of one run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// What was measured.
+    pub kind: Kind,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Whole answers before their deadline.
+    pub in_time: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Refusals that do not say when to come back.
+    pub refused_without_time: u64,
+    /// Errors and answers cut short.
+    pub failed: u64,
+    /// The commonest errors.
+    pub failures: BTreeMap<String, u64>,
+    /// The part of the answers whose true quality is good enough.
+    pub good: f64,
+    /// The mean true quality.
+    pub quality: f64,
+    /// The cost of all tokens generated, in units of the configuration.
+    pub cost: f64,
+    /// The cost for each whole answer.
+    pub cost_per_answer: f64,
+    /// Times to the first token of streamed answers.
+    pub first_token: Times,
+    /// The same while the event lasts.
+    pub first_token_in_event: Times,
+    /// The same before the event.
+    pub first_token_before: Times,
+    /// Times to the end of whole answers.
+    pub whole: Times,
+    /// Times to refusals.
+    pub refusal: Times,
+    /// Whole answers in time, a second.
+    pub goodput: f64,
+    /// The least goodput of a window while the event lasts, as a part of what arrived in it.
+    pub least_window: f64,
+    /// Answers begun on the version after it had turned bad, by the engines' own record.
+    pub begun_bad: u64,
+    /// Answers delivered by the version after it had turned bad.
+    pub served_bad: u64,
+    /// Answers by version.
+    pub versions: BTreeMap<String, u64>,
+    /// The figures of each customer.
+    pub customers: BTreeMap<&'static str, CustomerReport>,
+    /// Crashes of engines.
+    pub crashes: u64,
+}
+
+/// Works the figures out.
+pub(super) fn summarise(kind: Kind, bed: &Bed, samples: &[Sample], length: Duration) -> Report {
+    let begins = event_at(bed.scenario, length);
+    let ends = event_over(bed.scenario, length);
+    let answered: Vec<&Sample> = samples.iter().filter(|s| s.answered()).collect();
+    let rated: Vec<(f64, bool)> = answered.iter().filter_map(|s| s.rated(bed)).collect();
+    let stats = bed.engine_stats();
+    let versions = stats.iter().flat_map(|s| &s.versions);
+    let cost: f64 = versions
+        .clone()
+        .filter_map(|v| Some((v.tokens, bed.objects.versions.get(&v.version)?.cost)))
+        .map(|(tokens, cost)| tokens as f64 * cost as f64 / 1_000.0)
+        .sum();
+    let refused: Vec<&Sample> = samples.iter().filter(|s| s.refused()).collect();
+    let in_time = samples.iter().filter(|s| s.in_time()).count() as u64;
+    let during = |s: &&Sample| (begins..ends).contains(&s.at);
+    let streams = || samples.iter().filter_map(|s| Some((s, s.first_token()?)));
+    Report {
+        kind,
+        sent: samples.len() as u64,
+        answered: answered.len() as u64,
+        in_time,
+        refused: refused.len() as u64,
+        refused_without_time: samples.iter().filter(|s| s.refused_without_time()).count() as u64,
+        failed: (samples.len() - answered.len() - refused.len()) as u64,
+        failures: failures(samples),
+        good: mean(rated.iter().map(|(_, good)| f64::from(u8::from(*good)))),
+        quality: mean(rated.iter().map(|(quality, _)| *quality)),
+        cost,
+        cost_per_answer: cost / answered.len().max(1) as f64,
+        first_token: times(streams().map(|(_, t)| t)),
+        first_token_in_event: times(streams().filter(|(s, _)| during(s)).map(|(_, t)| t)),
+        first_token_before: times(streams().filter(|(s, _)| s.at < begins).map(|(_, t)| t)),
+        whole: times(
+            answered
+                .iter()
+                .filter(|s| s.traffic.ask == Ask::Whole)
+                .map(|s| s.took),
+        ),
+        refusal: times(refused.iter().map(|s| s.took)),
+        goodput: in_time as f64 / length.as_secs_f64(),
+        least_window: least_window(samples, begins, ends),
+        begun_bad: versions.map(|v| v.begun_bad).sum(),
+        served_bad: served_bad(&answered, begins),
+        versions: by_version(&answered),
+        customers: by_customer(samples),
+        crashes: stats
+            .iter()
+            .map(|s| s.cold_crashes + s.poison_crashes)
+            .sum(),
+    }
+}
+
+impl Sample {
+    fn answered(&self) -> bool {
+        matches!(self.outcome, Outcome::Answered { .. })
+    }
+
+    fn in_time(&self) -> bool {
+        self.answered() && self.took <= self.traffic.deadline
+    }
+
+    fn refused(&self) -> bool {
+        matches!(self.outcome, Outcome::Refused { .. })
+    }
+
+    fn refused_without_time(&self) -> bool {
+        matches!(self.outcome, Outcome::Refused { comes_back: false })
+    }
+
+    fn first_token(&self) -> Option<Duration> {
+        match self.outcome {
+            Outcome::Answered { first_token, .. } => first_token,
+            _ => None,
+        }
+    }
+
+    /// The true quality, and whether it is good enough for the rule.
+    fn rated(&self, bed: &Bed) -> Option<(f64, bool)> {
+        let Outcome::Answered { quality, .. } = self.outcome else {
+            return None;
+        };
+        let rule = bed.objects.rules.get(self.traffic.rule)?;
+        quality.map(|quality| (quality, quality >= rule.quality))
+    }
+
+    fn version(&self) -> Option<&str> {
+        match &self.outcome {
+            Outcome::Answered { version, .. } => Some(version),
+            _ => None,
+        }
+    }
+}
+
+fn served_bad(answered: &[&Sample], turned: Duration) -> u64 {
+    let suspects = [ROLLED_OUT, BEST];
+    let bad = answered.iter().filter(|s| {
+        let late = s.at >= turned;
+        let low = matches!(s.outcome, Outcome::Answered { quality: Some(q), .. } if q < 0.5);
+        late && low && s.version().is_some_and(|v| suspects.contains(&v))
+    });
+    bad.count() as u64
+}
+
+fn failures(samples: &[Sample]) -> BTreeMap<String, u64> {
+    /// The length at which reasons are cut, so that alike ones are counted together.
+    const REASON_CHARS: usize = 110;
+    let mut failures = BTreeMap::new();
+    for sample in samples {
+        if let Outcome::Failed { reason } = &sample.outcome {
+            let reason: String = reason.chars().take(REASON_CHARS).collect();
+            *failures.entry(reason).or_default() += 1;
+        }
+    }
+    failures
+}
+
+fn by_version(answered: &[&Sample]) -> BTreeMap<String, u64> {
+    let mut versions = BTreeMap::new();
+    for version in answered.iter().filter_map(|s| s.version()) {
+        *versions.entry(version.to_owned()).or_default() += 1;
+    }
+    versions
+}
+
+fn by_customer(samples: &[Sample]) -> BTreeMap<&'static str, CustomerReport> {
+    let mut customers: BTreeMap<_, CustomerReport> = BTreeMap::new();
+    for sample in samples {
+        let customer = customers.entry(sample.traffic.customer).or_default();
+        customer.sent += 1;
+        customer.in_time += u64::from(sample.in_time());
+    }
+    customers
+}
+
+fn least_window(samples: &[Sample], begins: Duration, ends: Duration) -> f64 {
+    let mut least = 1.0_f64;
+    let mut from = begins;
+    while from + WINDOW <= ends {
+        let window = from..from + WINDOW;
+        let arrived = samples.iter().filter(|s| window.contains(&s.at));
+        let (sent, good) = arrived.fold((0_u32, 0_u32), |(sent, good), s| {
+            (sent + 1, good + u32::from(s.in_time()))
+        });
+        if sent > 0 {
+            least = least.min(f64::from(good) / f64::from(sent));
+        }
+        from += WINDOW;
+    }
+    least
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), v| (sum + v, count + 1));
+    sum / f64::from(count.max(1))
+}
+
+fn times(values: impl Iterator<Item = Duration>) -> Times {
+    let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, MAX_MICROS, 3) else {
+        return Times::default();
+    };
+    for value in values {
+        let micros = u64::try_from(value.as_micros()).unwrap_or(MAX_MICROS);
+        histogram.saturating_record(micros);
+    }
+    let ms = |micros: u64| micros as f64 / 1_000.0;
+    Times {
+        count: histogram.len(),
+        p50_ms: ms(histogram.value_at_quantile(0.5)),
+        p99_ms: ms(histogram.value_at_quantile(0.99)),
+        max_ms: ms(histogram.max()),
+    }
+}
+
+/// A run, and the same arrivals under the naive baseline.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    /// The scenario.
+    pub scenario: String,
+    /// The seed.
+    pub seed: u64,
+    /// For how long requests arrived, in seconds.
+    pub seconds: f64,
+    /// What the fleet bears, if it was measured.
+    pub capacity: Option<f64>,
+    /// The fleet's figures.
+    pub fleet: Report,
+    /// The baseline's.
+    pub naive: Option<Report>,
+}
+
+impl Comparison {
+    pub(super) fn new(
+        plan: &Plan,
+        capacity: Option<f64>,
+        fleet: Report,
+        naive: Option<Report>,
+    ) -> Self {
+        Self {
+            scenario: plan.scenario.to_string(),
+            seed: plan.seed,
+            seconds: plan.length.as_secs_f64(),
+            capacity,
+            fleet,
+            naive,
+        }
+    }
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} seed={} seconds={}",
+            self.scenario, self.seed, self.seconds
+        )?;
+        if let Some(capacity) = self.capacity {
+            writeln!(f, "capacity {capacity:.1}/s")?;
+        }
+        writeln!(f, "{:<26}{:>12}{:>12}{:>10}", "", "fleet", "naive", "ratio")?;
+        for row in &ROWS {
+            self.row(f, row)?;
+        }
+        writeln!(f, "versions {:?}", self.fleet.versions)?;
+        for (name, customer) in &self.fleet.customers {
+            writeln!(
+                f,
+                "customer {name}: {} of {} in time",
+                customer.in_time, customer.sent
+            )?;
+        }
+        for report in [Some(&self.fleet), self.naive.as_ref()]
+            .into_iter()
+            .flatten()
+        {
+            for (reason, count) in &report.failures {
+                writeln!(f, "{} failed {count}: {reason}", report.kind)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+struct Row {
+    name: &'static str,
+    of: fn(&Report) -> f64,
+}
+
+const ROWS: [Row; 20] = [
+    Row {
+        name: "sent",
+        of: |r| r.sent as f64,
+    },
+    Row {
+        name: "in time",
+        of: |r| r.in_time as f64,
+    },
+    Row {
+        name: "refused",
+        of: |r| r.refused as f64,
+    },
+    Row {
+        name: "refused without time",
+        of: |r| r.refused_without_time as f64,
+    },
+    Row {
+        name: "failed",
+        of: |r| r.failed as f64,
+    },
+    Row {
+        name: "good enough",
+        of: |r| r.good,
+    },
+    Row {
+        name: "mean quality",
+        of: |r| r.quality,
+    },
+    Row {
+        name: "cost per answer",
+        of: |r| r.cost_per_answer,
+    },
+    Row {
+        name: "first token p50 ms",
+        of: |r| r.first_token.p50_ms,
+    },
+    Row {
+        name: "first token p99 ms",
+        of: |r| r.first_token.p99_ms,
+    },
+    Row {
+        name: "  before the event p99",
+        of: |r| r.first_token_before.p99_ms,
+    },
+    Row {
+        name: "  during the event p99",
+        of: |r| r.first_token_in_event.p99_ms,
+    },
+    Row {
+        name: "whole p50 ms",
+        of: |r| r.whole.p50_ms,
+    },
+    Row {
+        name: "whole p99 ms",
+        of: |r| r.whole.p99_ms,
+    },
+    Row {
+        name: "refusal p99 ms",
+        of: |r| r.refusal.p99_ms,
+    },
+    Row {
+        name: "goodput /s",
+        of: |r| r.goodput,
+    },
+    Row {
+        name: "least window of goodput",
+        of: |r| r.least_window,
+    },
+    Row {
+        name: "begun when bad",
+        of: |r| r.begun_bad as f64,
+    },
+    Row {
+        name: "delivered when bad",
+        of: |r| r.served_bad as f64,
+    },
+    Row {
+        name: "engine crashes",
+        of: |r| r.crashes as f64,
+    },
+];
+
+impl Comparison {
+    fn row(&self, f: &mut fmt::Formatter<'_>, row: &Row) -> fmt::Result {
+        let fleet = (row.of)(&self.fleet);
+        write!(f, "{:<26}{fleet:>12.3}", row.name)?;
+        let Some(naive) = &self.naive else {
+            return writeln!(f);
+        };
+        let naive = (row.of)(naive);
+        write!(f, "{naive:>12.3}")?;
+        if naive != 0.0 {
+            write!(f, "{:>10.3}", fleet / naive)?;
+        }
+        writeln!(f)
+    }
+}
--- /dev/null
+++ b/src/measure/target.rs
@@ -0,0 +1,157 @@
+//! What is measured: a fleet of daemons or the naive baseline.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Serialize;
+
+use crate::{
+    coordination::configuration::edit::Edit,
+    daemon::Daemon,
+    local::{
+        LocalError,
+        caller::LocalCaller,
+        fleet::{self, Place},
+    },
+    measure::{
+        arrivals::Arrival,
+        bed::Bed,
+        naive::Naive,
+        objects::DOMAINS,
+        sample::Outcome,
+        traffic::{Ask, CUSTOMERS},
+    },
+    state::objects::ServiceState,
+};
+
+/// How long the fleet may take to meet or to take up a generation.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// Which of the two.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum Kind {
+    /// Three daemons.
+    Fleet,
+    /// The best version always, round robin, one unbounded queue, no cascade.
+    Naive,
+}
+
+/// Three daemons with callers for each customer.
+pub(super) struct LocalFleet {
+    daemons: Vec<Daemon>,
+    callers: Vec<Vec<LocalCaller>>,
+}
+
+/// What requests are sent to.
+pub(super) enum Target {
+    Fleet(LocalFleet),
+    Naive(Naive),
+}
+
+impl Target {
+    pub(super) async fn spawn(kind: Kind, bed: &Bed) -> Result<Self, LocalError> {
+        match kind {
+            Kind::Fleet => Ok(Self::Fleet(LocalFleet::spawn(bed).await?)),
+            Kind::Naive => Ok(Self::Naive(Naive::new(bed))),
+        }
+    }
+
+    /// Sends one request and reads its answer to the end.
+    pub(super) async fn send(&self, arrival: &Arrival) -> Outcome {
+        match self {
+            Self::Fleet(fleet) => fleet.send(arrival).await,
+            Self::Naive(naive) => naive.send(arrival).await,
+        }
+    }
+
+    /// Takes a failure domain out or back in; returns once that is in force.
+    pub(super) async fn set_domain(&self, domain: &str, state: ServiceState) {
+        match self {
+            Self::Fleet(fleet) => fleet.set_domain(domain, state).await,
+            Self::Naive(naive) => naive.set_domain(domain, state),
+        }
+    }
+
+    pub(super) async fn shutdown(self) {
+        if let Self::Fleet(fleet) = self {
+            let daemons = fleet.daemons.into_iter().map(Daemon::shutdown);
+            futures::future::join_all(daemons).await;
+        }
+    }
+}
+
+impl LocalFleet {
+    async fn spawn(bed: &Bed) -> Result<Self, LocalError> {
+        let mut settings = Vec::new();
+        for (i, domain) in DOMAINS.iter().enumerate() {
+            let place = Place {
+                name: format!("entry-{}", i + 1).into(),
+                failure_domain: (*domain).into(),
+            };
+            settings.push(fleet::settings(place, bed.platform.addresses(), 0)?);
+        }
+        fleet::list_daemons(&bed.platform, &settings)?;
+        let daemons = fleet::spawn(settings).await?;
+        fleet::wait_for_members(&daemons, SETTLE).await?;
+        let edit = Edit::Objects {
+            changes: bed.objects.puts(),
+            prune: true,
+        };
+        let generation = fleet::publish(&daemons[0], edit).await?;
+        fleet::wait_for_generation(&daemons, generation, SETTLE).await?;
+        let callers = |daemon: &Daemon| {
+            let address = daemon.node().core.settings.callers;
+            let customers = CUSTOMERS.iter();
+            customers
+                .map(|name| LocalCaller::new(address, name))
+                .collect()
+        };
+        let callers = daemons.iter().map(callers).collect();
+        Ok(Self { daemons, callers })
+    }
+
+    async fn send(&self, arrival: &Arrival) -> Outcome {
+        let traffic = &arrival.traffic;
+        let daemon = arrival.number as usize % self.callers.len();
+        let customer = CUSTOMERS.iter().position(|c| *c == traffic.customer);
+        let caller = &self.callers[daemon][customer.unwrap_or(0)];
+        let mut headers = http::HeaderMap::new();
+        let millis = traffic.deadline.as_millis() as u64;
+        headers.insert("deadline", millis.into());
+        match traffic.ask {
+            Ask::Whole => {
+                let answer = caller.chat(traffic.rule, &arrival.prompt, &headers).await;
+                Outcome::of_whole(answer)
+            }
+            Ask::Stream => {
+                let answer = caller.stream(traffic.rule, &arrival.prompt, &headers).await;
+                Outcome::of_stream(answer)
+            }
+            Ask::Lookup => {
+                let path = format!("lookup/{}", arrival.number);
+                let method = http::Method::GET;
+                let service = crate::measure::objects::SERVICE;
+                let body = bytes::Bytes::new();
+                let answer = caller.service(method, service, &path, &headers, body).await;
+                Outcome::of_lookup(answer)
+            }
+        }
+    }
+
+    async fn set_domain(&self, domain: &str, state: ServiceState) {
+        let edit = Edit::FailureDomain {
+            name: domain.into(),
+            state,
+        };
+        let published = fleet::publish(&self.daemons[0], edit).await;
+        let settled = match published {
+            Ok(generation) => fleet::wait_for_generation(&self.daemons, generation, SETTLE).await,
+            Err(e) => Err(e),
+        };
+        if let Err(e) = settled {
+            log::warn!("step=measure domain={domain} state={state} error={e}");
+        }
+    }
+}
--- /dev/null
+++ b/src/measure/traffic.rs
@@ -0,0 +1,149 @@
+//! The kinds of requests in each scenario.
+
+use std::time::Duration;
+
+use crate::measure::scenario::Scenario;
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ask {
+    /// A whole answer.
+    Whole,
+    /// A streamed answer.
+    Stream,
+    /// An idempotent call of the plain service.
+    Lookup,
+}
+
+/// One kind of request of one customer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Traffic {
+    pub(super) customer: &'static str,
+    pub(super) rule: &'static str,
+    pub(super) ask: Ask,
+    /// The part of all arrivals, relative to the other kinds.
+    pub(super) weight: f64,
+    pub(super) deadline: Duration,
+    /// The least and the greatest length of an answer.
+    pub(super) tokens: (u32, u32),
+    /// The greatest difficulty.
+    pub(super) hardest: f64,
+}
+
+const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+const GATE: Traffic = Traffic {
+    customer: "gate",
+    rule: "answer",
+    ask: Ask::Stream,
+    weight: 5.0,
+    deadline: secs(5),
+    tokens: (8, 24),
+    hardest: 0.7,
+};
+
+const DRAFT: Traffic = Traffic {
+    customer: "drafts",
+    rule: "draft",
+    ask: Ask::Whole,
+    weight: 3.0,
+    deadline: secs(15),
+    tokens: (20, 50),
+    hardest: 0.75,
+};
+
+const SUMMARY: Traffic = Traffic {
+    customer: "hauliers",
+    rule: "summary",
+    ask: Ask::Whole,
+    weight: 2.0,
+    deadline: secs(10),
+    tokens: (10, 30),
+    hardest: 0.75,
+};
+
+const REDRAW: Traffic = Traffic {
+    customer: "dispatchers",
+    rule: "redraw",
+    ask: Ask::Whole,
+    weight: 6.0,
+    deadline: secs(60),
+    tokens: (30, 70),
+    hardest: 0.75,
+};
+
+const NOTICE: Traffic = Traffic {
+    customer: "parents",
+    rule: "notice",
+    ask: Ask::Stream,
+    weight: 2.0,
+    deadline: secs(5),
+    tokens: (6, 14),
+    hardest: 0.6,
+};
+
+const LOOKUP: Traffic = Traffic {
+    customer: "drivers",
+    rule: "",
+    ask: Ask::Lookup,
+    weight: 2.0,
+    deadline: secs(3),
+    tokens: (0, 0),
+    hardest: 0.0,
+};
+
+/// A large customer beside small ones.
+const FLOOD: Traffic = Traffic {
+    customer: "large",
+    rule: "draft",
+    ask: Ask::Whole,
+    weight: 18.0,
+    deadline: secs(4),
+    tokens: (20, 40),
+    hardest: 0.75,
+};
+
+const SMALL_GATE: Traffic = Traffic {
+    weight: 1.0,
+    deadline: secs(4),
+    ..GATE
+};
+
+const SMALL_SUMMARY: Traffic = Traffic {
+    weight: 1.0,
+    deadline: secs(4),
+    ..SUMMARY
+};
+
+/// Streams only, which are rated after they are delivered.
+const ALL_STREAMS: Traffic = Traffic {
+    rule: "draft",
+    tokens: (10, 30),
+    hardest: 0.7,
+    ..GATE
+};
+
+/// The kinds of requests of a scenario.
+pub(super) fn of(scenario: Scenario) -> &'static [Traffic] {
+    match scenario {
+        Scenario::KorrigOvernight => &[REDRAW, NOTICE, LOOKUP],
+        Scenario::Overload => &[FLOOD, SMALL_GATE, SMALL_SUMMARY],
+        Scenario::BadVersion | Scenario::SlightlyBadVersion | Scenario::BadTrustedVersion => {
+            &[ALL_STREAMS]
+        }
+        _ => &[GATE, DRAFT, SUMMARY],
+    }
+}
+
+/// The customers of all scenarios, with their weights.
+pub(super) const CUSTOMERS: [&str; 7] = [
+    "gate",
+    "drafts",
+    "hauliers",
+    "dispatchers",
+    "parents",
+    "drivers",
+    "large",
+];
