Keep the fleet's reads of the table within their rate when a push is missing

With the publishing daemon gone before its push, 340 daemons read the table 272 times a second over 3 s, against the limit of 200: all read the change a moment after they saw the head. Ruled out: a longer wait, which at 340 daemons comes near the target of 5 s.

--- a/src/coordination/configuration/follower.rs
+++ b/src/coordination/configuration/follower.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     coordination::{
-        configuration::contact::{Contact, NotReady, PeerHead},
+        configuration::{
+            contact::{Contact, NotReady, PeerHead},
+            event::{Action, Event, PeerView, Pulled, Source},
+        },
         membership::DaemonName,
     },
     state::{
@@ -34,7 +37,8 @@
 const ANXIOUS_ASK_INTERVAL: Duration = Duration::from_millis(400);
 /// How much longer than a poll interval the table may be silent before peers are asked more often.
 const POLL_SLACK: Duration = Duration::from_millis(300);
-/// How long a daemon waits for a push of a generation that it has seen in the table's head.
+/// How long a daemon waits for a push of a generation that it has seen in the table's head; after
+/// that it waits for a random part of the poll interval, so that not all read the change at once.
 const PUSH_GRACE: Duration = Duration::from_millis(300);
 /// How long to wait after each failed pull; it grows with the failures in a row.
 const PULL_BACKOFF: Duration = Duration::from_millis(100);
@@ -43,94 +47,6 @@
 /// The number of records kept for peers that are a few generations behind.
 const KEPT_RECORDS: usize = 64;
 
-/// Where a generation can be had.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// A peer that has it.
-    Peer(DaemonName),
-    /// The table.
-    Table,
-}
-
-/// A reachable peer and the generation that membership says it has.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerView {
-    /// Its name.
-    pub name: DaemonName,
-    /// Its generation.
-    pub generation: Generation,
-}
-
-/// What a pull brought.
-#[derive(Clone, Debug)]
-pub enum Pulled {
-    /// Records in order, the first of which follows the generation asked for.
-    Records(Vec<Record>),
-    /// A whole set.
-    Whole(Generation, Box<Objects>),
-    /// Nothing: the source did not answer or made no sense.
-    Failed,
-}
-
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// The peers that can be reached now.
-    Members(Vec<PeerView>),
-    /// A peer was asked at `sent`; `head` is its answer.
-    Asked {
-        /// The peer.
-        peer: DaemonName,
-        /// When the question was sent.
-        sent: Instant,
-        /// Its answer, if it came in time.
-        head: Option<PeerHead>,
-    },
-    /// The table's head was read at `sent`.
-    HeadRead {
-        /// When the question was sent.
-        sent: Instant,
-        /// The newest generation, if the table answered in time.
-        generation: Option<Generation>,
-    },
-    /// A pull has ended.
-    Pulled {
-        /// Whence.
-        from: Source,
-        /// What came.
-        pulled: Pulled,
-    },
-    /// A record was pushed by a peer, or committed by this daemon itself.
-    Pushed(Record),
-}
-
-/// Something to be done.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Ask a peer for its [`PeerHead`].
-    Ask(DaemonName),
-    /// Read the generation of the table's head.
-    ReadHead,
-    /// Get everything after `after`.
-    Pull {
-        /// Whence.
-        from: Source,
-        /// The generation in force now.
-        after: Generation,
-    },
-    /// Put a snapshot in force.
-    Enforce(Arc<Snapshot>),
-    /// Tell the operators that a generation cannot be read.
-    Report {
-        /// The generation.
-        generation: Generation,
-        /// What is wrong with it.
-        reason: String,
-    },
-}
-
 /// The follower of one daemon.
 #[derive(Debug)]
 pub struct Follower {
@@ -139,12 +55,13 @@
     contact: Contact,
     peers: BTreeMap<DaemonName, Generation>,
     table_head: Generation,
-    table_head_seen: Option<Instant>,
+    table_pull_at: Instant,
     reading: bool,
     read_at: Instant,
     ask_at: Instant,
     pulling: Option<Source>,
     pull_at: Instant,
+    pull_sent: Instant,
     failures: u32,
     rng: Xoroshiro128PlusPlus,
 }
@@ -158,12 +75,13 @@
             contact: Contact::default(),
             peers: BTreeMap::new(),
             table_head: 0,
-            table_head_seen: None,
+            table_pull_at: now,
             reading: false,
             read_at: now,
             ask_at: now,
             pulling: None,
             pull_at: now,
+            pull_sent: now,
             failures: 0,
             rng: Xoroshiro128PlusPlus::seed_from_u64(seed),
         }
@@ -256,13 +174,18 @@
         self.contact.heard_table(sent);
         if generation > self.table_head {
             self.table_head = generation;
-            self.table_head_seen = Some(now);
+            let spread = self.rng.random_range(0.0..1.0);
+            self.table_pull_at = now + PUSH_GRACE + self.poll_interval().mul_f64(spread);
+            self.ask_at = self.ask_at.min(now + ANXIOUS_ASK_INTERVAL.mul_f64(spread));
         }
     }
 
     fn take(&mut self, now: Instant, from: Source, pulled: Pulled, actions: &mut Vec<Action>) {
         self.pulling = None;
         let before = self.generation();
+        if from == Source::Table && !matches!(pulled, Pulled::Failed) {
+            self.contact.heard_table(self.pull_sent);
+        }
         match pulled {
             Pulled::Records(records) => self.apply(&records, actions),
             Pulled::Whole(generation, objects) => self.replace(generation, *objects, actions),
@@ -330,8 +253,7 @@
     fn schedule(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if now >= self.read_at && !self.reading {
             self.reading = true;
-            let jitter = self.rng.random_range(1.0..1.0 + POLL_JITTER);
-            self.read_at = now + self.poll_interval().mul_f64(jitter);
+            self.put_off_read(now);
             actions.push(Action::ReadHead);
         }
         if now >= self.ask_at
@@ -345,6 +267,10 @@
             && let Some(from) = self.source(now)
         {
             self.pulling = Some(from.clone());
+            self.pull_sent = now;
+            if from == Source::Table {
+                self.put_off_read(now);
+            }
             actions.push(Action::Pull {
                 from,
                 after: self.generation(),
@@ -352,9 +278,16 @@
         }
     }
 
+    /// Reads the head an interval from now, since the table is being read now.
+    fn put_off_read(&mut self, now: Instant) {
+        let jitter = self.rng.random_range(1.0..1.0 + POLL_JITTER);
+        self.read_at = now + self.poll_interval().mul_f64(jitter);
+    }
+
     fn ask_interval(&self, now: Instant) -> Duration {
         let limit = self.poll_interval().mul_f64(1.0 + POLL_JITTER) + POLL_SLACK;
-        let calm = self.generation() > 0 && self.contact.table_within(now, limit);
+        let newest = self.generation() > 0 && self.generation() == self.newest();
+        let calm = newest && self.contact.table_within(now, limit);
         if calm {
             CALM_ASK_INTERVAL
         } else {
@@ -370,10 +303,7 @@
         }
         let table_has = self.table_head > self.generation();
         let peer = self.any_peer(newest);
-        let waited = self.generation() == 0
-            || self
-                .table_head_seen
-                .is_none_or(|seen| now >= seen + PUSH_GRACE);
+        let waited = self.generation() == 0 || now >= self.table_pull_at;
         match peer {
             Some(_) if table_has && self.failures % 2 == 1 => Some(Source::Table),
             Some(peer) => Some(Source::Peer(peer)),
--- a/src/coordination/configuration/mod.rs
+++ b/src/coordination/configuration/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod contact;
 pub mod edit;
+pub mod event;
 pub mod follower;
 pub mod outcome;
 pub mod publisher;
--- a/src/daemon/configuration/mod.rs
+++ b/src/daemon/configuration/mod.rs
@@ -11,7 +11,8 @@
     coordination::{
         configuration::{
             contact::NotReady,
-            follower::{Action, Event, Follower, PeerView},
+            event::{Action, Event, PeerView},
+            follower::Follower,
         },
         membership::Member,
     },
--- a/src/daemon/configuration/publish.rs
+++ b/src/daemon/configuration/publish.rs
@@ -11,7 +11,7 @@
 use crate::{
     coordination::{
         configuration::{
-            follower::Event,
+            event::Event,
             outcome::PublishRequest,
             publisher::{End, Input, Publication, Step},
             rows,
--- a/src/daemon/configuration/pull.rs
+++ b/src/daemon/configuration/pull.rs
@@ -8,7 +8,7 @@
     coordination::{
         configuration::{
             contact::PeerHead,
-            follower::{Event, Pulled, Source},
+            event::{Event, Pulled, Source},
         },
         membership::DaemonName,
     },
--- a/src/daemon/configuration/push.rs
+++ b/src/daemon/configuration/push.rs
@@ -7,7 +7,7 @@
 use crate::{
     coordination::{
         configuration::{
-            follower::Event,
+            event::Event,
             spread::{Branch, branches},
         },
         membership::DaemonName,
--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -7,7 +7,8 @@
 
 use hibiscusyoke::{
     coordination::configuration::{
-        follower::{Action, Event, Follower, PeerView, Pulled, Source},
+        event::{Action, Event, PeerView, Pulled, Source},
+        follower::Follower,
         outcome::PublishRequest,
         publisher::{End, Input, Publication, Step},
         rows::{self, HEAD_KEY, OBJECT_PREFIX},
--- a/tests/configuration/language.rs
+++ b/tests/configuration/language.rs
@@ -6,7 +6,7 @@
 use hibiscusyoke::{
     coordination::configuration::{
         edit::Edit,
-        follower::{Event, Pulled, Source},
+        event::{Event, Pulled, Source},
         outcome::{Outcome, PublishRequest, Refusal},
         publisher::End,
     },
