--- a/src/coordination/permits/leases.rs
+++ b/src/coordination/permits/leases.rs
@@ -17,6 +17,11 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 /// The least time between two asks of one owner.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// How often more slots are asked for while there is but one owner; it grows with their number,
+/// so that the asks of a daemon stay few however many owners there are.
+const GROWTH_INTERVAL: Duration = Duration::from_millis(500);
+/// What every further owner adds to [`GROWTH_INTERVAL`].
+const GROWTH_INTERVAL_PER_OWNER: Duration = Duration::from_millis(125);
 /// An upstream without a request for this long is given back.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The greatest number of upstreams in use.
@@ -169,7 +174,6 @@
         }
         holding.refused = holding.refused.saturating_add(1).min(holding.in_use + 1);
         if holding.valid(now).is_some() {
-            holding.urgent |= holding.refused == 1;
             Taken::Full
         } else {
             holding.urgent = true;
@@ -295,10 +299,17 @@
                 by_owner.entry(owner).or_default().push(upstream);
             }
         }
+        let owners = u32::try_from(by_owner.len()).unwrap_or(u32::MAX);
+        let growth = GROWTH_INTERVAL + GROWTH_INTERVAL_PER_OWNER.saturating_mul(owners);
         let due = |upstream: &&UpstreamName| {
             let holding = &self.holdings[*upstream];
             let since = holding.asked.map(|at| now.saturating_duration_since(at));
-            holding.urgent || since.is_none_or(|since| since >= RENEWAL_INTERVAL)
+            let interval = if holding.refused > 0 {
+                growth.min(RENEWAL_INTERVAL)
+            } else {
+                RENEWAL_INTERVAL
+            };
+            holding.urgent || since.is_none_or(|since| since >= interval)
         };
         let mut asks = Vec::new();
         for (owner, upstreams) in by_owner {
--- a/src/daemon/permits.rs
+++ b/src/daemon/permits.rs
@@ -156,6 +156,9 @@
         if !self.is_leased(upstream) {
             return slot(None);
         }
+        if self.links.has_ended(upstream) {
+            self.leases().doubt(upstream);
+        }
         match self.leases().take(self.core.clock.now(), upstream) {
             Taken::Slot => slot(Some(self.clone())),
             Taken::Full => Acquire::Full,
--- a/src/daemon/permits/links.rs
+++ b/src/daemon/permits/links.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Whether the connection to an engine has ended and none has been opened since.
+    pub(super) fn has_ended(&self, upstream: &str) -> bool {
+        let entries = self.entries();
+        let ended = entries.get(upstream).and_then(|e| e.ended.as_ref());
+        ended.is_some_and(|ended| *ended.borrow())
+    }
+
     /// The engines whose connections have ended since the last call.
     pub(super) fn ended(&self) -> Vec<UpstreamName> {
         let mut names = Vec::new();
--- a/src/transport/engine_link.rs
+++ b/src/transport/engine_link.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use platform_api::engine::{LOAD_PATH, Load};
+use platform_api::engine::{INCARNATION_HEADER, LOAD_PATH, Load};
 use tokio::{net::TcpStream, sync::watch, time::timeout};
 
 /// How long an exchange may take, the connection included.
@@ -66,8 +66,22 @@
         if res.status() != StatusCode::OK {
             return Err(io::Error::other(format!("status {}", res.status())));
         }
+        let header = res.headers().get(INCARNATION_HEADER);
+        let named = header.and_then(|v| v.to_str().ok()?.parse().ok());
         let body = Limited::new(res.into_body(), MAX_REPORT_BYTES);
         let body = body.collect().await.map_err(io::Error::other)?;
-        serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)
+        let load = serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)?;
+        Ok(as_of(load, named))
     }
 }
+
+/// A report lags; one of an earlier incarnation than the engine's own says nothing of its warmth.
+fn as_of(mut load: Load, named: Option<u64>) -> Load {
+    if let Some(incarnation) = named
+        && incarnation != load.incarnation
+    {
+        load.incarnation = incarnation;
+        load.cold = true;
+    }
+    load
+}
