--- a/src/coordination/permits/leases.rs
+++ b/src/coordination/permits/leases.rs
@@ -280,6 +280,19 @@
             .collect()
     }
 
+    /// Gives up all leases; the next asks say so, whatever was asked a moment ago.
+    pub fn release_all(&mut self, now: Instant) {
+        self.pending.clear();
+        self.asked.clear();
+        for holding in self.holdings.values_mut() {
+            holding.lease = None;
+            holding.peak = 0;
+            holding.refused = 0;
+            holding.urgent = true;
+            holding.used = now.checked_sub(IDLE_TIMEOUT).unwrap_or(now);
+        }
+    }
+
     /// The upstreams in use.
     pub fn in_use(&self) -> impl Iterator<Item = &UpstreamName> {
         self.holdings.keys()
--- a/src/daemon/policy/gossip.rs
+++ b/src/daemon/policy/gossip.rs
@@ -12,9 +12,12 @@
         hash::hash_pair,
         membership::Member,
         poison::MAX_NOTES,
-        rollout::{RatingNote, Verdict},
+        rollout::{Ratings, Verdict},
+    },
+    daemon::policy::{
+        Policy, TICK,
+        state::{Outbox, Released},
     },
-    daemon::policy::{Policy, TICK, state::Outbox},
     protocol::peer::{
         PeerRequest, PeerResponse,
         policy::{Hops, Request, Response},
@@ -106,7 +109,7 @@
         let now = self.core.clock.now();
         match req {
             Request::Counts(deltas) => self.lock().quality.merge(&deltas),
-            Request::Ratings(notes) => self.weigh(now, &notes),
+            Request::Ratings(ratings) => self.weigh(now, &ratings),
             Request::Verdict { verdict, hops } => {
                 if self.lock().trials.judged(now, &verdict) {
                     self.judged(&verdict);
@@ -122,20 +125,22 @@
                     self.pass_on(Request::Suspects { notes, hops }, hops);
                 }
             }
-            Request::Reserve { upstream, millis } => {
-                let until = now + Duration::from_millis(u64::from(millis));
-                let until = (millis > 0).then_some(until);
-                let running = self.lock().router.reserve(&upstream, until);
-                return Response::Reserved { running };
+            Request::Reserve {
+                upstream,
+                holder,
+                millis,
+            } => return self.reserve_for(&upstream, holder, millis),
+            Request::Release { upstream, holder } => {
+                self.lock().router.release(&upstream, holder);
             }
         }
         Response::Taken
     }
 
-    fn weigh(&self, now: Instant, notes: &[RatingNote]) {
+    fn weigh(&self, now: Instant, ratings: &[Ratings]) {
         let snapshot = self.core.snapshot();
-        for note in notes.iter().take(MAX_RATINGS) {
-            let verdict = self.lock().weigh(now, &snapshot.objects, note);
+        for ratings in ratings.iter().take(MAX_RATINGS) {
+            let verdict = self.lock().weigh(now, &snapshot.objects, ratings);
             if let Some(verdict) = verdict {
                 self.judged(&verdict);
                 self.news.notify_one();
@@ -163,7 +168,7 @@
             suspects,
             ratings,
             verdicts,
-            reservations,
+            released,
         } = std::mem::take(&mut self.lock().outbox);
         for verdict in verdicts {
             self.lock().unkept.push(verdict.clone());
@@ -175,19 +180,14 @@
             let hops = NOTICE_HOPS;
             self.pass_on(Request::Suspects { notes, hops }, hops + 1);
         }
-        for reservation in reservations {
-            let millis = u32::try_from(reservation.length.as_millis()).unwrap_or(u32::MAX);
-            let req = Request::Reserve {
-                upstream: reservation.upstream,
-                millis,
-            };
-            self.send(self.some_peers(), &req);
+        for Released { upstream, holder } in released {
+            self.send(self.some_peers(), &Request::Release { upstream, holder });
         }
         self.tell_ratings(ratings);
     }
 
     /// Tells the daemons that weigh a version of its ratings.
-    fn tell_ratings(self: &Arc<Self>, mut ratings: Vec<RatingNote>) {
+    fn tell_ratings(self: &Arc<Self>, mut ratings: Vec<Ratings>) {
         if ratings.is_empty() {
             return;
         }
@@ -232,7 +232,7 @@
     }
 
     /// All peers of a small fleet, a few at random of a large one.
-    fn some_peers(&self) -> Vec<Member> {
+    pub(super) fn some_peers(&self) -> Vec<Member> {
         let peers = self.core.other_members();
         if peers.len() <= DIRECT_PEERS {
             return peers;
--- a/src/protocol/peer/policy.rs
+++ b/src/protocol/peer/policy.rs
@@ -6,7 +6,8 @@
     coordination::{
         poison::Note,
         quality::Delta,
-        rollout::{RatingNote, Verdict},
+        rollout::{Ratings, Verdict},
+        routing::Holder,
     },
     state::objects::UpstreamName,
 };
@@ -19,8 +20,8 @@
 pub enum Request {
     /// Ratings counted since the last message, told to a few peers and not passed on.
     Counts(Vec<Delta>),
-    /// Ratings of watched versions, told to the daemons that judge them.
-    Ratings(Vec<RatingNote>),
+    /// The latest ratings, told to the daemons that judge their versions.
+    Ratings(Vec<Ratings>),
     /// A version was judged; passed on.
     Verdict {
         /// The judgement.
@@ -39,9 +40,18 @@
     Reserve {
         /// The upstream.
         upstream: UpstreamName,
-        /// For how long, in milliseconds; 0 ends it.
+        /// The solo run.
+        holder: Holder,
+        /// For how long, in milliseconds.
         millis: u32,
     },
+    /// Ends a reservation.
+    Release {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The solo run.
+        holder: Holder,
+    },
 }
 
 /// The answer to a [`Request`].
@@ -54,4 +64,6 @@
         /// Requests that still run there.
         running: u32,
     },
+    /// Another solo run goes first.
+    Contended,
 }
--- a/tests/permits_engine.rs
+++ b/tests/permits_engine.rs
@@ -109,11 +109,14 @@
     let permits = Permits::spawn(core, membership.clone());
     let served = permits.clone();
     let handler: Handler = Arc::new(move |req| {
-        let res = match &req {
-            PeerRequest::Permits(req) => PeerResponse::Permits(served.serve(req)),
-            _ => PeerResponse::Refused("not served here".into()),
-        };
-        async move { res }.boxed()
+        let permits = served.clone();
+        async move {
+            match req {
+                PeerRequest::Permits(req) => PeerResponse::Permits(permits.answer(req).await),
+                _ => PeerResponse::Refused("not served here".into()),
+            }
+        }
+        .boxed()
     });
     let server = PeerServer::bind(peers, KEY, handler)
         .await
