--- a/src/daemon/policy/mod.rs
+++ b/src/daemon/policy/mod.rs
@@ -33,6 +33,9 @@
 /// Tells how many requests may be sent to an upstream now.
 pub type Available = Arc<dyn Fn(&str) -> u32 + Send + Sync>;
 
+/// How far above the rule's quality a rating must be, since ratings are estimates.
+const RATING_MARGIN: f64 = 0.03;
+
 /// Whether an answer is delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
@@ -174,7 +177,7 @@
             return Verdict::Deliver;
         }
         match quality {
-            Some(quality) if quality >= rule.quality => Verdict::Deliver,
+            Some(quality) if quality >= rule.quality + RATING_MARGIN => Verdict::Deliver,
             Some(_) => Verdict::Escalate,
             // Without a rating the estimate by which the version was chosen stands.
             None => Verdict::Deliver,
--- a/src/measure/report.rs
+++ b/src/measure/report.rs
@@ -40,6 +40,8 @@
     pub sent: u64,
     /// Whole answers before their deadline.
     pub in_time: u64,
+    /// Answers whose true quality is good enough.
+    pub good: u64,
 }
 
 /// The figures of one run.
@@ -140,7 +142,7 @@
         begun_bad: versions.map(|v| v.begun_bad).sum(),
         served_bad: served_bad(&answered, begins),
         versions: by_version(&answered),
-        customers: by_customer(samples),
+        customers: by_customer(bed, samples),
         crashes: stats
             .iter()
             .map(|s| s.cold_crashes + s.poison_crashes)
@@ -220,12 +222,13 @@
     versions
 }
 
-fn by_customer(samples: &[Sample]) -> BTreeMap<&'static str, CustomerReport> {
+fn by_customer(bed: &Bed, samples: &[Sample]) -> BTreeMap<&'static str, CustomerReport> {
     let mut customers: BTreeMap<_, CustomerReport> = BTreeMap::new();
     for sample in samples {
         let customer = customers.entry(sample.traffic.customer).or_default();
         customer.sent += 1;
         customer.in_time += u64::from(sample.in_time());
+        customer.good += u64::from(sample.rated(bed).is_some_and(|(_, good)| good));
     }
     customers
 }
--- a/src/measure/table.rs
+++ b/src/measure/table.rs
@@ -59,8 +59,8 @@
         for (name, customer) in &self.fleet.customers {
             writeln!(
                 f,
-                "customer {name}: {} of {} in time",
-                customer.in_time, customer.sent
+                "customer {name}: {} of {} in time, {} good",
+                customer.in_time, customer.sent, customer.good
             )?;
         }
         for report in [Some(&self.fleet), self.naive.as_ref()]
