--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,8 @@
 pub mod health;
 pub mod locate;
 pub mod membership;
+pub mod ownership;
+pub mod permits;
 pub mod poison;
 pub mod quality;
 pub mod retry;
--- a/src/daemon/assembly.rs
+++ b/src/daemon/assembly.rs
@@ -51,7 +51,7 @@
         let node = Arc::new(Node {
             engines: Engines::default(),
             locate: Locate::default(),
-            permits: Permits::spawn(core.clone()),
+            permits: Permits::spawn(core.clone(), membership.clone()),
             services: Services::spawn(
                 core.clone(),
                 claims.clone(),
@@ -106,7 +106,6 @@
         self.callers.shutdown().await;
         self.node.claims.complete().await;
         self.node.billing.drain().await;
-        self.node.permits.release().await;
         log::info!("step=shutdown phase=close daemon={}", core.name());
         self.operators.shutdown().await;
         self.peers.shutdown(PEER_SHUTDOWN).await;
--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -90,13 +90,14 @@
 }
 
 /// Picks at once or not at all.
-pub(super) fn pick_now(run: &Run) -> Option<Pick> {
+pub(super) async fn pick_now(run: &Run) -> Option<Pick> {
     let choice = run.node.policy.choose(&run.route).ok()?;
-    take_slot(run, choice)
+    take(run, choice).await
 }
 
 fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
     let node = &run.node;
+    // The configuration may have changed since the choice, so it is read again.
     let snapshot = node.core.snapshot();
     let upstream = snapshot.in_service(&choice.upstream)?;
     let Acquire::Slot(slot) = node.permits.try_acquire(&choice.upstream) else {
