--- a/src/daemon/assembly.rs
+++ b/src/daemon/assembly.rs
@@ -106,6 +106,7 @@
         self.callers.shutdown().await;
         self.node.claims.complete().await;
         self.node.billing.drain().await;
+        self.node.permits.release().await;
         log::info!("step=shutdown phase=close daemon={}", core.name());
         self.operators.shutdown().await;
         self.peers.shutdown(PEER_SHUTDOWN).await;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -73,7 +73,7 @@
             }
             PeerRequest::Claims(req) => PeerResponse::Claims(self.services.answer(req).await),
             PeerRequest::Bills(req) => PeerResponse::Bills(self.billing.answer(req).await),
-            PeerRequest::Permits(req) => PeerResponse::Permits(self.permits.serve(&req)),
+            PeerRequest::Permits(req) => PeerResponse::Permits(self.permits.answer(req).await),
             PeerRequest::Policy(req) => PeerResponse::Policy(self.policy.answer(req).await),
             PeerRequest::Decisions(decisions::Request::Of(id)) => {
                 let found = self.core.decisions().of(&id);
