Process tests: wait until a fresh fleet serves before a fault is set

Since dispatches hold slots of a lease, the first completion of a fresh fleet waits about 6 s for what its engines bear: stream_stalled (3 s deadline) and stream_engine_crashes (2 s) failed 5 times of 5 before their fault was reached, refused with 'no upstream had a free slot before the deadline'. The faults are now set after a first answer, and counts are taken from then on; what is asserted under the faults is unchanged. process_whole_answer: 12 passed.

--- a/tests/process_whole_answer.rs
+++ b/tests/process_whole_answer.rs
@@ -32,11 +32,17 @@
 }
 
 async fn fleet(engines: usize) -> Fleet {
-    Fleet::spawn(FleetPlan {
-        engines: vec![fast_engine(); engines],
+    fleet_of(fast_engine(), engines).await
+}
+
+async fn fleet_of(engine: EngineConfig, engines: usize) -> Fleet {
+    let fleet = Fleet::spawn(FleetPlan {
+        engines: vec![engine; engines],
         ..FleetPlan::default()
     })
-    .await
+    .await;
+    fleet.wait_serving().await;
+    fleet
 }
 
 async fn ask(fleet: &Fleet, prompt: &str) -> Reply {
@@ -69,31 +75,39 @@
 #[tokio::test]
 async fn whole_crossed() {
     let fleet = fleet(1).await;
+    let before = attempts(&fleet).await;
     let next = completions(2);
     fleet.engines[0].tell(Control::CrossAnswers { next }).await;
     let (one, two) = ("tokens=8 weighbridge", "tokens=8 hauliers");
     let (first, second) = futures::join!(ask(&fleet, one), ask(&fleet, two));
     check_whole(&first, one);
     check_whole(&second, two);
-    check_attempts(&fleet, 2 + 2).await;
+    assert_eq!(
+        attempts(&fleet).await - before,
+        2 + 2,
+        "both are asked for again"
+    );
 }
 
 #[tokio::test]
 async fn stream_crossed() {
     let fleet = fleet(1).await;
+    let before = attempts(&fleet).await;
     let next = completions(2);
     fleet.engines[0].tell(Control::CrossAnswers { next }).await;
     let (one, two) = ("tokens=20 weighbridge", "tokens=20 hauliers");
     let (first, second) = futures::join!(stream(&fleet, one), stream(&fleet, two));
     check_stream(&first, one);
     check_stream(&second, two);
-    check_attempts(&fleet, 2 + 2).await;
+    assert_eq!(
+        attempts(&fleet).await - before,
+        2 + 2,
+        "both are asked for again"
+    );
 }
 
-/// Both of two crossed answers were thrown away and asked for again.
-async fn check_attempts(fleet: &Fleet, attempts: usize) {
-    let stats = fleet.engines[0].engine_stats().await;
-    assert_eq!(stats.attempts.len(), attempts, "{:?}", stats.attempts);
+async fn attempts(fleet: &Fleet) -> usize {
+    fleet.engines[0].engine_stats().await.attempts.len()
 }
 
 #[tokio::test]
@@ -147,6 +161,7 @@
 /// One of two engines gets a fault; all callers get their whole answers from the other.
 async fn check_whole_beside(fault: Control) {
     let fleet = fleet(2).await;
+    let before = fleet.tokens().await;
     fleet.engines[0].tell(fault).await;
     let prompts: Vec<_> = (0..CALLERS)
         .map(|i| format!("tokens=8 number {i}"))
@@ -155,8 +170,8 @@
     for (reply, prompt) in replies.iter().zip(&prompts) {
         check_whole(reply, prompt);
     }
-    let struck = fleet.engines[0].engine_stats().await;
-    assert!(struck.versions[0].begun > 0, "no request met the fault");
+    let after = fleet.tokens().await;
+    assert!(after[0] > before[0], "no request met the fault");
 }
 
 #[tokio::test]
@@ -185,6 +200,7 @@
         after_tokens: 5,
         end,
     };
+    let before = fleet.tokens().await;
     fleet.engines[0].tell(truncate).await;
     let prompts: Vec<_> = (0..CALLERS)
         .map(|i| format!("tokens=30 number {i}"))
@@ -193,13 +209,10 @@
     for (streamed, prompt) in streams.iter().zip(&prompts) {
         check_stream(streamed, prompt);
     }
-    let mut tokens = 0;
-    for engine in &fleet.engines {
-        tokens += engine.engine_stats().await.versions[0].tokens;
-    }
-    assert_eq!(tokens, 30 * CALLERS, "every token is generated once");
-    let struck = fleet.engines[0].engine_stats().await;
-    assert!(struck.versions[0].begun > 0, "no stream met the fault");
+    let after = fleet.tokens().await;
+    let generated = after.iter().sum::<u64>() - before.iter().sum::<u64>();
+    assert_eq!(generated, 30 * CALLERS, "every token is generated once");
+    assert!(after[0] > before[0], "no stream met the fault");
 }
 
 #[tokio::test]
@@ -208,29 +221,13 @@
         token: Duration::from_millis(20),
         ..fast_engine()
     };
-    let fleet = Fleet::spawn(FleetPlan {
-        engines: vec![cfg; 2],
-        ..FleetPlan::default()
-    })
-    .await;
-    let streamed = async {
-        chat("tokens=60 crash", true)
-            .stream(fleet.daemons[0].callers)
-            .await
-            .expect("an answer")
-    };
+    let fleet = fleet_of(cfg, 2).await;
+    let before = fleet.tokens().await;
+    let streamed = stream(&fleet, "tokens=60 crash");
     let crash = async {
-        let begun = async |index: usize| {
-            let stats = fleet.engines[index].engine_stats().await;
-            stats.versions[0].tokens > 5
-        };
-        support::wait_until("tokens on an engine", LATE, async || {
-            begun(0).await || begun(1).await
-        })
-        .await;
-        let index = usize::from(!begun(0).await);
+        let engine = fleet.wait_generating(&before, 5).await;
         let restart = Duration::from_secs(1);
-        fleet.engines[index].tell(Control::Crash { restart }).await;
+        engine.tell(Control::Crash { restart }).await;
     };
     let (streamed, ()) = futures::join!(streamed, crash);
     check_stream(&streamed, "tokens=60 crash");
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -20,7 +20,7 @@
 use tempfile::TempDir;
 
 use super::{
-    caller::locate,
+    caller::{chat, locate},
     daemon::{Daemon, DaemonPlan, PlatformAddresses},
     objects::{
         DOMAINS, OPERATOR_KEY, SKILL, UpstreamPlan, VERSION, engine_offer, key_hash, objects,
@@ -200,6 +200,38 @@
             .await;
     }
 
+    /// Waits until every daemon answers a completion; a fresh fleet first learns what its engines bear.
+    pub async fn wait_serving(&self) {
+        for daemon in &self.daemons {
+            wait_until("a first answer", START_LIMIT, async || {
+                let reply = chat("tokens=1 first", false).send(daemon.callers).await;
+                reply.is_ok_and(|r| r.status == StatusCode::OK)
+            })
+            .await;
+        }
+    }
+
+    /// The tokens that each engine has generated.
+    pub async fn tokens(&self) -> Vec<u64> {
+        let mut tokens = Vec::new();
+        for engine in &self.engines {
+            tokens.push(engine.engine_stats().await.versions[0].tokens);
+        }
+        tokens
+    }
+
+    /// Waits until an engine has generated `more` tokens than `before`, and says which.
+    pub async fn wait_generating(&self, before: &[u64], more: u64) -> &StandIn {
+        let mut generating = None;
+        wait_until("tokens on an engine", START_LIMIT, async || {
+            let now = self.tokens().await;
+            generating = (0..now.len()).find(|i| now[*i] > before[*i] + more);
+            generating.is_some()
+        })
+        .await;
+        &self.engines[generating.unwrap()]
+    }
+
     async fn wait_for_operators(&self) {
         for daemon in &self.daemons {
             wait_until("the daemon to listen", START_LIMIT, async || {
