--- a/tests/process_silent_connections.rs
+++ b/tests/process_silent_connections.rs
@@ -24,21 +24,33 @@
 /// silent, and as many as the upstreams bear at once.
 const CALLERS: [u32; 4] = [1, 16, 16, 16];
 
-/// Opens several connections from the daemon to the upstreams, so that idle ones stay.
+/// The callers that ask at the same time before each silence.
+const WARM_UP_CALLERS: u32 = 16;
+
+/// How long the fleet may take until its engines run as many requests as they bear.
+const WARM_UP_LIMIT: Duration = Duration::from_secs(60);
+
+/// Opens as many connections from the daemon to the upstreams as they bear, so that idle ones stay.
 async fn warm_up(fleet: &Fleet) {
-    let calls = (0..8).map(|index| {
-        let prompt = format!("tokens=20 warm {index}");
-        let path = format!("timetable/{index}");
-        async move {
-            let daemon = fleet.daemons[0].callers;
-            let answer = chat(&prompt, false).send(daemon).await.expect("an answer");
-            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
-            let lookup = service(Method::GET, SERVICE, &path);
-            let answer = lookup.send(daemon).await.expect("an answer");
-            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    support::wait_until("engines in full use", WARM_UP_LIMIT, async || {
+        join_all((0..WARM_UP_CALLERS).map(|index| call_both(fleet, index))).await;
+        let mut full = true;
+        for engine in &fleet.engines {
+            full &= engine.engine_stats().await.running_peak >= fast_engine().slots;
         }
-    });
-    join_all(calls).await;
+        full
+    })
+    .await;
+}
+
+async fn call_both(fleet: &Fleet, index: u32) {
+    let daemon = fleet.daemons[0].callers;
+    let prompt = format!("tokens=20 warm {index}");
+    let answer = chat(&prompt, false).send(daemon).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    let lookup = service(Method::GET, SERVICE, &format!("timetable/{index}"));
+    let answer = lookup.send(daemon).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
 }
 
 async fn silence(stand_ins: &[StandIn]) {
@@ -85,22 +97,16 @@
         ..FleetPlan::default()
     })
     .await;
+    fleet.wait_serving().await;
+    let before = fleet.tokens().await;
     let prompt = "tokens=100 midway";
     let streamed = async {
         let call = chat(prompt, true).stream(fleet.daemons[0].callers);
         call.await.expect("an answer")
     };
     let silenced = async {
-        support::wait_until("tokens on an engine", REPLACED, async || {
-            for engine in &fleet.engines {
-                if engine.engine_stats().await.versions[0].tokens > 10 {
-                    engine.tell(Control::SilenceEstablished).await;
-                    return true;
-                }
-            }
-            false
-        })
-        .await;
+        let engine = fleet.wait_generating(&before, 10).await;
+        engine.tell(Control::SilenceEstablished).await;
     };
     let (streamed, ()) = futures::join!(streamed, silenced);
     assert!(matches!(streamed.end, End::Whole), "{:?}", streamed.end);
