--- a/src/daemon/permits.rs
+++ b/src/daemon/permits.rs
@@ -8,6 +8,7 @@
 };
 
 use compact_str::CompactString;
+use futures::future::join_all;
 use platform_api::engine::Load;
 use tokio::{
     sync::Notify,
@@ -74,7 +75,7 @@
 
 impl Slot {
     /// Counts an answer that succeeded, by which a warm engine is trusted with more.
-    pub fn succeeded(&self) {
+    pub fn succeeded(self) {
         if let Some(permits) = &self.permits {
             permits.leases().succeeded(&self.upstream);
         }
@@ -156,6 +157,9 @@
         if !self.is_leased(upstream) {
             return slot(None);
         }
+        if self.links.has_ended(upstream) {
+            self.leases().doubt(upstream);
+        }
         match self.leases().take(self.core.clock.now(), upstream) {
             Taken::Slot => slot(Some(self.clone())),
             Taken::Full => Acquire::Full,
@@ -204,13 +208,28 @@
         self.links.close(upstream);
     }
 
+    /// Gives all slots back to their owners, for a daemon that has finished its last request.
+    pub async fn release(self: &Arc<Self>) {
+        let now = self.core.clock.now();
+        let view = self.refresh(now);
+        let asks = {
+            let mut leases = self.leases();
+            leases.release_all(now);
+            leases.asks_due(now, |u| view.owner(u))
+        };
+        let asks = asks
+            .into_iter()
+            .map(|(owner, ask)| self.clone().ask(owner, ask));
+        join_all(asks).await;
+    }
+
     /// Answers a peer.
-    pub fn serve(&self, req: &Request) -> Response {
+    pub async fn answer(&self, req: Request) -> Response {
         match req {
-            Request::Ask(ask) => Response::Grants(self.grant(ask)),
+            Request::Ask(ask) => Response::Grants(self.grant(&ask)),
             Request::Agree { owner, upstreams } => Response::Agreed {
                 incarnation: self.core.incarnation,
-                agreements: self.agree(owner, upstreams),
+                agreements: self.agree(&owner, &upstreams),
             },
         }
     }
