--- a/tests/membership/fleet.rs
+++ b/tests/membership/fleet.rs
@@ -31,6 +31,7 @@
     pub(crate) swim: Swim,
     pub(crate) process: Process,
     pub(crate) sent_bytes: usize,
+    pub(crate) sent_datagrams: usize,
     addr: SocketAddr,
     inbox: Vec<(SocketAddr, Message)>,
 }
@@ -40,6 +41,8 @@
     pub(crate) daemons: BTreeMap<String, Daemon>,
     pub(crate) now: Instant,
     pub(crate) loss_percent: u32,
+    /// The processor time spent in the state machines and the sealing of datagrams.
+    pub(crate) busy: Duration,
     /// Daemons that hear only one another, if any.
     pub(crate) cut_off: BTreeSet<String>,
     rng: Xoshiro128PlusPlus,
@@ -55,6 +58,7 @@
             daemons: BTreeMap::new(),
             now: Instant::now(),
             loss_percent: 0,
+            busy: Duration::ZERO,
             cut_off: BTreeSet::new(),
             rng: Xoshiro128PlusPlus::seed_from_u64(seed),
             key: FleetKey::new("key"),
@@ -96,6 +100,7 @@
             swim: Swim::new(self.now, own, self.rng.random()),
             process: Process::Running,
             sent_bytes: 0,
+            sent_datagrams: 0,
             addr,
             inbox: Vec::new(),
         };
@@ -197,7 +202,9 @@
                 self.deliver();
             } else if let Some((_, name)) = timer {
                 let now = self.now;
+                let begun = Instant::now();
                 let out = self.daemon(&name).swim.tick(now);
+                self.busy += begun.elapsed();
                 self.post(&name, out);
             }
         }
@@ -212,7 +219,9 @@
         let daemon = self.daemon(&name);
         match daemon.process {
             Process::Running => {
+                let begun = Instant::now();
                 let out = daemon.swim.received(now, src, &message);
+                self.busy += begun.elapsed();
                 self.post(&name, out);
             }
             Process::Frozen if daemon.inbox.len() < SOCKET_BUFFER => {
@@ -224,9 +233,12 @@
 
     fn post(&mut self, from: &str, out: Vec<Outgoing>) {
         for Outgoing { to, message } in out {
+            let begun = Instant::now();
             let sealed = gossip::seal(&self.key, &message).expect("datagram fits");
+            self.busy += begun.elapsed();
             let daemon = self.daemon(from);
             daemon.sent_bytes += sealed.len();
+            daemon.sent_datagrams += 1;
             let src = daemon.addr;
             let across = self
                 .name_at(to)
