--- a/src/coordination/admission/queue.rs
+++ b/src/coordination/admission/queue.rs
@@ -154,7 +154,7 @@
             return refuse(RefusedWhy::QueueFull, wait / 2);
         }
         let left = arrival.deadline.saturating_duration_since(now);
-        let needed = wait + self.hold.mean();
+        let needed = wait + self.hold.high();
         if needed > left {
             return refuse(RefusedWhy::Deadline, needed.saturating_sub(left));
         }
--- a/src/coordination/admission/rates.rs
+++ b/src/coordination/admission/rates.rs
@@ -5,6 +5,9 @@
 /// The weight of the newest time in the moving average.
 const WEIGHT: f64 = 0.05;
 
+/// How many mean deviations above the mean most requests end.
+const DEVIATIONS: f64 = 3.0;
+
 /// The time assumed before any is known.
 const PRIOR: Duration = Duration::from_millis(100);
 
@@ -12,6 +15,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HoldTime {
     mean_s: f64,
+    deviation_s: f64,
     known: bool,
 }
 
@@ -19,6 +23,7 @@
     fn default() -> Self {
         Self {
             mean_s: PRIOR.as_secs_f64(),
+            deviation_s: 0.0,
             known: false,
         }
     }
@@ -28,7 +33,9 @@
     pub(super) fn add(&mut self, held: Duration) {
         let held = held.as_secs_f64();
         if self.known {
-            self.mean_s += WEIGHT * (held - self.mean_s);
+            let off = held - self.mean_s;
+            self.mean_s += WEIGHT * off;
+            self.deviation_s += WEIGHT * (off.abs() - self.deviation_s);
         } else {
             self.mean_s = held;
             self.known = true;
@@ -39,6 +46,11 @@
         Duration::from_secs_f64(self.mean_s)
     }
 
+    /// A time within which most requests end.
+    pub(super) fn high(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s + DEVIATIONS * self.deviation_s)
+    }
+
     /// The time in which `places` let `ahead` requests pass, of which a `share` is one's own.
     pub(super) fn wait(&self, ahead: usize, places: u32, share: f64) -> Duration {
         let rate = f64::from(places.max(1)) * share / self.mean_s.max(1e-4);
--- a/src/measure/bed.rs
+++ b/src/measure/bed.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// The cost of all tokens generated so far, in units of the configuration.
+    pub(super) fn cost(&self) -> f64 {
+        let stats = self.engine_stats();
+        let versions = stats.iter().flat_map(|s| &s.versions);
+        versions
+            .filter_map(|v| Some((v.tokens, self.objects.versions.get(&v.version)?.cost)))
+            .map(|(tokens, cost)| tokens as f64 * cost as f64 / 1_000.0)
+            .sum()
+    }
+
     /// The records of all engines.
     pub(super) fn engine_stats(&self) -> Vec<EngineStats> {
         let stats = self.upstreams.values().map(|u| u.running.stats().role);
--- a/src/measure/calibrate.rs
+++ b/src/measure/calibrate.rs
@@ -17,7 +17,7 @@
 };
 
 /// How long the fleet is kept busy before answers are counted.
-const WARM_UP: Duration = Duration::from_secs(4);
+const WARM_UP: Duration = Duration::from_secs(12);
 
 /// How long answers are counted.
 const COUNTED: Duration = Duration::from_secs(6);
--- a/src/measure/drive.rs
+++ b/src/measure/drive.rs
@@ -15,9 +15,8 @@
     arrivals::Arrival,
     bed::Bed,
     sample::{Outcome, Sample},
-    scenario::Scenario,
     target::Target,
-    timeline::timeline,
+    timeline::Timed,
 };
 
 /// The greatest number of requests under way; more are counted as failed by the caller.
@@ -26,12 +25,12 @@
 /// How long answers are waited for after the last arrival.
 const PATIENCE: Duration = Duration::from_secs(70);
 
-/// Runs the scenario's arrivals and events; returns what became of each request.
+/// Sends the arrivals and lets the events happen; returns what became of each request.
 pub(super) async fn drive(
-    scenario: Scenario,
     bed: &Bed,
     target: &Target,
     arrivals: Vec<Arrival>,
+    timeline: Vec<Timed>,
     length: Duration,
 ) -> Vec<Sample> {
     let start = Instant::now();
@@ -49,7 +48,7 @@
         })
         .collect();
     let events = async {
-        for event in timeline(scenario, length) {
+        for event in timeline {
             sleep_until(start + event.at).await;
             event.step.apply(bed, target).await;
         }
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -29,8 +29,15 @@
     drive::drive,
     report::summarise,
     target::{Kind, Target},
+    timeline::timeline,
 };
 
+/// How long requests are sent before any is counted.
+const WARM_UP: Duration = Duration::from_secs(12);
+
+/// The greatest number of them a second.
+const WARM_UP_RATE: f64 = 50.0;
+
 /// What to measure.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -63,9 +70,19 @@
     let bed = Bed::spawn(plan.scenario).await?;
     let target = Target::spawn(kind, &bed).await?;
     let rate = plan.scenario.load().rate(capacity);
+    warm_up(plan, &bed, &target, rate).await;
+    let spent = bed.cost();
     let arrivals = arrivals(plan.scenario, plan.seed, rate, plan.length);
-    let samples = drive(plan.scenario, &bed, &target, arrivals, plan.length).await;
-    let report = summarise(kind, &bed, &samples, plan.length);
+    let events = timeline(plan.scenario, plan.length);
+    let samples = drive(&bed, &target, arrivals, events, plan.length).await;
+    let report = summarise(kind, &bed, &samples, plan.length, spent);
     target.shutdown().await;
     Ok(report)
 }
+
+/// Sends requests that are not counted, so that a fleet whose engines it takes for cold is warm.
+async fn warm_up(plan: &Plan, bed: &Bed, target: &Target, rate: f64) {
+    let rate = rate.min(WARM_UP_RATE);
+    let arrivals = arrivals(plan.scenario, !plan.seed, rate, WARM_UP);
+    drive(bed, target, arrivals, Vec::new(), WARM_UP).await;
+}
--- a/src/measure/report.rs
+++ b/src/measure/report.rs
@@ -97,19 +97,21 @@
     pub crashes: u64,
 }
 
-/// Works the figures out.
-pub(super) fn summarise(kind: Kind, bed: &Bed, samples: &[Sample], length: Duration) -> Report {
+/// Works the figures out; `spent` is the cost before the run.
+pub(super) fn summarise(
+    kind: Kind,
+    bed: &Bed,
+    samples: &[Sample],
+    length: Duration,
+    spent: f64,
+) -> Report {
     let begins = event_at(bed.scenario, length);
     let ends = event_over(bed.scenario, length);
     let answered: Vec<&Sample> = samples.iter().filter(|s| s.answered()).collect();
     let rated: Vec<(f64, bool)> = answered.iter().filter_map(|s| s.rated(bed)).collect();
     let stats = bed.engine_stats();
     let versions = stats.iter().flat_map(|s| &s.versions);
-    let cost: f64 = versions
-        .clone()
-        .filter_map(|v| Some((v.tokens, bed.objects.versions.get(&v.version)?.cost)))
-        .map(|(tokens, cost)| tokens as f64 * cost as f64 / 1_000.0)
-        .sum();
+    let cost = bed.cost() - spent;
     let refused: Vec<&Sample> = samples.iter().filter(|s| s.refused()).collect();
     let in_time = samples.iter().filter(|s| s.in_time()).count() as u64;
     let during = |s: &&Sample| (begins..ends).contains(&s.at);
