--- a/src/coordination/admission/limit.rs
+++ b/src/coordination/admission/limit.rs
@@ -10,6 +10,9 @@
 /// The part by which the daemons' limits together exceed the capacity, for uneven callers.
 const OVERCOMMIT: f64 = 1.25;
 
+/// The places beyond the slots that are held, so that more slots are asked for.
+const SPARE_PLACES: u32 = 2;
+
 /// The factor by which the limit shrinks when upstreams turn out to be busy.
 const DECREASE: f64 = 0.9;
 
@@ -22,6 +25,7 @@
 /// An adaptive limit: it follows the share of capacity and gives way while upstreams are busy.
 #[derive(Clone, Debug)]
 pub struct Limit {
+    slots: Option<u32>,
     share: f64,
     factor: f64,
     decreased_at: Option<Instant>,
@@ -30,6 +34,7 @@
 impl Default for Limit {
     fn default() -> Self {
         Self {
+            slots: None,
             share: 1.0,
             factor: 1.0,
             decreased_at: None,
@@ -40,7 +45,16 @@
 impl Limit {
     /// The requests that may run at once.
     pub fn places(&self) -> u32 {
-        (self.share * self.factor).round().max(1.0) as u32
+        let share = (self.share * self.factor).round().max(1.0) as u32;
+        let slots = self.slots.map_or(u32::MAX, |slots| {
+            (f64::from(slots) * OVERCOMMIT) as u32 + SPARE_PLACES
+        });
+        share.min(slots)
+    }
+
+    /// Takes in the requests that may run on all upstreams at once now.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = Some(slots);
     }
 
     /// Takes in the capacity of all upstreams that serve, split over `daemons`.
--- a/src/daemon/assembly.rs
+++ b/src/daemon/assembly.rs
@@ -66,6 +66,9 @@
             core: core.clone(),
         });
         let available = node.permits.clone();
+        let slots = node.permits.clone();
+        node.policy
+            .set_slots(Arc::new(move |upstream| slots.slots(upstream)));
         node.policy
             .set_available(Arc::new(move |upstream| available.available(upstream)));
         let peers = Self::bind_peers(&node)
--- a/src/daemon/permits.rs
+++ b/src/daemon/permits.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// The requests that this daemon may run on an engine at once now.
+    pub fn slots(&self, upstream: &str) -> u32 {
+        self.leases().slots(self.core.clock.now(), upstream)
+    }
+
     /// Notes the incarnation that an answer of the engine named.
     pub fn saw_incarnation(&self, upstream: &str, engine: EngineIncarnation) {
         self.leases().saw(upstream, engine);
--- a/src/daemon/policy/gossip.rs
+++ b/src/daemon/policy/gossip.rs
@@ -16,12 +16,14 @@
     },
     daemon::policy::{
         Policy, TICK,
+        pools::PoolName,
         state::{Outbox, Released},
     },
     protocol::peer::{
         PeerRequest, PeerResponse,
         policy::{Hops, Request, Response},
     },
+    state::objects::Offer,
 };
 
 /// The longest wait for a peer's answer.
@@ -152,9 +154,17 @@
     fn tick(self: &Arc<Self>) {
         let now = self.core.clock.now();
         let snapshot = self.core.snapshot();
+        let slots = self.slots.get().map(|slots| {
+            let upstreams = snapshot.objects.upstreams.iter();
+            let engines = upstreams.filter(|(_, u)| matches!(u.offer, Offer::Engine { .. }));
+            engines.map(|(name, _)| slots(name)).sum()
+        });
         let pools = {
             let mut state = self.lock();
             state.refresh(now, &self.core, &snapshot);
+            if let (Some(slots), Some(pool)) = (slots, state.pools.get(&PoolName::Engines)) {
+                pool.limit.set_slots(slots);
+            }
             state.quality.tick(now);
             state.pools.names()
         };
--- a/src/daemon/policy/mod.rs
+++ b/src/daemon/policy/mod.rs
@@ -52,6 +52,7 @@
     state: Mutex<State>,
     rater: Option<Rater>,
     available: OnceLock<Available>,
+    slots: OnceLock<Available>,
     news: Notify,
 }
 
@@ -64,6 +65,7 @@
             core,
             rater,
             available: OnceLock::new(),
+            slots: OnceLock::new(),
             news: Notify::new(),
         });
         gossip::spawn(&policy);
@@ -76,6 +78,12 @@
         let _ = self.available.set(available);
     }
 
+    /// Sets where the number of requests that may run on an upstream at once comes from.
+    pub fn set_slots(&self, slots: Available) {
+        // Set once at start; a second call changes nothing.
+        let _ = self.slots.set(slots);
+    }
+
     /// Whether a request must run alone, or is refused because it crashes upstreams.
     pub fn check_poison(&self, fingerprint: Fingerprint) -> Result<bool, Quarantined> {
         let now = self.core.clock.now();
