--- a/src/measure/calibrate.rs
+++ b/src/measure/calibrate.rs
@@ -22,6 +22,9 @@
 /// How long answers are counted.
 const COUNTED: Duration = Duration::from_secs(6);
 
+/// How long a caller that was refused waits before its next request.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
 /// The number of callers that send one request after the other.
 const CALLERS: usize = 66;
 
@@ -45,6 +48,9 @@
             let sent = Instant::now();
             let outcome = target.send(arrival).await;
             let whole = matches!(outcome, Outcome::Answered { .. });
+            if !whole {
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
             let in_time = sent.elapsed() <= arrival.traffic.deadline;
             let window = WARM_UP..WARM_UP + COUNTED;
             counted += u32::from(whole && in_time && window.contains(&start.elapsed()));
