--- /dev/null
+++ b/examples/overhead.rs
@@ -0,0 +1,106 @@
+//! Measures what a daemon adds to a call: the same completion sent to an engine and to a daemon.
+//!
+//! Arguments: the daemon's callers' address, the engine's address, a customer's key, a rule, a
+//! version and the number of calls. The calls alternate, one at a time, on kept connections.
+
+use std::{
+    env,
+    error::Error,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use hibiscusyoke::{
+    local::caller::LocalCaller,
+    transport::{
+        engine::{Dispatch, EngineClient},
+        http_client::Reuse,
+    },
+};
+use http::{HeaderMap, StatusCode};
+use platform_api::engine::{ChatMessage, ChatRequest};
+
+/// What is asked: a short answer, so that the engine's own time weighs little.
+const PROMPT: &str = "tokens=1 overhead";
+/// How long one call may take.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// The arguments.
+struct Args {
+    daemon: SocketAddr,
+    engine: SocketAddr,
+    key: String,
+    rule: String,
+    version: String,
+    calls: u32,
+}
+
+impl Args {
+    fn read() -> Result<Self, Box<dyn Error>> {
+        let mut args = env::args().skip(1);
+        let mut next = |name: &str| args.next().ok_or_else(|| format!("missing {name}"));
+        Ok(Self {
+            daemon: next("DAEMON")?.parse()?,
+            engine: next("ENGINE")?.parse()?,
+            key: next("KEY")?,
+            rule: next("RULE")?,
+            version: next("VERSION")?,
+            calls: next("CALLS")?.parse()?,
+        })
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let args = Args::read()?;
+    let caller = LocalCaller::new(args.daemon, &args.key);
+    let engine = EngineClient::new(args.engine);
+    let mut direct = Histogram::<u64>::new(3)?;
+    let mut through = Histogram::<u64>::new(3)?;
+    for call in 0..args.calls {
+        let begun = Instant::now();
+        engine.complete(&dispatch(&args, call), Reuse::Idle).await?;
+        direct.record(micros(begun))?;
+        let begun = Instant::now();
+        let answer = caller.chat(&args.rule, PROMPT, &HeaderMap::new()).await?;
+        if answer.status != StatusCode::OK {
+            return Err(format!("status {}", answer.status).into());
+        }
+        through.record(micros(begun))?;
+    }
+    show("direct", &direct);
+    show("through the daemon", &through);
+    Ok(())
+}
+
+fn dispatch(args: &Args, call: u32) -> Dispatch {
+    Dispatch {
+        attempt: format!("overhead-{call}").into(),
+        req: ChatRequest {
+            model: args.version.as_str().into(),
+            messages: vec![ChatMessage {
+                role: "user".into(),
+                content: PROMPT.into(),
+            }],
+            stream: false,
+            max_tokens: None,
+        },
+        priority: 0,
+        resume_from: 0,
+        limit: LIMIT,
+    }
+}
+
+fn micros(begun: Instant) -> u64 {
+    u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
+
+fn show(what: &str, histogram: &Histogram<u64>) {
+    println!(
+        "{what}: {} calls, 50th {} us, 99th {} us",
+        histogram.len(),
+        histogram.value_at_quantile(0.5),
+        histogram.value_at_quantile(0.99)
+    );
+}
--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -99,7 +99,7 @@
     let node = &run.node;
     // The configuration may have changed since the choice, so it is read again.
     let snapshot = node.core.snapshot();
-    let upstream = snapshot.in_service(&choice.upstream)?;
+    let upstream = node.core.usable_upstream(&snapshot, &choice.upstream)?;
     let Acquire::Slot(slot) = node.permits.try_acquire(&choice.upstream) else {
         return None;
     };
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -12,7 +12,10 @@
         membership::{Incarnation, Member, MemberState},
     },
     settings::Settings,
-    state::snapshot::Snapshot,
+    state::{
+        objects::{Upstream, UpstreamName},
+        snapshot::Snapshot,
+    },
     transport::{peers::Peers, table::TableClient},
 };
 
@@ -38,6 +41,8 @@
     pub snapshot: watch::Sender<Arc<Snapshot>>,
     /// The fleet; written by membership only.
     pub members: watch::Sender<MemberList>,
+    /// The upstreams that the platform's instance list says are leaving; written by membership only.
+    pub leaving_upstreams: watch::Sender<Arc<[UpstreamName]>>,
     /// Set once when a graceful shutdown begins.
     pub leaving: watch::Sender<bool>,
     decisions: Mutex<DecisionLog>,
@@ -66,6 +71,7 @@
             peers,
             snapshot: watch::Sender::default(),
             members: watch::Sender::new(Arc::from([own])),
+            leaving_upstreams: watch::Sender::new(Arc::from([])),
             leaving: watch::Sender::new(false),
             decisions: Mutex::new(decisions),
         }
@@ -81,6 +87,28 @@
         self.snapshot.borrow().clone()
     }
 
+    /// The upstreams that are leaving.
+    pub fn leaving_upstreams(&self) -> Arc<[UpstreamName]> {
+        self.leaving_upstreams.borrow().clone()
+    }
+
+    /// The upstream if it takes new work: in service, its failure domain too, and not leaving.
+    pub fn usable_upstream<'a>(
+        &self,
+        snapshot: &'a Snapshot,
+        upstream: &str,
+    ) -> Option<&'a Upstream> {
+        if self
+            .leaving_upstreams
+            .borrow()
+            .iter()
+            .any(|u| u == upstream)
+        {
+            return None;
+        }
+        snapshot.in_service(upstream)
+    }
+
     /// The fleet as believed now, this daemon included.
     pub fn members(&self) -> MemberList {
         self.members.borrow().clone()
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -6,12 +6,13 @@
     time::{Duration, Instant, UNIX_EPOCH},
 };
 
-use platform_api::instances::{Instance, Role};
+use platform_api::instances::{Instance, InstanceState, Role};
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
     coordination::membership::{Member, Outgoing, Record, Seed, Standing, swim::Swim},
     daemon::core::Core,
+    state::objects::UpstreamName,
     transport::{gossip::GossipSocket, instances::InstanceList},
 };
 
@@ -114,7 +115,10 @@
         let list = InstanceList::new(self.core.settings.platform.instances);
         loop {
             match list.read().await {
-                Ok(instances) => self.swim().set_seeds(seeds(instances)),
+                Ok(instances) => {
+                    self.note_leaving(&instances);
+                    self.swim().set_seeds(seeds(instances));
+                }
                 Err(e) => log::warn!("{e}"),
             }
             let members = u32::try_from(self.core.members().len()).unwrap_or(u32::MAX);
@@ -123,6 +127,22 @@
         }
     }
 
+    /// Publishes the upstreams that are leaving, if they have changed.
+    fn note_leaving(&self, instances: &[Instance]) {
+        let mut leaving: Vec<UpstreamName> = instances
+            .iter()
+            .filter(|i| i.role == Role::Upstream && i.state == InstanceState::Leaving)
+            .map(|i| i.name.clone())
+            .collect();
+        leaving.sort();
+        let known = self.core.leaving_upstreams();
+        if *known == *leaving {
+            return;
+        }
+        log::info!("step=instances leaving={}", leaving.join(","));
+        self.core.leaving_upstreams.send_replace(leaving.into());
+    }
+
     /// Publishes the members if they have changed, and logs each change.
     fn publish(&self) {
         let members = {
--- a/src/daemon/policy/state.rs
+++ b/src/daemon/policy/state.rs
@@ -86,6 +86,7 @@
     incarnation: Incarnation,
     running: HashMap<ChoiceId, Fingerprint>,
     members: MemberList,
+    leaving: Arc<[UpstreamName]>,
     names: Arc<[DaemonName]>,
     generation: Generation,
     epoch: u64,
@@ -111,6 +112,7 @@
             incarnation: core.incarnation,
             running: HashMap::new(),
             members: Arc::from([]),
+            leaving: Arc::from([]),
             generation: 0,
             epoch: u64::MAX,
         }
@@ -126,7 +128,13 @@
         }
         let wall = core.clock.wall().duration_since(UNIX_EPOCH);
         let epoch = wall.map_or(0, |d| d.as_secs() / EPOCH.as_secs());
-        let changed = moved || self.generation != snapshot.generation;
+        let leaving = core.leaving_upstreams();
+        let left = !Arc::ptr_eq(&leaving, &self.leaving);
+        if left {
+            self.router.set_leaving(leaving.clone());
+            self.leaving = leaving;
+        }
+        let changed = moved || left || self.generation != snapshot.generation;
         if !changed && self.epoch == epoch {
             return;
         }
--- a/src/daemon/service/upstreams.rs
+++ b/src/daemon/service/upstreams.rs
@@ -84,7 +84,7 @@
         let mut best: Option<(bool, Candidate)> = None;
         let mut in_service = false;
         for name in snapshot.servers(service) {
-            let Some(upstream) = snapshot.in_service(name) else {
+            let Some(upstream) = self.core.usable_upstream(&snapshot, name) else {
                 continue;
             };
             in_service = true;
@@ -161,9 +161,8 @@
     /// Whether the upstream is still in service, at the same address, under the configuration in force.
     pub(super) fn still_in_service(&self, place: &Place) -> bool {
         let snapshot = self.core.snapshot();
-        snapshot
-            .in_service(&place.upstream)
-            .is_some_and(|upstream| upstream.address == place.address)
+        let upstream = self.core.usable_upstream(&snapshot, &place.upstream);
+        upstream.is_some_and(|u| u.address == place.address)
     }
 }
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -185,8 +185,8 @@
         }
     }
 
-    /// Puts all daemons on the instance list.
-    async fn list_daemons(&self) {
+    /// The daemons as the instance list names them.
+    pub fn listed_daemons(&self) -> Vec<Instance> {
         let listed = self.daemons.iter().enumerate().map(|(i, d)| Instance {
             name: d.name.as_str().into(),
             role: Role::Entry,
@@ -194,7 +194,12 @@
             address: d.peers,
             state: InstanceState::Live,
         });
-        let instances = listed.collect();
+        listed.collect()
+    }
+
+    /// Puts all daemons on the instance list.
+    async fn list_daemons(&self) {
+        let instances = self.listed_daemons();
         self.instances
             .tell(Control::SetInstances { instances })
             .await;
