--- a/src/daemon/callers/body.rs
+++ b/src/daemon/callers/body.rs
@@ -1,15 +1,14 @@
-//! Reads the bodies of callers' requests within limits of size and time.
+//! Reads the bodies of callers' requests.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::time::timeout;
 use viz::Body;
 
 use crate::{
     daemon::callers::malformed,
     protocol::problem::{Refusal, RefusalKind},
+    transport::http_body::{self, BodyError},
 };
 
 /// The greatest size of a completion request in bytes.
@@ -21,16 +20,11 @@
 
 /// Reads a whole body of at most `limit` bytes.
 pub(super) async fn read(body: Body, limit: usize) -> Result<Bytes, Refusal> {
-    let collected = timeout(READ_TIMEOUT, Limited::new(body, limit).collect())
-        .await
-        .map_err(|_| malformed("the body did not come in time"))?;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::not_run(
-            RefusalKind::TooLarge,
-            "parse",
-            format!("the body is over {limit} bytes"),
-        )),
-        Err(e) => Err(malformed(format!("the body broke off: {e}"))),
-    }
+    let read = http_body::read(body, limit, READ_TIMEOUT).await;
+    read.map_err(|e| match e {
+        BodyError::TooLarge { .. } => {
+            Refusal::not_run(RefusalKind::TooLarge, "parse", e.to_string())
+        }
+        BodyError::Late | BodyError::Broken(_) => malformed(e.to_string()),
+    })
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod engine_link;
 pub mod gossip;
+pub mod http_body;
 pub mod http_client;
 pub mod http_server;
 pub mod instances;
--- a/src/transport/operators/publish.rs
+++ b/src/transport/operators/publish.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use rand::Rng;
-use tokio::time::timeout;
-use viz::{Body, Request, RequestExt, Response};
+use viz::{Request, RequestExt, Response};
 
 use crate::{
     coordination::configuration::{edit::Edit, outcome::PublishRequest},
@@ -18,16 +17,17 @@
         objects::{OperatorName, ServiceState, VersionState},
         record::PublishId,
     },
-    transport::operators::{
-        Endpoint, Portal,
-        reply::{self, Rejected},
+    transport::{
+        http_body::{self, BodyError},
+        operators::{
+            Endpoint, Portal,
+            reply::{self, Rejected},
+        },
     },
 };
 
 /// The greatest length of a publication.
 const MAX_BODY_BYTES: usize = 8 << 20;
-/// The greatest length up to which a body over the limit is read before it is refused.
-const MAX_DRAINED_BYTES: usize = 8 * MAX_BODY_BYTES;
 /// How long the body of a publication may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The request header that carries the publish id of a change of state.
@@ -129,36 +129,15 @@
     }
 }
 
-async fn read_body(req: &mut Request) -> Result<Vec<u8>, Rejected> {
+async fn read_body(req: &mut Request) -> Result<Bytes, Rejected> {
     let body = std::mem::take(req.body_mut());
-    timeout(BODY_TIMEOUT, collect(body))
-        .await
-        .unwrap_or_else(|_| {
-            let reason = "the body did not arrive in time";
-            Err(Rejected::new(StatusCode::REQUEST_TIMEOUT, reason))
-        })
-}
-
-/// Reads a body to its end, but keeps no more than the limit; what is over it is read and dropped,
-/// since a connection closed before the sender has finished would take the refusal with it.
-async fn collect(mut body: Body) -> Result<Vec<u8>, Rejected> {
-    let mut kept = Vec::new();
-    let mut length = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| Rejected::bad_request(e.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
+    let read = http_body::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    read.map_err(|e| {
+        let status = match e {
+            BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+            BodyError::Broken(_) => StatusCode::BAD_REQUEST,
         };
-        length += data.len();
-        if length <= MAX_BODY_BYTES {
-            kept.extend_from_slice(&data);
-        } else if length > MAX_DRAINED_BYTES {
-            break;
-        }
-    }
-    if length > MAX_BODY_BYTES {
-        let reason = format!("the body is longer than {MAX_BODY_BYTES} bytes");
-        return Err(Rejected::new(StatusCode::PAYLOAD_TOO_LARGE, reason));
-    }
-    Ok(kept)
+        Rejected::new(status, e.to_string())
+    })
 }
