--- a/src/daemon/assembly.rs
+++ b/src/daemon/assembly.rs
@@ -9,7 +9,7 @@
     clock::SharedClock,
     daemon::{
         billing::Billing, callers, claims::Claims, configuration::Configuration, core::Core,
-        engines::Engines, locate::Locate, membership::Membership, node::Node, permits::Permits,
+        engines::Engines, locate::Locate, membership::Membership, parts::Parts, permits::Permits,
         policy::Policy, service::Services,
     },
     settings::Settings,
@@ -21,7 +21,7 @@
 
 /// A running daemon.
 pub struct Daemon {
-    node: Arc<Node>,
+    parts: Arc<Parts>,
     callers: HttpServer,
     operators: Operators,
     peers: PeerServer,
@@ -48,7 +48,7 @@
         let configuration = Configuration::spawn(core.clone());
         let billing = Billing::spawn(core.clone());
         let claims = Claims::spawn(core.clone());
-        let node = Arc::new(Node {
+        let parts = Arc::new(Parts {
             engines: Engines::default(),
             locate: Locate::default(),
             permits: Permits::spawn(core.clone(), membership.clone()),
@@ -65,19 +65,21 @@
             membership,
             core: core.clone(),
         });
-        let available = node.permits.clone();
-        let slots = node.permits.clone();
-        node.policy
+        let available = parts.permits.clone();
+        let slots = parts.permits.clone();
+        parts
+            .policy
             .set_slots(Arc::new(move |upstream| slots.slots(upstream)));
-        node.policy
+        parts
+            .policy
             .set_available(Arc::new(move |upstream| available.available(upstream)));
-        let peers = Self::bind_peers(&node)
+        let peers = Self::bind_peers(&parts)
             .await
             .map_err(failed("bind peers"))?;
-        let callers = callers::bind(node.clone())
+        let callers = callers::bind(parts.clone())
             .await
             .map_err(failed("bind callers"))?;
-        let operators = Self::bind_operators(&node)
+        let operators = Self::bind_operators(&parts)
             .await
             .map_err(failed("bind operators"))?;
         log::info!(
@@ -86,7 +88,7 @@
             core.settings.failure_domain
         );
         Ok(Self {
-            node,
+            parts,
             callers,
             operators,
             peers,
@@ -94,36 +96,36 @@
     }
 
     /// The daemon's parts.
-    pub fn node(&self) -> &Arc<Node> {
-        &self.node
+    pub fn parts(&self) -> &Arc<Parts> {
+        &self.parts
     }
 
     /// Leaves the fleet without cutting a request or losing a bill.
     pub async fn shutdown(self) {
-        let core = self.node.core.clone();
+        let core = self.parts.core.clone();
         log::info!("step=shutdown phase=leave daemon={}", core.name());
         core.leaving.send_replace(true);
-        self.node.membership.leave().await;
+        self.parts.membership.leave().await;
         tokio::time::sleep(Duration::from_secs(core.settings.keep_seconds)).await;
         log::info!("step=shutdown phase=finish daemon={}", core.name());
         self.callers.shutdown().await;
-        self.node.claims.complete().await;
-        self.node.billing.drain().await;
-        self.node.permits.release().await;
+        self.parts.claims.complete().await;
+        self.parts.billing.drain().await;
+        self.parts.permits.release().await;
         log::info!("step=shutdown phase=close daemon={}", core.name());
         self.operators.shutdown().await;
         self.peers.shutdown(PEER_SHUTDOWN).await;
-        self.node.membership.depart().await;
+        self.parts.membership.depart().await;
     }
 
-    async fn bind_operators(node: &Arc<Node>) -> io::Result<Operators> {
-        let address = node.core.settings.operators;
-        Operators::bind(address, node.core.clone(), node.configuration.clone()).await
+    async fn bind_operators(parts: &Arc<Parts>) -> io::Result<Operators> {
+        let address = parts.core.settings.operators;
+        Operators::bind(address, parts.core.clone(), parts.configuration.clone()).await
     }
 
-    async fn bind_peers(node: &Arc<Node>) -> io::Result<PeerServer> {
-        let settings = &node.core.settings;
-        let answering = node.clone();
+    async fn bind_peers(parts: &Arc<Parts>) -> io::Result<PeerServer> {
+        let settings = &parts.core.settings;
+        let answering = parts.clone();
         PeerServer::bind(
             settings.peers,
             &settings.fleet_key,
--- a/src/daemon/callers/chat_request.rs
+++ b/src/daemon/callers/chat_request.rs
@@ -8,7 +8,7 @@
     daemon::{
         callers::{head::Head, malformed},
         chat::call::{ChatCall, SessionAsk},
-        node::Node,
+        parts::Parts,
     },
     protocol::{
         problem::{Refusal, RefusalKind},
@@ -22,7 +22,7 @@
 
 /// Checks a completion request against the configuration in force.
 pub(super) fn read(
-    node: &Node,
+    parts: &Parts,
     request_id: &str,
     head: Head,
     body: &[u8],
@@ -32,7 +32,7 @@
     if req.messages.is_empty() {
         return Err(malformed("messages is empty"));
     }
-    let snapshot = node.core.snapshot();
+    let snapshot = parts.core.snapshot();
     let rule = snapshot.objects.rules.get(&req.model).ok_or_else(|| {
         let detail = format!("no rule is named {:?}", req.model);
         Refusal::not_run(RefusalKind::NotFound, "parse", detail)
--- a/src/daemon/callers/head.rs
+++ b/src/daemon/callers/head.rs
@@ -10,7 +10,7 @@
     coordination::claims::Header,
     daemon::{
         callers::{malformed, unauthenticated},
-        node::Node,
+        parts::Parts,
     },
     protocol::problem::Refusal,
     state::{credentials::hash_key, objects::CustomerName},
@@ -54,9 +54,9 @@
 
 impl Head {
     /// Reads the head and authenticates the caller; the body comes back unread.
-    pub(super) fn read(node: &Node, req: Request) -> Result<(Self, Body), Refusal> {
-        let received = node.core.clock.now();
-        let customer = authenticate(node, &req)?;
+    pub(super) fn read(parts: &Parts, req: Request) -> Result<(Self, Body), Refusal> {
+        let received = parts.core.clock.now();
+        let customer = authenticate(parts, &req)?;
         let head = Self {
             customer,
             received,
@@ -75,13 +75,13 @@
 }
 
 /// Finds the customer to whom the bearer key belongs.
-pub(super) fn authenticate(node: &Node, req: &Request) -> Result<CustomerName, Refusal> {
+pub(super) fn authenticate(parts: &Parts, req: &Request) -> Result<CustomerName, Refusal> {
     let header = req.headers().get(AUTHORIZATION);
     let header = header.and_then(|h| h.to_str().ok());
     let key = header
         .and_then(|h| h.strip_prefix("Bearer "))
         .ok_or_else(|| unauthenticated("a bearer key is required"))?;
-    let snapshot = node.core.snapshot();
+    let snapshot = parts.core.snapshot();
     let customer = snapshot.customer_by_key(&hash_key(key));
     customer
         .map(|(name, _)| name.clone())
--- a/src/daemon/callers/locate.rs
+++ b/src/daemon/callers/locate.rs
@@ -7,17 +7,17 @@
     daemon::{
         callers::{head::authenticate, malformed, reply::json},
         locate::LocateQuery,
-        node::Node,
+        parts::Parts,
     },
     protocol::problem::Refusal,
 };
 
 /// Answers a customer from what the daemon knows now.
-pub(super) fn serve(node: &Node, req: &Request) -> Result<Response, Refusal> {
-    authenticate(node, req)?;
+pub(super) fn serve(parts: &Parts, req: &Request) -> Result<Response, Refusal> {
+    authenticate(parts, req)?;
     let query: LocateQuery = req
         .query()
         .map_err(|e| malformed(format!("the query: {e}")))?;
-    let prefix = node.claims.prefix().map(|p| p.to_compact_string());
-    json(&node.locate.answer(&node.core, &query, prefix))
+    let prefix = parts.claims.prefix().map(|p| p.to_compact_string());
+    json(&parts.locate.answer(&parts.core, &query, prefix))
 }
--- a/src/daemon/callers/mod.rs
+++ b/src/daemon/callers/mod.rs
@@ -11,7 +11,7 @@
             reply::{problem, to_response},
         },
         chat,
-        node::Node,
+        parts::Parts,
     },
     protocol::problem::{Refusal, RefusalKind},
     transport::http_server::HttpServer,
@@ -28,67 +28,67 @@
 const MAX_CONNECTIONS: usize = 4_096;
 
 /// Listens for callers.
-pub async fn bind(node: Arc<Node>) -> io::Result<HttpServer> {
-    let address = node.core.settings.callers;
-    HttpServer::bind(address, routes(node), MAX_CONNECTIONS).await
+pub async fn bind(parts: Arc<Parts>) -> io::Result<HttpServer> {
+    let address = parts.core.settings.callers;
+    HttpServer::bind(address, routes(parts), MAX_CONNECTIONS).await
 }
 
-fn routes(node: Arc<Node>) -> Tree {
-    let locating = node.clone();
-    let chatting = node.clone();
+fn routes(parts: Arc<Parts>) -> Tree {
+    let locating = parts.clone();
+    let chatting = parts.clone();
     let router = Router::new()
         .get("/v1/locate", move |req: Request| {
-            let node = locating.clone();
+            let parts = locating.clone();
             async move {
-                let served = locate::serve(&node, &req);
+                let served = locate::serve(&parts, &req);
                 Ok::<_, viz::Error>(served.unwrap_or_else(|r| {
-                    let request_id = node.next_request_id();
-                    refuse(&node, &request_id, &r)
+                    let request_id = parts.next_request_id();
+                    refuse(&parts, &request_id, &r)
                 }))
             }
         })
         .post("/v1/chat/completions", move |req: Request| {
-            let node = chatting.clone();
-            async move { Ok::<_, viz::Error>(chat_completions(node, req).await) }
+            let parts = chatting.clone();
+            async move { Ok::<_, viz::Error>(chat_completions(parts, req).await) }
         })
         .any("/v1/services/:service/*", move |req: Request| {
-            let node = node.clone();
-            async move { Ok::<_, viz::Error>(plain_service(node, req).await) }
+            let parts = parts.clone();
+            async move { Ok::<_, viz::Error>(plain_service(parts, req).await) }
         });
     Tree::from(router)
 }
 
-async fn chat_completions(node: Arc<Node>, req: Request) -> Response {
-    let request_id = node.next_request_id();
+async fn chat_completions(parts: Arc<Parts>, req: Request) -> Response {
+    let request_id = parts.next_request_id();
     let served = async {
-        let (head, incoming) = Head::read(&node, req)?;
+        let (head, incoming) = Head::read(&parts, req)?;
         let body = body::read(incoming, body::MAX_CHAT_BYTES).await?;
-        let call = chat_request::read(&node, &request_id, head, &body)?;
-        chat::serve(&node, call).await
+        let call = chat_request::read(&parts, &request_id, head, &body)?;
+        chat::serve(&parts, call).await
     };
     match served.await {
         Ok(reply) => to_response(&request_id, reply),
-        Err(refusal) => refuse(&node, &request_id, &refusal),
+        Err(refusal) => refuse(&parts, &request_id, &refusal),
     }
 }
 
-async fn plain_service(node: Arc<Node>, req: Request) -> Response {
-    let request_id = node.next_request_id();
+async fn plain_service(parts: Arc<Parts>, req: Request) -> Response {
+    let request_id = parts.next_request_id();
     let served = async {
         let method = req.method().clone();
         let uri = req.uri().clone();
-        let (head, incoming) = Head::read(&node, req)?;
+        let (head, incoming) = Head::read(&parts, req)?;
         let body = body::read(incoming, body::MAX_SERVICE_BYTES).await?;
-        service_request::serve(&node, &request_id, head, &method, &uri, body).await
+        service_request::serve(&parts, &request_id, head, &method, &uri, body).await
     };
     match served.await {
         Ok(res) => res,
-        Err(refusal) => refuse(&node, &request_id, &refusal),
+        Err(refusal) => refuse(&parts, &request_id, &refusal),
     }
 }
 
-fn refuse(node: &Node, request_id: &str, refusal: &Refusal) -> Response {
-    node.core.decide(
+fn refuse(parts: &Parts, request_id: &str, refusal: &Refusal) -> Response {
+    parts.core.decide(
         request_id,
         "refuse",
         format_args!(
--- a/src/daemon/callers/service_request.rs
+++ b/src/daemon/callers/service_request.rs
@@ -10,7 +10,7 @@
     coordination::admission::AdmitRequest,
     daemon::{
         callers::{head::Head, malformed, reply::tag},
-        node::Node,
+        parts::Parts,
         policy::Ticket,
         service::{ServiceAnswer, ServiceCall},
     },
@@ -22,7 +22,7 @@
 
 /// Serves one call of a plain service.
 pub(super) async fn serve(
-    node: &Arc<Node>,
+    parts: &Arc<Parts>,
     request_id: &str,
     head: Head,
     method: &Method,
@@ -41,14 +41,14 @@
         body,
         idempotency_key: head.idempotency_key,
     };
-    let _ticket = admit(node, &call).await?;
-    let answer = node.services.serve(call).await?;
+    let _ticket = admit(parts, &call).await?;
+    let answer = parts.services.serve(call).await?;
     Ok(to_response(request_id, answer))
 }
 
 /// Waits for the call's turn among all customers' calls of the service.
-async fn admit(node: &Arc<Node>, call: &ServiceCall) -> Result<Ticket, Refusal> {
-    let snapshot = node.core.snapshot();
+async fn admit(parts: &Arc<Parts>, call: &ServiceCall) -> Result<Ticket, Refusal> {
+    let snapshot = parts.core.snapshot();
     let service = snapshot
         .objects
         .services
@@ -57,14 +57,14 @@
             let detail = format!("no service is named {:?}", call.service);
             Refusal::not_run(RefusalKind::NotFound, "parse", detail)
         })?;
-    let default = node.core.clock.now() + Duration::from_millis(service.deadline_ms);
+    let default = parts.core.clock.now() + Duration::from_millis(service.deadline_ms);
     let req = AdmitRequest {
         request_id: call.request_id.clone(),
         customer: call.customer.clone(),
         priority: service.priority,
         deadline: call.deadline.unwrap_or(default),
     };
-    let admitted = node.policy.admit_service(call.service.clone(), req).await;
+    let admitted = parts.policy.admit_service(call.service.clone(), req).await;
     admitted.map_err(|refused| {
         Refusal::not_run(RefusalKind::Overloaded, "admit", refused.to_string())
             .retry_after(refused.retry_after)
--- a/src/daemon/chat/deliver.rs
+++ b/src/daemon/chat/deliver.rs
@@ -14,7 +14,7 @@
 
 /// The session token that goes with the answer, if the call belongs to a session.
 pub(super) fn session(run: &Run, version: &str) -> Result<Option<CompactString>, Refusal> {
-    let snapshot = run.node.core.snapshot();
+    let snapshot = run.parts.core.snapshot();
     let session = match &run.call.session {
         SessionAsk::None => return Ok(None),
         SessionAsk::Existing(session) => session.clone(),
@@ -32,7 +32,7 @@
 
 /// Has the bill kept before the end of the answer is released.
 pub(super) async fn bill(run: &Run, choice: &Choice, usage: Usage) -> Result<(), Refusal> {
-    let core = &run.node.core;
+    let core = &run.parts.core;
     let bill = Bill::for_completion(
         &core.snapshot(),
         &run.call.customer,
@@ -42,7 +42,7 @@
         core.clock.wall(),
     );
     core.decide(&run.call.log_id, "bill", &bill);
-    run.node.billing.record(bill).await.map_err(|e| {
+    run.parts.billing.record(bill).await.map_err(|e| {
         core.decide(&run.call.log_id, "bill", format_args!("failed={e}"));
         refuse::unbilled()
     })
@@ -50,7 +50,7 @@
 
 /// Has a streamed answer rated after its delivery.
 pub(super) fn rate_later(run: &Run, choice: &Choice, text: &str) {
-    let policy = run.node.policy.clone();
+    let policy = run.parts.policy.clone();
     let route = run.route.clone();
     let choice = choice.clone();
     let prompt = super::prompt(&run.call);
--- a/src/daemon/chat/mod.rs
+++ b/src/daemon/chat/mod.rs
@@ -15,7 +15,7 @@
             call::{ChatCall, ChatReply, SessionAsk},
             run::Run,
         },
-        node::Node,
+        parts::Parts,
     },
     protocol::problem::{Refusal, RefusalKind},
 };
@@ -29,14 +29,14 @@
 mod whole;
 
 /// Serves one completion.
-pub async fn serve(node: &Arc<Node>, call: ChatCall) -> Result<ChatReply, Refusal> {
-    node.check_ready()?;
+pub async fn serve(parts: &Arc<Parts>, call: ChatCall) -> Result<ChatReply, Refusal> {
+    parts.check_ready()?;
     let fingerprint = Fingerprint::of(&call.customer, prompt(&call));
-    let solo = node
+    let solo = parts
         .policy
         .check_poison(fingerprint)
         .map_err(|q| refuse::quarantined(&q))?;
-    let ticket = node
+    let ticket = parts
         .policy
         .admit(AdmitRequest {
             request_id: call.log_id.clone(),
@@ -46,7 +46,7 @@
         })
         .await
         .map_err(|r| refuse::overloaded(&r))?;
-    if node.core.clock.now() >= call.deadline {
+    if parts.core.clock.now() >= call.deadline {
         let detail = "the deadline passed in the queue";
         return Err(Refusal::not_run(
             RefusalKind::DeadlineExceeded,
@@ -54,7 +54,7 @@
             detail,
         ));
     }
-    node.core.decide(
+    parts.core.decide(
         &call.log_id,
         "admit",
         format_args!(
@@ -63,7 +63,7 @@
         ),
     );
     let route = route_request(&call, solo);
-    let run = Run::new(node.clone(), call, route, fingerprint, ticket);
+    let run = Run::new(parts.clone(), call, route, fingerprint, ticket);
     if run.call.req.stream {
         stream::serve(run).await
     } else {
--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -6,7 +6,7 @@
     coordination::routing::{Choice, NoRoute, NoRouteWhy, Outcome},
     daemon::{
         chat::{refuse, run::Run},
-        node::Node,
+        parts::Parts,
         permits::{Acquire, Slot},
     },
     protocol::problem::Refusal,
@@ -21,7 +21,7 @@
     pub(super) choice: Choice,
     pub(super) address: SocketAddr,
     pub(super) failure_domain: DomainName,
-    node: Arc<Node>,
+    parts: Arc<Parts>,
     slot: Option<Slot>,
     finished: bool,
 }
@@ -42,7 +42,7 @@
 
     fn end(&mut self, outcome: Outcome) {
         self.finished = true;
-        self.node.policy.finished(&self.choice, outcome);
+        self.parts.policy.finished(&self.choice, outcome);
     }
 }
 
@@ -57,7 +57,7 @@
 /// Picks a version and an upstream by the configuration in force now, waiting for a free slot.
 pub(super) async fn pick(run: &Run) -> Result<Pick, Refusal> {
     loop {
-        match run.node.policy.choose(&run.route) {
+        match run.parts.policy.choose(&run.route) {
             Ok(choice) => {
                 if let Some(pick) = take(run, choice).await {
                     return Ok(pick);
@@ -78,7 +78,7 @@
     if !choice.solo {
         return take_slot(run, choice);
     }
-    let policy = &run.node.policy;
+    let policy = &run.parts.policy;
     if !policy.isolate(&choice, run.call.deadline).await {
         return None;
     }
@@ -91,30 +91,30 @@
 
 /// Picks at once or not at all.
 pub(super) async fn pick_now(run: &Run) -> Option<Pick> {
-    let choice = run.node.policy.choose(&run.route).ok()?;
+    let choice = run.parts.policy.choose(&run.route).ok()?;
     take(run, choice).await
 }
 
 fn take_slot(run: &Run, choice: Choice) -> Option<Pick> {
-    let node = &run.node;
+    let parts = &run.parts;
     // The configuration may have changed since the choice, so it is read again.
-    let snapshot = node.core.snapshot();
-    let upstream = node.core.usable_upstream(&snapshot, &choice.upstream)?;
-    let Acquire::Slot(slot) = node.permits.try_acquire(&choice.upstream) else {
+    let snapshot = parts.core.snapshot();
+    let upstream = parts.core.usable_upstream(&snapshot, &choice.upstream)?;
+    let Acquire::Slot(slot) = parts.permits.try_acquire(&choice.upstream) else {
         return None;
     };
-    node.policy.started(&choice, run.fingerprint);
+    parts.policy.started(&choice, run.fingerprint);
     Some(Pick {
         address: upstream.address,
         failure_domain: upstream.failure_domain.clone(),
         choice,
-        node: node.clone(),
+        parts: parts.clone(),
         slot: Some(slot),
         finished: false,
     })
 }
 
 fn refuse_route(run: &Run, no: &NoRoute) -> Refusal {
-    run.node.core.decide(&run.call.log_id, "route", no);
+    run.parts.core.decide(&run.call.log_id, "route", no);
     refuse::no_route(no, run.may_have_run())
 }
--- a/src/daemon/chat/run.rs
+++ b/src/daemon/chat/run.rs
@@ -12,7 +12,7 @@
     },
     daemon::{
         chat::{call::ChatCall, pick::Pick, refuse},
-        node::Node,
+        parts::Parts,
         policy::Ticket,
     },
     protocol::problem::Refusal,
@@ -27,7 +27,7 @@
 
 /// One completion in progress.
 pub(super) struct Run {
-    pub(super) node: Arc<Node>,
+    pub(super) parts: Arc<Parts>,
     pub(super) call: ChatCall,
     pub(super) route: RouteRequest,
     pub(super) fingerprint: Fingerprint,
@@ -48,14 +48,14 @@
 
 impl Run {
     pub(super) fn new(
-        node: Arc<Node>,
+        parts: Arc<Parts>,
         call: ChatCall,
         route: RouteRequest,
         fingerprint: Fingerprint,
         ticket: Ticket,
     ) -> Self {
         Self {
-            node,
+            parts,
             call,
             route,
             fingerprint,
@@ -69,7 +69,7 @@
 
     /// The time left until the deadline.
     pub(super) fn remaining(&self) -> Duration {
-        let now = self.node.core.clock.now();
+        let now = self.parts.core.clock.now();
         self.call.deadline.saturating_duration_since(now)
     }
 
@@ -77,7 +77,7 @@
     pub(super) fn attempt(&mut self, pick: Pick, resume_from: u32) -> Attempt {
         self.attempts += 1;
         let client = self
-            .node
+            .parts
             .engines
             .client(&pick.choice.upstream, pick.address);
         let mut req = self.call.req.clone();
@@ -89,7 +89,7 @@
             resume_from,
             limit: self.remaining(),
         };
-        let core = &self.node.core;
+        let core = &self.parts.core;
         core.decide(
             &self.call.log_id,
             "route",
@@ -115,10 +115,10 @@
     ) {
         let upstream = attempt.pick.choice.upstream.clone();
         if let Some(incarnation) = incarnation {
-            self.node.engines.saw(&upstream, incarnation);
-            self.node.permits.saw_incarnation(&upstream, incarnation);
+            self.parts.engines.saw(&upstream, incarnation);
+            self.parts.permits.saw_incarnation(&upstream, incarnation);
         }
-        let whole = self.node.core.clock.now() - attempt.started;
+        let whole = self.parts.core.clock.now() - attempt.started;
         attempt
             .pick
             .succeeded(Outcome::Answered { first_token, whole });
@@ -132,12 +132,12 @@
     ) -> Result<(), Refusal> {
         let upstream = attempt.pick.choice.upstream.clone();
         let outcome = self
-            .node
+            .parts
             .engines
             .diagnose(&upstream, &attempt.client, e)
             .await;
         self.may_have_run |= !e.not_run();
-        self.node.core.decide(
+        self.parts.core.decide(
             &self.call.log_id,
             "fail",
             format_args!(
@@ -160,7 +160,7 @@
         }
         self.failures += 1;
         // A silent connection says nothing against the engine, so the repeat adds no load to spare.
-        let may_retry = outcome == Outcome::Silent || self.node.policy.may_retry();
+        let may_retry = outcome == Outcome::Silent || self.parts.policy.may_retry();
         if self.failures >= MAX_FAILURES || !may_retry {
             return Err(refuse::failed(&upstream, e, self.may_have_run));
         }
@@ -168,11 +168,11 @@
     }
 
     fn crashed(&mut self, upstream: &str) -> Result<(), Refusal> {
-        self.node.permits.crashed(upstream);
+        self.parts.permits.crashed(upstream);
         self.route.excluded.push(upstream.into());
-        self.node.policy.crashed(upstream);
+        self.parts.policy.crashed(upstream);
         self.route.solo = self
-            .node
+            .parts
             .policy
             .check_poison(self.fingerprint)
             .map_err(|q| refuse::quarantined(&q).ran(self.may_have_run))?;
--- a/src/daemon/chat/stream.rs
+++ b/src/daemon/chat/stream.rs
@@ -67,7 +67,7 @@
         let attempt = run.attempt(pick, offset);
         match first_item(run, &attempt).await {
             Ok((stream, first)) => {
-                let first_token = run.node.core.clock.now() - attempt.started;
+                let first_token = run.parts.core.clock.now() - attempt.started;
                 return Ok(Begun {
                     attempt,
                     stream,
@@ -102,7 +102,7 @@
                 }
                 Err(Stop::CallerGone) => {
                     self.run
-                        .node
+                        .parts
                         .core
                         .decide(&self.run.call.log_id, "deliver", "caller=gone");
                     return;
@@ -187,7 +187,7 @@
 
     /// Ends the stream with an explicit error event.
     async fn fail(&self, refusal: &Refusal) {
-        let core = &self.run.node.core;
+        let core = &self.run.parts.core;
         core.decide(
             &self.run.call.log_id,
             "refuse",
--- a/src/daemon/chat/whole.rs
+++ b/src/daemon/chat/whole.rs
@@ -64,7 +64,7 @@
         match complete(run, &attempt).await {
             Ok((answer, incarnation)) => {
                 let choice = attempt.pick.choice.clone();
-                let first_token = run.node.core.clock.now() - attempt.started;
+                let first_token = run.parts.core.clock.now() - attempt.started;
                 run.answered(attempt, first_token, incarnation);
                 let quality = rate(run, &choice, &answer).await;
                 return Ok(Some(Candidate {
@@ -99,7 +99,7 @@
         .map_or_else(CompactString::default, |c| {
             c.message.content.as_str().into()
         });
-    run.node
+    run.parts
         .policy
         .rate(&run.route, choice, &super::prompt(&run.call), &text)
         .await
@@ -108,10 +108,10 @@
 /// Whether a dearer version should answer instead.
 fn judge(run: &Run, candidate: &Candidate) -> bool {
     let verdict = run
-        .node
+        .parts
         .policy
         .judge(&run.route, &candidate.choice, candidate.quality);
-    run.node.core.decide(
+    run.parts.core.decide(
         &run.call.log_id,
         "judge",
         format_args!(
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,9 +10,10 @@
 pub mod engines;
 pub mod locate;
 pub mod membership;
-pub mod node;
+pub mod parts;
 pub mod permits;
 pub mod policy;
+pub mod readiness;
 pub mod service;
 
 pub use assembly::{Daemon, StartError};
--- a/src/daemon/node.rs
+++ b/src/daemon/parts.rs
@@ -9,19 +9,16 @@
     daemon::{
         billing::Billing, claims::Claims, configuration::Configuration, core::Core,
         engines::Engines, locate::Locate, membership::Membership, permits::Permits, policy::Policy,
-        service::Services,
+        readiness, service::Services,
     },
     protocol::{
         peer::{PeerRequest, PeerResponse, decisions},
-        problem::{Refusal, RefusalKind},
+        problem::Refusal,
     },
 };
 
-/// When to come back to a daemon that is not ready.
-const NOT_READY_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
-
 /// The running parts.
-pub struct Node {
+pub struct Parts {
     /// What all parts share.
     pub core: Arc<Core>,
     /// The clients of model engines.
@@ -44,7 +41,7 @@
     pub policy: Arc<Policy>,
 }
 
-impl Node {
+impl Parts {
     /// A fresh request id that no other daemon or incarnation gives out.
     pub fn next_request_id(&self) -> RequestId {
         let id: u64 = rand::rng().random();
@@ -53,15 +50,7 @@
 
     /// Whether new work may be taken; the refusal says why not.
     pub fn check_ready(&self) -> Result<(), Refusal> {
-        let refuse = |detail: String| {
-            Refusal::not_run(RefusalKind::NotReady, "ready", detail).retry_after(NOT_READY_RETRY)
-        };
-        self.configuration
-            .readiness()
-            .map_err(|e| refuse(e.to_string()))?;
-        self.billing
-            .may_take_work()
-            .map_err(|e| refuse(e.to_string()))
+        readiness::check(&self.configuration, &self.billing)
     }
 
     /// Answers a call from a peer.
--- a/src/daemon/service.rs
+++ b/src/daemon/service.rs
@@ -17,7 +17,9 @@
         claims::{Answer, Fingerprint, Header, IdempotencyKey},
         decisions::RequestId,
     },
-    daemon::{billing::Billing, claims::Claims, configuration::Configuration, core::Core},
+    daemon::{
+        billing::Billing, claims::Claims, configuration::Configuration, core::Core, readiness,
+    },
     protocol::{
         peer::claims::{Request, Response},
         problem::{Refusal, RefusalKind},
@@ -149,16 +151,7 @@
     }
 
     fn check_ready(&self) -> Result<(), Refusal> {
-        let refuse = |reason: String| {
-            Refusal::not_run(RefusalKind::NotReady, "ready", reason)
-                .retry_after(Duration::from_secs(1))
-        };
-        self.configuration
-            .readiness()
-            .map_err(|e| refuse(e.to_string()))?;
-        self.billing
-            .may_take_work()
-            .map_err(|e| refuse(e.to_string()))
+        readiness::check(&self.configuration, &self.billing)
     }
 
     async fn bill(&self, call: &Call) -> Result<(), Refusal> {
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -89,7 +89,7 @@
     wait(limit, "the daemons to meet", || {
         daemons
             .iter()
-            .all(|d| d.node().core.other_members().len() + 1 == daemons.len())
+            .all(|d| d.parts().core.other_members().len() + 1 == daemons.len())
     })
     .await
 }
@@ -103,7 +103,7 @@
     wait(limit, "the generation to be in force", || {
         daemons
             .iter()
-            .all(|d| d.node().core.snapshot().generation >= generation)
+            .all(|d| d.parts().core.snapshot().generation >= generation)
     })
     .await
 }
@@ -126,15 +126,15 @@
 
 /// Publishes an edit through one daemon and returns the generation in which it is.
 pub async fn publish(daemon: &Daemon, edit: Edit) -> Result<Generation, LocalError> {
-    let node = daemon.node();
+    let parts = daemon.parts();
     let request = PublishRequest {
-        id: node.next_request_id(),
+        id: parts.next_request_id(),
         operator: "local".into(),
         edit,
         base: None,
         dry_run: false,
     };
-    let report = node.configuration.publish(request).await;
+    let report = parts.configuration.publish(request).await;
     report
         .outcome
         .generation()
