Ask for the lease once more when the connection is open, before an engine is sent anything

A daemon paused between taking a slot and connecting sent the request under a lease that had run out; nothing asked Slot::is_valid. Without the check the new test got an answer where an error was due.

--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -11,6 +11,7 @@
     },
     protocol::problem::Refusal,
     state::objects::DomainName,
+    transport::engine::Permission,
 };
 
 /// How long to wait before asking again for a slot.
@@ -27,6 +28,14 @@
 }
 
 impl Pick {
+    /// Tells, just before the dispatch is sent, whether the lease of its slot still holds.
+    pub(super) fn permission(&self) -> Permission {
+        match &self.slot {
+            Some(slot) => slot.permission(),
+            None => Arc::new(|| false),
+        }
+    }
+
     /// The attempt gave its whole answer.
     pub(super) fn succeeded(mut self, outcome: Outcome) {
         if let Some(slot) = self.slot.take() {
--- a/src/daemon/chat/run.rs
+++ b/src/daemon/chat/run.rs
@@ -79,7 +79,8 @@
         let client = self
             .parts
             .engines
-            .client(&pick.choice.upstream, pick.address);
+            .client(&pick.choice.upstream, pick.address)
+            .with_permission(pick.permission());
         let mut req = self.call.req.clone();
         req.model = pick.choice.version.clone();
         let dispatch = Dispatch {
--- a/src/daemon/permits.rs
+++ b/src/daemon/permits.rs
@@ -31,6 +31,7 @@
         objects::{Offer, UpstreamName},
         snapshot::{Generation, Snapshot},
     },
+    transport::engine::Permission,
 };
 
 mod links;
@@ -81,15 +82,27 @@
         }
     }
 
-    /// Whether the lease still holds; to be asked just before the request is sent.
+    /// Tells whether the lease still holds; to be asked just before the request is sent.
+    pub fn permission(&self) -> Permission {
+        let upstream = self.upstream.clone();
+        let permits = self.permits.clone();
+        Arc::new(move || holds(permits.as_ref(), &upstream))
+    }
+
+    /// Whether the lease still holds.
     pub fn is_valid(&self) -> bool {
-        self.permits.as_ref().is_none_or(|permits| {
-            let now = permits.core.clock.now();
-            permits.leases().is_valid(now, &self.upstream)
-        })
+        holds(self.permits.as_ref(), &self.upstream)
     }
 }
 
+/// Whether a lease on `upstream` holds now; without permits, none is needed.
+fn holds(permits: Option<&Arc<Permits>>, upstream: &str) -> bool {
+    permits.is_none_or(|permits| {
+        let now = permits.core.clock.now();
+        permits.leases().is_valid(now, upstream)
+    })
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         if let Some(permits) = &self.permits {
--- a/src/transport/engine/error.rs
+++ b/src/transport/engine/error.rs
@@ -67,7 +67,7 @@
 pub enum Blame {
     /// The connection was at fault; the engine deserves another one.
     Connection,
-    /// The engine is full and did nothing.
+    /// The engine is full, or the lease of its slot ran out; nothing was done.
     Busy,
     /// The engine crashed or closed the connection while it worked.
     Crash,
@@ -82,6 +82,7 @@
     pub fn blame(&self) -> Blame {
         match self {
             Self::Http(e) if e.step == Step::Connect => Blame::Engine,
+            Self::Http(e) if e.step == Step::Permission => Blame::Busy,
             Self::Http(e) if e.timed_out => Blame::Slow,
             Self::Http(e) if e.sent == Sent::No => Blame::Connection,
             Self::Http(_) | Self::Truncated { .. } => Blame::Crash,
--- a/src/transport/engine/mod.rs
+++ b/src/transport/engine/mod.rs
@@ -1,6 +1,6 @@
 //! The client of one model engine: whole and streamed completions, attempts and load reports.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -62,10 +62,20 @@
     pub incarnation: Option<EngineIncarnation>,
 }
 
+/// Tells whether a dispatch may be sent at this moment.
+pub type Permission = Arc<dyn Fn() -> bool + Send + Sync>;
+
 /// The client; clones share connections.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct EngineClient {
     http: HttpClient,
+    permission: Option<Permission>,
+}
+
+impl fmt::Debug for EngineClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("EngineClient").field(&self.peer()).finish()
+    }
 }
 
 impl EngineClient {
@@ -73,6 +83,16 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             http: HttpClient::new(address),
+            permission: None,
+        }
+    }
+
+    /// The same client, which asks `permission` just before it sends a dispatch.
+    #[must_use]
+    pub fn with_permission(&self, permission: Permission) -> Self {
+        Self {
+            http: self.http.clone(),
+            permission: Some(permission),
         }
     }
 
@@ -142,7 +162,8 @@
             chunk: dispatch.limit,
         };
         let req = self.request(dispatch)?;
-        let exchange = self.http.send(req, reuse, timeouts).await?;
+        let may_send = || self.permission.as_ref().is_none_or(|may| may());
+        let exchange = self.http.send_if(req, reuse, timeouts, &may_send).await?;
         if exchange.status() != StatusCode::OK {
             return Err(self.refused(&exchange));
         }
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -29,6 +29,8 @@
 pub enum Step {
     /// Opening the connection.
     Connect,
+    /// Asking whether the request may still be sent.
+    Permission,
     /// Sending the request and waiting for the response's head.
     Head,
     /// Reading the response's body.
@@ -81,6 +83,9 @@
     Fresh,
 }
 
+/// Tells whether a request may be sent at this moment.
+pub type MaySend<'a> = &'a (dyn Fn() -> bool + Send + Sync);
+
 /// The client of one address; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -127,14 +132,26 @@
 
     /// Sends a request and waits for the response's head.
     pub async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        timeouts: Timeouts,
+    ) -> Result<Exchange, HttpError> {
+        self.send_if(req, reuse, timeouts, &|| true).await
+    }
+
+    /// Like [`Self::send`], but asks once a connection is open whether the request may still be sent.
+    pub async fn send_if(
         &self,
         mut req: Request<Full<Bytes>>,
         reuse: Reuse,
         timeouts: Timeouts,
+        may_send: MaySend<'_>,
     ) -> Result<Exchange, HttpError> {
         self.set_host(&mut req);
         if reuse == Reuse::Idle {
             while let Some(mut sender) = self.take_idle() {
+                self.check(may_send)?;
                 match self.exchange(&mut sender, req, timeouts.head).await {
                     Ok(res) => return Ok(self.begin(res, sender, timeouts.chunk)),
                     Err(Failure::Unsent(returned)) => req = *returned,
@@ -143,6 +160,7 @@
             }
         }
         let mut sender = self.connect(timeouts.connect).await?;
+        self.check(may_send)?;
         match self.exchange(&mut sender, req, timeouts.head).await {
             Ok(res) => Ok(self.begin(res, sender, timeouts.chunk)),
             Err(Failure::Unsent(_)) => {
@@ -203,6 +221,13 @@
         }
     }
 
+    fn check(&self, may_send: MaySend<'_>) -> Result<(), HttpError> {
+        if may_send() {
+            return Ok(());
+        }
+        Err(self.error(Step::Permission, Sent::No, false, "may no longer be sent"))
+    }
+
     fn begin(
         &self,
         res: Response<Incoming>,
--- /dev/null
+++ b/tests/engine_client.rs
@@ -0,0 +1,74 @@
+//! The client of model engines against the stand-in.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use hibiscusyoke::transport::{
+    engine::{Dispatch, EngineClient, error::Blame},
+    http_client::Reuse,
+};
+use platform_api::engine::{ChatMessage, ChatRequest};
+use stand_in::{
+    engine::{Engine, EngineConfig, VersionConfig},
+    server::Running,
+    stats::RoleStats,
+};
+
+const VERSION: &str = "draft-1";
+
+fn dispatch(attempt: &str) -> Dispatch {
+    Dispatch {
+        attempt: attempt.into(),
+        req: ChatRequest {
+            model: VERSION.into(),
+            messages: vec![ChatMessage {
+                role: "user".into(),
+                content: "tokens=1 lease".into(),
+            }],
+            stream: false,
+            max_tokens: None,
+        },
+        priority: 0,
+        resume_from: 0,
+        limit: Duration::from_secs(10),
+    }
+}
+
+fn attempts(engine: &Running) -> usize {
+    match engine.stats().role {
+        RoleStats::Engine(stats) => stats.attempts.len(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A lease that lapses after it has been asked about `asked` times, as in a pause.
+fn lapsing(asked: u32) -> Arc<dyn Fn() -> bool + Send + Sync> {
+    let left = AtomicU32::new(asked);
+    Arc::new(move || {
+        left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1))
+            .is_ok()
+    })
+}
+
+#[tokio::test]
+async fn complete_sends_nothing_once_the_lease_has_lapsed() {
+    let cfg = EngineConfig::warm([VersionConfig::new(VERSION, 0.7)]);
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let engine = Engine::spawn(cfg, address).await.unwrap();
+    let client = EngineClient::new(engine.address).with_permission(lapsing(1));
+    client
+        .complete(&dispatch("one"), Reuse::Idle)
+        .await
+        .unwrap();
+    for reuse in [Reuse::Idle, Reuse::Fresh] {
+        let e = client.complete(&dispatch("two"), reuse).await.unwrap_err();
+        assert!(e.not_run(), "{e}");
+        assert_eq!(e.blame(), Blame::Busy);
+    }
+    assert_eq!(attempts(&engine), 1);
+}
