--- /dev/null
+++ b/src/daemon/callers/count.rs
@@ -0,0 +1,58 @@
+//! Counts callers' requests for the metrics.
+
+use std::time::Instant;
+
+use compact_str::CompactString;
+use derive_more::Display;
+
+use crate::{
+    clock::SharedClock,
+    daemon::parts::Parts,
+    metrics::{REQUEST_SECONDS, REQUESTS},
+    protocol::problem::Refusal,
+};
+
+/// The outcome of a request that was not refused.
+const SERVED: &str = "served";
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, Display)]
+#[display(rename_all = "snake_case")]
+pub(super) enum Kind {
+    /// A completion.
+    Chat,
+    /// A call of a plain service.
+    Service,
+}
+
+/// One request that is being served.
+pub(super) struct Count {
+    clock: SharedClock,
+    daemon: CompactString,
+    kind: CompactString,
+    begun: Instant,
+}
+
+impl Count {
+    /// A request has arrived.
+    pub(super) fn begin(parts: &Parts, kind: Kind) -> Self {
+        let core = &parts.core;
+        Self {
+            clock: core.clock.clone(),
+            daemon: core.name().clone(),
+            kind: kind.to_string().into(),
+            begun: core.clock.now(),
+        }
+    }
+
+    /// Its answer, its first token or its refusal is ready.
+    pub(super) fn end(self, refusal: Option<&Refusal>) {
+        let outcome = refusal.map_or_else(|| SERVED.into(), |r| r.kind.to_string());
+        REQUESTS
+            .with_label_values(&[&*self.daemon, &*self.kind, &*outcome])
+            .inc();
+        REQUEST_SECONDS
+            .with_label_values(&[&*self.daemon, &*self.kind])
+            .observe((self.clock.now() - self.begun).as_secs_f64());
+    }
+}
--- a/src/daemon/callers/mod.rs
+++ b/src/daemon/callers/mod.rs
@@ -7,6 +7,7 @@
 use crate::{
     daemon::{
         callers::{
+            count::{Count, Kind},
             head::Head,
             reply::{problem, to_response},
         },
@@ -19,6 +20,7 @@
 
 mod body;
 mod chat_request;
+mod count;
 mod head;
 mod locate;
 mod reply;
@@ -60,13 +62,16 @@
 
 async fn chat_completions(parts: Arc<Parts>, req: Request) -> Response {
     let request_id = parts.next_request_id();
+    let count = Count::begin(&parts, Kind::Chat);
     let served = async {
         let (head, incoming) = Head::read(&parts, req)?;
         let body = body::read(incoming, body::MAX_CHAT_BYTES).await?;
         let call = chat_request::read(&parts, &request_id, head, &body)?;
         chat::serve(&parts, call).await
     };
-    match served.await {
+    let served = served.await;
+    count.end(served.as_ref().err());
+    match served {
         Ok(reply) => to_response(&request_id, reply),
         Err(refusal) => refuse(&parts, &request_id, &refusal),
     }
@@ -74,6 +79,7 @@
 
 async fn plain_service(parts: Arc<Parts>, req: Request) -> Response {
     let request_id = parts.next_request_id();
+    let count = Count::begin(&parts, Kind::Service);
     let served = async {
         let method = req.method().clone();
         let uri = req.uri().clone();
@@ -81,7 +87,9 @@
         let body = body::read(incoming, body::MAX_SERVICE_BYTES).await?;
         service_request::serve(&parts, &request_id, head, &method, &uri, body).await
     };
-    match served.await {
+    let served = served.await;
+    count.end(served.as_ref().err());
+    match served {
         Ok(res) => res,
         Err(refusal) => refuse(&parts, &request_id, &refusal),
     }
--- a/src/daemon/chat/pick.rs
+++ b/src/daemon/chat/pick.rs
@@ -9,6 +9,7 @@
         parts::Parts,
         permits::{Acquire, Slot},
     },
+    metrics::ATTEMPTS,
     protocol::problem::Refusal,
     state::objects::DomainName,
     transport::engine::Permission,
@@ -51,10 +52,27 @@
 
     fn end(&mut self, outcome: Outcome) {
         self.finished = true;
+        let daemon = self.parts.core.name();
+        ATTEMPTS
+            .with_label_values(&[daemon.as_str(), outcome_label(outcome)])
+            .inc();
         self.parts.policy.finished(&self.choice, outcome);
     }
 }
 
+/// The name of an outcome in the metrics.
+fn outcome_label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered { .. } => "answered",
+        Outcome::Refused => "refused",
+        Outcome::Failed => "failed",
+        Outcome::Silent => "silent",
+        Outcome::Unreachable => "unreachable",
+        Outcome::Crashed => "crashed",
+        Outcome::Cancelled => "cancelled",
+    }
+}
+
 impl Drop for Pick {
     fn drop(&mut self) {
         if !self.finished {
--- a/tests/path_process.rs
+++ b/tests/path_process.rs
@@ -14,7 +14,7 @@
 mod support;
 
 use support::{
-    caller::{Call, End, chat, locate, service},
+    caller::{Call, End, chat, get, locate, service},
     fleet::{Fleet, FleetPlan, fast_engine},
     objects::{RULE, SERVICE, VERSION, key_hash},
     wait_until,
@@ -70,6 +70,11 @@
         assert_eq!(booked.status, StatusCode::OK, "{booked:?}");
     }
     assert_eq!(fleet.executions(&key).await, 1, "the repeat ran nothing");
+    let metrics = get("/metrics").send(fleet.daemons[0].operators).await;
+    let metrics = metrics.unwrap().text_body();
+    let served =
+        "hibiscusyoke_requests_total{daemon=\"entry-1\",kind=\"chat\",outcome=\"served\"} 2";
+    assert!(metrics.contains(served), "{metrics}");
 
     wait_until("three bills in the table", support::LIMIT, async || {
         let out = fleet.operate(&["invoice", "--json"]);
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -102,6 +102,11 @@
     Call::new(Method::GET, "/v1/locate", Vec::new())
 }
 
+/// Reads any path.
+pub fn get(path: &str) -> Call {
+    Call::new(Method::GET, path, Vec::new())
+}
+
 impl Call {
     fn new(method: Method, path: &str, body: Vec<u8>) -> Self {
         Self {
@@ -171,6 +176,11 @@
         serde_json::from_slice(&self.body).unwrap_or_else(|e| panic!("{e}: {} {body}", self.status))
     }
 
+    /// The body as text.
+    pub fn text_body(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
     /// The refusal.
     pub fn problem(&self) -> Problem {
         self.json()
