--- a/src/cli.rs
+++ b/src/cli.rs
@@ -23,6 +23,14 @@
     /// Run the daemon of this instance.
     #[bpaf(command, footer("Example: hibiscusyoke serve entry-1.jsonc"))]
     Serve(#[bpaf(external(serve_args))] ServeArgs),
+    /// Run the daemon of this instance on the users' platform.
+    ///
+    /// The variable HIBISCUSYOKE_CONFIG may name the settings instead.
+    #[bpaf(
+        command,
+        footer("Example: hibiscusyoke gateway --settings gateway.jsonc")
+    )]
+    Gateway(#[bpaf(external(gateway_args))] GatewayArgs),
     /// Check configuration files as one set, without publishing.
     #[bpaf(command, footer("Example: hibiscusyoke check configuration.jsonc"))]
     Check(#[bpaf(external(check_args))] CheckArgs),
@@ -109,6 +117,15 @@
     pub settings: PathBuf,
 }
 
+/// The arguments of `gateway`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct GatewayArgs {
+    /// The settings file, JSON with comments
+    #[bpaf(env("HIBISCUSYOKE_CONFIG"), long("settings"), argument("SETTINGS"))]
+    pub settings: PathBuf,
+}
+
 /// How to reach the fleet as an operator.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(ignore_rustdoc)]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod explain;
 pub mod files;
+pub mod gateway;
 pub mod generations;
 pub mod invoice;
 pub mod measure;
@@ -45,6 +46,7 @@
 pub async fn run(command: Command) -> ExitCode {
     match command {
         Command::Serve(args) => serve::run(args).await,
+        Command::Gateway(args) => gateway::run(args).await,
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(args).await,
         Command::Domain(args) => service::run(service::Target::FailureDomain, args).await,
--- /dev/null
+++ b/src/coordination/dispatch/peers.rs
@@ -0,0 +1,207 @@
+//! What the daemons tell one another, and which of them are believed to live.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+use platform::{RowVersion, orders::RolloutState};
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::dispatch::rollout::Evidence;
+
+/// How long a daemon counts as living after its last heartbeat.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// How long a silent daemon still counts when limits are shared out.
+const SHARE_TIME: Duration = Duration::from_secs(20);
+
+/// Identifies a daemon's instance.
+pub type DaemonName = CompactString;
+
+/// Identifies one incarnation of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PeerId {
+    /// The instance on which it runs.
+    pub name: DaemonName,
+    /// Which start of the process.
+    pub incarnation: u64,
+}
+
+/// Whether callers may be sent to a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Readiness {
+    /// It has no configuration yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It is about to stop.
+    Leaving,
+}
+
+/// How busy one daemon keeps an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The hash of the upstream's id.
+    pub upstream: u64,
+    /// The daemon's requests on it.
+    pub running: u32,
+    /// The time that it needs to read their prompts.
+    pub backlog: Duration,
+    /// Whether the daemon could not connect to it lately.
+    pub unreachable: bool,
+}
+
+/// What one daemon knows of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// The service.
+    pub service: CompactString,
+    /// The order's row version.
+    pub order: RowVersion,
+    /// How far the roll-out is.
+    pub state: RolloutState,
+    /// How long ago it was ordered.
+    pub elapsed: Duration,
+    /// What the daemon has seen itself.
+    pub evidence: Evidence,
+    /// Sessions that stay with the old version.
+    pub bound: Vec<u64>,
+}
+
+/// What a daemon tells the others several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who tells it.
+    pub from: PeerId,
+    /// Its address for callers.
+    pub front: SocketAddr,
+    /// Whether callers may be sent to it.
+    pub readiness: Readiness,
+    /// How new its view of the operators' table is.
+    pub orders_version: RowVersion,
+    /// How new its list of upstreams is.
+    pub upstreams_version: RowVersion,
+    /// Its load on upstreams.
+    pub loads: Vec<LoadReport>,
+    /// Its part in roll-outs.
+    pub rollouts: Vec<RolloutReport>,
+    /// Fingerprints of requests that it saw crash upstreams, with how often.
+    pub crashes: Vec<Crash>,
+}
+
+/// How often one daemon saw a request crash an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// The crashes.
+    pub count: u32,
+}
+
+/// Another daemon, as last heard.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its last heartbeat.
+    pub last: Heartbeat,
+    /// Where its datagrams come from.
+    pub address: SocketAddr,
+    heard: Instant,
+}
+
+/// The other daemons.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: BTreeMap<DaemonName, Peer>,
+    /// Daemons that the table names but that have not been heard.
+    unheard: BTreeMap<DaemonName, Unheard>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Unheard {
+    address: SocketAddr,
+    since: Instant,
+}
+
+impl Peers {
+    /// Notes a daemon that the table names.
+    pub fn expect(&mut self, name: DaemonName, address: SocketAddr, now: Instant) {
+        if self
+            .known
+            .get(&name)
+            .is_some_and(|peer| peer.address == address)
+        {
+            return;
+        }
+        self.unheard.insert(
+            name,
+            Unheard {
+                address,
+                since: now,
+            },
+        );
+    }
+
+    /// Takes in a heartbeat; tells whether it is of a new incarnation.
+    pub fn hear(&mut self, heartbeat: Heartbeat, address: SocketAddr, now: Instant) -> bool {
+        let name = heartbeat.from.name.clone();
+        self.unheard.remove(&name);
+        let known = self.known.get(&name).map(|peer| peer.last.from.incarnation);
+        if known.is_some_and(|known| known > heartbeat.from.incarnation) {
+            return false;
+        }
+        let new = known != Some(heartbeat.from.incarnation);
+        let peer = Peer {
+            last: heartbeat,
+            address,
+            heard: now,
+        };
+        self.known.insert(name, peer);
+        new
+    }
+
+    /// Where to send heartbeats to.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let unheard = self.unheard.values().map(|unheard| unheard.address);
+        self.known.values().map(|peer| peer.address).chain(unheard)
+    }
+
+    /// The daemons heard lately.
+    pub fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.known
+            .values()
+            .filter(move |peer| now.saturating_duration_since(peer.heard) < SILENCE_TIMEOUT)
+    }
+
+    /// The daemons to which callers may be sent.
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.living(now)
+            .filter(|peer| peer.last.readiness == Readiness::Ready)
+    }
+
+    /// The names of the daemons that may hold a part of a shared limit.
+    pub fn sharers(&self, now: Instant) -> impl Iterator<Item = &DaemonName> {
+        let recent = move |at: Instant| now.saturating_duration_since(at) < SHARE_TIME;
+        let heard = self
+            .known
+            .iter()
+            .filter(move |(_, peer)| {
+                recent(peer.heard) && peer.last.readiness != Readiness::Leaving
+            })
+            .map(|(name, _)| name);
+        let unheard = self
+            .unheard
+            .iter()
+            .filter(move |(_, unheard)| recent(unheard.since))
+            .map(|(name, _)| name);
+        heard.chain(unheard)
+    }
+
+    /// Drops daemons that have been silent for long.
+    pub fn expire(&mut self, now: Instant) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < SHARE_TIME * 3;
+        self.known.retain(|_, peer| recent(peer.heard));
+        self.unheard.retain(|_, unheard| recent(unheard.since));
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/registry.rs
@@ -0,0 +1,283 @@
+//! The upstreams that are believed to live, and what is known of each.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use platform::{
+    DomainName, RowVersion, ServiceName, UpstreamId, VersionName,
+    table::Row,
+    upstream::{Registration, State},
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::coordination::dispatch::{cold::Pace, health::Health};
+
+/// How long an entry that vanished in an outage of the table may take to come back.
+const LAPSE_TIME: Duration = Duration::from_millis(2_200);
+/// How long a version is held back that nobody has asked for: its order may be on its way.
+const UNKNOWN_VERSION_TIME: Duration = Duration::from_secs(3);
+
+/// One incarnation of an upstream, and what this daemon knows of it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Its id.
+    pub id: UpstreamId,
+    /// A hash of the id, equal on all daemons.
+    pub hash: u64,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its version.
+    pub version: VersionName,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
+    /// What recent attempts say of it.
+    pub health: Health,
+    /// This daemon's pace while it is cold.
+    pub pace: Pace,
+    /// This daemon's requests on it.
+    pub running: u32,
+    /// The time that it needs to read the prompts of this daemon's requests that have not begun to answer.
+    pub backlog: Duration,
+    /// When its entry vanished in an outage of the table.
+    missing_since: Option<Instant>,
+    first_seen: Instant,
+    started_ms: Option<u64>,
+}
+
+impl Upstream {
+    /// Whether its entry says that it takes new work.
+    pub fn is_listed(&self) -> bool {
+        self.state == State::Ready
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes it for cold until a time, unless it is for longer already.
+    pub fn chill(&mut self, until: Instant) {
+        self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
+    }
+}
+
+/// What a change of an entry means.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A new incarnation.
+    Joined(UpstreamId),
+    /// The same incarnation says something new of itself.
+    Updated(UpstreamId),
+    /// It takes no new work.
+    Draining(UpstreamId),
+    /// It is gone.
+    Left(UpstreamId),
+    /// Its entry vanished in an outage, and is given time to come back.
+    Lapsed(UpstreamId),
+    /// A row that names no upstream.
+    Unreadable(UpstreamId, String),
+    /// Nothing that matters here.
+    None,
+}
+
+/// The upstreams of all services.
+#[derive(Debug, Default)]
+pub struct Registry {
+    upstreams: BTreeMap<UpstreamId, Upstream>,
+    /// Versions in use before any roll-out was asked for.
+    settled: BTreeMap<ServiceName, BTreeSet<VersionName>>,
+    version: RowVersion,
+    /// Until when vanished entries may come back.
+    lapse_until: Option<Instant>,
+}
+
+impl Registry {
+    /// The table's version as of which the entries hold.
+    pub fn version(&self) -> RowVersion {
+        self.version
+    }
+
+    /// The upstreams of a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams
+            .values()
+            .filter(move |upstream| upstream.service == service)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// One upstream.
+    pub fn get(&self, id: &str) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
+    /// One upstream, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(id)
+    }
+
+    /// All upstreams, to be changed.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.upstreams.values_mut()
+    }
+
+    /// Whether a version has been in use without a roll-out, or long enough not to await one.
+    pub fn is_settled(&self, upstream: &Upstream, now: Instant) -> bool {
+        let known = self
+            .settled
+            .get(&upstream.service)
+            .is_some_and(|versions| versions.contains(&upstream.version));
+        known || now.saturating_duration_since(upstream.first_seen) >= UNKNOWN_VERSION_TIME
+    }
+
+    /// Notes that the table could not be read until now.
+    pub fn table_back(&mut self, now: Instant) {
+        self.lapse_until = Some(now + LAPSE_TIME);
+    }
+
+    /// Takes a full read of the table for the truth.
+    pub fn replace(&mut self, rows: &[Row], version: RowVersion, now: Instant) -> Vec<Change> {
+        let first = self.version == 0;
+        let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let vanished: Vec<UpstreamId> = self
+            .upstreams
+            .keys()
+            .filter(|id| !listed.contains(id.as_str()))
+            .cloned()
+            .collect();
+        let mut changes: Vec<Change> = vanished.iter().map(|id| self.vanish(id, now)).collect();
+        changes.extend(rows.iter().map(|row| self.put(row, now)));
+        if first {
+            for upstream in self.upstreams.values() {
+                self.settled
+                    .entry(upstream.service.clone())
+                    .or_default()
+                    .insert(upstream.version.clone());
+            }
+        }
+        self.version = self.version.max(version);
+        changes
+    }
+
+    /// Applies changes from the table's feed.
+    pub fn apply(&mut self, rows: &[Row], version: RowVersion, now: Instant) -> Vec<Change> {
+        self.version = self.version.max(version);
+        rows.iter()
+            .map(|row| match row.value {
+                Some(_) => self.put(row, now),
+                None => self.vanish(&row.key, now),
+            })
+            .collect()
+    }
+
+    /// Drops entries that vanished in an outage and did not come back; returns their ids.
+    pub fn expire(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let gone: Vec<UpstreamId> = self
+            .upstreams
+            .values()
+            .filter(|u| {
+                u.missing_since
+                    .is_some_and(|since| now.saturating_duration_since(since) >= LAPSE_TIME)
+            })
+            .map(|u| u.id.clone())
+            .collect();
+        for id in &gone {
+            self.upstreams.remove(id);
+        }
+        gone
+    }
+
+    fn put(&mut self, row: &Row, now: Instant) -> Change {
+        let Some(value) = &row.value else {
+            return Change::None;
+        };
+        let registration = match Registration::decode(value) {
+            Ok(registration) => registration,
+            Err(e) => {
+                self.upstreams.remove(&row.key);
+                return Change::Unreadable(row.key.clone(), e.to_string());
+            }
+        };
+        let cold_until = (!registration.cold.is_zero()).then(|| now + registration.cold);
+        match self.upstreams.get_mut(&row.key) {
+            Some(known) if known.is_same(&registration) => {
+                let was = known.state;
+                known.state = registration.state;
+                known.missing_since = None;
+                if let Some(until) = cold_until {
+                    known.chill(until);
+                }
+                match (was, registration.state) {
+                    (State::Ready, State::Draining) => Change::Draining(row.key.clone()),
+                    _ => Change::Updated(row.key.clone()),
+                }
+            }
+            _ => {
+                let mut upstream = Upstream::new(row.key.clone(), registration, now);
+                upstream.cold_until = cold_until;
+                self.upstreams.insert(row.key.clone(), upstream);
+                Change::Joined(row.key.clone())
+            }
+        }
+    }
+
+    fn vanish(&mut self, id: &str, now: Instant) -> Change {
+        let lapsing = self.lapse_until.is_some_and(|until| now < until);
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return Change::None;
+        };
+        if !lapsing || upstream.state == State::Draining {
+            let id = upstream.id.clone();
+            self.upstreams.remove(&id);
+            return Change::Left(id);
+        }
+        if upstream.missing_since.is_none() {
+            upstream.missing_since = Some(now);
+        }
+        Change::Lapsed(upstream.id.clone())
+    }
+}
+
+impl Upstream {
+    fn new(id: UpstreamId, registration: Registration, now: Instant) -> Self {
+        Self {
+            hash: xxh3_64(id.as_bytes()),
+            id,
+            service: registration.service,
+            address: registration.address,
+            domain: registration.domain,
+            version: registration.version,
+            slots: registration.slots,
+            state: registration.state,
+            cold_until: None,
+            health: Health::default(),
+            pace: Pace::default(),
+            running: 0,
+            backlog: Duration::ZERO,
+            missing_since: None,
+            first_seen: now,
+            started_ms: registration.started_ms,
+        }
+    }
+
+    fn is_same(&self, registration: &Registration) -> bool {
+        self.started_ms == registration.started_ms
+            && self.address == registration.address
+            && self.service == registration.service
+            && self.version == registration.version
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/rollout.rs
@@ -0,0 +1,294 @@
+//! Moving a service to a new version: which sessions go there, and when it is judged.
+//!
+//! Answers the load pattern of a version that fails, slows down, or does so late, under load or on
+//! one route only. For the first half of the time a small constant share of sessions runs on the
+//! new version; then all move in steps that stop at a doubt.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+use platform::{RowVersion, VersionName, orders::RolloutState};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::coordination::dispatch::peers::PeerId;
+
+/// How long sessions under way are gathered before any goes to the new version.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+/// The steps of a roll-out: from this part of its time on, this part of sessions.
+const STEPS: [Step; 3] = [
+    Step {
+        from: 0.0,
+        share: 0.08,
+    },
+    Step {
+        from: 0.5,
+        share: 0.35,
+    },
+    Step {
+        from: 0.58,
+        share: 1.0,
+    },
+];
+/// The part of the time after which the old version is left even if requests run on it.
+const LAST_CALL: f64 = 0.92;
+/// How long all sessions are on the new version before the roll-out is completed.
+const QUIET_TIME: Duration = Duration::from_millis(800);
+/// The failures that are needed to judge a version on all routes.
+const LEAST_FAILURES: u32 = 4;
+/// The failures that are needed to judge a version on one route.
+const LEAST_FAILURES_ON_ROUTE: u32 = 3;
+/// How much greater the failure rate of a bad version is than that of the old one.
+const FAILURE_MARGIN: f64 = 0.08;
+/// The same on one route.
+const FAILURE_MARGIN_ON_ROUTE: f64 = 0.2;
+/// The sessions remembered at most.
+const MAX_BOUND: usize = 512;
+
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    from: f64,
+    share: f64,
+}
+
+/// One of the two versions of a service in a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arm {
+    /// The version that served before.
+    Old,
+    /// The version that is brought in.
+    New,
+}
+
+impl Arm {
+    /// The name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Old => "old",
+            Self::New => "new",
+        }
+    }
+}
+
+/// Answers of one arm on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Answers, good or bad.
+    pub answers: u32,
+    /// Failures and slow answers.
+    pub bad: u32,
+}
+
+/// One daemon's answers of both arms by route.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The old version's, by the hash of the route's name.
+    pub old: BTreeMap<u32, Tally>,
+    /// The new version's.
+    pub new: BTreeMap<u32, Tally>,
+    /// Requests that run on the old version now.
+    pub running_old: u32,
+}
+
+/// A roll-out under way or decided.
+#[derive(Debug)]
+pub struct Rollout {
+    /// The order's row version; a later order is another roll-out.
+    pub order: RowVersion,
+    /// The version brought in.
+    pub target: VersionName,
+    /// How far it is.
+    pub state: RolloutState,
+    /// When it was ordered, as far as this daemon knows.
+    pub started: Instant,
+    within: Duration,
+    /// When an upstream of the new version was first seen.
+    new_seen: Option<Instant>,
+    own: Evidence,
+    peers: HashMap<PeerId, Evidence>,
+    /// Sessions that stay with the old version, because they ran there.
+    bound: BTreeSet<u64>,
+}
+
+impl Rollout {
+    /// A roll-out that was ordered at `started`.
+    pub fn new(order: RowVersion, target: VersionName, within: Duration, started: Instant) -> Self {
+        Self {
+            order,
+            target,
+            state: RolloutState::Running,
+            started,
+            within,
+            new_seen: None,
+            own: Evidence::default(),
+            peers: HashMap::new(),
+            bound: BTreeSet::new(),
+        }
+    }
+
+    /// This daemon's evidence.
+    pub fn own(&self) -> &Evidence {
+        &self.own
+    }
+
+    /// The sessions that stay with the old version.
+    pub fn bound(&self) -> &BTreeSet<u64> {
+        &self.bound
+    }
+
+    /// Notes that the new version has an upstream that takes work.
+    pub fn saw_new(&mut self, now: Instant) {
+        self.new_seen.get_or_insert(now);
+    }
+
+    /// Notes what a peer has seen.
+    pub fn merge(&mut self, peer: PeerId, evidence: Evidence) {
+        self.peers.insert(peer, evidence);
+    }
+
+    /// Keeps sessions on the old version for the first half.
+    pub fn bind(&mut self, sessions: impl IntoIterator<Item = u64>) {
+        let order = self.order;
+        let chosen = sessions
+            .into_iter()
+            .filter(|session| lot(*session, order) < STEPS[0].share);
+        for session in chosen {
+            if self.bound.len() < MAX_BOUND {
+                self.bound.insert(session);
+            }
+        }
+    }
+
+    /// Where a session's next request runs.
+    pub fn arm(&mut self, session: u64, now: Instant) -> Arm {
+        let share = self.share(now);
+        let arm = match self.state {
+            RolloutState::RolledBack => Arm::Old,
+            RolloutState::Completed => Arm::New,
+            RolloutState::Running if share > STEPS[0].share => arm_of(session, self.order, share),
+            RolloutState::Running if self.bound.contains(&session) => Arm::Old,
+            RolloutState::Running => arm_of(session, self.order, share),
+        };
+        if arm == Arm::Old && self.state == RolloutState::Running && share <= STEPS[0].share {
+            self.bind([session]);
+        }
+        arm
+    }
+
+    /// Notes that a request runs on an arm, or ends there.
+    pub fn running(&mut self, arm: Arm, begun: bool) {
+        if arm == Arm::New {
+            return;
+        }
+        self.own.running_old = match begun {
+            true => self.own.running_old + 1,
+            false => self.own.running_old.saturating_sub(1),
+        };
+    }
+
+    /// Notes an answer of an arm.
+    pub fn answered(&mut self, arm: Arm, route: u32, bad: bool) {
+        let tallies = match arm {
+            Arm::Old => &mut self.own.old,
+            Arm::New => &mut self.own.new,
+        };
+        let tally = tallies.entry(route).or_default();
+        tally.answers += 1;
+        tally.bad += u32::from(bad);
+    }
+
+    /// Whether the merged evidence condemns the new version.
+    pub fn is_bad(&self) -> bool {
+        let old = self.merged(|evidence| &evidence.old);
+        let new = self.merged(|evidence| &evidence.new);
+        let all =
+            |tallies: &BTreeMap<u32, Tally>| tallies.values().copied().fold(Tally::default(), add);
+        let overall = worse(all(&old), all(&new), LEAST_FAILURES, FAILURE_MARGIN);
+        overall
+            || new.iter().any(|(route, tally)| {
+                let before = old.get(route).copied().unwrap_or_default();
+                worse(
+                    before,
+                    *tally,
+                    LEAST_FAILURES_ON_ROUTE,
+                    FAILURE_MARGIN_ON_ROUTE,
+                )
+            })
+    }
+
+    /// Whether all traffic has moved and the old version may stop.
+    pub fn may_complete(&self, now: Instant) -> bool {
+        if self.state != RolloutState::Running || self.new_seen.is_none() {
+            return false;
+        }
+        let last = STEPS[STEPS.len() - 1];
+        let moved = self.started + self.within.mul_f64(last.from) + QUIET_TIME;
+        let running: u32 = std::iter::once(&self.own)
+            .chain(self.peers.values())
+            .map(|evidence| evidence.running_old)
+            .sum();
+        let last_call = self.started + self.within.mul_f64(LAST_CALL);
+        now >= last_call || (now >= moved && running == 0)
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn forget(&mut self, peer: &PeerId) {
+        if let Some(evidence) = self.peers.get_mut(peer) {
+            evidence.running_old = 0;
+        }
+    }
+
+    fn share(&self, now: Instant) -> f64 {
+        let Some(seen) = self.new_seen else {
+            return 0.0;
+        };
+        if now.saturating_duration_since(seen) < SETTLE_TIME {
+            return 0.0;
+        }
+        let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
+        let part = elapsed / self.within.as_secs_f64().max(f64::EPSILON);
+        STEPS
+            .iter()
+            .rev()
+            .find(|step| part >= step.from)
+            .map_or(0.0, |step| step.share)
+    }
+
+    fn merged(&self, arm: impl Fn(&Evidence) -> &BTreeMap<u32, Tally>) -> BTreeMap<u32, Tally> {
+        let mut sums: BTreeMap<u32, Tally> = BTreeMap::new();
+        for evidence in std::iter::once(&self.own).chain(self.peers.values()) {
+            for (route, tally) in arm(evidence) {
+                let sum = sums.entry(*route).or_default();
+                *sum = add(*sum, *tally);
+            }
+        }
+        sums
+    }
+}
+
+fn arm_of(session: u64, order: RowVersion, share: f64) -> Arm {
+    match lot(session, order) < share {
+        true => Arm::New,
+        false => Arm::Old,
+    }
+}
+
+/// A number from 0 to 1 that all daemons draw alike for a session and an order.
+#[expect(clippy::cast_precision_loss, reason = "a share needs no more bits")]
+fn lot(session: u64, order: RowVersion) -> f64 {
+    xxh3_64_with_seed(&session.to_le_bytes(), order) as f64 / u64::MAX as f64
+}
+
+fn add(a: Tally, b: Tally) -> Tally {
+    Tally {
+        answers: a.answers + b.answers,
+        bad: a.bad + b.bad,
+    }
+}
+
+fn worse(old: Tally, new: Tally, least: u32, margin: f64) -> bool {
+    let rate = |tally: Tally| f64::from(tally.bad) / f64::from(tally.answers.max(1));
+    new.bad >= least && rate(new) >= rate(old) + margin
+}
--- /dev/null
+++ b/src/coordination/dispatch/routes.rs
@@ -0,0 +1,102 @@
+//! Which route, customer and service a request is for, by the configuration in force.
+
+use std::{collections::HashMap, sync::Arc};
+
+use compact_str::CompactString;
+use derive_more::Display;
+use platform::{
+    CustomerName,
+    configuration::{Configuration, Route, Service},
+};
+
+/// A configuration, indexed for look-ups by request.
+#[derive(Debug)]
+pub struct Routes {
+    configuration: Configuration,
+    routes: Vec<Arc<Route>>,
+    /// The routes of each host, longest prefix first.
+    by_host: HashMap<CompactString, Vec<usize>>,
+    by_key: HashMap<CompactString, usize>,
+}
+
+/// Why no route serves a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Denied {
+    /// No route has the request's host and path.
+    NoRoute,
+    /// The key is missing or not in force.
+    NoCustomer,
+}
+
+/// The route of a request and the customer that it is for.
+#[derive(Clone, Debug)]
+pub struct Matched {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The customer; absent on routes that need no key.
+    pub customer: Option<CustomerName>,
+    /// The rank of the request; 0 goes first.
+    pub priority: u8,
+}
+
+impl Routes {
+    /// Indexes a configuration.
+    pub fn new(mut configuration: Configuration) -> Self {
+        let routes: Vec<Arc<Route>> = configuration.routes.drain(..).map(Arc::new).collect();
+        let mut by_host: HashMap<CompactString, Vec<usize>> = HashMap::new();
+        for (i, route) in routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(i);
+        }
+        for host_routes in by_host.values_mut() {
+            host_routes.sort_by_key(|i| std::cmp::Reverse(routes[*i].prefix.len()));
+        }
+        let by_key = configuration
+            .customers
+            .iter()
+            .enumerate()
+            .flat_map(|(i, customer)| customer.keys.iter().map(move |key| (key.clone(), i)))
+            .collect();
+        Self {
+            configuration,
+            routes,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// The configuration, without its routes.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// The service of a name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.configuration.services.iter().find(|s| s.name == name)
+    }
+
+    /// Finds the route of a request and checks its key.
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Result<Matched, Denied> {
+        let route = self.route(host, path).ok_or(Denied::NoRoute)?;
+        let customer = key
+            .and_then(|key| self.by_key.get(key))
+            .map(|i| &self.configuration.customers[*i]);
+        let keys_needed = !self.configuration.customers.is_empty() && !route.anonymous;
+        if keys_needed && customer.is_none() {
+            return Err(Denied::NoCustomer);
+        }
+        Ok(Matched {
+            customer: customer.map(|c| c.name.clone()),
+            priority: customer.and_then(|c| c.priority).unwrap_or(route.priority),
+            route: route.clone(),
+        })
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.by_host
+            .get(host)?
+            .iter()
+            .map(|i| &self.routes[*i])
+            .find(|route| path.starts_with(route.prefix.as_str()))
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod decisions;
+pub mod dispatch;
 pub mod hash;
 pub mod health;
 pub mod locate;
--- /dev/null
+++ b/src/gateway/listener.rs
@@ -0,0 +1,172 @@
+//! Listeners: callers, the directory, the readiness check and the metrics.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::{
+    directory::{self, READY_PATH, RESOLVE_PATH},
+    net,
+};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
+
+use crate::{
+    coordination::dispatch::peers::Readiness,
+    gateway::{
+        forward, metrics,
+        reply::{Infallibly, plain},
+        shared::Shared,
+    },
+};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long to wait after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Silence of a caller's host after which its connection is given up.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The greatest size of a request's head until a configuration says otherwise, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+/// How long a connection may stay idle until a configuration says otherwise.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The least buffer that hyper takes, in bytes.
+const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// How long callers keep the directory's answer.
+const DIRECTORY_TTL: Duration = Duration::from_secs(1);
+
+/// Listens on an address that a predecessor may just have left.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers until `stop`, then finishes what has begun.
+pub async fn serve_callers(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    let caller_stop = stop.clone();
+    loop {
+        tokio::select! {
+            stream = accept(&listener) => {
+                connections.spawn(serve_caller(shared.clone(), stream, caller_stop.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+            _ = stop.wait_for(|stop| *stop) => break,
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+    if let Err(e) = net::watch_silence(&stream, SILENCE_TIMEOUT) {
+        log::debug!("event=socket_options error=\"{e}\"");
+    }
+    let limits = shared
+        .core()
+        .routes()
+        .map(|r| r.configuration().limits.clone());
+    let head_bytes = limits.as_ref().map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes);
+    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
+    let service = service_fn(move |req| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(forward::serve(shared, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The time counts from when the connection falls idle.
+        .header_read_timeout(idle)
+        .max_buf_size(head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let stopped = async move {
+        // An error means that the sender is gone, and with it the process.
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = stopped => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("event=caller_connection_ended error=\"{e}\"");
+    }
+}
+
+/// Serves the directory, the readiness check or the metrics for as long as the process lives.
+pub async fn serve_control(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let shared = shared.clone();
+        let service = service_fn(move |req| {
+            let response = control(&shared, &req);
+            async move { Infallibly::Ok(response) }
+        });
+        tokio::spawn(async move {
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = served.await {
+                log::debug!("event=control_connection_ended error=\"{e}\"");
+            }
+        });
+    }
+}
+
+fn control(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    const JSON: &str = "application/json";
+    const TEXT: &str = "text/plain; version=0.0.4";
+    match req.uri().path() {
+        READY_PATH => match shared.readiness() {
+            Readiness::Ready => plain(StatusCode::OK, TEXT, Bytes::new()),
+            Readiness::Starting | Readiness::Leaving => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, TEXT, Bytes::new())
+            }
+        },
+        RESOLVE_PATH => {
+            let addresses = shared.directory();
+            if addresses.is_empty() {
+                return plain(StatusCode::SERVICE_UNAVAILABLE, JSON, Bytes::new());
+            }
+            let most = Duration::from_secs_f64(shared.settings.directory_ttl_max_s);
+            let body = directory::answer(&addresses, DIRECTORY_TTL.min(most));
+            plain(StatusCode::OK, JSON, body)
+        }
+        metrics::PATH => plain(StatusCode::OK, TEXT, metrics::render(shared).into()),
+        _ => plain(StatusCode::NOT_FOUND, TEXT, Bytes::new()),
+    }
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(e) => {
+                log::warn!("event=accept_failed error=\"{e}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/logging.rs
@@ -0,0 +1,97 @@
+//! Log lines on the standard output, bounded and never waited for.
+
+use std::{
+    io::{self, Write},
+    time::{Duration, Instant},
+};
+
+use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+
+/// The lines a second that are written on average.
+const LINES_PER_SECOND: f64 = 200.0;
+/// The lines that may be written at once.
+const BURST_LINES: f64 = 600.0;
+
+/// Writes log lines to the standard output; lines over the budget are counted and left out.
+pub fn open() {
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .build();
+    let out = BoundedOutput::new(io::stdout());
+    if WriteLogger::init(LevelFilter::Info, config, out).is_err() {
+        log::debug!("event=logger_kept");
+    }
+}
+
+/// Passes on whole lines within a budget.
+pub struct BoundedOutput<W> {
+    out: W,
+    line: Vec<u8>,
+    budget: f64,
+    filled: Instant,
+    left_out: u64,
+}
+
+impl<W: Write> BoundedOutput<W> {
+    /// An output with a full budget.
+    pub fn new(out: W) -> Self {
+        Self {
+            out,
+            line: Vec::new(),
+            budget: BURST_LINES,
+            filled: Instant::now(),
+            left_out: 0,
+        }
+    }
+
+    fn end_line(&mut self) {
+        self.refill(self.filled.elapsed());
+        if self.budget < 1.0 && !is_important(&self.line) {
+            self.left_out += 1;
+        } else {
+            self.budget -= 1.0;
+            if self.left_out > 0 {
+                let note = format!("event=log_lines_left_out count={}\n", self.left_out);
+                self.line.extend_from_slice(note.as_bytes());
+                self.left_out = 0;
+            }
+            // A reader that stalls costs lines, not requests.
+            if self.out.write(&self.line).is_err() {
+                self.left_out += 1;
+            }
+        }
+        self.line.clear();
+    }
+
+    fn refill(&mut self, elapsed: Duration) {
+        self.filled += elapsed;
+        let budget = self.budget + elapsed.as_secs_f64() * LINES_PER_SECOND;
+        self.budget = budget.min(BURST_LINES);
+    }
+}
+
+impl<W: Write> Write for BoundedOutput<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        for part in bytes.split_inclusive(|b| *b == b'\n') {
+            self.line.extend_from_slice(part);
+            if part.ends_with(b"\n") {
+                self.end_line();
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whether a line tells of a refusal, a failure or a change of belief, not of ordinary work.
+fn is_important(line: &[u8]) -> bool {
+    const ORDINARY: [&[u8]; 2] = [b"event=chosen", b"event=attempt_ended"];
+    !ORDINARY
+        .iter()
+        .any(|event| line.windows(event.len()).any(|window| window == *event))
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,92 @@
+//! The gateway's counters and latency histograms.
+
+use std::{sync::LazyLock, time::Duration};
+
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
+
+use crate::{
+    gateway::shared::Shared,
+    metrics::{counter, gauge, histogram},
+};
+
+/// Where metrics are read.
+pub const PATH: &str = "/metrics";
+
+static REQUESTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_requests_total",
+        "Requests of callers, by outcome.",
+        &["outcome"],
+    )
+});
+
+static REQUEST_SECONDS: LazyLock<HistogramVec> = LazyLock::new(|| {
+    histogram(
+        "hibiscusyoke_gateway_request_duration_seconds",
+        "Time from a request's arrival to the end of its answer, by outcome.",
+        &["outcome"],
+    )
+});
+
+static ATTEMPTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_attempts_total",
+        "Attempts on upstreams, by outcome.",
+        &["outcome"],
+    )
+});
+
+static TABLE_CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_table_calls_total",
+        "Calls of the platform's table, by call and outcome.",
+        &["call", "outcome"],
+    )
+});
+
+static STATE: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    gauge(
+        "hibiscusyoke_gateway_state",
+        "What the daemon believes: generation in force, upstreams listed, daemons that live.",
+        &["what"],
+    )
+});
+
+/// Counts a request's end.
+pub fn request(_route: &str, outcome: &str, took: Duration) {
+    REQUESTS.with_label_values(&[outcome]).inc();
+    REQUEST_SECONDS
+        .with_label_values(&[outcome])
+        .observe(took.as_secs_f64());
+}
+
+/// Counts an attempt's end.
+pub fn attempt(outcome: &str) {
+    ATTEMPTS.with_label_values(&[outcome]).inc();
+}
+
+/// Counts a call of the table.
+pub fn table_call(call: &str, outcome: &str) {
+    TABLE_CALLS.with_label_values(&[call, outcome]).inc();
+}
+
+/// All metrics of the process in the text format.
+pub fn render(shared: &Shared) -> String {
+    let now = shared.now();
+    {
+        let core = shared.core();
+        let generation = core.routes().map_or(0, |r| r.configuration().generation);
+        set(
+            "generation",
+            usize::try_from(generation).unwrap_or(usize::MAX),
+        );
+        set("upstreams", core.registry.all().count());
+        set("daemons", core.peers.living(now).count() + 1);
+    }
+    crate::metrics::render()
+}
+
+fn set(what: &str, value: usize) {
+    let value = i64::try_from(value).unwrap_or(i64::MAX);
+    STATE.with_label_values(&[what]).set(value);
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,132 @@
+//! The daemon that stands before the users' upstreams on their platform.
+//!
+//! One process on each instance takes requests of callers, decides by
+//! [`crate::coordination::dispatch`] where each goes, and passes the answer on as it comes.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use thiserror::Error;
+use tokio::{sync::watch, task::JoinHandle};
+
+use crate::{
+    clock::SharedClock,
+    coordination::dispatch::peers::PeerId,
+    gateway::{
+        follow::{Followed, follow},
+        settings::Settings,
+        shared::Shared,
+    },
+};
+
+pub mod attempt;
+pub mod call;
+pub mod events;
+pub mod follow;
+pub mod forward;
+pub mod listener;
+pub mod logging;
+pub mod metrics;
+pub mod peer_link;
+pub mod records;
+pub mod relay;
+pub mod reply;
+pub mod settings;
+pub mod shared;
+
+/// How often what has lapsed is dropped.
+const TICK: Duration = Duration::from_millis(250);
+/// How long callers are served after the order to stop, so that the directory's answers run out.
+const LINGER: Duration = Duration::from_millis(3_800);
+/// The part of the grace period that is left for the end of the process.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
+
+/// A gateway that could not be started.
+#[derive(Debug, Error)]
+#[error("step=listen address={address} error=\"{source}\"")]
+pub struct StartError {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    callers: JoinHandle<()>,
+}
+
+impl Gateway {
+    /// Binds all addresses and starts all tasks.
+    pub async fn spawn(settings: Settings, clock: SharedClock) -> Result<Self, StartError> {
+        let me = PeerId {
+            name: settings.name.clone(),
+            incarnation: incarnation(&clock),
+        };
+        let seed = rand::random();
+        log::info!(
+            "event=start name={} incarnation={}",
+            me.name,
+            me.incarnation
+        );
+        let shared = Arc::new(Shared::new(settings, me, clock, seed));
+        let settings = &shared.settings;
+        let listen =
+            |address| listener::bind(address).map_err(|source| StartError { address, source });
+        let front = listen(settings.front)?;
+        let control = [Some(settings.ready), settings.directory, settings.metrics];
+        for address in control.into_iter().flatten() {
+            tokio::spawn(listener::serve_control(shared.clone(), listen(address)?));
+        }
+        let address = settings.peer_address();
+        let socket = peer_link::bind(address)
+            .await
+            .map_err(|source| StartError { address, source })?;
+        let socket = Arc::new(socket);
+        tokio::spawn(peer_link::receive_heartbeats(
+            shared.clone(),
+            socket.clone(),
+        ));
+        tokio::spawn(peer_link::send_heartbeats(shared.clone(), socket));
+        tokio::spawn(follow(shared.clone(), Followed::Orders));
+        tokio::spawn(follow(shared.clone(), Followed::Upstreams));
+        tokio::spawn(records::keep(shared.clone()));
+        tokio::spawn(tick(shared.clone()));
+        let stop = watch::Sender::new(false);
+        let callers = listener::serve_callers(shared.clone(), front, stop.subscribe());
+        Ok(Self {
+            callers: tokio::spawn(callers),
+            shared,
+            stop,
+        })
+    }
+
+    /// Leaves the directory, serves on while callers may still come, and finishes what has begun.
+    pub async fn shutdown(self) {
+        let grace = self.shared.settings.grace_period();
+        log::info!("event=stop grace_ms={}", grace.as_millis());
+        self.shared.set_leaving();
+        tokio::time::sleep(LINGER.min(grace / 2)).await;
+        self.stop.send_replace(true);
+        let left = grace.saturating_sub(LINGER + EXIT_RESERVE);
+        match tokio::time::timeout(left, self.callers).await {
+            Ok(_) => log::info!("event=stopped"),
+            Err(_) => log::warn!("event=stopped requests_cut=true"),
+        }
+    }
+}
+
+async fn tick(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = shared.now();
+        for id in shared.core().tick(now) {
+            log::info!("event=upstream_left upstream={id} why=lapsed");
+        }
+    }
+}
+
+/// A number that grows from start to start, unless the time of day was set back.
+fn incarnation(clock: &SharedClock) -> u64 {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/src/gateway/peer_link.rs
@@ -0,0 +1,94 @@
+//! Heartbeats between daemons, as datagrams.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::net::UdpSocket;
+
+use crate::{coordination::dispatch::peers::Heartbeat, gateway::shared::Shared};
+
+/// The time between heartbeats.
+const PERIOD: Duration = Duration::from_millis(250);
+/// The least time between heartbeats that carry news.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
+/// The largest datagram in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+
+/// The socket for heartbeats.
+pub async fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::bind(address).await
+}
+
+/// Tells the other daemons what this one knows, for as long as the process lives.
+pub async fn send_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    loop {
+        tell_all(&shared, &socket).await;
+        tokio::select! {
+            () = tokio::time::sleep(PERIOD) => {}
+            () = shared.news.notified() => tokio::time::sleep(NEWS_PAUSE).await,
+        }
+    }
+}
+
+/// Takes in what the other daemons tell.
+pub async fn receive_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::debug!("event=heartbeat_receive_failed error=\"{e}\"");
+                tokio::time::sleep(NEWS_PAUSE).await;
+                continue;
+            }
+        };
+        match decode(&buf[..length]) {
+            Ok(heartbeat) => hear(&shared, heartbeat, from),
+            Err(e) => log::warn!("event=heartbeat_unreadable peer={from} error=\"{e}\""),
+        }
+    }
+}
+
+fn hear(shared: &Shared, heartbeat: Heartbeat, from: SocketAddr) {
+    let now = shared.now();
+    let id = heartbeat.from.clone();
+    if shared.core().hear(heartbeat, from, now) {
+        log::info!(
+            "event=daemon_heard peer={} incarnation={}",
+            id.name,
+            id.incarnation
+        );
+        shared.news.notify_one();
+    }
+}
+
+async fn tell_all(shared: &Shared, socket: &UdpSocket) {
+    let now = shared.now();
+    let readiness = shared.readiness();
+    let (heartbeat, addresses) = {
+        let core = shared.core();
+        let heartbeat = core.heartbeat(shared.settings.front, readiness, now);
+        let addresses: Vec<SocketAddr> = core.peers.addresses().collect();
+        (heartbeat, addresses)
+    };
+    let datagram = match encode(&heartbeat) {
+        Ok(datagram) => datagram,
+        Err(e) => {
+            log::error!("event=heartbeat_not_encoded error=\"{e}\"");
+            return;
+        }
+    };
+    for address in addresses {
+        if let Err(e) = socket.try_send_to(&datagram, address) {
+            log::debug!("event=heartbeat_send_failed peer={address} error=\"{e}\"");
+        }
+    }
+}
+
+fn encode(heartbeat: &Heartbeat) -> Result<Vec<u8>, bincode::error::EncodeError> {
+    bincode::serde::encode_to_vec(heartbeat, bincode::config::standard())
+}
+
+fn decode(bytes: &[u8]) -> Result<Heartbeat, bincode::error::DecodeError> {
+    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+    bincode::serde::decode_from_slice(bytes, config).map(|(heartbeat, _)| heartbeat)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod coordination;
 pub mod daemon;
 pub mod demo;
+pub mod gateway;
 pub mod local;
 pub mod measure;
 pub mod metrics;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,21 +4,36 @@
 
 use bpaf::{Args, ParseFailure};
 use hibiscusyoke::{
-    cli::command_line,
+    cli::{Command, command_line},
     commands::{self, Status},
 };
+use tokio::runtime::Builder;
 
 /// The width at which help is wrapped.
 const HELP_COLUMNS: usize = 100;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     match command_line().run_inner(Args::current_args()) {
-        Ok(command) => commands::run(command).await,
+        Ok(command) => run(command),
         Err(failure) => explain(&failure).into(),
     }
 }
 
+/// Runs a command on one thread or on many, as it needs.
+fn run(command: Command) -> ExitCode {
+    let mut builder = match command {
+        Command::Gateway(_) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    match builder.enable_all().build() {
+        Ok(runtime) => runtime.block_on(commands::run(command)),
+        Err(e) => {
+            eprintln!("runtime: {e}");
+            Status::Failed.into()
+        }
+    }
+}
+
 fn explain(failure: &ParseFailure) -> Status {
     failure.print_message(HELP_COLUMNS);
     match failure {
