Take removed upstreams for gone at once after an outage that only this daemon saw

Heartbeats now say whether a daemon has lost the table; entries may come back only if half of the others lost it too, or if most entries of a service vanish at once.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -55,6 +55,8 @@
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
 /// When to come back if all upstreams are full.
 const FULL_RETRY: Duration = Duration::from_millis(250);
+/// How long other daemons are told that the table was lost.
+const TABLE_LOSS_MEMORY: Duration = Duration::from_secs(4);
 /// How long an upstream that refused connections may be cold once it is back, beside its own time.
 const UNSEEN_RESTART_TIME: Duration = Duration::from_secs(1);
 
@@ -167,6 +169,7 @@
     limits: FleetLimits,
     routes: Option<Arc<Routes>>,
     orders_version: RowVersion,
+    table_lost: Option<Instant>,
     evacuated: BTreeSet<DomainName>,
     rollouts: BTreeMap<ServiceName, Rollout>,
     budgets: HashMap<ServiceName, RepeatBudget>,
@@ -195,6 +198,7 @@
             limits,
             routes: None,
             orders_version: 0,
+            table_lost: None,
             evacuated: BTreeSet::new(),
             rollouts: BTreeMap::new(),
             budgets: HashMap::new(),
@@ -231,6 +235,27 @@
         self.orders_version = self.orders_version.max(version);
     }
 
+    /// Notes that the table did not answer this daemon.
+    pub fn table_lost(&mut self, now: Instant) {
+        self.table_lost = Some(now);
+    }
+
+    /// Notes that the table answers again.
+    ///
+    /// Entries that are missing then may come back only if others had lost the table as well: if
+    /// it turned this daemon alone away, they have really been removed.
+    pub fn table_back(&mut self, now: Instant) {
+        let living = self.peers.living(now).count();
+        let lost = self
+            .peers
+            .living(now)
+            .filter(|peer| peer.last.table_lost)
+            .count();
+        if lost * 2 >= living {
+            self.registry.table_back(now);
+        }
+    }
+
     /// Applies an order; an older configuration never replaces a newer one.
     pub fn apply(&mut self, order: Order, version: RowVersion, now: Instant) -> Applied {
         match order {
@@ -390,6 +415,7 @@
             from: self.me.clone(),
             front,
             readiness,
+            table_lost: self.has_lost_table(now),
             orders_version: self.orders_version,
             upstreams_version: self.registry.version(),
             loads,
@@ -470,6 +496,11 @@
             .all(|peer| peer.last.from.name > self.me.name)
     }
 
+    fn has_lost_table(&self, now: Instant) -> bool {
+        self.table_lost
+            .is_some_and(|lost| now.saturating_duration_since(lost) < TABLE_LOSS_MEMORY)
+    }
+
     fn order_rollout(&mut self, order: RolloutOrder, version: RowVersion, now: Instant) -> Applied {
         let known = self.rollouts.get(&order.service);
         if known.is_some_and(|known| known.order >= version) {
@@ -502,7 +533,7 @@
         let seen = self
             .registry
             .of_service(service)
-            .any(|upstream| upstream.version == rollout.target && upstream.is_listed());
+            .any(|upstream| upstream.version == rollout.target && upstream.is_listed(now));
         if seen {
             rollout.saw_new(now);
         }
@@ -524,7 +555,7 @@
         let listed: Vec<&Upstream> = self
             .registry
             .of_service(ask.service)
-            .filter(|u| u.is_listed() && in_arm(u) && !self.evacuated.contains(&u.domain))
+            .filter(|u| u.is_listed(now) && in_arm(u) && !self.evacuated.contains(&u.domain))
             .collect();
         if listed.is_empty() {
             return Choice::Refuse(NoPlace::NoneListed, NO_UPSTREAM_RETRY);
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -79,6 +79,8 @@
     pub front: SocketAddr,
     /// Whether callers may be sent to it.
     pub readiness: Readiness,
+    /// Whether it has lost the table of late.
+    pub table_lost: bool,
     /// How new its view of the operators' table is.
     pub orders_version: RowVersion,
     /// How new its list of upstreams is.
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -15,8 +15,14 @@
 
 use crate::coordination::dispatch::{cold::Pace, health::Health};
 
-/// How long an entry that vanished in an outage of the table may take to come back.
+/// How long after an outage of the table an entry that vanished may come back.
 const LAPSE_TIME: Duration = Duration::from_millis(2_200);
+/// The same for entries that vanish together without an outage that was noticed.
+const UNNOTICED_LAPSE_TIME: Duration = Duration::from_millis(1_700);
+/// The part of a service's entries whose vanishing at once is taken for a lapse.
+const LAPSE_PART: f64 = 0.5;
+/// The least number of entries of which that can be said.
+const LEAST_LAPSE: usize = 3;
 /// How long a version is held back that nobody has asked for: its order may be on its way.
 const UNKNOWN_VERSION_TIME: Duration = Duration::from_secs(3);
 
@@ -49,16 +55,16 @@
     pub running: u32,
     /// The time that it needs to read the prompts of this daemon's requests that have not begun to answer.
     pub backlog: Duration,
-    /// When its entry vanished in an outage of the table.
-    missing_since: Option<Instant>,
+    /// Until when its entry, which vanished around an outage, may come back.
+    missing_until: Option<Instant>,
     first_seen: Instant,
     started_ms: Option<u64>,
 }
 
 impl Upstream {
     /// Whether its entry says that it takes new work.
-    pub fn is_listed(&self) -> bool {
-        self.state == State::Ready
+    pub fn is_listed(&self, now: Instant) -> bool {
+        self.state == State::Ready && self.missing_until.is_none_or(|until| now < until)
     }
 
     /// Whether it is cold.
@@ -159,7 +165,9 @@
             .filter(|id| !listed.contains(id.as_str()))
             .cloned()
             .collect();
-        let mut changes: Vec<Change> = vanished.iter().map(|id| self.vanish(id, now)).collect();
+        let lapse = self.lapse(&vanished, now);
+        let vanish = |id: &UpstreamId| self.vanish(id, lapse);
+        let mut changes: Vec<Change> = vanished.iter().map(vanish).collect();
         changes.extend(rows.iter().map(|row| self.put(row, now)));
         if first {
             for upstream in self.upstreams.values() {
@@ -176,10 +184,13 @@
     /// Applies changes from the table's feed.
     pub fn apply(&mut self, rows: &[Row], version: RowVersion, now: Instant) -> Vec<Change> {
         self.version = self.version.max(version);
+        let removed = rows.iter().filter(|row| row.value.is_none());
+        let removed: Vec<UpstreamId> = removed.map(|row| row.key.clone()).collect();
+        let lapse = self.lapse(&removed, now);
         rows.iter()
             .map(|row| match row.value {
                 Some(_) => self.put(row, now),
-                None => self.vanish(&row.key, now),
+                None => self.vanish(&row.key, lapse),
             })
             .collect()
     }
@@ -189,10 +200,7 @@
         let gone: Vec<UpstreamId> = self
             .upstreams
             .values()
-            .filter(|u| {
-                u.missing_since
-                    .is_some_and(|since| now.saturating_duration_since(since) >= LAPSE_TIME)
-            })
+            .filter(|u| u.missing_until.is_some_and(|until| until <= now))
             .map(|u| u.id.clone())
             .collect();
         for id in &gone {
@@ -217,7 +225,7 @@
             Some(known) if known.is_same(&registration) => {
                 let was = known.state;
                 known.state = registration.state;
-                known.missing_since = None;
+                known.missing_until = None;
                 if let Some(until) = cold_until {
                     known.chill(until);
                 }
@@ -235,20 +243,35 @@
         }
     }
 
-    fn vanish(&mut self, id: &str, now: Instant) -> Change {
-        let lapsing = self.lapse_until.is_some_and(|until| now < until);
+    /// Until when entries that vanish together may come back, if they may.
+    fn lapse(&self, vanished: &[UpstreamId], now: Instant) -> Option<Instant> {
+        let noticed = self.lapse_until.filter(|until| now < *until);
+        noticed.or_else(|| self.is_mass(vanished).then(|| now + UNNOTICED_LAPSE_TIME))
+    }
+
+    /// Whether most entries of some service vanish at once.
+    fn is_mass(&self, vanished: &[UpstreamId]) -> bool {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for upstream in vanished.iter().filter_map(|id| self.upstreams.get(id)) {
+            *counts.entry(upstream.service.as_str()).or_default() += 1;
+        }
+        counts.into_iter().any(|(service, count)| {
+            let all = self.of_service(service).count();
+            count >= LEAST_LAPSE && as_part(count, all) > LAPSE_PART
+        })
+    }
+
+    fn vanish(&mut self, id: &str, lapse: Option<Instant>) -> Change {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return Change::None;
         };
-        if !lapsing || upstream.state == State::Draining {
-            let id = upstream.id.clone();
+        let id = upstream.id.clone();
+        let Some(until) = lapse.filter(|_| upstream.state == State::Ready) else {
             self.upstreams.remove(&id);
             return Change::Left(id);
-        }
-        if upstream.missing_since.is_none() {
-            upstream.missing_since = Some(now);
-        }
-        Change::Lapsed(upstream.id.clone())
+        };
+        upstream.missing_until.get_or_insert(until);
+        Change::Lapsed(id)
     }
 }
 
@@ -268,7 +291,7 @@
             pace: Pace::default(),
             running: 0,
             backlog: Duration::ZERO,
-            missing_since: None,
+            missing_until: None,
             first_seen: now,
             started_ms: registration.started_ms,
         }
@@ -281,3 +304,8 @@
             && self.version == registration.version
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "counts of upstreams")]
+fn as_part(count: usize, all: usize) -> f64 {
+    count as f64 / all.max(1) as f64
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -48,7 +48,7 @@
                         "event=table_regained table={} failures={failures}",
                         followed.table()
                     );
-                    shared.core().registry.table_back(shared.now());
+                    shared.core().table_back(shared.now());
                     failures = 0;
                 }
                 followed.take(&shared, rows, read_all);
@@ -60,6 +60,9 @@
                 }
                 read_all |= matches!(e.why, Why::HistoryGone);
                 failures += 1;
+                if !matches!(e.why, Why::HistoryGone) {
+                    shared.core().table_lost(shared.now());
+                }
                 if !matches!(e.why, Why::HistoryGone) {
                     let pause = FIRST_PAUSE * (1 << failures.min(3));
                     tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
--- /dev/null
+++ b/tests/dispatch/main.rs
@@ -0,0 +1,4 @@
+//! Decisions of the gateway, replayed in virtual time.
+
+mod lapse;
+mod support;
