Wait for an answer by what its prompt needs; poll the table for ten seconds

An attempt may now take four times what is expected beside that; an answer of the small model is given up for a late one of the large model only if it is poor.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -99,14 +99,20 @@
     pub version: VersionName,
     /// Its part in a roll-out.
     pub arm: Option<Arm>,
-    /// What it had to do before this request, for the log.
-    pub expected: Duration,
+    backlog: Duration,
     order: RowVersion,
     reading: Duration,
     model: Option<CompactString>,
     begun: bool,
 }
 
+impl Ticket {
+    /// The time expected until the answer begins.
+    pub fn expected(&self) -> Duration {
+        self.backlog + self.reading
+    }
+}
+
 /// Why no upstream can be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
@@ -317,8 +323,7 @@
             upstream.backlog = upstream.backlog.saturating_sub(ticket.reading);
         }
         if let Some(model) = &ticket.model {
-            self.speeds
-                .note(model, ticket.expected + ticket.reading, took);
+            self.speeds.note(model, ticket.expected(), took);
         }
     }
 
@@ -345,6 +350,11 @@
         }
     }
 
+    /// The time in which a model reads a prompt of which nothing is in memory.
+    pub fn reading_time(&self, model: &str, tokens: u32) -> Duration {
+        self.speeds.reading(model, tokens)
+    }
+
     /// Notes the quality of an answer as evidence for a roll-out.
     pub fn judge(&mut self, ticket: &Ticket, route: &Route, bad: bool) {
         let Some(arm) = ticket.arm else { return };
@@ -628,7 +638,7 @@
             service: upstream.service.clone(),
             version: upstream.version.clone(),
             arm,
-            expected: upstream.backlog + peer.backlog,
+            backlog: upstream.backlog + peer.backlog,
             order,
             reading,
             model: ask.model.map(Into::into),
--- a/src/coordination/dispatch/speed.rs
+++ b/src/coordination/dispatch/speed.rs
@@ -4,6 +4,8 @@
 
 use compact_str::CompactString;
 
+/// The part of the time to the first event that does not depend on the prompt.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(60);
 /// The time to read a token before anything was learnt.
 const FIRST_GUESS: Duration = Duration::from_micros(15);
 /// The weight of the newest observation.
@@ -28,6 +30,7 @@
         if expected.is_zero() {
             return;
         }
+        let took = took.saturating_sub(FIRST_EVENT_TIME);
         let factor = took.as_secs_f64() / expected.as_secs_f64();
         let factor = factor.clamp(FACTORS.0, FACTORS.1);
         let per_token = self.per_token.entry(model.into()).or_insert(FIRST_GUESS);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,7 +14,7 @@
 };
 
 /// How long the table holds a poll open without changes.
-const POLL_WAIT: Duration = Duration::from_secs(2);
+const POLL_WAIT: Duration = Duration::from_secs(10);
 /// The time beyond a poll's wait in which its answer must come.
 const POLL_SLACK: Duration = Duration::from_millis(700);
 /// The time in which a full read must be answered.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -32,8 +32,10 @@
 const MAX_UNREACHABLE: u32 = 4;
 /// The greatest whole answer in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// The part of the latency objective after which a request that may be repeated is sent elsewhere.
+/// The part of the latency objective for which an upstream may be silent beyond what is expected.
 const SILENCE_PART: f64 = 0.8;
+/// How many times the expected wait an upstream may take.
+const EXPECTED_FACTOR: u32 = 4;
 /// The least time that is left for a further attempt to be worth it.
 const LEAST_REMAINING: Duration = Duration::from_millis(60);
 /// When to come back to another daemon while this one starts.
@@ -123,7 +125,8 @@
                 Ok(place) => place,
                 Err((reason, wait)) => return self.refuse(reason, wait),
             };
-            let step = match self.attempt(place).await {
+            let patience = self.patience(&place);
+            let step = match self.attempt(place, patience).await {
                 Step::Done(response) => return response,
                 Step::Escalated => continue,
                 Step::Again if self.may_repeat() => continue,
@@ -221,8 +224,7 @@
         within
     }
 
-    async fn attempt(&mut self, mut place: Place) -> Step {
-        let patience = self.patience();
+    async fn attempt(&mut self, mut place: Place, patience: Duration) -> Step {
         let request = self.request(&place, None);
         self.attempts += 1;
         let address = place.ticket.address;
@@ -396,26 +398,27 @@
         if self.model.as_ref() == Some(largest) || self.attempts >= self.call.route.max_attempts {
             return None;
         }
-        let now = self.shared.now();
-        let waited = now.saturating_duration_since(self.call.arrived);
-        match judge_confidence(head.confidence, waited, self.call.route.latency_objective) {
+        let waited = self.shared.now().saturating_duration_since(self.call.arrived);
+        let reading = match &self.call.head.prompt {
+            Some(prompt) => self.shared.core().reading_time(largest, prompt.tokens),
+            None => Duration::ZERO,
+        };
+        let on_time = waited + reading <= self.call.route.latency_objective;
+        match judge_confidence(head.confidence, on_time) {
             Verdict::Keep => None,
             Verdict::Escalate => Some(largest.clone()),
         }
     }
 
     /// How long to wait for the head of an answer.
-    fn patience(&self) -> Duration {
+    fn patience(&self, place: &Place) -> Duration {
         let remaining = self.call.remaining(self.shared.now());
         let last = self.attempts + 1 >= self.call.route.max_attempts;
         if last || !self.call.route.repeatable() {
             return remaining;
         }
-        self.call
-            .route
-            .latency_objective
-            .mul_f64(SILENCE_PART)
-            .min(remaining)
+        let silence = self.call.route.latency_objective.mul_f64(SILENCE_PART);
+        (silence + place.ticket.expected() * EXPECTED_FACTOR).min(remaining)
     }
 
     fn last_reason(&self) -> Reason {
@@ -461,7 +464,7 @@
             ticket.arm.map_or("none", |arm| arm.name()),
             self.model.as_deref().unwrap_or("-"),
             self.attempts + 1,
-            ticket.expected.as_millis(),
+            ticket.expected().as_millis(),
             self.call.generation
         );
     }
