--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,9 +14,14 @@
 };
 
 /// How long the table holds a poll open without changes.
-const POLL_WAIT: Duration = Duration::from_secs(10);
+///
+/// A table that swallows a poll is found out only after this time, which together with the time
+/// for a change to be in force must stay under what operators allow.
+const POLL_WAIT: Duration = Duration::from_secs(3);
+/// The same for the first poll after a failure.
+const FIRST_POLL_WAIT: Duration = Duration::from_millis(300);
 /// The time beyond a poll's wait in which its answer must come.
-const POLL_SLACK: Duration = Duration::from_millis(700);
+const POLL_SLACK: Duration = Duration::from_millis(500);
 /// The time in which a full read must be answered.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The first pause after a failed call, doubled with each further one.
@@ -39,7 +44,11 @@
     let mut failures = 0_u32;
     let mut read_all = true;
     loop {
-        let result = poll(&shared, followed, &mut client, read_all).await;
+        let wait = match failures {
+            0 => POLL_WAIT,
+            _ => FIRST_POLL_WAIT,
+        };
+        let result = poll(&shared, followed, &mut client, read_all, wait).await;
         metrics::table_call(followed.table(), outcome(&result));
         match result {
             Ok(rows) => {
@@ -77,13 +86,14 @@
     followed: Followed,
     client: &mut TableClient,
     read_all: bool,
+    wait: Duration,
 ) -> Result<Rows, TableError> {
     if read_all {
         return client.read(followed.table(), READ_TIMEOUT).await;
     }
     let after = followed.version(&shared.core());
     client
-        .changes(followed.table(), after, POLL_WAIT, POLL_SLACK)
+        .changes(followed.table(), after, wait, POLL_SLACK)
         .await
 }
 
