Take no new request later than 2.8 s after the order to stop

Listener and idle connections now close after 2.8 s (3.8 s before), when the directory's answers have run out.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,8 +35,10 @@
 
 /// How often what has lapsed is dropped.
 const TICK: Duration = Duration::from_millis(250);
-/// How long callers are served after the order to stop, so that the directory's answers run out.
-const LINGER: Duration = Duration::from_millis(3_800);
+/// How long new requests are taken after the order to stop, while the directory's answers run out.
+///
+/// A stream that begins later might not end within the grace period.
+const LINGER: Duration = Duration::from_millis(2_800);
 /// The part of the grace period that is left for the end of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
