Let a few daemons poll the table for all, and tell the others

Now one daemon in each of three failure domains polls; the others hear by heartbeat that there is something newer and ask for it over HTTP/2. A daemon that the table does not answer gives its turn away. Heartbeats are spaced by the number of daemons and tell of a bound session for 1.5 s only. Weighed: relaying rows in datagrams, which a configuration of 64 KiB does not fit.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -22,10 +22,13 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::state::rows::RowCache;
+
 pub mod budget;
 pub mod choose;
 pub mod cold;
 pub mod escalation;
+pub mod followers;
 pub mod health;
 pub mod peers;
 pub mod poison;
@@ -39,8 +42,9 @@
 use budget::{RepeatBudget, RepeatLimit};
 use choose::{Candidate, cost};
 use cold::Part;
+use followers::{Contender, Duty};
 use health::Ended;
-use peers::{Heartbeat, LoadReport, PeerId, Peers, Readiness, RolloutReport};
+use peers::{Heartbeat, LoadReport, PeerId, Peers, Readiness, RolloutReport, TableState};
 use poison::Poison;
 use prefix::{Link, PrefixMemory};
 use registry::{Registry, Upstream};
@@ -174,7 +178,10 @@
     domain: DomainName,
     limits: FleetLimits,
     routes: Option<Arc<Routes>>,
-    orders_version: RowVersion,
+    /// The rows of the operators' table.
+    pub orders: RowCache,
+    /// The rows of the upstreams' table.
+    pub upstreams: RowCache,
     table_lost: Option<Instant>,
     evacuated: BTreeSet<DomainName>,
     rollouts: BTreeMap<ServiceName, Rollout>,
@@ -203,7 +210,8 @@
             domain,
             limits,
             routes: None,
-            orders_version: 0,
+            orders: RowCache::default(),
+            upstreams: RowCache::default(),
             table_lost: None,
             evacuated: BTreeSet::new(),
             rollouts: BTreeMap::new(),
@@ -221,11 +229,6 @@
         self.routes.clone()
     }
 
-    /// The version of the operators' table that is in force.
-    pub fn orders_version(&self) -> RowVersion {
-        self.orders_version
-    }
-
     /// The roll-outs, by service.
     pub fn rollouts(&self) -> impl Iterator<Item = (&ServiceName, &Rollout)> {
         self.rollouts.iter()
@@ -236,11 +239,6 @@
         self.limits = limits;
     }
 
-    /// Takes a version of the operators' table for in force; older ones are ignored.
-    pub fn saw_orders(&mut self, version: RowVersion) {
-        self.orders_version = self.orders_version.max(version);
-    }
-
     /// Notes that the table did not answer this daemon.
     pub fn table_lost(&mut self, now: Instant) {
         self.table_lost = Some(now);
@@ -251,13 +249,11 @@
     /// Entries that are missing then may come back only if others had lost the table as well: if
     /// it turned this daemon alone away, they have really been removed.
     pub fn table_back(&mut self, now: Instant) {
-        let living = self.peers.living(now).count();
-        let lost = self
-            .peers
-            .living(now)
-            .filter(|peer| peer.last.table_lost)
-            .count();
-        if lost * 2 >= living {
+        let count = |state| {
+            let living = self.peers.living(now);
+            living.filter(|peer| peer.last.table == state).count()
+        };
+        if count(TableState::Lost) >= count(TableState::Answers) {
             self.registry.table_back(now);
         }
     }
@@ -391,11 +387,13 @@
         route.split.last().map(|target| target.service.clone())
     }
 
-    /// What to tell the other daemons.
+    /// What to tell the other daemons; of the sessions that stay with an old version, those learnt
+    /// of within `bound_age`.
     pub fn heartbeat(
         &self,
         front: std::net::SocketAddr,
         readiness: Readiness,
+        bound_age: Duration,
         now: Instant,
     ) -> Heartbeat {
         let loads = self
@@ -418,16 +416,17 @@
                 state: rollout.state,
                 elapsed: now.saturating_duration_since(rollout.started),
                 evidence: rollout.own().clone(),
-                bound: rollout.bound().iter().copied().collect(),
+                bound: rollout.bound(bound_age, now),
             })
             .collect();
         Heartbeat {
             from: self.me.clone(),
             front,
             readiness,
-            table_lost: self.has_lost_table(now),
-            orders_version: self.orders_version,
-            upstreams_version: self.registry.version(),
+            domain: self.domain.clone(),
+            table: self.table_state(now),
+            orders_newest: self.orders.newest(),
+            upstreams_newest: self.upstreams.newest(),
             loads,
             rollouts,
             crashes: self.poison.told(),
@@ -506,6 +505,34 @@
             .all(|peer| peer.last.from.name > self.me.name)
     }
 
+    /// How this daemon learns of changes of the table.
+    pub fn duty(&self, now: Instant) -> Duty {
+        let me = Contender {
+            name: &self.me.name,
+            domain: &self.domain,
+            lost: self.has_lost_table(now),
+        };
+        let others = self
+            .peers
+            .reliable(now)
+            .filter(|peer| peer.last.readiness == Readiness::Ready)
+            .map(|peer| Contender {
+                name: &peer.last.from.name,
+                domain: &peer.last.domain,
+                lost: peer.last.table == TableState::Lost,
+            });
+        let contenders: Vec<Contender<'_>> = std::iter::once(me).chain(others).collect();
+        followers::duty(&self.me.name, &contenders)
+    }
+
+    fn table_state(&self, now: Instant) -> TableState {
+        match self.duty(now) {
+            _ if self.has_lost_table(now) => TableState::Lost,
+            Duty::Listen => TableState::NotAsked,
+            Duty::Poll | Duty::Retry => TableState::Answers,
+        }
+    }
+
     fn has_lost_table(&self, now: Instant) -> bool {
         self.table_lost
             .is_some_and(|lost| now.saturating_duration_since(lost) < TABLE_LOSS_MEMORY)
@@ -517,7 +544,7 @@
             return Applied::Nothing;
         }
         let mut rollout = Rollout::new(version, order.target.clone(), order.within, now);
-        rollout.bind(self.sessions.recent(now, self.limits.session_time));
+        rollout.bind(self.sessions.recent(now, self.limits.session_time), now);
         self.rollouts.insert(order.service.clone(), rollout);
         Applied::RolloutOrdered(order.service, order.target)
     }
@@ -756,7 +783,7 @@
         if let Some(rollout) = self.rollouts.get_mut(&report.service)
             && rollout.order == report.order
         {
-            rollout.bind(report.bound.iter().copied());
+            rollout.bind(report.bound.iter().copied(), now);
             rollout.merge(peer.clone(), report.evidence.clone());
         }
     }
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -7,13 +7,23 @@
 };
 
 use compact_str::CompactString;
-use platform::{RowVersion, orders::RolloutState};
+use platform::{DomainName, RowVersion, orders::RolloutState};
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::rollout::Evidence;
 
-/// How long a daemon counts as living after its last heartbeat.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// The least time between a daemon's heartbeats.
+const LEAST_PERIOD: Duration = Duration::from_millis(250);
+/// The time between heartbeats for each daemon, so that a daemon's traffic stays bounded.
+const PERIOD_PER_DAEMON: Duration = Duration::from_millis(12);
+/// The least time for which a daemon counts as living after its last heartbeat.
+const LEAST_SILENCE: Duration = Duration::from_millis(1_800);
+/// The heartbeats that a daemon may miss before it counts as dead.
+const MISSED_HEARTBEATS: f64 = 3.5;
+/// The heartbeats that a daemon may miss before another polls the table in its place.
+const MISSED_BY_POLLING: f64 = 2.5;
+/// The least time before another polls the table in its place.
+const LEAST_POLLING_SILENCE: Duration = Duration::from_secs(1);
 /// How long a silent daemon still counts when limits are shared out.
 const SHARE_TIME: Duration = Duration::from_secs(20);
 
@@ -40,6 +50,17 @@
     Leaving,
 }
 
+/// Whether the table answers a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TableState {
+    /// It does not ask.
+    NotAsked,
+    /// It is answered.
+    Answers,
+    /// It was not answered of late.
+    Lost,
+}
+
 /// How busy one daemon keeps an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -79,12 +100,14 @@
     pub front: SocketAddr,
     /// Whether callers may be sent to it.
     pub readiness: Readiness,
-    /// Whether it has lost the table of late.
-    pub table_lost: bool,
-    /// How new its view of the operators' table is.
-    pub orders_version: RowVersion,
-    /// How new its list of upstreams is.
-    pub upstreams_version: RowVersion,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Whether the table answers it.
+    pub table: TableState,
+    /// The newest change that it knows of the operators' table.
+    pub orders_newest: RowVersion,
+    /// The newest change that it knows of the upstreams' table.
+    pub upstreams_newest: RowVersion,
     /// Its load on upstreams.
     pub loads: Vec<LoadReport>,
     /// Its part in roll-outs.
@@ -169,11 +192,22 @@
         self.known.values().map(|peer| peer.address).chain(unheard)
     }
 
+    /// The time between heartbeats, by the number of daemons.
+    pub fn period(&self) -> Duration {
+        let daemons = u32::try_from(self.known.len() + 1).unwrap_or(u32::MAX);
+        PERIOD_PER_DAEMON.saturating_mul(daemons).max(LEAST_PERIOD)
+    }
+
     /// The daemons heard lately.
     pub fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.known
-            .values()
-            .filter(move |peer| now.saturating_duration_since(peer.heard) < SILENCE_TIMEOUT)
+        let silence = self.period().mul_f64(MISSED_HEARTBEATS).max(LEAST_SILENCE);
+        self.heard_within(silence, now)
+    }
+
+    /// The daemons heard so lately that they may be relied on for changes of the table.
+    pub fn reliable(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let silence = self.period().mul_f64(MISSED_BY_POLLING);
+        self.heard_within(silence.max(LEAST_POLLING_SILENCE), now)
     }
 
     /// The daemons to which callers may be sent.
@@ -200,6 +234,12 @@
         heard.chain(unheard)
     }
 
+    fn heard_within(&self, silence: Duration, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.known
+            .values()
+            .filter(move |peer| now.saturating_duration_since(peer.heard) < silence)
+    }
+
     /// Drops daemons that have been silent for long.
     pub fn expire(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < SHARE_TIME * 3;
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -7,7 +7,7 @@
 };
 
 use platform::{
-    DomainName, RowVersion, ServiceName, UpstreamId, VersionName,
+    DomainName, ServiceName, UpstreamId, VersionName,
     table::Row,
     upstream::{Registration, State},
 };
@@ -103,15 +103,16 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     /// Versions in use before any roll-out was asked for.
     settled: BTreeMap<ServiceName, BTreeSet<VersionName>>,
-    version: RowVersion,
+    /// Whether the table has been read.
+    read: bool,
     /// Until when vanished entries may come back.
     lapse_until: Option<Instant>,
 }
 
 impl Registry {
-    /// The table's version as of which the entries hold.
-    pub fn version(&self) -> RowVersion {
-        self.version
+    /// Whether the table has been read.
+    pub fn is_read(&self) -> bool {
+        self.read
     }
 
     /// The upstreams of a service.
@@ -152,12 +153,23 @@
 
     /// Notes that the table could not be read until now.
     pub fn table_back(&mut self, now: Instant) {
-        self.lapse_until = Some(now + LAPSE_TIME);
+        self.allow_lapse(now + LAPSE_TIME);
+    }
+
+    /// Lets entries that vanish until a time come back.
+    pub fn allow_lapse(&mut self, until: Instant) {
+        self.lapse_until = Some(until);
+    }
+
+    /// How long vanished entries may still come back.
+    pub fn lapse_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.lapse_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
     }
 
     /// Takes a full read of the table for the truth.
-    pub fn replace(&mut self, rows: &[Row], version: RowVersion, now: Instant) -> Vec<Change> {
-        let first = self.version == 0;
+    pub fn replace(&mut self, rows: &[Row], now: Instant) -> Vec<Change> {
+        let first = !std::mem::replace(&mut self.read, true);
         let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let vanished: Vec<UpstreamId> = self
             .upstreams
@@ -177,13 +189,11 @@
                     .insert(upstream.version.clone());
             }
         }
-        self.version = self.version.max(version);
         changes
     }
 
     /// Applies changes from the table's feed.
-    pub fn apply(&mut self, rows: &[Row], version: RowVersion, now: Instant) -> Vec<Change> {
-        self.version = self.version.max(version);
+    pub fn apply(&mut self, rows: &[Row], now: Instant) -> Vec<Change> {
         let removed = rows.iter().filter(|row| row.value.is_none());
         let removed: Vec<UpstreamId> = removed.map(|row| row.key.clone()).collect();
         let lapse = self.lapse(&removed, now);
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -5,7 +5,7 @@
 //! new version; then all move in steps that stop at a doubt.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -108,8 +108,8 @@
     new_seen: Option<Instant>,
     own: Evidence,
     peers: HashMap<PeerId, Evidence>,
-    /// Sessions that stay with the old version, because they ran there.
-    bound: BTreeSet<u64>,
+    /// Sessions that stay with the old version, because they ran there, and when that was learnt.
+    bound: BTreeMap<u64, Instant>,
 }
 
 impl Rollout {
@@ -124,7 +124,7 @@
             new_seen: None,
             own: Evidence::default(),
             peers: HashMap::new(),
-            bound: BTreeSet::new(),
+            bound: BTreeMap::new(),
         }
     }
 
@@ -133,9 +133,13 @@
         &self.own
     }
 
-    /// The sessions that stay with the old version.
-    pub fn bound(&self) -> &BTreeSet<u64> {
-        &self.bound
+    /// The sessions that stay with the old version and were learnt of within `age`.
+    pub fn bound(&self, age: Duration, now: Instant) -> Vec<u64> {
+        self.bound
+            .iter()
+            .filter(|(_, learnt)| now.saturating_duration_since(**learnt) <= age)
+            .map(|(session, _)| *session)
+            .collect()
     }
 
     /// Notes that the new version has an upstream that takes work.
@@ -149,14 +153,14 @@
     }
 
     /// Keeps sessions on the old version for the first half.
-    pub fn bind(&mut self, sessions: impl IntoIterator<Item = u64>) {
+    pub fn bind(&mut self, sessions: impl IntoIterator<Item = u64>, now: Instant) {
         let order = self.order;
         let chosen = sessions
             .into_iter()
             .filter(|session| lot(*session, order) < STEPS[0].share);
         for session in chosen {
             if self.bound.len() < MAX_BOUND {
-                self.bound.insert(session);
+                self.bound.entry(session).or_insert(now);
             }
         }
     }
@@ -168,11 +172,11 @@
             RolloutState::RolledBack => Arm::Old,
             RolloutState::Completed => Arm::New,
             RolloutState::Running if share > STEPS[0].share => arm_of(session, self.order, share),
-            RolloutState::Running if self.bound.contains(&session) => Arm::Old,
+            RolloutState::Running if self.bound.contains_key(&session) => Arm::Old,
             RolloutState::Running => arm_of(session, self.order, share),
         };
         if arm == Arm::Old && self.state == RolloutState::Running && share <= STEPS[0].share {
-            self.bind([session]);
+            self.bind([session], now);
         }
         arm
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,16 +1,19 @@
-//! Following the operators' and the upstreams' tables by long polls.
+//! Following the operators' and the upstreams' tables: by long polls, or by way of other daemons.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use platform::{
+    RowVersion,
     orders::{self, Order},
     table::{Row, Rows, TableClient, TableError, Why},
     upstream,
 };
+use serde::{Deserialize, Serialize};
 
 use crate::{
-    coordination::dispatch::{Applied, Dispatcher, registry::Change},
-    gateway::{metrics, shared::Shared},
+    coordination::dispatch::{Applied, Dispatcher, followers::Duty, registry::Change},
+    gateway::{metrics, shared::Shared, table_link},
+    state::rows::{Changes, RowCache},
 };
 
 /// How long the table holds a poll open without changes.
@@ -26,11 +29,17 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The first pause after a failed call, doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// The longest pause after a failed call.
+/// The longest pause after a failed call of a daemon that polls for others.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// The pause between polls of a daemon whose turn it is not.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+/// How often a daemon that listens looks whether it is its turn to poll.
+const LISTEN_PERIOD: Duration = Duration::from_millis(100);
+/// The failed questions to other daemons after which a daemon asks the table itself.
+const MAX_UNTOLD: u32 = 2;
 
 /// A table that is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Followed {
     /// What operators ask for.
     Orders,
@@ -40,67 +49,152 @@
 
 /// Follows a table for as long as the process lives.
 pub async fn follow(shared: Arc<Shared>, followed: Followed) {
-    let mut client = TableClient::open(shared.settings.table);
-    let mut failures = 0_u32;
-    let mut read_all = true;
+    let mut follower = Follower {
+        client: TableClient::open(shared.settings.table),
+        followed,
+        failures: 0,
+        untold: 0,
+        read_all: true,
+        shared,
+    };
     loop {
-        let wait = match failures {
-            0 => POLL_WAIT,
-            _ => FIRST_POLL_WAIT,
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    shared: Arc<Shared>,
+    client: TableClient,
+    followed: Followed,
+    /// Calls of the table that failed one after another.
+    failures: u32,
+    /// Questions to other daemons that failed one after another.
+    untold: u32,
+    /// Whether the table is to be read whole.
+    read_all: bool,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        let duty = self.shared.core().duty(self.shared.now());
+        let known = self.followed.cache(&self.shared.core()).version() > 0;
+        match duty {
+            Duty::Listen if known && self.untold < MAX_UNTOLD => self.listen().await,
+            Duty::Listen | Duty::Poll => self.poll().await,
+            Duty::Retry => {
+                self.ask_newer().await;
+                tokio::time::sleep(RETRY_PAUSE).await;
+                self.poll().await;
+            }
+        }
+    }
+
+    /// Waits for news of other daemons, and asks one that knows more.
+    async fn listen(&mut self) {
+        self.failures = 0;
+        let mut heard = self.shared.heard.subscribe();
+        if !self.ask_newer().await {
+            // The time is up, or there is news; either way it is looked at next.
+            let _ = tokio::time::timeout(LISTEN_PERIOD, heard.changed()).await;
+        }
+    }
+
+    /// Asks a daemon that knows newer changes, if there is one; tells whether it was told any.
+    async fn ask_newer(&mut self) -> bool {
+        let Some((peer, after)) = self.newer_peer() else {
+            return false;
         };
-        let result = poll(&shared, followed, &mut client, read_all, wait).await;
-        metrics::table_call(followed.table(), outcome(&result));
-        match result {
-            Ok(rows) => {
-                if failures > 0 {
-                    log::info!(
-                        "event=table_regained table={} failures={failures}",
-                        followed.table()
-                    );
-                    shared.core().table_back(shared.now());
-                    failures = 0;
+        match table_link::ask(peer, self.followed, after).await {
+            Ok(told) => {
+                self.untold = 0;
+                let now = self.shared.now();
+                if let Some(left) = told.lapse_left {
+                    self.shared.core().registry.allow_lapse(now + left);
                 }
-                followed.take(&shared, rows, read_all);
-                read_all = false;
+                self.followed.take(&self.shared, &told.changes);
+                true
             }
             Err(e) => {
-                if failures == 0 {
-                    log::warn!("event=table_lost table={} {e}", followed.table());
-                }
-                read_all |= matches!(e.why, Why::HistoryGone);
-                failures += 1;
-                if !matches!(e.why, Why::HistoryGone) {
-                    shared.core().table_lost(shared.now());
-                }
-                if !matches!(e.why, Why::HistoryGone) {
-                    let pause = FIRST_PAUSE * (1 << failures.min(3));
-                    tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
-                }
+                self.untold += 1;
+                log::warn!("event=changes_untold table={} {e}", self.followed.table());
+                false
             }
         }
     }
-}
 
-async fn poll(
-    shared: &Shared,
-    followed: Followed,
-    client: &mut TableClient,
-    read_all: bool,
-    wait: Duration,
-) -> Result<Rows, TableError> {
-    if read_all {
-        return client.read(followed.table(), READ_TIMEOUT).await;
+    fn newer_peer(&self) -> Option<(SocketAddr, RowVersion)> {
+        let core = self.shared.core();
+        let known = self.followed.cache(&core).newest();
+        let newest = |newest: &(RowVersion, SocketAddr)| newest.0;
+        core.peers
+            .living(self.shared.now())
+            .map(|peer| match self.followed {
+                Followed::Orders => (peer.last.orders_newest, peer.address),
+                Followed::Upstreams => (peer.last.upstreams_newest, peer.address),
+            })
+            .max_by_key(newest)
+            .filter(|(newest, _)| *newest > known)
+            .map(|(_, address)| (address, known))
+    }
+
+    async fn poll(&mut self) {
+        let result = self.call().await;
+        let outcome = if result.is_ok() { "ok" } else { "failed" };
+        metrics::table_call(self.followed.table(), outcome);
+        match result {
+            Ok(rows) => self.answered(rows),
+            Err(e) => self.failed(&e).await,
+        }
     }
-    let after = followed.version(&shared.core());
-    client
-        .changes(followed.table(), after, wait, POLL_SLACK)
-        .await
-}
 
-fn outcome<T>(result: &Result<T, TableError>) -> &'static str {
-    match result {
-        Ok(_) => "ok",
-        Err(_) => "failed",
+    async fn call(&mut self) -> Result<Rows, TableError> {
+        if self.read_all {
+            return self.client.read(self.followed.table(), READ_TIMEOUT).await;
+        }
+        let after = self.followed.cache(&self.shared.core()).version();
+        let wait = match self.failures {
+            0 => POLL_WAIT,
+            _ => FIRST_POLL_WAIT,
+        };
+        let table = self.followed.table();
+        self.client.changes(table, after, wait, POLL_SLACK).await
+    }
+
+    fn answered(&mut self, rows: Rows) {
+        if self.failures > 0 {
+            let table = self.followed.table();
+            log::info!(
+                "event=table_regained table={table} failures={}",
+                self.failures
+            );
+            self.shared.core().table_back(self.shared.now());
+        }
+        let changes = Changes {
+            whole: self.read_all,
+            rows: rows.rows,
+            version: rows.version,
+        };
+        self.followed.take(&self.shared, &changes);
+        self.failures = 0;
+        self.untold = 0;
+        self.read_all = false;
+    }
+
+    async fn failed(&mut self, e: &TableError) {
+        if matches!(e.why, Why::HistoryGone) {
+            log::info!("event=history_gone table={}", self.followed.table());
+            self.read_all = true;
+            return;
+        }
+        if self.failures == 0 {
+            log::warn!("event=table_lost table={} {e}", self.followed.table());
+            self.shared.news.notify_one();
+        }
+        self.failures += 1;
+        self.shared.core().table_lost(self.shared.now());
+        self.ask_newer().await;
+        let pause = FIRST_PAUSE * (1 << self.failures.min(3));
+        tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
     }
 }
 
@@ -112,26 +206,34 @@
         }
     }
 
-    fn version(self, core: &Dispatcher) -> u64 {
+    /// The rows that are known of the table.
+    pub fn cache(self, core: &Dispatcher) -> &RowCache {
         match self {
-            Self::Orders => core.orders_version(),
-            Self::Upstreams => core.registry.version(),
+            Self::Orders => &core.orders,
+            Self::Upstreams => &core.upstreams,
         }
     }
 
-    fn take(self, shared: &Shared, rows: Rows, read_all: bool) {
+    fn take(self, shared: &Shared, changes: &Changes) {
+        if changes.whole || !changes.rows.is_empty() {
+            match self {
+                Self::Orders => take_orders(shared, changes),
+                Self::Upstreams => take_upstreams(shared, changes),
+            }
+            shared.news.notify_one();
+        }
+        let mut core = shared.core();
         match self {
-            Self::Orders => take_orders(shared, &rows, read_all),
-            Self::Upstreams => take_upstreams(shared, &rows, read_all),
+            Self::Orders => core.orders.take(changes),
+            Self::Upstreams => core.upstreams.take(changes),
         }
     }
 }
 
-/// Applies rows of the operators' table.
-pub fn take_orders(shared: &Shared, rows: &Rows, read_all: bool) {
+fn take_orders(shared: &Shared, changes: &Changes) {
     let now = shared.now();
     let mut evacuated = BTreeSet::new();
-    for row in &rows.rows {
+    for row in &changes.rows {
         let order = match Order::decode(row) {
             Ok(order) => order,
             Err(e) => {
@@ -151,42 +253,34 @@
             log::info!("event=order_applied version={} {applied}", row.version);
         }
     }
-    let mut core = shared.core();
-    if read_all {
-        core.replace_evacuations(&evacuated, now);
+    if changes.whole {
+        shared.core().replace_evacuations(&evacuated, now);
     }
-    core.saw_orders(rows.version);
 }
 
-/// Applies rows of the upstreams' table.
-pub fn take_upstreams(shared: &Shared, rows: &Rows, read_all: bool) {
+fn take_upstreams(shared: &Shared, changes: &Changes) {
     let now = shared.now();
     let mut core = shared.core();
-    let changes = match read_all {
-        true => core.registry.replace(&rows.rows, rows.version, now),
-        false => core.registry.apply(&rows.rows, rows.version, now),
+    let known = match changes.whole {
+        true => core.registry.replace(&changes.rows, now),
+        false => core.registry.apply(&changes.rows, now),
     };
-    for change in changes {
+    let version = changes.version;
+    for change in known {
         match &change {
             Change::Joined(id) => {
                 core.poison.died(id, now);
-                log_row(&rows.rows, id, "joined");
+                log_row(&changes.rows, id);
             }
             Change::Left(id) => {
                 core.poison.died(id, now);
-                log::info!("event=upstream_left upstream={id} version={}", rows.version);
+                log::info!("event=upstream_left upstream={id} version={version}");
             }
             Change::Draining(id) => {
-                log::info!(
-                    "event=upstream_draining upstream={id} version={}",
-                    rows.version
-                );
+                log::info!("event=upstream_draining upstream={id} version={version}");
             }
             Change::Lapsed(id) => {
-                log::info!(
-                    "event=upstream_lapsed upstream={id} version={}",
-                    rows.version
-                );
+                log::info!("event=upstream_lapsed upstream={id} version={version}");
             }
             Change::Unreadable(id, why) => {
                 log::warn!("event=upstream_unreadable upstream={id} error=\"{why}\"");
@@ -196,11 +290,11 @@
     }
 }
 
-fn log_row(rows: &[Row], id: &str, what: &str) {
+fn log_row(rows: &[Row], id: &str) {
     let row = rows.iter().find(|row| row.key == id);
     let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
     log::info!(
-        "event=upstream_{what} upstream={id} row={}",
+        "event=upstream_joined upstream={id} row={}",
         String::from_utf8_lossy(value)
     );
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -398,7 +398,10 @@
         if self.model.as_ref() == Some(largest) || self.attempts >= self.call.route.max_attempts {
             return None;
         }
-        let waited = self.shared.now().saturating_duration_since(self.call.arrived);
+        let waited = self
+            .shared
+            .now()
+            .saturating_duration_since(self.call.arrived);
         let reading = match &self.call.head.prompt {
             Some(prompt) => self.shared.core().reading_time(largest, prompt.tokens),
             None => Duration::ZERO,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -159,7 +159,8 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// The next connection; failures to accept are waited out.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod reply;
 pub mod settings;
 pub mod shared;
+pub mod table_link;
 
 /// How often what has lapsed is dropped.
 const TICK: Duration = Duration::from_millis(250);
@@ -84,6 +85,7 @@
             .await
             .map_err(|source| StartError { address, source })?;
         let socket = Arc::new(socket);
+        tokio::spawn(table_link::serve(shared.clone(), listen(address)?));
         tokio::spawn(peer_link::receive_heartbeats(
             shared.clone(),
             socket.clone(),
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -6,10 +6,12 @@
 
 use crate::{coordination::dispatch::peers::Heartbeat, gateway::shared::Shared};
 
-/// The time between heartbeats.
-const PERIOD: Duration = Duration::from_millis(250);
 /// The least time between heartbeats that carry news.
 const NEWS_PAUSE: Duration = Duration::from_millis(20);
+/// How long a session that stays with an old version is told of.
+const BOUND_AGE: Duration = Duration::from_millis(1_500);
+/// The same towards a daemon that has just started.
+const ALL_BOUND: Duration = Duration::from_secs(3_600);
 /// The largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -21,9 +23,11 @@
 /// Tells the other daemons what this one knows, for as long as the process lives.
 pub async fn send_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
-        tell_all(&shared, &socket).await;
+        let addresses: Vec<SocketAddr> = shared.core().peers.addresses().collect();
+        tell(&shared, &socket, &addresses, BOUND_AGE);
+        let period = shared.core().peers.period();
         tokio::select! {
-            () = tokio::time::sleep(PERIOD) => {}
+            () = tokio::time::sleep(period) => {}
             () = shared.news.notified() => tokio::time::sleep(NEWS_PAUSE).await,
         }
     }
@@ -42,34 +46,36 @@
             }
         };
         match decode(&buf[..length]) {
-            Ok(heartbeat) => hear(&shared, heartbeat, from),
+            Ok(heartbeat) => hear(&shared, &socket, heartbeat, from),
             Err(e) => log::warn!("event=heartbeat_unreadable peer={from} error=\"{e}\""),
         }
     }
 }
 
-fn hear(shared: &Shared, heartbeat: Heartbeat, from: SocketAddr) {
+fn hear(shared: &Shared, socket: &UdpSocket, heartbeat: Heartbeat, from: SocketAddr) {
     let now = shared.now();
     let id = heartbeat.from.clone();
+    let heard = heartbeat.orders_newest.max(heartbeat.upstreams_newest);
     if shared.core().hear(heartbeat, from, now) {
         log::info!(
             "event=daemon_heard peer={} incarnation={}",
             id.name,
             id.incarnation
         );
-        shared.news.notify_one();
+        tell(shared, socket, &[from], ALL_BOUND);
     }
+    shared.heard.send_if_modified(|known| {
+        let newer = heard > *known;
+        *known = heard.max(*known);
+        newer
+    });
 }
 
-async fn tell_all(shared: &Shared, socket: &UdpSocket) {
+fn tell(shared: &Shared, socket: &UdpSocket, addresses: &[SocketAddr], bound_age: Duration) {
     let now = shared.now();
     let readiness = shared.readiness();
-    let (heartbeat, addresses) = {
-        let core = shared.core();
-        let heartbeat = core.heartbeat(shared.settings.front, readiness, now);
-        let addresses: Vec<SocketAddr> = core.peers.addresses().collect();
-        (heartbeat, addresses)
-    };
+    let front = shared.settings.front;
+    let heartbeat = shared.core().heartbeat(front, readiness, bound_age, now);
     let datagram = match encode(&heartbeat) {
         Ok(datagram) => datagram,
         Err(e) => {
@@ -78,7 +84,7 @@
         }
     };
     for address in addresses {
-        if let Err(e) = socket.try_send_to(&datagram, address) {
+        if let Err(e) = socket.try_send_to(&datagram, *address) {
             log::debug!("event=heartbeat_send_failed peer={address} error=\"{e}\"");
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -31,6 +31,8 @@
     pub clock: SharedClock,
     /// Woken when other daemons ought to hear news at once.
     pub news: Notify,
+    /// Woken when another daemon may know of changes of the table.
+    pub heard: tokio::sync::watch::Sender<u64>,
     /// Woken when the process is to stop.
     pub stop: tokio::sync::watch::Sender<bool>,
     core: Mutex<Dispatcher>,
@@ -47,6 +49,7 @@
             me,
             clock,
             news: Notify::new(),
+            heard: tokio::sync::watch::Sender::new(0),
             stop: tokio::sync::watch::Sender::new(false),
             core: Mutex::new(core),
             joined: AtomicBool::new(false),
@@ -87,7 +90,7 @@
             return Readiness::Leaving;
         }
         let core = self.core();
-        let known = core.routes().is_some() && core.registry.version() > 0;
+        let known = core.routes().is_some() && core.registry.is_read();
         match known && self.joined.load(Ordering::Relaxed) {
             true => Readiness::Ready,
             false => Readiness::Starting,
--- /dev/null
+++ b/src/gateway/table_link.rs
@@ -0,0 +1,166 @@
+//! Changes of the table from daemon to daemon, over HTTP/2.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, client::conn::http2 as client, server::conn::http2 as server};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use platform::{RowVersion, net};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::net::TcpListener;
+
+use crate::{
+    gateway::{
+        follow::Followed,
+        listener::accept,
+        reply::{Infallibly, plain},
+        shared::Shared,
+    },
+    state::rows::Changes,
+};
+
+/// Time for a connection to another daemon to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for another daemon's answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Silence of another daemon's host after which a connection is given up.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The greatest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Which changes a daemon asks for.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Question {
+    table: Followed,
+    after: RowVersion,
+}
+
+/// What a daemon knows of a table.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// The changes.
+    pub changes: Changes,
+    /// How long entries that have vanished may still come back.
+    pub lapse_left: Option<Duration>,
+}
+
+/// Another daemon that did not tell its changes.
+#[derive(Debug, Error)]
+#[error("step={step} peer={peer}: {why}")]
+pub struct AskError {
+    step: &'static str,
+    peer: SocketAddr,
+    why: Box<dyn std::error::Error + Send + Sync>,
+}
+
+/// Asks another daemon for its changes of a table after a version.
+pub async fn ask(peer: SocketAddr, table: Followed, after: RowVersion) -> Result<Told, AskError> {
+    let question = Question { table, after };
+    tokio::time::timeout(CALL_TIMEOUT, exchange(peer, question))
+        .await
+        .unwrap_or_else(|e| Err(failed("answer", peer, e)))
+}
+
+/// Answers other daemons for as long as the process lives.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let shared = shared.clone();
+        let service = hyper::service::service_fn(move |req| {
+            let shared = shared.clone();
+            async move { Infallibly::Ok(answer(&shared, req).await) }
+        });
+        tokio::spawn(async move {
+            let served = server::Builder::new(TokioExecutor::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = served.await {
+                log::debug!("event=peer_connection_ended error=\"{e}\"");
+            }
+        });
+    }
+}
+
+async fn exchange(peer: SocketAddr, question: Question) -> Result<Told, AskError> {
+    let stream = net::connect(peer, CONNECT_TIMEOUT, SILENCE_TIMEOUT)
+        .await
+        .map_err(|e| failed("connect", peer, e))?;
+    let (mut sender, connection) = client::handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .map_err(|e| failed("connect", peer, e))?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!("event=peer_connection_ended peer={peer} error=\"{e}\"");
+        }
+    });
+    let body = bincode::serde::encode_to_vec(question, bincode::config::standard())
+        .map_err(|e| failed("encode", peer, e))?;
+    let request = Request::post(format!("http://{peer}/changes"))
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| failed("encode", peer, e))?;
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(|e| failed("call", peer, e))?;
+    let body = read(response.into_body()).await.map_err(|why| AskError {
+        step: "answer",
+        peer,
+        why,
+    })?;
+    decode(&body).map_err(|e| failed("decode", peer, e))
+}
+
+async fn answer(shared: &Shared, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    const BINARY: &str = "application/octet-stream";
+    let refuse = || plain(StatusCode::BAD_REQUEST, BINARY, Bytes::new());
+    let question = match read(req.into_body()).await {
+        Ok(body) => match decode::<Question>(&body) {
+            Ok(question) => question,
+            Err(e) => {
+                log::warn!("event=question_unreadable error=\"{e}\"");
+                return refuse();
+            }
+        },
+        Err(e) => {
+            log::debug!("event=question_broken error=\"{e}\"");
+            return refuse();
+        }
+    };
+    let told = {
+        let core = shared.core();
+        Told {
+            changes: question.table.cache(&core).after(question.after),
+            lapse_left: core.registry.lapse_left(shared.now()),
+        }
+    };
+    match bincode::serde::encode_to_vec(&told, bincode::config::standard()) {
+        Ok(body) => plain(StatusCode::OK, BINARY, body.into()),
+        Err(e) => {
+            log::error!("event=answer_not_encoded error=\"{e}\"");
+            refuse()
+        }
+    }
+}
+
+async fn read(body: Incoming) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await?;
+    Ok(body.to_bytes())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, bincode::error::DecodeError> {
+    let config = bincode::config::standard().with_limit::<MAX_ANSWER_BYTES>();
+    bincode::serde::decode_from_slice(bytes, config).map(|(value, _)| value)
+}
+
+fn failed<E>(step: &'static str, peer: SocketAddr, why: E) -> AskError
+where
+    E: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    AskError {
+        step,
+        peer,
+        why: why.into(),
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,4 +7,5 @@
 pub mod names;
 pub mod objects;
 pub mod record;
+pub mod rows;
 pub mod snapshot;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -8,7 +8,7 @@
 use hibiscusyoke::coordination::dispatch::{
     Dispatcher, FleetLimits,
     budget::RepeatLimit,
-    peers::{Heartbeat, PeerId, Readiness},
+    peers::{Heartbeat, PeerId, Readiness, TableState},
 };
 use platform::table::Row;
 
@@ -58,15 +58,16 @@
     }
 }
 
-/// Another daemon's heartbeat, which says whether it has lost the table.
-pub(crate) fn heartbeat(name: &str, table_lost: bool) -> Heartbeat {
+/// Another daemon's heartbeat, which says whether the table answers it.
+pub(crate) fn heartbeat(name: &str, table: TableState) -> Heartbeat {
     Heartbeat {
         from: daemon(name),
         front: address(1),
         readiness: Readiness::Ready,
-        table_lost,
-        orders_version: 0,
-        upstreams_version: 0,
+        domain: "a".into(),
+        table,
+        orders_newest: 0,
+        upstreams_newest: 0,
         loads: Vec::new(),
         rollouts: Vec::new(),
         crashes: Vec::new(),
