Complete a roll-out once sessions of the old version have ended

Ruled out: daemons that disagree on a session. The roll-out is now completed one session time after the last old request, at 0.92 of its time at the latest, and all sessions move at 0.55 (0.58 before).

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -466,6 +466,7 @@
 
     /// Roll-outs that ought to be decided now, and how.
     pub fn decide_rollouts(&mut self, now: Instant) -> Vec<(ServiceName, RolloutState)> {
+        let session_time = self.limits.session_time;
         let mut decided = Vec::new();
         for (service, rollout) in &mut self.rollouts {
             if rollout.state != RolloutState::Running {
@@ -473,7 +474,7 @@
             }
             if rollout.is_bad() {
                 rollout.state = RolloutState::RolledBack;
-            } else if rollout.may_complete(now) {
+            } else if rollout.may_complete(session_time, now) {
                 rollout.state = RolloutState::Completed;
             } else {
                 continue;
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -28,14 +28,12 @@
         share: 0.35,
     },
     Step {
-        from: 0.58,
+        from: 0.55,
         share: 1.0,
     },
 ];
 /// The part of the time after which the old version is left even if requests run on it.
 const LAST_CALL: f64 = 0.92;
-/// How long all sessions are on the new version before the roll-out is completed.
-const QUIET_TIME: Duration = Duration::from_millis(800);
 /// The failures that are needed to judge a version on all routes.
 const LEAST_FAILURES: u32 = 4;
 /// The failures that are needed to judge a version on one route.
@@ -106,6 +104,8 @@
     within: Duration,
     /// When an upstream of the new version was first seen.
     new_seen: Option<Instant>,
+    /// When requests were last known to run on the old version.
+    old_busy: Option<Instant>,
     own: Evidence,
     peers: HashMap<PeerId, Evidence>,
     /// Sessions that stay with the old version, because they ran there, and when that was learnt.
@@ -122,6 +122,7 @@
             started,
             within,
             new_seen: None,
+            old_busy: None,
             own: Evidence::default(),
             peers: HashMap::new(),
             bound: BTreeMap::new(),
@@ -223,18 +224,26 @@
     }
 
     /// Whether all traffic has moved and the old version may stop.
-    pub fn may_complete(&self, now: Instant) -> bool {
-        if self.state != RolloutState::Running || self.new_seen.is_none() {
-            return false;
-        }
-        let last = STEPS[STEPS.len() - 1];
-        let moved = self.started + self.within.mul_f64(last.from) + QUIET_TIME;
+    ///
+    /// The sessions that ran on the old version are given time to end, so that none of them meets a
+    /// further roll-out.
+    pub fn may_complete(&mut self, session_time: Duration, now: Instant) -> bool {
         let running: u32 = std::iter::once(&self.own)
             .chain(self.peers.values())
             .map(|evidence| evidence.running_old)
             .sum();
+        if running > 0 || self.old_busy.is_none() {
+            self.old_busy = Some(now);
+        }
+        if self.state != RolloutState::Running || self.new_seen.is_none() {
+            return false;
+        }
+        let moved = self.started + self.within.mul_f64(STEPS[STEPS.len() - 1].from);
+        let quiet = self
+            .old_busy
+            .is_some_and(|busy| now.saturating_duration_since(busy) >= session_time);
         let last_call = self.started + self.within.mul_f64(LAST_CALL);
-        now >= last_call || (now >= moved && running == 0)
+        now >= last_call || (now >= moved && quiet)
     }
 
     /// Forgets a peer that is gone.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -459,8 +459,9 @@
 
     fn log_choice(&self, ticket: &crate::coordination::dispatch::Ticket) {
         log::info!(
-            "event=chosen id={} route={} upstream={} version={} arm={} model={} attempt={} expected_ms={} generation={}",
+            "event=chosen id={} session={:016x} route={} upstream={} version={} arm={} model={} attempt={} expected_ms={} generation={}",
             self.call.id(),
+            self.call.session,
             self.call.route.name,
             ticket.upstream,
             ticket.version,
