Count a whole read that is behind as known when daemons tell one another changes

The newest change now follows a whole read also if it is behind, and a question that brought nothing newer is not repeated at once.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -107,12 +107,20 @@
         match table_link::ask(peer, self.followed, after).await {
             Ok(told) => {
                 self.untold = 0;
+                log::info!(
+                    "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={}",
+                    self.followed.table(),
+                    told.changes.version,
+                    told.changes.rows.len(),
+                    told.changes.whole
+                );
                 let now = self.shared.now();
                 if let Some(left) = told.lapse_left {
                     self.shared.core().registry.allow_lapse(now + left);
                 }
                 self.followed.take(&self.shared, &told.changes);
-                true
+                // Without anything newer it is not worth asking again at once.
+                self.followed.cache(&self.shared.core()).newest() > after
             }
             Err(e) => {
                 self.untold += 1;
--- a/src/state/rows.rs
+++ b/src/state/rows.rs
@@ -47,7 +47,9 @@
         if changes.whole && changes.version >= self.version {
             self.rows.clear();
             self.forgotten = changes.version;
-            self.newest = changes.version;
+        }
+        if changes.whole {
+            self.newest = self.newest.max(changes.version);
         }
         for row in &changes.rows {
             let known = self.rows.get(&row.key).map_or(0, |known| known.version);
