Judge a crash once, and slow answers too, in a roll-out

Connections of one upstream that break within a second now count once. Slow answers are evidence as well: three and a half times what is usual for what had to be read, after the upstream's first four seconds.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -61,6 +61,10 @@
 const FULL_RETRY: Duration = Duration::from_millis(250);
 /// How long other daemons are told that the table was lost.
 const TABLE_LOSS_MEMORY: Duration = Duration::from_secs(4);
+/// How long an upstream may be slow after its start.
+const WARM_UP_TIME: Duration = Duration::from_secs(4);
+/// Connections of an upstream that break so near in time are one crash.
+const SAME_CRASH: Duration = Duration::from_secs(1);
 /// How long an upstream that refused connections may be cold once it is back, beside its own time.
 const UNSEEN_RESTART_TIME: Duration = Duration::from_secs(1);
 
@@ -78,6 +82,8 @@
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a str,
+    /// The route's name.
+    pub route: &'a str,
     /// A hash of its session, or of its id.
     pub session: u64,
     /// The model, where the system names it.
@@ -103,7 +109,11 @@
     pub version: VersionName,
     /// Its part in a roll-out.
     pub arm: Option<Arm>,
+    /// A hash of the route's name.
+    route: u32,
     backlog: Duration,
+    /// Whether the upstream has run for long enough to be judged by its speed.
+    settled: bool,
     order: RowVersion,
     reading: Duration,
     model: Option<CompactString>,
@@ -117,6 +127,17 @@
     }
 }
 
+/// How good an answer was, as evidence for a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Quality {
+    /// It was whole.
+    Good,
+    /// The upstream answered with a failure, too late, or not at all.
+    Failed,
+    /// Its connection broke, perhaps with others.
+    Broken,
+}
+
 /// Why no upstream can be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
@@ -318,6 +339,12 @@
         if let Some(upstream) = self.registry.get_mut(&ticket.upstream) {
             upstream.backlog = upstream.backlog.saturating_sub(ticket.reading);
         }
+        if let (Some(arm), Some(rollout)) = (ticket.arm, self.rollouts.get_mut(&ticket.service))
+            && rollout.order == ticket.order
+            && ticket.settled
+        {
+            rollout.began(arm, ticket.route, ticket.expected(), took);
+        }
         if let Some(model) = &ticket.model {
             self.speeds.note(model, ticket.expected(), took);
         }
@@ -352,12 +379,17 @@
     }
 
     /// Notes the quality of an answer as evidence for a roll-out.
-    pub fn judge(&mut self, ticket: &Ticket, route: &Route, bad: bool) {
+    ///
+    /// The many connections that break with one crash are one piece of evidence.
+    pub fn judge(&mut self, ticket: &Ticket, quality: Quality, now: Instant) {
         let Some(arm) = ticket.arm else { return };
+        if quality == Quality::Broken && !self.is_first_break(&ticket.upstream, now) {
+            return;
+        }
         if let Some(rollout) = self.rollouts.get_mut(&ticket.service)
             && rollout.order == ticket.order
         {
-            rollout.answered(arm, route_hash(route), bad);
+            rollout.answered(arm, ticket.route, quality != Quality::Good);
         }
     }
 
@@ -484,6 +516,12 @@
         decided
     }
 
+    /// The evidence on which a roll-out is decided, for the log.
+    pub fn rollout_evidence(&self, service: &str) -> String {
+        let rollout = self.rollouts.get(service);
+        rollout.map(Rollout::evidence_text).unwrap_or_default()
+    }
+
     /// Takes in a roll-out that the table or a peer knows of.
     pub fn learn_rollout(&mut self, known: KnownRollout, now: Instant) {
         let started = now.checked_sub(known.elapsed).unwrap_or(now);
@@ -666,6 +704,8 @@
             service: upstream.service.clone(),
             version: upstream.version.clone(),
             arm,
+            route: route_hash(ask.route),
+            settled: upstream.age(now) >= WARM_UP_TIME,
             backlog: upstream.backlog + peer.backlog,
             order,
             reading,
@@ -760,6 +800,14 @@
         }
     }
 
+    fn is_first_break(&mut self, upstream: &str, now: Instant) -> bool {
+        let Some(upstream) = self.registry.get_mut(upstream) else {
+            return false;
+        };
+        let last = upstream.last_break.replace(now);
+        last.is_none_or(|last| now.saturating_duration_since(last) >= SAME_CRASH)
+    }
+
     fn cold_times(&self) -> HashMap<ServiceName, Duration> {
         let services = self.routes.iter().flat_map(|r| &r.configuration().services);
         services
@@ -836,7 +884,7 @@
         .max_by_key(|hash| xxh3_64_with_seed(&hash.to_le_bytes(), chain))
 }
 
-fn route_hash(route: &Route) -> u32 {
-    let hash = xxh3_64(route.name.as_bytes());
+fn route_hash(route: &str) -> u32 {
+    let hash = xxh3_64(route.as_bytes());
     u32::try_from(hash >> 32).unwrap_or_default()
 }
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -55,6 +55,8 @@
     pub running: u32,
     /// The time that it needs to read the prompts of this daemon's requests that have not begun to answer.
     pub backlog: Duration,
+    /// When a connection to it last broke.
+    pub last_break: Option<Instant>,
     /// Until when its entry, which vanished around an outage, may come back.
     missing_until: Option<Instant>,
     first_seen: Instant,
@@ -67,6 +69,11 @@
         self.state == State::Ready && self.missing_until.is_none_or(|until| now < until)
     }
 
+    /// How long this daemon has known it.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.first_seen)
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
@@ -301,6 +308,7 @@
             pace: Pace::default(),
             running: 0,
             backlog: Duration::ZERO,
+            last_break: None,
             missing_until: None,
             first_seen: now,
             started_ms: registration.started_ms,
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -42,6 +42,18 @@
 const FAILURE_MARGIN: f64 = 0.08;
 /// The same on one route.
 const FAILURE_MARGIN_ON_ROUTE: f64 = 0.2;
+/// How many times longer than usual a slow answer takes to begin.
+const SLOW_FACTOR: f64 = 3.5;
+/// The time within which no answer is slow.
+const NEVER_SLOW: Duration = Duration::from_millis(250);
+/// The part of the time to begin that does not depend on the request.
+const BASE_TIME: Duration = Duration::from_millis(60);
+/// The weight of the newest answer in what is usual.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// The slow answers that are needed to judge a version.
+const LEAST_SLOW: u32 = 6;
+/// How much greater the part of slow answers of a bad version is than that of the old one.
+const SLOW_MARGIN: f64 = 0.3;
 /// The sessions remembered at most.
 const MAX_BOUND: usize = 512;
 
@@ -75,8 +87,12 @@
 pub struct Tally {
     /// Answers, good or bad.
     pub answers: u32,
-    /// Failures and slow answers.
+    /// Failures.
     pub bad: u32,
+    /// Answers that began.
+    pub begun: u32,
+    /// Answers that began late for what they were.
+    pub slow: u32,
 }
 
 /// One daemon's answers of both arms by route.
@@ -106,6 +122,8 @@
     new_seen: Option<Instant>,
     /// When requests were last known to run on the old version.
     old_busy: Option<Instant>,
+    /// How many times longer than expected answers of the old version take to begin.
+    usual: Option<f64>,
     own: Evidence,
     peers: HashMap<PeerId, Evidence>,
     /// Sessions that stay with the old version, because they ran there, and when that was learnt.
@@ -123,6 +141,7 @@
             within,
             new_seen: None,
             old_busy: None,
+            usual: None,
             own: Evidence::default(),
             peers: HashMap::new(),
             bound: BTreeMap::new(),
@@ -193,25 +212,55 @@
         };
     }
 
+    /// Notes that an answer began after `took`, where `expected` was expected.
+    pub fn began(&mut self, arm: Arm, route: u32, expected: Duration, took: Duration) {
+        let ratio = took.as_secs_f64() / (expected + BASE_TIME).as_secs_f64();
+        let usual = *self.usual.get_or_insert(ratio);
+        if arm == Arm::Old {
+            self.usual = Some(usual + (ratio - usual) * NEWEST_WEIGHT);
+        }
+        let slow = took > NEVER_SLOW && ratio > usual.max(1.0) * SLOW_FACTOR;
+        let tally = self.tally(arm, route);
+        tally.begun += 1;
+        tally.slow += u32::from(slow);
+    }
+
     /// Notes an answer of an arm.
     pub fn answered(&mut self, arm: Arm, route: u32, bad: bool) {
-        let tallies = match arm {
-            Arm::Old => &mut self.own.old,
-            Arm::New => &mut self.own.new,
-        };
-        let tally = tallies.entry(route).or_default();
+        let tally = self.tally(arm, route);
         tally.answers += 1;
         tally.bad += u32::from(bad);
     }
 
+    /// The merged evidence by route, as failures of answers and slow ones of those that began, for the log.
+    pub fn evidence_text(&self) -> String {
+        let text = |tallies: BTreeMap<u32, Tally>| {
+            let parts: Vec<String> = tallies
+                .iter()
+                .map(|(route, tally)| {
+                    format!(
+                        "{route:08x}:{}/{}+{}/{}",
+                        tally.bad, tally.answers, tally.slow, tally.begun
+                    )
+                })
+                .collect();
+            parts.join(",")
+        };
+        let old = text(self.merged(|evidence| &evidence.old));
+        let new = text(self.merged(|evidence| &evidence.new));
+        format!("old={old} new={new}")
+    }
+
     /// Whether the merged evidence condemns the new version.
     pub fn is_bad(&self) -> bool {
         let old = self.merged(|evidence| &evidence.old);
         let new = self.merged(|evidence| &evidence.new);
         let all =
             |tallies: &BTreeMap<u32, Tally>| tallies.values().copied().fold(Tally::default(), add);
-        let overall = worse(all(&old), all(&new), LEAST_FAILURES, FAILURE_MARGIN);
-        overall
+        let (all_old, all_new) = (all(&old), all(&new));
+        let failing = worse(all_old, all_new, LEAST_FAILURES, FAILURE_MARGIN);
+        failing
+            || slower(all_old, all_new)
             || new.iter().any(|(route, tally)| {
                 let before = old.get(route).copied().unwrap_or_default();
                 worse(
@@ -253,6 +302,14 @@
         }
     }
 
+    fn tally(&mut self, arm: Arm, route: u32) -> &mut Tally {
+        let tallies = match arm {
+            Arm::Old => &mut self.own.old,
+            Arm::New => &mut self.own.new,
+        };
+        tallies.entry(route).or_default()
+    }
+
     fn share(&self, now: Instant) -> f64 {
         let Some(seen) = self.new_seen else {
             return 0.0;
@@ -298,6 +355,8 @@
     Tally {
         answers: a.answers + b.answers,
         bad: a.bad + b.bad,
+        begun: a.begun + b.begun,
+        slow: a.slow + b.slow,
     }
 }
 
@@ -305,3 +364,8 @@
     let rate = |tally: Tally| f64::from(tally.bad) / f64::from(tally.answers.max(1));
     new.bad >= least && rate(new) >= rate(old) + margin
 }
+
+fn slower(old: Tally, new: Tally) -> bool {
+    let rate = |tally: Tally| f64::from(tally.slow) / f64::from(tally.begun.max(1));
+    new.slow >= LEAST_SLOW && rate(new) >= rate(old) + SLOW_MARGIN
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     coordination::dispatch::{
-        Ask, Choice, NoPlace,
+        Ask, Choice, NoPlace, Quality,
         escalation::{Verdict, judge_confidence},
         health::Ended,
     },
@@ -152,6 +152,7 @@
             let choice = {
                 let ask = Ask {
                     service: &self.call.service,
+                    route: &self.call.route.name,
                     session: self.call.session,
                     model: self.model.as_deref(),
                     prompt: self.call.head.prompt.as_ref(),
@@ -247,7 +248,7 @@
         self.may_have_run = true;
         if !head.own || (!head.signed && head.status.is_success()) {
             place.ended(Ended::Failed);
-            self.judge(&place, true);
+            self.judge(&place, Quality::Failed);
             self.log_end(&place, "not_an_answer");
             return Step::Again;
         }
@@ -262,7 +263,7 @@
             && self.may_repeat()
         {
             place.ended(Ended::Served);
-            self.judge(&place, false);
+            self.judge(&place, Quality::Good);
             self.log_end(&place, "escalated");
             self.model = Some(larger);
             // The same upstream may run the larger model.
@@ -294,7 +295,7 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
                 place.ended(Ended::Failed);
-                self.judge(&place, true);
+                self.judge(&place, Quality::Broken);
                 log::info!("event=answer_broken id={} error=\"{e}\"", self.call.id());
                 self.log_end(&place, "broken");
                 return Step::Again;
@@ -303,7 +304,12 @@
         };
         let failed = head.status.is_server_error();
         place.ended(if failed { Ended::Failed } else { Ended::Served });
-        self.judge(&place, failed);
+        let quality = if failed {
+            Quality::Failed
+        } else {
+            Quality::Good
+        };
+        self.judge(&place, quality);
         self.log_end(&place, if failed { "failed" } else { "served" });
         let response = reply::whole(head.status, headers, body);
         if !failed || !self.call.route.repeatable() {
@@ -326,13 +332,13 @@
             AttemptError::Broken(_) => {
                 self.may_have_run = true;
                 place.ended(Ended::Failed);
-                self.judge(place, true);
+                self.judge(place, Quality::Broken);
                 self.broke(place);
             }
             AttemptError::Silent(_) => {
                 self.may_have_run = true;
                 place.ended(Ended::Failed);
-                self.judge(place, true);
+                self.judge(place, Quality::Failed);
             }
         }
         log::info!(
@@ -360,10 +366,10 @@
     }
 
     /// Notes the quality of an answer for a roll-out.
-    pub fn judge(&self, place: &Place, bad: bool) {
-        self.shared
-            .core()
-            .judge(&place.ticket, &self.call.route, bad);
+    pub fn judge(&self, place: &Place, quality: Quality) {
+        let now = self.shared.now();
+        let mut core = self.shared.core();
+        core.judge(&place.ticket, quality, now);
     }
 
     /// Notes an attempt that is about to be made to go on with a stream.
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -159,7 +159,8 @@
         let now = self.shared.now();
         let decided = self.shared.core().decide_rollouts(now);
         for (service, state) in &decided {
-            log::info!("event=rollout_decided service={service} state={state}");
+            let evidence = self.shared.core().rollout_evidence(service);
+            log::info!("event=rollout_decided service={service} state={state} {evidence}");
             self.shared.news.notify_one();
         }
         let wanted: Vec<(
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
-    coordination::dispatch::health::Ended,
+    coordination::dispatch::{Quality, health::Ended},
     gateway::{
         attempt::{self, Answer},
         events::EventBuffer,
@@ -69,7 +69,7 @@
             let why = match self.pass_on(answer).await {
                 End::Complete => {
                     place.ended(Ended::Served);
-                    self.exchange.judge(&place, false);
+                    self.exchange.judge(&place, Quality::Good);
                     self.exchange.log_end(&place, "served");
                     self.exchange.count("served");
                     return;
@@ -86,7 +86,7 @@
                 End::Broken(why) => why,
             };
             place.ended(Ended::Failed);
-            self.exchange.judge(&place, true);
+            self.exchange.judge(&place, Quality::Broken);
             self.exchange.broke(&place);
             self.exchange.log_end(&place, why);
             drop(place);
