--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -63,8 +63,8 @@
 const TABLE_LOSS_MEMORY: Duration = Duration::from_secs(4);
 /// How long an upstream may be slow after its start.
 const WARM_UP_TIME: Duration = Duration::from_secs(4);
-/// Connections of an upstream that break so near in time are one crash.
-const SAME_CRASH: Duration = Duration::from_secs(1);
+/// How long it takes at most to find that an upstream crashed whose connections broke.
+const CRASH_NOTICE_TIME: Duration = Duration::from_millis(1_200);
 /// How long an upstream that refused connections may be cold once it is back, beside its own time.
 const UNSEEN_RESTART_TIME: Duration = Duration::from_secs(1);
 
@@ -207,6 +207,7 @@
     evacuated: BTreeSet<DomainName>,
     rollouts: BTreeMap<ServiceName, Rollout>,
     budgets: HashMap<ServiceName, RepeatBudget>,
+    breaks: Vec<Break>,
     prefixes: PrefixMemory,
     speeds: Speeds,
     sessions: RecentSessions,
@@ -214,6 +215,17 @@
     rng: Xoshiro128PlusPlus,
 }
 
+/// A connection that broke, until it is known whether its upstream crashed.
+#[derive(Clone, Debug)]
+struct Break {
+    upstream: UpstreamId,
+    service: ServiceName,
+    order: RowVersion,
+    arm: Arm,
+    route: u32,
+    at: Instant,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerLoad {
     running: u32,
@@ -237,6 +249,7 @@
             evacuated: BTreeSet::new(),
             rollouts: BTreeMap::new(),
             budgets: HashMap::new(),
+            breaks: Vec::new(),
             prefixes: PrefixMemory::default(),
             speeds: Speeds::default(),
             sessions: RecentSessions::default(),
@@ -364,7 +377,7 @@
             }
         }
         if ended == Ended::Unreachable {
-            self.poison.died(&ticket.upstream, now);
+            self.died(&ticket.upstream, now);
         }
         if let (Some(arm), Some(rollout)) = (ticket.arm, self.rollouts.get_mut(&ticket.service))
             && rollout.order == ticket.order
@@ -380,19 +393,34 @@
 
     /// Notes the quality of an answer as evidence for a roll-out.
     ///
-    /// The many connections that break with one crash are one piece of evidence.
+    /// A connection that broke counts only if its upstream is then found alive: the crash of an
+    /// upstream breaks many, and says nothing of its version.
     pub fn judge(&mut self, ticket: &Ticket, quality: Quality, now: Instant) {
         let Some(arm) = ticket.arm else { return };
-        if quality == Quality::Broken && !self.is_first_break(&ticket.upstream, now) {
+        if quality == Quality::Broken {
+            self.breaks.push(Break {
+                upstream: ticket.upstream.clone(),
+                service: ticket.service.clone(),
+                order: ticket.order,
+                arm,
+                route: ticket.route,
+                at: now,
+            });
             return;
         }
         if let Some(rollout) = self.rollouts.get_mut(&ticket.service)
             && rollout.order == ticket.order
         {
-            rollout.answered(arm, ticket.route, quality != Quality::Good);
+            rollout.answered(arm, ticket.route, quality == Quality::Failed);
         }
     }
 
+    /// Notes that an upstream is dead or has started anew.
+    pub fn died(&mut self, upstream: &str, now: Instant) {
+        self.poison.died(upstream, now);
+        self.breaks.retain(|broken| broken.upstream != upstream);
+    }
+
     /// Notes a request of a caller, for the budget of repeats.
     pub fn request(&mut self, service: &str, now: Instant) {
         let limit = self.limits.repeats;
@@ -489,9 +517,10 @@
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
         self.peers.expire(now);
         self.sum_loads(now);
+        self.judge_breaks(now);
         let gone = self.registry.expire(now);
         for id in &gone {
-            self.poison.died(id, now);
+            self.died(id, now);
         }
         gone
     }
@@ -792,6 +821,9 @@
         let cold_times = self.cold_times();
         for load in loads.iter().filter(|load| load.unreachable) {
             let upstream = self.registry.all_mut().find(|u| u.hash == load.upstream);
+            if let Some(upstream) = &upstream {
+                self.breaks.retain(|broken| broken.upstream != upstream.id);
+            }
             if let Some(upstream) = upstream
                 && let Some(cold) = cold_times.get(&upstream.service)
             {
@@ -800,12 +832,18 @@
         }
     }
 
-    fn is_first_break(&mut self, upstream: &str, now: Instant) -> bool {
-        let Some(upstream) = self.registry.get_mut(upstream) else {
-            return false;
-        };
-        let last = upstream.last_break.replace(now);
-        last.is_none_or(|last| now.saturating_duration_since(last) >= SAME_CRASH)
+    fn judge_breaks(&mut self, now: Instant) {
+        let old = |broken: &Break| now.saturating_duration_since(broken.at) >= CRASH_NOTICE_TIME;
+        let (judged, pending) = std::mem::take(&mut self.breaks).into_iter().partition(old);
+        self.breaks = pending;
+        let judged: Vec<Break> = judged;
+        for broken in judged {
+            if let Some(rollout) = self.rollouts.get_mut(&broken.service)
+                && rollout.order == broken.order
+            {
+                rollout.answered(broken.arm, broken.route, true);
+            }
+        }
     }
 
     fn cold_times(&self) -> HashMap<ServiceName, Duration> {
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -55,8 +55,6 @@
     pub running: u32,
     /// The time that it needs to read the prompts of this daemon's requests that have not begun to answer.
     pub backlog: Duration,
-    /// When a connection to it last broke.
-    pub last_break: Option<Instant>,
     /// Until when its entry, which vanished around an outage, may come back.
     missing_until: Option<Instant>,
     first_seen: Instant,
@@ -308,7 +306,6 @@
             pace: Pace::default(),
             running: 0,
             backlog: Duration::ZERO,
-            last_break: None,
             missing_until: None,
             first_seen: now,
             started_ms: registration.started_ms,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -277,11 +277,11 @@
     for change in known {
         match &change {
             Change::Joined(id) => {
-                core.poison.died(id, now);
+                core.died(id, now);
                 log_row(&changes.rows, id);
             }
             Change::Left(id) => {
-                core.poison.died(id, now);
+                core.died(id, now);
                 log::info!("event=upstream_left upstream={id} version={version}");
             }
             Change::Draining(id) => {
