--- /dev/null
+++ b/tests/platform/headers.rs
@@ -0,0 +1,163 @@
+//! Headers of requests and answers.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use platform::headers::{
+    AnswerHead, PromptPart, RequestHead, UpstreamHead, towards_caller, towards_upstream,
+};
+
+fn headers(lines: &[(&str, &str)]) -> HeaderMap {
+    lines
+        .iter()
+        .map(|(name, value)| {
+            let name: HeaderName = name.parse().expect("a name");
+            (name, HeaderValue::from_str(value).expect("a value"))
+        })
+        .collect()
+}
+
+#[test]
+fn request_head_whole() {
+    let head = RequestHead::decode(&headers(&[
+        ("Host", "h.example:80"),
+        ("Request-Id", "9c41"),
+        ("Model", "*"),
+        ("Token-Usage", "1460,80"),
+        ("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"),
+        ("Deadline-Ms", "8000"),
+        ("X-Api-Key", "k"),
+        ("Session", "s"),
+        ("Last-Event-Id", "12"),
+    ]))
+    .expect("valid");
+    assert_eq!(head.host, "h.example");
+    assert!(head.any_model);
+    assert_eq!(head.patience, Some(Duration::from_secs(8)));
+    assert_eq!(head.last_event_id, Some(12));
+    let prompt = head.prompt.expect("a prompt");
+    assert_eq!((prompt.tokens, prompt.max_output_tokens), (1_460, 80));
+    assert_eq!(
+        prompt.parts[1],
+        PromptPart {
+            id: 0x91bd_3f06,
+            tokens: 410
+        }
+    );
+}
+
+#[test]
+fn request_head_malformed() {
+    for (name, value) in [
+        ("Deadline-Ms", "soon"),
+        ("Token-Usage", "1460"),
+        ("Prompt-Prefix", "zz:1"),
+        ("Last-Event-Id", "-1"),
+    ] {
+        let mut map = headers(&[("Token-Usage", "1,1")]);
+        map.extend(headers(&[(name, value)]));
+        let e = RequestHead::decode(&map).expect_err(name);
+        assert_eq!(
+            e.to_string(),
+            format!("header {} is not valid", name.to_lowercase())
+        );
+    }
+}
+
+#[test]
+fn towards_upstream_sets_what_is_the_systems() {
+    let caller = headers(&[
+        ("Host", "h.example"),
+        ("Request-Id", "9c41"),
+        ("X-Api-Key", "secret"),
+        ("Tenant-Id", "forged"),
+        ("Hold", "h"),
+        ("Pin-Ms", "1"),
+        ("Kv-Backup", "b"),
+        ("Kv-From", "f"),
+        ("Kv-Fetch", "f"),
+        ("Expect-Instance", "other"),
+        ("Expect-Version", "1"),
+        ("Request-Priority", "0"),
+        ("Model", "*"),
+        ("Deadline-Ms", "8000"),
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("X-Kept", "1"),
+    ]);
+    let sent = towards_upstream(
+        &caller,
+        &UpstreamHead {
+            remaining: Duration::from_millis(7_500),
+            upstream: "u1",
+            customer: Some("t1"),
+            model: Some("small"),
+            priority: 12,
+            last_event_id: Some(3),
+        },
+    );
+    let mut lines: Vec<String> = sent
+        .iter()
+        .map(|(name, value)| format!("{name}: {}", value.to_str().expect("text")))
+        .collect();
+    lines.sort();
+    assert_eq!(
+        lines,
+        [
+            "deadline-ms: 7500",
+            "expect-instance: u1",
+            "host: h.example",
+            "last-event-id: 3",
+            "model: small",
+            "request-id: 9c41",
+            "request-priority: 9",
+            "tenant-id: t1",
+            "x-kept: 1",
+        ]
+    );
+}
+
+#[test]
+fn answer_head_tells_whose_answer_it_is() {
+    let answer = headers(&[
+        ("Request-Id", "a"),
+        ("Response-Seal", "s"),
+        ("Confidence", "41.5"),
+    ]);
+    let head = AnswerHead::decode(StatusCode::OK, &answer, Some("a"));
+    assert!(head.own && head.signed && !head.not_run);
+    assert_eq!(head.confidence, Some(41));
+    assert!(!AnswerHead::decode(StatusCode::OK, &answer, Some("b")).own);
+}
+
+#[test]
+fn answer_head_encoded_body_is_not_signed() {
+    let answer = headers(&[("Response-Seal", "s"), ("Content-Encoding", "gzip")]);
+    assert!(!AnswerHead::decode(StatusCode::OK, &answer, None).signed);
+}
+
+#[test]
+fn answer_head_not_run_only_where_promised() {
+    let promised = headers(&[("Not-Executed", "1")]);
+    let decode = |status, map: &HeaderMap| AnswerHead::decode(status, map, None).not_run;
+    assert!(decode(StatusCode::SERVICE_UNAVAILABLE, &promised));
+    assert!(decode(StatusCode::MISDIRECTED_REQUEST, &HeaderMap::new()));
+    assert!(!decode(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new()));
+    assert!(!decode(StatusCode::TOO_MANY_REQUESTS, &HeaderMap::new()));
+}
+
+#[test]
+fn towards_caller_drops_what_concerns_one_connection() {
+    let answer = headers(&[
+        ("Connection", "close"),
+        ("Keep-Alive", "timeout=5"),
+        ("Content-Length", "3"),
+        ("Response-Seal", "s"),
+    ]);
+    let names: Vec<String> = towards_caller(&answer)
+        .keys()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(names, ["response-seal"]);
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,6 @@
+//! The adapter to the users' platform: samples of what it reads and writes.
+
+mod headers;
+mod samples;
+mod table;
+mod table_stand_in;
--- /dev/null
+++ b/tests/platform/table.rs
@@ -0,0 +1,141 @@
+//! The client of the platform's table, against the stand-in.
+
+use std::time::Duration;
+
+use platform::table::{Decided, Row, Step, TableClient, Transaction, Why};
+use serde_json::json;
+
+use crate::table_stand_in::{Fault, TableStandIn};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(100);
+
+#[tokio::test]
+async fn read_pages_through_all_rows() {
+    let table = TableStandIn::spawn().await;
+    for i in 0..1_201 {
+        table.put("servers", &format!("a/{i:05}"), &json!(i));
+    }
+    let mut client = TableClient::open(table.address());
+    let rows = client.read("servers", TIMEOUT).await.expect("answered");
+    assert_eq!(rows.rows.len(), 1_201);
+    assert_eq!(rows.version, 1_201);
+    assert_eq!(table.calls(), 3);
+}
+
+#[tokio::test]
+async fn changes_tells_writes_and_removals() {
+    let table = TableStandIn::spawn().await;
+    table.put("op", "config", &json!(1));
+    let mut client = TableClient::open(table.address());
+    let before = client.read("op", TIMEOUT).await.expect("answered");
+    table.put("op", "rollout/pool", &json!(2));
+    table.remove("op", "config");
+    let changes = client
+        .changes("op", before.version, SHORT, TIMEOUT)
+        .await
+        .expect("answered");
+    let seen: Vec<(&str, bool)> = changes
+        .rows
+        .iter()
+        .map(|row| (row.key.as_str(), row.value.is_some()))
+        .collect();
+    assert_eq!(seen, [("rollout/pool", true), ("config", false)]);
+}
+
+#[tokio::test]
+async fn changes_wakes_with_the_first_change() {
+    let table = TableStandIn::spawn().await;
+    let mut client = TableClient::open(table.address());
+    let polling = client.changes("op", 0, TIMEOUT, TIMEOUT);
+    let writing = async { table.put("op", "config", &json!(1)) };
+    let (changes, ()) = tokio::join!(polling, writing);
+    assert_eq!(changes.expect("answered").rows.len(), 1);
+}
+
+#[tokio::test]
+async fn changes_history_gone() {
+    let table = TableStandIn::spawn().await;
+    table.put("op", "config", &json!(1));
+    table.compact();
+    let mut client = TableClient::open(table.address());
+    let e = client
+        .changes("op", 0, SHORT, TIMEOUT)
+        .await
+        .expect_err("too old");
+    assert!(matches!(e.why, Why::HistoryGone), "{e}");
+}
+
+#[tokio::test]
+async fn changes_silent_table_is_given_up() {
+    let table = TableStandIn::spawn().await;
+    table.set_fault(Fault::Silent);
+    let mut client = TableClient::open(table.address());
+    let e = client
+        .changes("op", 0, SHORT, SHORT)
+        .await
+        .expect_err("silent");
+    assert!(matches!(e.why, Why::Timeout(_)), "{e}");
+    assert_eq!((e.step, e.peer), (Step::Call, table.address()));
+    table.set_fault(Fault::None);
+    client
+        .changes("op", 0, SHORT, TIMEOUT)
+        .await
+        .expect("a new connection");
+}
+
+#[tokio::test]
+async fn call_refused_when_busy() {
+    let table = TableStandIn::spawn().await;
+    table.set_fault(Fault::Busy);
+    let mut client = TableClient::open(table.address());
+    let e = client.read("op", TIMEOUT).await.expect_err("busy");
+    assert!(matches!(e.why, Why::Status(status) if status == 429), "{e}");
+}
+
+#[tokio::test]
+async fn transact_only_if_conditions_hold() {
+    let table = TableStandIn::spawn().await;
+    let mut client = TableClient::open(table.address());
+    let row = Row::new("owner", b"me".to_vec());
+    let write = Transaction::default()
+        .expect("own", "owner", 0)
+        .put("own", &row);
+    assert_eq!(
+        client.transact(&write, TIMEOUT).await.expect("decided"),
+        Decided::Written(1)
+    );
+    assert_eq!(
+        client.transact(&write, TIMEOUT).await.expect("decided"),
+        Decided::Refused
+    );
+    let next = Transaction::default()
+        .expect("own", "owner", 1)
+        .remove("own", "owner");
+    assert_eq!(
+        client.transact(&next, TIMEOUT).await.expect("decided"),
+        Decided::Written(2)
+    );
+}
+
+/// A write whose answer is lost may have happened; repeated under its condition it is harmless.
+#[tokio::test]
+async fn transact_lost_answer() {
+    let table = TableStandIn::spawn().await;
+    table.set_fault(Fault::LostAnswers);
+    let mut client = TableClient::open(table.address());
+    let row = Row::new("owner", b"me".to_vec());
+    let write = Transaction::default()
+        .expect("own", "owner", 0)
+        .put("own", &row);
+    client
+        .transact(&write, TIMEOUT)
+        .await
+        .expect_err("no answer");
+    assert_eq!(table.get("own", "owner").as_deref(), Some("me"));
+    table.set_fault(Fault::None);
+    assert_eq!(
+        client.transact(&write, TIMEOUT).await.expect("decided"),
+        Decided::Refused
+    );
+}
--- /dev/null
+++ b/tests/platform/table_stand_in.rs
@@ -0,0 +1,259 @@
+//! A stand-in of the platform's table: rows, a feed of changes, conditions and faults on request.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::watch};
+
+/// What the table does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// It answers.
+    #[default]
+    None,
+    /// It takes calls and never answers.
+    Silent,
+    /// It refuses with 429.
+    Busy,
+    /// It does what it is told and closes the connection without an answer.
+    LostAnswers,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<(String, String), (Option<String>, u64)>,
+    version: u64,
+    /// Feeds from before this version are answered with 410.
+    kept_from: u64,
+    fault: Fault,
+    calls: u64,
+}
+
+/// A running table.
+#[derive(Clone, Debug)]
+pub(crate) struct TableStandIn {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl TableStandIn {
+    /// Listens on a free port of the loopback address.
+    pub(crate) async fn spawn() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let table = Self {
+            address: listener.local_addr().expect("bound"),
+            state: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+        };
+        let serving = table.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let table = serving.clone();
+                let service = service_fn(move |req| {
+                    let table = table.clone();
+                    async move { table.answer(req).await.ok_or(std::io::Error::other("lost")) }
+                });
+                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+            }
+        });
+        table
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn set_fault(&self, fault: Fault) {
+        self.state().fault = fault;
+    }
+
+    /// Forgets the history of changes.
+    pub(crate) fn compact(&self) {
+        let mut state = self.state();
+        state.kept_from = state.version;
+    }
+
+    /// The calls so far.
+    pub(crate) fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    /// Writes a row as operators or upstreams do.
+    pub(crate) fn put(&self, table: &str, key: &str, value: &Value) {
+        self.write(table, key, Some(encode(value.to_string().as_bytes())));
+    }
+
+    /// Removes a row as operators or upstreams do.
+    pub(crate) fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    /// A row's value.
+    pub(crate) fn get(&self, table: &str, key: &str) -> Option<String> {
+        use base64::{Engine as _, engine::general_purpose::STANDARD};
+        let state = self.state();
+        let (value, _) = state.rows.get(&(table.into(), key.into()))?;
+        let bytes = STANDARD.decode(value.as_ref()?).expect("base64");
+        Some(String::from_utf8(bytes).expect("text"))
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<String>) {
+        let version = {
+            let mut state = self.state();
+            state.version += 1;
+            let version = state.version;
+            state
+                .rows
+                .insert((table.into(), key.into()), (value, version));
+            version
+        };
+        self.changed.send_replace(version);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+        let fault = {
+            let mut state = self.state();
+            state.calls += 1;
+            state.fault
+        };
+        match fault {
+            Fault::Silent => std::future::pending().await,
+            Fault::Busy => return Some(reply(StatusCode::TOO_MANY_REQUESTS, &json!({}))),
+            Fault::None | Fault::LostAnswers => {}
+        }
+        let query = query(req.uri().query().unwrap_or_default());
+        let path = req.uri().path().to_owned();
+        let response = match (req.method().clone(), path.as_str()) {
+            (Method::GET, "/rows-get") => self.read(&query),
+            (Method::GET, "/rows-feed") => self.feed(&query).await,
+            (Method::POST, "/rows-tx") => {
+                let body = req.into_body().collect().await.ok()?.to_bytes();
+                self.transact(&serde_json::from_slice(&body).ok()?)
+            }
+            _ => reply(StatusCode::NOT_FOUND, &json!({})),
+        };
+        (fault != Fault::LostAnswers).then_some(response)
+    }
+
+    fn read(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
+        let state = self.state();
+        let limit: usize = query
+            .get("limit")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(500);
+        let from = query.get("from").cloned().unwrap_or_default();
+        let mut rows = rows(&state, &query["table"], 0)
+            .into_iter()
+            .filter(|row| row.get("value").is_some() && row["key"].as_str() >= Some(from.as_str()))
+            .collect::<Vec<_>>();
+        rows.sort_by_key(|row| row["key"].as_str().map(str::to_owned));
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        let body = json!({"rows": rows, "has_more": more, "ver": state.version, "now_ms": 1_000});
+        reply(StatusCode::OK, &body)
+    }
+
+    async fn feed(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
+        let after: u64 = query["after"].parse().expect("a version");
+        let wait = Duration::from_millis(query["wait_ms"].parse().expect("milliseconds"));
+        let until = tokio::time::Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let state = self.state();
+                if after < state.kept_from {
+                    return reply(StatusCode::GONE, &json!({}));
+                }
+                let rows = rows(&state, &query["table"], after);
+                if !rows.is_empty() || tokio::time::Instant::now() >= until {
+                    let body = json!({"rows": rows, "ver": state.version, "now_ms": 1_000});
+                    return reply(StatusCode::OK, &body);
+                }
+            }
+            // Either there is a change or the time is up; the loop tells which.
+            let _ = tokio::time::timeout_at(until, changed.changed()).await;
+        }
+    }
+
+    fn transact(&self, body: &Value) -> Response<Full<Bytes>> {
+        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let key = |row: &Value| {
+            let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("key"))
+        };
+        {
+            let state = self.state();
+            let holds = list("expected_revision").iter().all(|row| {
+                let known = state.rows.get(&key(row));
+                let version = known
+                    .filter(|known| known.0.is_some())
+                    .map_or(0, |known| known.1);
+                Some(version) == row["ver"].as_u64()
+            });
+            if !holds {
+                return reply(StatusCode::PRECONDITION_FAILED, &json!({"rows": []}));
+            }
+        }
+        for row in list("put") {
+            let (table, name) = key(&row);
+            self.write(&table, &name, row["value"].as_str().map(str::to_owned));
+        }
+        for row in list("remove") {
+            let (table, name) = key(&row);
+            self.write(&table, &name, None);
+        }
+        let version = self.state().version;
+        reply(StatusCode::OK, &json!({"ver": version, "now_ms": 1_000}))
+    }
+}
+
+fn rows(state: &State, table: &str, after: u64) -> Vec<Value> {
+    let mut rows: Vec<(u64, Value)> = state
+        .rows
+        .iter()
+        .filter(|((t, _), (_, version))| t == table && *version > after)
+        .map(|((table, key), (value, version))| {
+            let mut row = json!({"table": table, "part": "", "key": key, "ver": version});
+            match value {
+                Some(value) => row["value"] = json!(value),
+                None => row["deleted"] = json!(true),
+            }
+            (*version, row)
+        })
+        .collect();
+    rows.sort_by_key(|(version, _)| *version);
+    rows.into_iter().map(|(_, row)| row).collect()
+}
+
+fn query(text: &str) -> BTreeMap<String, String> {
+    text.split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.into(), value.replace("%2F", "/").replace("%00", "\0")))
+        .collect()
+}
+
+fn encode(bytes: &[u8]) -> String {
+    use base64::{Engine as _, engine::general_purpose::STANDARD};
+    STANDARD.encode(bytes)
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
