--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,6 +31,14 @@
         footer("Example: hibiscusyoke gateway --settings gateway.jsonc")
     )]
     Gateway(#[bpaf(external(gateway_args))] GatewayArgs),
+    /// Find what became of a request in a gateway's log, and what the gateway believed by then.
+    ///
+    /// The log is read from the standard input.
+    #[bpaf(
+        command,
+        footer("Example: hibiscusyoke trace 9c41d07be2a35f68 < gateway.log")
+    )]
+    Trace(#[bpaf(external(trace_args))] TraceArgs),
     /// Check configuration files as one set, without publishing.
     #[bpaf(command, footer("Example: hibiscusyoke check configuration.jsonc"))]
     Check(#[bpaf(external(check_args))] CheckArgs),
@@ -126,6 +134,15 @@
     pub settings: PathBuf,
 }
 
+/// The arguments of `trace`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct TraceArgs {
+    /// The request's id
+    #[bpaf(positional("ID"))]
+    pub id: CompactString,
+}
+
 /// How to reach the fleet as an operator.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(ignore_rustdoc)]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -21,6 +21,7 @@
 pub mod serve;
 pub mod service;
 pub mod status;
+pub mod trace;
 pub mod version;
 
 /// The exit status of a verb.
@@ -47,6 +48,7 @@
     match command {
         Command::Serve(args) => serve::run(args).await,
         Command::Gateway(args) => gateway::run(args).await,
+        Command::Trace(args) => trace::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(args).await,
         Command::Domain(args) => service::run(service::Target::FailureDomain, args).await,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
 use platform::{
     UpstreamId,
     configuration::Kind,
-    headers::{AnswerHead, UpstreamHead, towards_caller, towards_upstream},
+    headers::{AnswerHead, UpstreamHead, request_id, towards_caller, towards_upstream},
 };
 
 use crate::{
@@ -46,12 +46,16 @@
 /// Serves a caller's request.
 pub async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let arrived = shared.now();
+    let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
     let call = match Call::read(&shared, req).await {
         Ok(call) => call,
         Err(reason) => {
             let wait = (reason == Reason::NoConfiguration).then_some(START_RETRY);
-            log::info!("event=refused id=- reason={reason}");
-            metrics::request("unknown", &reason.to_string(), arrived.elapsed());
+            let routes = shared.core().routes();
+            let generation = routes.map_or(0, |routes| routes.configuration().generation);
+            log::info!("event=refused id={id} reason={reason} generation={generation}");
+            let took = shared.now().saturating_duration_since(arrived);
+            metrics::request(&reason.to_string(), took);
             return closing(&shared, reply::refuse(reason, wait));
         }
     };
@@ -384,7 +388,7 @@
             .shared
             .now()
             .saturating_duration_since(self.call.arrived);
-        metrics::request(&self.call.route.name, outcome, took);
+        metrics::request(outcome, took);
     }
 
     /// Writes down how an attempt ended.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -53,7 +53,7 @@
 });
 
 /// Counts a request's end.
-pub fn request(_route: &str, outcome: &str, took: Duration) {
+pub fn request(outcome: &str, took: Duration) {
     REQUESTS.with_label_values(&[outcome]).inc();
     REQUEST_SECONDS
         .with_label_values(&[outcome])
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -195,6 +195,11 @@
     }
 
     async fn break_off(&self, outcome: &str) {
+        log::info!(
+            "event=stream_ended id={} outcome={outcome} last_event={}",
+            self.exchange.call.id(),
+            self.last_event.unwrap_or_default()
+        );
         self.exchange.count(outcome);
         // A caller that has left needs no notice.
         let _ = self.tx.send(Err(BrokenOff)).await;
--- a/stand-in/src/lib.rs
+++ b/stand-in/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod service;
 pub mod stats;
 pub mod table;
+pub mod users;
 pub mod weights;
--- a/tests/platform/table_stand_in.rs
+++ b/stand-in/src/users/table.rs
@@ -17,7 +17,7 @@
 
 /// What the table does with calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Fault {
+pub enum Fault {
     /// It answers.
     #[default]
     None,
@@ -41,7 +41,7 @@
 
 /// A running table.
 #[derive(Clone, Debug)]
-pub(crate) struct TableStandIn {
+pub struct TableStandIn {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
@@ -49,7 +49,7 @@
 
 impl TableStandIn {
     /// Listens on a free port of the loopback address.
-    pub(crate) async fn spawn() -> Self {
+    pub async fn spawn() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let table = Self {
             address: listener.local_addr().expect("bound"),
@@ -70,37 +70,39 @@
         table
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    pub(crate) fn set_fault(&self, fault: Fault) {
+    /// Changes what it does with calls.
+    pub fn set_fault(&self, fault: Fault) {
         self.state().fault = fault;
     }
 
     /// Forgets the history of changes.
-    pub(crate) fn compact(&self) {
+    pub fn compact(&self) {
         let mut state = self.state();
         state.kept_from = state.version;
     }
 
     /// The calls so far.
-    pub(crate) fn calls(&self) -> u64 {
+    pub fn calls(&self) -> u64 {
         self.state().calls
     }
 
     /// Writes a row as operators or upstreams do.
-    pub(crate) fn put(&self, table: &str, key: &str, value: &Value) {
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.write(table, key, Some(encode(value.to_string().as_bytes())));
     }
 
     /// Removes a row as operators or upstreams do.
-    pub(crate) fn remove(&self, table: &str, key: &str) {
+    pub fn remove(&self, table: &str, key: &str) {
         self.write(table, key, None);
     }
 
     /// A row's value.
-    pub(crate) fn get(&self, table: &str, key: &str) -> Option<String> {
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
         use base64::{Engine as _, engine::general_purpose::STANDARD};
         let state = self.state();
         let (value, _) = state.rows.get(&(table.into(), key.into()))?;
--- /dev/null
+++ b/tests/dispatch/cold.rs
@@ -0,0 +1,127 @@
+//! Cold upstreams that come back together, before daemons that know of one another or do not.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use hibiscusyoke::coordination::dispatch::{
+    Choice, Dispatcher,
+    cold::{Part, part},
+    health::Ended,
+    peers::{Heartbeat, TableState},
+};
+use serde_json::json;
+
+use crate::support::{
+    LIMITS, ask, configuration, daemon, heartbeat, order, upstream, upstream_with,
+};
+
+/// What operators allow in a second, over all daemons.
+const BOUND: f64 = 16.0 * 1.5 + 5.0;
+
+#[test]
+fn parts_of_all_daemons_stay_within_the_rate() {
+    for daemons in 1..=400 {
+        let sum: f64 = (0..daemons)
+            .map(|rank| match part(16.0, rank, daemons) {
+                Part::None => 0.0,
+                // One at once, and then by the rate.
+                Part::Rate(rate) => rate + 1.0,
+            })
+            .sum();
+        assert!(sum <= BOUND, "{sum} a second from {daemons} daemons");
+    }
+}
+
+/// Eight daemons press on two cold upstreams; each second's sum stays within the bound.
+#[test]
+fn pressing_daemons_stay_within_the_bound() {
+    let start = Instant::now();
+    let cold = [("cold_remaining_ms", json!(3_000)), ("slots", json!(512))];
+    let rows = [upstream_with("u1", 1, &cold), upstream_with("u2", 2, &cold)];
+    let names: Vec<String> = (1..=8).map(|i| format!("front-{i}")).collect();
+    let heard: Vec<Heartbeat> = names
+        .iter()
+        .map(|n| heartbeat(n, TableState::Answers))
+        .collect();
+    let mut daemons: Vec<Dispatcher> = names
+        .iter()
+        .map(|name| {
+            let mut dispatcher = Dispatcher::new(daemon(name), "a".into(), LIMITS, 1);
+            order(&mut dispatcher, &configuration(1), start);
+            dispatcher.registry.replace(&rows, start);
+            crate::support::hear(&mut dispatcher, &heard, start);
+            dispatcher
+        })
+        .collect();
+    let mut sent: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for ms in (0..3_000).step_by(5) {
+        let now = start + Duration::from_millis(ms);
+        for dispatcher in &mut daemons {
+            if let Choice::Send(ticket) = dispatcher.choose(&ask(ms), now) {
+                sent.entry(ticket.upstream.to_string())
+                    .or_default()
+                    .push(ms);
+                dispatcher.finish(&ticket, Ended::Served, now);
+            }
+        }
+    }
+    for (upstream, times) in sent {
+        for from in (0..2_000).step_by(50) {
+            let n = times
+                .iter()
+                .filter(|ms| (from..from + 1_000).contains(*ms))
+                .count();
+            assert!(n as f64 <= BOUND, "{n} in a second at {upstream}");
+        }
+        assert!(times.len() > 30, "{upstream} is used: {}", times.len());
+    }
+}
+
+/// An upstream that refused connections may have restarted unseen, also for other daemons.
+#[test]
+fn unreachable_upstream_is_cold_for_all_daemons() {
+    let start = Instant::now();
+    let mut dispatcher = crate::support::ready(&[upstream("u1", 1, "ready")], start);
+    let mut other = crate::support::ready(&[upstream("u1", 1, "ready")], start);
+    let ticket = crate::support::place(&mut other, &ask(1), start);
+    other.finish(&ticket, Ended::Unreachable, start);
+    let mut told = heartbeat("front-2", TableState::Answers);
+    told.loads = other
+        .heartbeat(
+            crate::support::address(1),
+            told.readiness,
+            Duration::ZERO,
+            start,
+        )
+        .loads;
+    crate::support::hear(&mut dispatcher, &[told], start);
+    let upstream = dispatcher.registry.get("u1").expect("listed");
+    assert!(upstream.is_cold(start + Duration::from_secs(3)));
+}
+
+/// Upstreams of a failure domain may have restarted while it was out of service.
+#[test]
+fn restored_domain_is_cold() {
+    let start = Instant::now();
+    let mut dispatcher = crate::support::ready(&[upstream("u1", 1, "ready")], start);
+    let key = "evacuate/a";
+    order(
+        &mut dispatcher,
+        &crate::support::row(key, 2, Some(json!({}))),
+        start,
+    );
+    assert!(matches!(
+        dispatcher.choose(&ask(1), start),
+        Choice::Refuse(..)
+    ));
+    order(&mut dispatcher, &crate::support::row(key, 3, None), start);
+    assert!(
+        dispatcher
+            .registry
+            .get("u1")
+            .expect("listed")
+            .is_cold(start)
+    );
+}
--- /dev/null
+++ b/tests/dispatch/rollout.rs
@@ -0,0 +1,217 @@
+//! Roll-outs of good and bad versions.
+
+use std::time::{Duration, Instant};
+
+use hibiscusyoke::coordination::dispatch::{
+    Dispatcher, Quality, health::Ended, peers::TableState, rollout::Arm,
+};
+use platform::orders::RolloutState;
+use serde_json::json;
+
+use crate::support::{LIMITS, ask, heartbeat, order, place, ready, row, upstream_with};
+
+const WITHIN: Duration = Duration::from_secs(24);
+
+/// A pool of two versions whose move from v1 to v2 was ordered at `start`.
+fn rolling(start: Instant) -> Dispatcher {
+    let many = ("slots", json!(100_000));
+    let mut dispatcher = ready(
+        &[upstream_with("old", 1, std::slice::from_ref(&many))],
+        start,
+    );
+    start_rollout(&mut dispatcher, start);
+    let newer = upstream_with("new", 3, &[many, ("version", json!("v2"))]);
+    dispatcher.registry.apply(&[newer], start);
+    dispatcher
+}
+
+fn start_rollout(dispatcher: &mut Dispatcher, now: Instant) {
+    let value = json!({"service": "pool", "target": "v2", "duration_s": WITHIN.as_secs()});
+    order(dispatcher, &row("rollout/pool", 2, Some(value)), now);
+}
+
+/// Runs `count` requests of sessions of their own at a moment; the new version answers with
+/// `quality`. Returns how many ran on the new version.
+fn run(
+    dispatcher: &mut Dispatcher,
+    sessions: std::ops::Range<u64>,
+    quality: Quality,
+    now: Instant,
+) -> usize {
+    let mut on_new = 0;
+    for session in sessions {
+        let ticket = place(dispatcher, &ask(session), now);
+        let new = ticket.arm == Some(Arm::New);
+        on_new += usize::from(new);
+        dispatcher.judge(&ticket, if new { quality } else { Quality::Good }, now);
+        dispatcher.finish(&ticket, Ended::Served, now);
+    }
+    on_new
+}
+
+fn at(start: Instant, seconds: f64) -> Instant {
+    start + Duration::from_secs_f64(seconds)
+}
+
+#[test]
+fn small_share_in_the_first_half_and_all_in_the_second() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    assert_eq!(
+        run(&mut dispatcher, 0..500, Quality::Good, start),
+        0,
+        "sessions are gathered first"
+    );
+    let first = run(&mut dispatcher, 1_000..3_000, Quality::Good, at(start, 4.0));
+    assert!((100..220).contains(&first), "{first} of 2000");
+    assert_eq!(
+        run(
+            &mut dispatcher,
+            5_000..5_500,
+            Quality::Good,
+            at(start, 14.0)
+        ),
+        500
+    );
+}
+
+#[test]
+fn session_seen_before_the_order_stays_in_the_first_half() {
+    let start = Instant::now();
+    let mut dispatcher = ready(
+        &[upstream_with("old", 1, &[("slots", json!(100_000))])],
+        start,
+    );
+    run(&mut dispatcher, 0..500, Quality::Good, start);
+    start_rollout(&mut dispatcher, start);
+    let newer = upstream_with("new", 3, &[("version", json!("v2"))]);
+    dispatcher.registry.apply(&[newer], start);
+    assert_eq!(
+        run(&mut dispatcher, 0..500, Quality::Good, at(start, 3.0)),
+        0
+    );
+}
+
+/// Another daemon saw the sessions; its heartbeat says which of them stay.
+#[test]
+fn session_seen_by_another_daemon_stays_too() {
+    let start = Instant::now();
+    let mut other = rolling(start);
+    run(&mut other, 0..500, Quality::Good, start);
+    let mut told = heartbeat("front-2", TableState::Answers);
+    told.rollouts = other
+        .heartbeat(
+            crate::support::address(1),
+            told.readiness,
+            Duration::from_secs(1),
+            start,
+        )
+        .rollouts;
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 9_000..9_001, Quality::Good, start);
+    crate::support::hear(&mut dispatcher, &[told], start);
+    assert_eq!(
+        run(&mut dispatcher, 0..500, Quality::Good, at(start, 3.0)),
+        0
+    );
+}
+
+#[test]
+fn failing_version_is_rolled_back_and_gets_nothing_more() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let exposed = run(
+        &mut dispatcher,
+        1_000..1_100,
+        Quality::Failed,
+        at(start, 4.0),
+    );
+    assert!(exposed >= 4, "{exposed}");
+    let decided = dispatcher.decide_rollouts(at(start, 4.0));
+    assert_eq!(decided, [("pool".into(), RolloutState::RolledBack)]);
+    assert_eq!(
+        run(
+            &mut dispatcher,
+            2_000..3_000,
+            Quality::Good,
+            at(start, 20.0)
+        ),
+        0
+    );
+}
+
+/// Found by filmverde scale-2: five upstreams crashed, and a good version was rolled back.
+#[test]
+fn crash_says_nothing_of_the_version() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    run(
+        &mut dispatcher,
+        1_000..1_200,
+        Quality::Broken,
+        at(start, 4.0),
+    );
+    dispatcher.died("new", at(start, 4.2));
+    dispatcher.tick(at(start, 6.0));
+    assert_eq!(dispatcher.decide_rollouts(at(start, 6.0)), []);
+}
+
+#[test]
+fn breaks_of_a_living_upstream_condemn_its_version() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    run(
+        &mut dispatcher,
+        1_000..1_200,
+        Quality::Broken,
+        at(start, 4.0),
+    );
+    dispatcher.tick(at(start, 6.0));
+    assert_eq!(dispatcher.decide_rollouts(at(start, 6.0)).len(), 1);
+}
+
+#[test]
+fn slow_version_is_rolled_back() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    for session in 1_000..1_400 {
+        let now = at(start, 6.0);
+        let mut ticket = place(&mut dispatcher, &ask(session), now);
+        let took = match ticket.arm {
+            Some(Arm::New) => Duration::from_millis(800),
+            _ => Duration::from_millis(100),
+        };
+        dispatcher.begun(&mut ticket, took);
+        dispatcher.finish(&ticket, Ended::Served, now);
+    }
+    assert_eq!(dispatcher.decide_rollouts(at(start, 6.0)).len(), 1);
+}
+
+/// Sessions of the old version end before the roll-out is completed, but not beyond its time.
+#[test]
+fn good_version_is_completed_after_the_last_session() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    let busy = place(&mut dispatcher, &ask(1), start);
+    run(&mut dispatcher, 0..1, Quality::Good, at(start, 13.5));
+    assert_eq!(dispatcher.decide_rollouts(at(start, 14.0)), []);
+    dispatcher.finish(&busy, Ended::Served, at(start, 14.0));
+    let ended = at(start, 14.1);
+    assert_eq!(dispatcher.decide_rollouts(ended), []);
+    let decided = dispatcher.decide_rollouts(ended + LIMITS.session_time);
+    assert_eq!(decided, [("pool".into(), RolloutState::Completed)]);
+}
+
+#[test]
+fn long_request_does_not_hold_up_completion_beyond_the_time() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    place(&mut dispatcher, &ask(1), start);
+    run(&mut dispatcher, 0..1, Quality::Good, at(start, 13.5));
+    let decided = dispatcher.decide_rollouts(start + WITHIN.mul_f64(0.93));
+    assert_eq!(decided, [("pool".into(), RolloutState::Completed)]);
+}
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -6,11 +6,11 @@
 };
 
 use hibiscusyoke::coordination::dispatch::{
-    Dispatcher, FleetLimits,
+    Applied, Ask, Choice, Dispatcher, FleetLimits, Ticket,
     budget::RepeatLimit,
     peers::{Heartbeat, PeerId, Readiness, TableState},
 };
-use platform::table::Row;
+use platform::{orders::Order, table::Row};
 
 /// The limits of the users' smaller deployments.
 pub(crate) const LIMITS: FleetLimits = FleetLimits {
@@ -80,3 +80,73 @@
         hearer.hear(heartbeat.clone(), address(i), now);
     }
 }
+
+/// A configuration with a pool of engines and a plain service.
+pub(crate) fn configuration(generation: u64) -> Row {
+    let value = serde_json::json!({
+        "version": generation,
+        "routes": [
+            {"name": "ask", "hostname": "h", "prefix": "/ask/", "kind": "streaming", "timeout_ms": 8_000,
+             "target_latency_ms": 2_000, "priority": 2, "sizes": ["small", "large"], "service": "pool",
+             "max_attempts": 3, "stream_resume": true},
+            {"name": "ask-long", "hostname": "h", "prefix": "/ask/long/", "kind": "streaming", "timeout_ms": 8_000,
+             "target_latency_ms": 2_000, "service": "pool"},
+            {"name": "open", "hostname": "h", "prefix": "/open/", "kind": "idempotent", "timeout_ms": 1_000,
+             "target_latency_ms": 300, "service": "desk", "allow_anonymous": true},
+        ],
+        "services": [
+            {"name": "pool", "cold_start_s": 3.0, "cold_per_s": 16.0,
+             "engine": {"slots": 4, "kv_capacity_tokens": 1_000, "models": []}},
+            {"name": "desk"},
+        ],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 1_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "t1", "api_keys": ["k1"], "priority": 1}, {"name": "t2", "api_keys": ["k2"]}],
+    });
+    row("config", generation, Some(value))
+}
+
+/// A dispatcher that knows the configuration and some upstreams of the pool.
+pub(crate) fn ready(upstreams: &[Row], now: Instant) -> Dispatcher {
+    let mut dispatcher = dispatcher();
+    order(&mut dispatcher, &configuration(1), now);
+    dispatcher.registry.replace(upstreams, now);
+    dispatcher
+}
+
+/// Applies a row of the operators' table.
+pub(crate) fn order(dispatcher: &mut Dispatcher, row: &Row, now: Instant) -> Applied {
+    let order = Order::decode(row).expect("a valid order");
+    dispatcher.apply(order, row.version, now)
+}
+
+/// A request of a session to the pool.
+pub(crate) fn ask(session: u64) -> Ask<'static> {
+    Ask {
+        service: "pool",
+        route: "ask",
+        session,
+        model: None,
+        prompt: None,
+        body_bytes: 100,
+        tried: &[],
+    }
+}
+
+/// Takes a place that is expected to be had.
+pub(crate) fn place(dispatcher: &mut Dispatcher, ask: &Ask<'_>, now: Instant) -> Ticket {
+    match dispatcher.choose(ask, now) {
+        Choice::Send(ticket) => ticket,
+        other => panic!("no place: {other:?}"),
+    }
+}
+
+/// An upstream's row in another failure domain, version or degree of coldness.
+pub(crate) fn upstream_with(id: &str, version: u64, fields: &[(&str, serde_json::Value)]) -> Row {
+    let row = upstream(id, version, "ready");
+    let bytes = row.value.expect("a value");
+    let mut value: serde_json::Value = serde_json::from_slice(&bytes).expect("JSON");
+    for (name, field) in fields {
+        value[*name] = field.clone();
+    }
+    self::row(id, version, Some(value))
+}
--- /dev/null
+++ b/tests/gateway/bed.rs
@@ -0,0 +1,341 @@
+//! A table, upstreams and gateways, started for one test.
+
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+use stand_in::users::{table::TableStandIn, upstream::UpstreamStandIn};
+
+/// The time within which anything awaited must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// The time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(10);
+
+static NEXT_BED: AtomicU8 = AtomicU8::new(1);
+
+/// All that one test needs.
+pub(crate) struct Bed {
+    pub(crate) table: TableStandIn,
+    pub(crate) upstreams: Vec<UpstreamStandIn>,
+    pub(crate) gateways: Vec<Gateway>,
+    folder: TempDir,
+    number: u8,
+}
+
+/// A gateway's process.
+pub(crate) struct Gateway {
+    ip: IpAddr,
+    process: Child,
+    log: PathBuf,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: &'static str,
+    pub(crate) headers: Vec<(&'static str, String)>,
+    pub(crate) body: Bytes,
+}
+
+/// A stream to the model pool.
+pub(crate) fn stream(id: &str, path: &'static str) -> Call {
+    Call {
+        method: Method::POST,
+        path,
+        headers: vec![
+            ("host", "h".into()),
+            ("request-id", id.into()),
+            ("x-api-key", "k1".into()),
+            ("deadline-ms", "8000".into()),
+            ("model", "*".into()),
+            ("session", format!("session-{id}")),
+            ("token-usage", "900,24".into()),
+            ("prompt-prefix", "a:500,b:200".into()),
+        ],
+        body: Bytes::from_static(b"a prompt"),
+    }
+}
+
+/// A call of the plain service.
+pub(crate) fn plain(id: &str, method: Method, path: &'static str) -> Call {
+    Call {
+        method,
+        path,
+        headers: vec![
+            ("host", "h".into()),
+            ("request-id", id.into()),
+            ("x-api-key", "k1".into()),
+            ("deadline-ms", "4000".into()),
+        ],
+        body: Bytes::new(),
+    }
+}
+
+impl Bed {
+    /// Starts a table, two engines, two plain upstreams and some gateways, and waits until all
+    /// gateways know one another.
+    pub(crate) async fn spawn(gateways: usize) -> Self {
+        let table = TableStandIn::spawn().await;
+        let mut upstreams = Vec::new();
+        for (id, service) in [
+            ("e1", "pool"),
+            ("e2", "pool"),
+            ("p1", "desk"),
+            ("p2", "desk"),
+        ] {
+            let upstream = UpstreamStandIn::spawn(id).await;
+            table.put("servers", id, &upstream.row(service, "v1"));
+            upstreams.push(upstream);
+        }
+        table.put("op", "config", &configuration(1, &["k1"]));
+        let mut bed = Self {
+            table,
+            upstreams,
+            gateways: Vec::new(),
+            folder: tempfile::tempdir().expect("a folder"),
+            number: NEXT_BED.fetch_add(1, Ordering::Relaxed),
+        };
+        for _ in 0..gateways {
+            bed.start_gateway();
+        }
+        for gateway in &bed.gateways {
+            wait(|| async { gateway.directory().await.len() == gateways }).await;
+        }
+        bed
+    }
+
+    /// Starts one more gateway.
+    pub(crate) fn start_gateway(&mut self) {
+        let number = u8::try_from(self.gateways.len() + 1).expect("few gateways");
+        // Each run of the tests has addresses of its own.
+        let run = u8::try_from(std::process::id() % 200).expect("under 200") + 10;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, run, self.number, number));
+        let settings = json!({
+            "name": format!("front-{number}"), "domain": "a", "ip": ip,
+            "front": address(ip, Port::Front), "ready": address(ip, Port::Ready),
+            "directory": address(ip, Port::Directory), "metrics": address(ip, Port::Metrics),
+            "table": self.table.address(), "peer_ports": [7_340, 7_355],
+            "directory_ttl_max_s": 5, "grace_period_s": 8, "session_s": 5,
+            "repeat_ratio": 0.9, "repeat_slack": 56, "repeat_window_s": 10,
+        });
+        let path = self.folder.path().join(format!("gateway-{number}.jsonc"));
+        fs::write(&path, format!("// settings of a test\n{settings}")).expect("written");
+        let log = self.folder.path().join(format!("gateway-{number}.log"));
+        let process = Command::new(env!("CARGO_BIN_EXE_hibiscusyoke"))
+            .args(["gateway", "--settings"])
+            .arg(&path)
+            .stdout(File::create(&log).expect("a log file"))
+            .spawn()
+            .expect("started");
+        self.gateways.push(Gateway { ip, process, log });
+    }
+
+    /// Sends a call to the first gateway.
+    pub(crate) async fn call(&self, call: &Call) -> Answer {
+        self.gateways[0].call(call).await
+    }
+
+    /// The engines.
+    pub(crate) fn engines(&self) -> [&UpstreamStandIn; 2] {
+        [&self.upstreams[0], &self.upstreams[1]]
+    }
+
+    /// The plain upstreams.
+    pub(crate) fn desks(&self) -> [&UpstreamStandIn; 2] {
+        [&self.upstreams[2], &self.upstreams[3]]
+    }
+}
+
+impl Gateway {
+    /// Sends a call and reads the whole answer.
+    pub(crate) async fn call(&self, call: &Call) -> Answer {
+        let response = self.open(call).await;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.expect("a whole answer").to_bytes();
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: String::from_utf8(body.to_vec()).expect("text"),
+        }
+    }
+
+    /// Sends a call and reads the head of the answer.
+    pub(crate) async fn open(&self, call: &Call) -> http::Response<Incoming> {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.path.parse().expect("a path");
+        for (name, value) in &call.headers {
+            request
+                .headers_mut()
+                .append(*name, value.parse().expect("a value"));
+        }
+        exchange(address(self.ip, Port::Front), request)
+            .await
+            .expect("an answer")
+    }
+
+    /// Whether the gateway says that callers may come.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let request = get("/ready");
+        let response = exchange(address(self.ip, Port::Ready), request).await;
+        response.is_some_and(|response| response.status() == StatusCode::OK)
+    }
+
+    /// The addresses that the directory names.
+    pub(crate) async fn directory(&self) -> Vec<SocketAddr> {
+        let request = get("/resolve?name=h&region=r&zone=a");
+        let Some(response) = exchange(address(self.ip, Port::Directory), request).await else {
+            return Vec::new();
+        };
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .expect("whole")
+            .to_bytes();
+        let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body) else {
+            return Vec::new();
+        };
+        serde_json::from_value(answer["addresses"].clone()).expect("addresses")
+    }
+
+    /// The metrics.
+    pub(crate) async fn metrics(&self) -> String {
+        let response = exchange(address(self.ip, Port::Metrics), get("/metrics")).await;
+        let body = response
+            .expect("an answer")
+            .into_body()
+            .collect()
+            .await
+            .expect("whole");
+        String::from_utf8(body.to_bytes().to_vec()).expect("text")
+    }
+
+    /// What it has logged so far.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(&self.log).expect("a log")
+    }
+
+    /// The address for callers.
+    pub(crate) fn front(&self) -> SocketAddr {
+        address(self.ip, Port::Front)
+    }
+
+    /// Orders it to stop.
+    pub(crate) fn terminate(&self) {
+        let sent = Command::new("kill")
+            .arg(self.process.id().to_string())
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for its end.
+    pub(crate) async fn ended(&mut self) -> bool {
+        let ended = tokio::time::timeout(PATIENCE, async {
+            loop {
+                if let Some(status) = self.process.try_wait().expect("a child") {
+                    return status.success();
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+        ended.await.expect("the process ends")
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Port {
+    Front = 18_001,
+    Ready = 18_002,
+    Directory = 18_003,
+    Metrics = 18_004,
+}
+
+fn address(ip: IpAddr, port: Port) -> SocketAddr {
+    SocketAddr::new(ip, port as u16)
+}
+
+/// A configuration with a route of each kind.
+pub(crate) fn configuration(generation: u64, keys: &[&str]) -> serde_json::Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "hostname": "h", "prefix": prefix, "kind": kind, "service": service,
+            "timeout_ms": 4_000, "target_latency_ms": 500, "max_attempts": attempts,
+            "allow_anonymous": false, "stream_resume": kind == "streaming",
+            "sizes": if kind == "streaming" { json!(["small", "large"]) } else { json!([]) },
+        })
+    };
+    json!({
+        "version": generation,
+        "routes": [
+            route("ask", "/ask/", "streaming", "pool", 3),
+            route("book", "/book/", "non_idempotent", "desk", 1),
+            route("look", "/look/", "idempotent", "desk", 2),
+        ],
+        "services": [
+            {"name": "pool", "cold_start_s": 0.0, "cold_per_s": 0.0,
+             "engine": {"slots": 16, "kv_capacity_tokens": 100_000, "models": []}},
+            {"name": "desk"},
+        ],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_096, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "t1", "api_keys": keys}],
+    })
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    let waiting = tokio::time::timeout(PATIENCE, async {
+        while !condition().await {
+            tokio::time::sleep(LOOK).await;
+        }
+    });
+    waiting.await.expect("the condition comes to hold");
+}
+
+fn get(path: &'static str) -> Request<Full<Bytes>> {
+    Request::get(path)
+        .header("host", "h")
+        .body(Full::default())
+        .expect("a request")
+}
+
+async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<http::Response<Incoming>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    sender.send_request(request).await.ok()
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! Gateways as processes, between callers and stand-ins of the platform.
+
+mod bed;
+mod explain;
+mod faults;
+mod input;
+mod serve;
+mod stop;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,4 +3,3 @@
 mod headers;
 mod samples;
 mod table;
-mod table_stand_in;
--- a/tests/platform/table.rs
+++ b/tests/platform/table.rs
@@ -5,7 +5,7 @@
 use platform::table::{Decided, Row, Step, TableClient, Transaction, Why};
 use serde_json::json;
 
-use crate::table_stand_in::{Fault, TableStandIn};
+use stand_in::users::table::{Fault, TableStandIn};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(100);
