Place prompts by their shared parts, and escalate by the wait that is expected

Homes and memory now go by the shared parts; reading speeds are learnt only where nothing waited before. Whether a larger model would be on time is judged by the least wait expected at any upstream, so that under load small answers are kept. Ruled out: stale loads of peers (the expectation was 0 in calm too). tests/dispatch/choice.rs fails without the change.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -358,8 +358,11 @@
         {
             rollout.began(arm, ticket.route, ticket.expected(), took);
         }
-        if let Some(model) = &ticket.model {
-            self.speeds.note(model, ticket.expected(), took);
+        // Behind others the time says little of the model.
+        if let Some(model) = &ticket.model
+            && ticket.backlog.is_zero()
+        {
+            self.speeds.note(model, ticket.reading, took);
         }
     }
 
@@ -386,9 +389,20 @@
         }
     }
 
-    /// The time in which a model reads a prompt of which nothing is in memory.
-    pub fn reading_time(&self, model: &str, tokens: u32) -> Duration {
-        self.speeds.reading(model, tokens)
+    /// The least time until an answer can be expected to begin at any upstream.
+    pub fn expected_wait(&self, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
+        let links = self.links(ask);
+        let listed: Vec<&Upstream> = self
+            .registry
+            .of_service(ask.service)
+            .filter(|u| u.is_listed(now) && u.health.usable(now))
+            .filter(|u| !self.evacuated.contains(&u.domain))
+            .collect();
+        let home = home_of(&links, &listed);
+        let wait = |u: &Upstream| {
+            u.backlog + self.peer_load(u).backlog + self.reading(ask, u, &links, home, now)
+        };
+        listed.into_iter().map(wait).min()
     }
 
     /// Notes the quality of an answer as evidence for a roll-out.
@@ -645,10 +659,7 @@
     }
 
     fn choose_in(&mut self, ask: &Ask<'_>, arm: Option<Arm>, now: Instant) -> Choice {
-        let links = match (ask.model, ask.prompt) {
-            (model, Some(prompt)) => prefix::chain(model.unwrap_or_default(), prompt),
-            _ => Vec::new(),
-        };
+        let links = self.links(ask);
         let rollout = self.rollouts.get(ask.service);
         let target = rollout.map(|rollout| rollout.target.clone());
         let order = rollout.map_or(0, |rollout| rollout.order);
@@ -681,11 +692,7 @@
             if tried || !upstream.health.usable(now) {
                 continue;
             }
-            let peer = self
-                .peer_loads
-                .get(&upstream.hash)
-                .copied()
-                .unwrap_or_default();
+            let peer = self.peer_load(upstream);
             let running = upstream.running + peer.running;
             if running >= upstream.slots * overbooking(service) {
                 full = true;
@@ -722,11 +729,7 @@
                 None => Choice::Refuse(NoPlace::NoneUsable, NO_UPSTREAM_RETRY),
             };
         };
-        let peer = self
-            .peer_loads
-            .get(&upstream.hash)
-            .copied()
-            .unwrap_or_default();
+        let peer = self.peer_load(upstream);
         let ticket = Ticket {
             upstream: upstream.id.clone(),
             address: upstream.address,
@@ -745,6 +748,16 @@
         Choice::Send(ticket)
     }
 
+    fn links(&self, ask: &Ask<'_>) -> Vec<Link> {
+        let chain = |prompt| prefix::chain(ask.model.unwrap_or_default(), prompt);
+        ask.prompt.map(chain).unwrap_or_default()
+    }
+
+    fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
+        let load = self.peer_loads.get(&upstream.hash);
+        load.copied().unwrap_or_default()
+    }
+
     fn take_place(&mut self, ticket: &Ticket, links: &[Link], now: Instant) {
         let rate = self.cold_part(&ticket.upstream, &ticket.service, now);
         if let Some(upstream) = self.registry.get_mut(&ticket.upstream) {
--- a/src/coordination/dispatch/prefix.rs
+++ b/src/coordination/dispatch/prefix.rs
@@ -28,12 +28,12 @@
     pub tokens: u32,
 }
 
-/// The chain of a prompt's parts for a model.
+/// The chain of a prompt's shared parts for a model; its last part is its own.
 pub fn chain(model: &str, prompt: &Prompt) -> Vec<Link> {
     let mut id = xxh3_64_with_seed(model.as_bytes(), 0);
     let mut tokens = 0;
-    prompt
-        .parts
+    let shared = prompt.parts.len().saturating_sub(1);
+    prompt.parts[..shared]
         .iter()
         .map(|part| {
             id = xxh3_64_with_seed(&part.id.to_le_bytes(), id);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -153,18 +153,8 @@
             if remaining.is_zero() {
                 return Err((Reason::Timeout, None));
             }
-            let choice = {
-                let ask = Ask {
-                    service: &self.call.service,
-                    route: &self.call.route.name,
-                    session: self.call.session,
-                    model: self.model.as_deref(),
-                    prompt: self.call.head.prompt.as_ref(),
-                    body_bytes: self.call.body.len(),
-                    tried: &self.tried,
-                };
-                self.shared.core().choose(&ask, now)
-            };
+            let ask = self.ask(self.model.as_ref());
+            let choice = self.shared.core().choose(&ask, now);
             match choice {
                 Choice::Send(ticket) => {
                     self.log_choice(&ticket);
@@ -188,6 +178,18 @@
         }
     }
 
+    fn ask<'a>(&'a self, model: Option<&'a CompactString>) -> Ask<'a> {
+        Ask {
+            service: &self.call.service,
+            route: &self.call.route.name,
+            session: self.call.session,
+            model: model.map(CompactString::as_str),
+            prompt: self.call.head.prompt.as_ref(),
+            body_bytes: self.call.body.len(),
+            tried: &self.tried,
+        }
+    }
+
     /// The request as it is sent to the upstream of a place.
     pub fn request(&self, place: &Place, after: Option<u64>) -> Request<Full<Bytes>> {
         let remaining = self.call.remaining(self.shared.now());
@@ -408,15 +410,13 @@
         if self.model.as_ref() == Some(largest) || self.attempts >= self.call.route.max_attempts {
             return None;
         }
-        let waited = self
+        let now = self.shared.now();
+        let waited = now.saturating_duration_since(self.call.arrived);
+        let wait = self
             .shared
-            .now()
-            .saturating_duration_since(self.call.arrived);
-        let reading = match &self.call.head.prompt {
-            Some(prompt) => self.shared.core().reading_time(largest, prompt.tokens),
-            None => Duration::ZERO,
-        };
-        let on_time = waited + reading <= self.call.route.latency_objective;
+            .core()
+            .expected_wait(&self.ask(Some(largest)), now);
+        let on_time = wait.is_some_and(|wait| waited + wait <= self.call.route.latency_objective);
         match judge_confidence(head.confidence, on_time) {
             Verdict::Keep => None,
             Verdict::Escalate => Some(largest.clone()),
--- a/tests/dispatch/choice.rs
+++ b/tests/dispatch/choice.rs
@@ -20,7 +20,7 @@
         .collect()
 }
 
-fn prompt(session_part: u64) -> Prompt {
+fn prompt(session_part: u64, own_part: u64) -> Prompt {
     Prompt {
         parts: vec![
             PromptPart {
@@ -31,6 +31,10 @@
                 id: session_part,
                 tokens: 3_800,
             },
+            PromptPart {
+                id: own_part,
+                tokens: 2_700,
+            },
         ],
         tokens: 9_000,
         max_output_tokens: 50,
@@ -56,7 +60,7 @@
 fn hot_prefix_stays_and_then_spreads() {
     let now = Instant::now();
     let mut dispatcher = ready(&pool(4), now);
-    let prompt = prompt(7);
+    let prompt = prompt(7, 1);
     let hot = Ask {
         model: Some("small"),
         prompt: Some(&prompt),
@@ -79,18 +83,20 @@
     );
 }
 
-/// Daemons that have not seen a prefix agree where it lies.
+/// Daemons that have not seen a prefix agree where it lies, whatever each request adds of its own.
 #[test]
 fn unseen_prefix_goes_to_the_same_upstream_from_all_daemons() {
     let now = Instant::now();
-    let prompt = prompt(11);
-    let first = Ask {
-        model: Some("small"),
-        prompt: Some(&prompt),
-        ..ask(1)
-    };
     let chosen: std::collections::BTreeSet<_> = (0..6)
-        .map(|_| place(&mut ready(&pool(9), now), &first, now).upstream)
+        .map(|own_part| {
+            let prompt = prompt(11, own_part);
+            let first = Ask {
+                model: Some("small"),
+                prompt: Some(&prompt),
+                ..ask(1)
+            };
+            place(&mut ready(&pool(9), now), &first, now).upstream
+        })
         .collect();
     assert_eq!(chosen.len(), 1);
 }
