--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -104,6 +104,18 @@
         })
     }
 
+    /// Puts the limits of new settings in force; addresses take effect with the next start.
+    pub fn reload(&self, settings: &Settings) {
+        let limits = settings.limits();
+        self.shared.core().set_limits(limits);
+        log::info!(
+            "event=reload repeat_ratio={} repeat_slack={} session_ms={}",
+            limits.repeats.ratio,
+            limits.repeats.slack,
+            limits.session_time.as_millis()
+        );
+    }
+
     /// Leaves the directory, serves on while callers may still come, and finishes what has begun.
     pub async fn shutdown(self) {
         let grace = self.shared.settings.grace_period();
--- a/tests/gateway/bed.rs
+++ b/tests/gateway/bed.rs
@@ -153,6 +153,16 @@
         self.gateways.push(Gateway { ip, process, log });
     }
 
+    /// Changes a value in the settings file of the first gateway.
+    pub(crate) fn change_settings(&self, key: &str, value: serde_json::Value) {
+        let path = self.folder.path().join("gateway-1.jsonc");
+        let text = fs::read_to_string(&path).expect("settings");
+        let json = text.lines().last().expect("a line of JSON");
+        let mut settings: serde_json::Value = serde_json::from_str(json).expect("JSON");
+        settings[key] = value;
+        fs::write(&path, settings.to_string()).expect("written");
+    }
+
     /// Sends a call to the first gateway.
     pub(crate) async fn call(&self, call: &Call) -> Answer {
         self.gateways[0].call(call).await
@@ -246,8 +256,13 @@
 
     /// Orders it to stop.
     pub(crate) fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to its process.
+    pub(crate) fn signal(&self, name: &str) {
         let sent = Command::new("kill")
-            .arg(self.process.id().to_string())
+            .args(["-s", name, &self.process.id().to_string()])
             .status();
         assert!(sent.expect("kill runs").success());
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,5 +4,6 @@
 mod explain;
 mod faults;
 mod input;
+mod reload;
 mod serve;
 mod stop;
