--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -115,6 +115,7 @@
     /// Whether the upstream has run for long enough to be judged by its speed.
     settled: bool,
     order: RowVersion,
+    taken: Instant,
     reading: Duration,
     model: Option<CompactString>,
     begun: bool,
@@ -356,11 +357,12 @@
             && rollout.order == ticket.order
             && ticket.settled
         {
-            rollout.began(arm, ticket.route, ticket.expected(), took);
+            rollout.began(arm, ticket.route, ticket.reading, took);
         }
-        // Behind others the time says little of the model.
+        // Behind others, or on a version on trial, the time says little of the model.
         if let Some(model) = &ticket.model
             && ticket.backlog.is_zero()
+            && ticket.arm != Some(Arm::New)
         {
             self.speeds.note(model, ticket.reading, took);
         }
@@ -386,6 +388,10 @@
             && rollout.order == ticket.order
         {
             rollout.running(arm, false);
+            if ended == Ended::Abandoned && !ticket.begun && ticket.settled {
+                let waited = now.saturating_duration_since(ticket.taken);
+                rollout.waited(arm, ticket.route, ticket.reading, waited);
+            }
         }
     }
 
@@ -740,6 +746,7 @@
             settled: upstream.age(now) >= WARM_UP_TIME,
             backlog: upstream.backlog + peer.backlog,
             order,
+            taken: now,
             reading,
             model: ask.model.map(Into::into),
             begun: false,
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -43,7 +43,7 @@
 /// The same on one route.
 const FAILURE_MARGIN_ON_ROUTE: f64 = 0.2;
 /// How many times longer than usual a slow answer takes to begin.
-const SLOW_FACTOR: f64 = 3.5;
+const SLOW_FACTOR: f64 = 3.0;
 /// The time within which no answer is slow.
 const NEVER_SLOW: Duration = Duration::from_millis(250);
 /// The part of the time to begin that does not depend on the request.
@@ -51,9 +51,9 @@
 /// The weight of the newest answer in what is usual.
 const NEWEST_WEIGHT: f64 = 0.05;
 /// The slow answers that are needed to judge a version.
-const LEAST_SLOW: u32 = 6;
+const LEAST_SLOW: u32 = 5;
 /// How much greater the part of slow answers of a bad version is than that of the old one.
-const SLOW_MARGIN: f64 = 0.3;
+const SLOW_MARGIN: f64 = 0.12;
 /// The sessions remembered at most.
 const MAX_BOUND: usize = 512;
 
@@ -122,7 +122,7 @@
     new_seen: Option<Instant>,
     /// When requests were last known to run on the old version.
     old_busy: Option<Instant>,
-    /// How many times longer than expected answers of the old version take to begin.
+    /// How many times longer than their prompts need answers of the old version take to begin.
     usual: Option<f64>,
     own: Evidence,
     peers: HashMap<PeerId, Evidence>,
@@ -212,19 +212,28 @@
         };
     }
 
-    /// Notes that an answer began after `took`, where `expected` was expected.
-    pub fn began(&mut self, arm: Arm, route: u32, expected: Duration, took: Duration) {
-        let ratio = took.as_secs_f64() / (expected + BASE_TIME).as_secs_f64();
+    /// Notes that an answer began after `took`, where the prompt needs `reading`.
+    pub fn began(&mut self, arm: Arm, route: u32, reading: Duration, took: Duration) {
+        let ratio = Self::ratio(reading, took);
         let usual = *self.usual.get_or_insert(ratio);
         if arm == Arm::Old {
             self.usual = Some(usual + (ratio - usual) * NEWEST_WEIGHT);
         }
-        let slow = took > NEVER_SLOW && ratio > usual.max(1.0) * SLOW_FACTOR;
+        let slow = self.is_slow(reading, took);
         let tally = self.tally(arm, route);
         tally.begun += 1;
         tally.slow += u32::from(slow);
     }
 
+    /// Notes that a caller left after it had waited for an answer that did not begin.
+    pub fn waited(&mut self, arm: Arm, route: u32, reading: Duration, waited: Duration) {
+        if self.is_slow(reading, waited) {
+            let tally = self.tally(arm, route);
+            tally.begun += 1;
+            tally.slow += 1;
+        }
+    }
+
     /// Notes an answer of an arm.
     pub fn answered(&mut self, arm: Arm, route: u32, bad: bool) {
         let tally = self.tally(arm, route);
@@ -302,6 +311,15 @@
         }
     }
 
+    fn ratio(reading: Duration, took: Duration) -> f64 {
+        took.as_secs_f64() / (reading + BASE_TIME).as_secs_f64()
+    }
+
+    fn is_slow(&self, reading: Duration, took: Duration) -> bool {
+        let usual = self.usual.unwrap_or(1.0).max(1.0);
+        took > NEVER_SLOW && Self::ratio(reading, took) > usual * SLOW_FACTOR
+    }
+
     fn tally(&mut self, arm: Arm, route: u32) -> &mut Tally {
         let tallies = match arm {
             Arm::Old => &mut self.own.old,
