--- /dev/null
+++ b/src/coordination/dispatch/orders.rs
@@ -0,0 +1,116 @@
+//! Applying what operators ask for.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use derive_more::Display;
+use platform::{
+    DomainName, RowVersion, ServiceName, VersionName,
+    orders::{Order, RolloutOrder},
+};
+
+use crate::coordination::dispatch::{Dispatcher, rollout::Rollout, routes::Routes};
+
+/// What a change of the operators' table means for the daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Applied {
+    /// A configuration is in force.
+    #[display("configuration generation={_0}")]
+    Configured(u64),
+    /// A roll-out was ordered.
+    #[display("rollout_ordered service={_0} target={_1}")]
+    RolloutOrdered(ServiceName, VersionName),
+    /// A roll-out was withdrawn.
+    #[display("rollout_withdrawn service={_0}")]
+    RolloutWithdrawn(ServiceName),
+    /// A failure domain gets no more work.
+    #[display("evacuated domain={_0}")]
+    Evacuated(DomainName),
+    /// A failure domain may get work again.
+    #[display("restored domain={_0}")]
+    Restored(DomainName),
+    /// Nothing that matters here.
+    #[display("unknown_row")]
+    Nothing,
+}
+
+impl Dispatcher {
+    /// Applies an order; an older configuration never replaces a newer one.
+    pub fn apply(&mut self, order: Order, version: RowVersion, now: Instant) -> Applied {
+        match order {
+            Order::Configure(configuration) => {
+                let generation = configuration.generation;
+                let current = self.routes.as_ref().map(|r| r.configuration().generation);
+                if current.is_some_and(|current| current >= generation) {
+                    return Applied::Nothing;
+                }
+                self.routes = Some(Arc::new(Routes::new(configuration)));
+                Applied::Configured(generation)
+            }
+            Order::Rollout(order) => self.order_rollout(order, version, now),
+            Order::RolloutWithdrawn(service) => Applied::RolloutWithdrawn(service),
+            Order::Evacuate(domain) => {
+                if !self.evacuated.insert(domain.clone()) {
+                    return Applied::Nothing;
+                }
+                Applied::Evacuated(domain)
+            }
+            Order::Restore(domain) => self.restore(domain, now),
+            Order::Unknown => Applied::Nothing,
+        }
+    }
+
+    /// Takes the evacuations of a full read for the truth.
+    pub fn replace_evacuations(&mut self, listed: &BTreeSet<DomainName>, now: Instant) {
+        let ended: Vec<DomainName> = self.evacuated.difference(listed).cloned().collect();
+        for domain in ended {
+            self.restore(domain, now);
+        }
+    }
+
+    pub(super) fn order_rollout(
+        &mut self,
+        order: RolloutOrder,
+        version: RowVersion,
+        now: Instant,
+    ) -> Applied {
+        let known = self.rollouts.get(&order.service);
+        if known.is_some_and(|known| known.order >= version) {
+            return Applied::Nothing;
+        }
+        let mut rollout = Rollout::new(version, order.target.clone(), order.within, now);
+        rollout.bind(self.sessions.recent(now, self.limits.session_time), now);
+        self.rollouts.insert(order.service.clone(), rollout);
+        Applied::RolloutOrdered(order.service, order.target)
+    }
+
+    pub(super) fn restore(&mut self, domain: DomainName, now: Instant) -> Applied {
+        if !self.evacuated.remove(&domain) {
+            return Applied::Nothing;
+        }
+        // Its upstreams may have restarted unseen while they got no work.
+        let cold_times: HashMap<ServiceName, Duration> = self.cold_times();
+        for upstream in self.registry.all_mut().filter(|u| u.domain == domain) {
+            if let Some(cold) = cold_times.get(&upstream.service) {
+                upstream.chill(now + *cold);
+            }
+        }
+        Applied::Restored(domain)
+    }
+
+    pub(super) fn cold_times(&self) -> HashMap<ServiceName, Duration> {
+        let services = self.routes.iter().flat_map(|r| &r.configuration().services);
+        services
+            .filter(|service| service.cold_rate > 0.0)
+            .map(|service| (service.name.clone(), service.cold_time))
+            .collect()
+    }
+
+    pub(super) fn cold_time(&self, service: &str) -> Option<Duration> {
+        let service = self.routes.as_ref()?.service(service)?;
+        (service.cold_rate > 0.0).then_some(service.cold_time)
+    }
+}
