Reuse the codec for messages between gateways, and drop what nothing used

Read of the whole change. peer_link and table_link had bincode wrappers of their own beside protocol/codec.rs, which now takes the limit as a parameter; each keeps its limit, and bytes after a message are now an error there too. Failures and slowness are compared by one function, the time since a request's arrival, the head of an answer and the age of a place are worked out in one place each. Gone: Rollout::forget, Candidate::slots, Shared::stop (no callers or readers).

--- a/src/coordination/dispatch/choose.rs
+++ b/src/coordination/dispatch/choose.rs
@@ -27,8 +27,6 @@
     pub reading: Duration,
     /// The requests that run there, of all daemons.
     pub running: u32,
-    /// The requests that it runs at once.
-    pub slots: u32,
     /// The part of recent attempts that failed.
     pub failure_rate: f64,
     /// Whether it is cold.
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -39,11 +39,8 @@
             .get_mut(ask.service)
             .map(|rollout| rollout.arm(ask.session, now));
         match self.choose_in(ask, arm, now) {
-            // The other version serves rather than nobody, unless it was found bad.
-            Choice::Refuse(why, wait) => match (arm, why) {
-                (Some(Arm::New), _) => self.choose_in(ask, Some(Arm::Old), now),
-                _ => Choice::Refuse(why, wait),
-            },
+            // The old version serves rather than nobody.
+            Choice::Refuse(..) if arm == Some(Arm::New) => self.choose_in(ask, Some(Arm::Old), now),
             chosen => chosen,
         }
     }
@@ -92,8 +89,7 @@
         {
             rollout.running(arm, false);
             if ended == Ended::Abandoned && !ticket.begun && ticket.settled {
-                let waited = now.saturating_duration_since(ticket.taken);
-                rollout.waited(arm, ticket.route, ticket.reading, waited);
+                rollout.waited(arm, ticket.route, ticket.reading, ticket.age(now));
             }
         }
     }
@@ -166,7 +162,6 @@
                 backlog: upstream.backlog + peer.backlog,
                 reading,
                 running,
-                slots: upstream.slots,
                 failure_rate: upstream.health.failure_rate(now),
                 cold,
                 far: upstream.domain != self.domain,
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -95,6 +95,35 @@
     pub slow: u32,
 }
 
+impl Tally {
+    fn failures(self) -> Share {
+        Share {
+            bad: self.bad,
+            of: self.answers,
+        }
+    }
+
+    fn slowness(self) -> Share {
+        Share {
+            bad: self.slow,
+            of: self.begun,
+        }
+    }
+}
+
+/// The bad ones among a number of answers.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    bad: u32,
+    of: u32,
+}
+
+impl Share {
+    fn rate(self) -> f64 {
+        f64::from(self.bad) / f64::from(self.of.max(1))
+    }
+}
+
 /// One daemon's answers of both arms by route.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -267,18 +296,23 @@
         let all =
             |tallies: &BTreeMap<u32, Tally>| tallies.values().copied().fold(Tally::default(), add);
         let (all_old, all_new) = (all(&old), all(&new));
-        let failing = worse(all_old, all_new, LEAST_FAILURES, FAILURE_MARGIN);
-        failing
-            || slower(all_old, all_new)
-            || new.iter().any(|(route, tally)| {
-                let before = old.get(route).copied().unwrap_or_default();
-                worse(
-                    before,
-                    *tally,
-                    LEAST_FAILURES_ON_ROUTE,
-                    FAILURE_MARGIN_ON_ROUTE,
-                )
-            })
+        let (before, now) = (all_old.failures(), all_new.failures());
+        if worse(before, now, LEAST_FAILURES, FAILURE_MARGIN) {
+            return true;
+        }
+        let (before, now) = (all_old.slowness(), all_new.slowness());
+        if worse(before, now, LEAST_SLOW, SLOW_MARGIN) {
+            return true;
+        }
+        new.iter().any(|(route, tally)| {
+            let before = old.get(route).copied().unwrap_or_default().failures();
+            worse(
+                before,
+                tally.failures(),
+                LEAST_FAILURES_ON_ROUTE,
+                FAILURE_MARGIN_ON_ROUTE,
+            )
+        })
     }
 
     /// Whether all traffic has moved and the old version may stop.
@@ -304,13 +338,6 @@
         now >= last_call || (now >= moved && quiet)
     }
 
-    /// Forgets a peer that is gone.
-    pub fn forget(&mut self, peer: &PeerId) {
-        if let Some(evidence) = self.peers.get_mut(peer) {
-            evidence.running_old = 0;
-        }
-    }
-
     fn ratio(reading: Duration, took: Duration) -> f64 {
         took.as_secs_f64() / (reading + BASE_TIME).as_secs_f64()
     }
@@ -378,12 +405,7 @@
     }
 }
 
-fn worse(old: Tally, new: Tally, least: u32, margin: f64) -> bool {
-    let rate = |tally: Tally| f64::from(tally.bad) / f64::from(tally.answers.max(1));
-    new.bad >= least && rate(new) >= rate(old) + margin
-}
-
-fn slower(old: Tally, new: Tally) -> bool {
-    let rate = |tally: Tally| f64::from(tally.slow) / f64::from(tally.begun.max(1));
-    new.slow >= LEAST_SLOW && rate(new) >= rate(old) + SLOW_MARGIN
+/// Whether a new version has enough bad cases, and a much greater part of them than the old one.
+fn worse(old: Share, new: Share, least: u32, margin: f64) -> bool {
+    new.bad >= least && new.rate() >= old.rate() + margin
 }
--- a/src/coordination/dispatch/ticket.rs
+++ b/src/coordination/dispatch/ticket.rs
@@ -56,6 +56,11 @@
 }
 
 impl Ticket {
+    /// The time since the place was taken.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.taken)
+    }
+
     /// The time expected until the answer begins.
     pub fn expected(&self) -> Duration {
         self.backlog + self.reading
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -112,6 +112,11 @@
         self.head.id.as_deref().unwrap_or("-")
     }
 
+    /// The time since it arrived.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.arrived)
+    }
+
     /// The time that is left.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     coordination::dispatch::{
-        Ask, Choice, NoPlace, Quality,
+        Ask, Choice, NoPlace, Quality, Ticket,
         escalation::{Verdict, judge_confidence},
         health::Ended,
     },
@@ -239,13 +239,9 @@
             Ok(answer) => answer,
             Err(e) => return self.failed(&mut place, &e),
         };
-        let head = AnswerHead::decode(
-            answer.response.status(),
-            answer.response.headers(),
-            self.call.head.id.as_deref(),
-        );
+        let head = self.answer_head(&answer);
         place.begun();
-        self.tried.push(place.ticket.upstream.clone());
+        self.note_tried(&place);
         if head.not_run {
             place.ended(Ended::Refused);
             self.log_end(&place, "refused_by_upstream");
@@ -327,7 +323,7 @@
     }
 
     fn failed(&mut self, place: &mut Place, e: &AttemptError) -> Step {
-        self.tried.push(place.ticket.upstream.clone());
+        self.note_tried(place);
         match e {
             AttemptError::Unreachable(_) => {
                 self.attempts -= 1;
@@ -381,16 +377,25 @@
     /// Notes an attempt that is about to be made to go on with a stream.
     pub fn note_attempt(&mut self, place: &Place) {
         self.attempts += 1;
+        self.note_tried(place);
+    }
+
+    fn note_tried(&mut self, place: &Place) {
         self.tried.push(place.ticket.upstream.clone());
     }
 
+    /// What the head of an answer to this request says.
+    pub fn answer_head(&self, answer: &Answer) -> AnswerHead {
+        AnswerHead::decode(
+            answer.response.status(),
+            answer.response.headers(),
+            self.call.head.id.as_deref(),
+        )
+    }
+
     /// Counts the request's end.
     pub fn count(&self, outcome: &str) {
-        let took = self
-            .shared
-            .now()
-            .saturating_duration_since(self.call.arrived);
-        metrics::request(outcome, took);
+        metrics::request(outcome, self.call.age(self.shared.now()));
     }
 
     /// Writes down how an attempt ended.
@@ -411,7 +416,7 @@
             return None;
         }
         let now = self.shared.now();
-        let waited = now.saturating_duration_since(self.call.arrived);
+        let waited = self.call.age(now);
         let wait = self
             .shared
             .core()
@@ -450,10 +455,7 @@
     }
 
     fn refuse(&self, reason: Reason, wait: Option<Duration>) -> Response<Body> {
-        let waited = self
-            .shared
-            .now()
-            .saturating_duration_since(self.call.arrived);
+        let waited = self.call.age(self.shared.now());
         log::info!(
             "event=refused id={} route={} reason={reason} attempts={} generation={} ms={} retry_after_ms={}",
             self.call.id(),
@@ -467,7 +469,7 @@
         reply::refuse(reason, wait)
     }
 
-    fn log_choice(&self, ticket: &crate::coordination::dispatch::Ticket) {
+    fn log_choice(&self, ticket: &Ticket) {
         log::info!(
             "event=chosen id={} session={:016x} route={} upstream={} version={} arm={} model={} attempt={} expected_ms={} generation={}",
             self.call.id(),
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -4,7 +4,7 @@
 
 use tokio::net::UdpSocket;
 
-use crate::{coordination::dispatch::peers::Heartbeat, gateway::shared::Shared};
+use crate::{coordination::dispatch::peers::Heartbeat, gateway::shared::Shared, protocol::codec};
 
 /// The least time between heartbeats that carry news.
 const NEWS_PAUSE: Duration = Duration::from_millis(20);
@@ -45,7 +45,7 @@
                 continue;
             }
         };
-        match decode(&buf[..length]) {
+        match codec::decode_within::<Heartbeat, MAX_DATAGRAM_BYTES>(&buf[..length]) {
             Ok(heartbeat) => hear(&shared, &socket, heartbeat, from),
             Err(e) => log::warn!("event=heartbeat_unreadable peer={from} error=\"{e}\""),
         }
@@ -76,7 +76,7 @@
     let readiness = shared.readiness();
     let front = shared.settings.front;
     let heartbeat = shared.core().heartbeat(front, readiness, bound_age, now);
-    let datagram = match encode(&heartbeat) {
+    let datagram = match codec::encode(&heartbeat) {
         Ok(datagram) => datagram,
         Err(e) => {
             log::error!("event=heartbeat_not_encoded error=\"{e}\"");
@@ -89,12 +89,3 @@
         }
     }
 }
-
-fn encode(heartbeat: &Heartbeat) -> Result<Vec<u8>, bincode::error::EncodeError> {
-    bincode::serde::encode_to_vec(heartbeat, bincode::config::standard())
-}
-
-fn decode(bytes: &[u8]) -> Result<Heartbeat, bincode::error::DecodeError> {
-    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-    bincode::serde::decode_from_slice(bytes, config).map(|(heartbeat, _)| heartbeat)
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use platform::headers::AnswerHead;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -46,9 +45,9 @@
     let (tx, rx) = mpsc::channel(QUEUE);
     tokio::spawn(async move {
         let relay = Relay {
+            last_event: exchange.call.head.last_event_id,
             exchange,
             tx,
-            last_event: None,
         };
         relay.run(place, answer).await;
     });
@@ -64,7 +63,6 @@
 
 impl Relay {
     async fn run(mut self, mut place: Place, mut answer: Answer) {
-        self.last_event = self.exchange.call.head.last_event_id;
         loop {
             let why = match self.pass_on(answer).await {
                 End::Complete => {
@@ -165,11 +163,7 @@
                     continue;
                 }
             };
-            let head = AnswerHead::decode(
-                answer.response.status(),
-                answer.response.headers(),
-                self.exchange.call.head.id.as_deref(),
-            );
+            let head = self.exchange.answer_head(&answer);
             place.begun();
             if head.own && head.signed && head.status.is_success() {
                 log::info!(
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -33,8 +33,6 @@
     pub news: Notify,
     /// Woken when another daemon may know of changes of the table.
     pub heard: tokio::sync::watch::Sender<u64>,
-    /// Woken when the process is to stop.
-    pub stop: tokio::sync::watch::Sender<bool>,
     core: Mutex<Dispatcher>,
     joined: AtomicBool,
     leaving: AtomicBool,
@@ -50,7 +48,6 @@
             clock,
             news: Notify::new(),
             heard: tokio::sync::watch::Sender::new(0),
-            stop: tokio::sync::watch::Sender::new(false),
             core: Mutex::new(core),
             joined: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -75,7 +72,6 @@
     /// The process is about to stop.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.stop.send_replace(true);
         self.news.notify_one();
     }
 
@@ -108,21 +104,18 @@
 
 /// A place on an upstream, given back when it is dropped.
 pub struct Place {
-    shared: std::sync::Arc<Shared>,
+    shared: Arc<Shared>,
     /// The ticket for the place.
     pub ticket: Ticket,
-    sent: Instant,
     ended: Ended,
 }
 
 impl Place {
     /// Holds the place of a ticket.
-    pub fn hold(shared: std::sync::Arc<Shared>, ticket: Ticket) -> Self {
-        let sent = shared.now();
+    pub fn hold(shared: Arc<Shared>, ticket: Ticket) -> Self {
         Self {
             shared,
             ticket,
-            sent,
             ended: Ended::Abandoned,
         }
     }
@@ -140,7 +133,7 @@
 
     /// The time since the place was taken.
     pub fn age(&self) -> Duration {
-        self.shared.now().saturating_duration_since(self.sent)
+        self.ticket.age(self.shared.now())
     }
 }
 
--- a/src/gateway/table_link.rs
+++ b/src/gateway/table_link.rs
@@ -19,6 +19,7 @@
         reply::{Infallibly, plain},
         shared::Shared,
     },
+    protocol::codec,
     state::rows::Changes,
 };
 
@@ -95,8 +96,7 @@
             log::debug!("event=peer_connection_ended peer={peer} error=\"{e}\"");
         }
     });
-    let body = bincode::serde::encode_to_vec(question, bincode::config::standard())
-        .map_err(|e| failed("encode", peer, e))?;
+    let body = codec::encode(&question).map_err(|e| failed("encode", peer, e))?;
     let request = Request::post(format!("http://{peer}/changes"))
         .body(Full::new(Bytes::from(body)))
         .map_err(|e| failed("encode", peer, e))?;
@@ -109,14 +109,14 @@
         peer,
         why,
     })?;
-    decode(&body).map_err(|e| failed("decode", peer, e))
+    codec::decode_within::<Told, MAX_ANSWER_BYTES>(&body).map_err(|e| failed("decode", peer, e))
 }
 
 async fn answer(shared: &Shared, req: Request<Incoming>) -> Response<Full<Bytes>> {
     const BINARY: &str = "application/octet-stream";
     let refuse = || plain(StatusCode::BAD_REQUEST, BINARY, Bytes::new());
     let question = match read(req.into_body()).await {
-        Ok(body) => match decode::<Question>(&body) {
+        Ok(body) => match codec::decode_within::<Question, MAX_ANSWER_BYTES>(&body) {
             Ok(question) => question,
             Err(e) => {
                 log::warn!("event=question_unreadable error=\"{e}\"");
@@ -135,7 +135,7 @@
             lapse_left: core.registry.lapse_left(shared.now()),
         }
     };
-    match bincode::serde::encode_to_vec(&told, bincode::config::standard()) {
+    match codec::encode(&told) {
         Ok(body) => plain(StatusCode::OK, BINARY, body.into()),
         Err(e) => {
             log::error!("event=answer_not_encoded error=\"{e}\"");
@@ -149,11 +149,6 @@
     Ok(body.to_bytes())
 }
 
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, bincode::error::DecodeError> {
-    let config = bincode::config::standard().with_limit::<MAX_ANSWER_BYTES>();
-    bincode::serde::decode_from_slice(bytes, config).map(|(value, _)| value)
-}
-
 fn failed<E>(step: &'static str, peer: SocketAddr, why: E) -> AskError
 where
     E: Into<Box<dyn std::error::Error + Send + Sync>>,
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -30,14 +30,21 @@
 /// Encodes a value.
 pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, CodecError> {
     let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard())?;
-    check_length(bytes.len())?;
+    check_length(bytes.len(), MAX_MESSAGE_BYTES)?;
     Ok(bytes)
 }
 
 /// Decodes a value that must fill `bytes` exactly.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
-    check_length(bytes.len())?;
-    let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+    decode_within::<T, MAX_MESSAGE_BYTES>(bytes)
+}
+
+/// Decodes a value that must fill `bytes` exactly, where no message is longer than `LIMIT` bytes.
+pub fn decode_within<T: DeserializeOwned, const LIMIT: usize>(
+    bytes: &[u8],
+) -> Result<T, CodecError> {
+    check_length(bytes.len(), LIMIT)?;
+    let config = bincode::config::standard().with_limit::<LIMIT>();
     let (value, used) = bincode::serde::decode_from_slice(bytes, config)?;
     if used < bytes.len() {
         return Err(CodecError::Trailing(bytes.len() - used));
@@ -45,12 +52,9 @@
     Ok(value)
 }
 
-fn check_length(len: usize) -> Result<(), CodecError> {
-    if len > MAX_MESSAGE_BYTES {
-        return Err(CodecError::TooLong {
-            len,
-            limit: MAX_MESSAGE_BYTES,
-        });
+fn check_length(len: usize, limit: usize) -> Result<(), CodecError> {
+    if len > limit {
+        return Err(CodecError::TooLong { len, limit });
     }
     Ok(())
 }
