Tell a slow version by the pace of its fastest streams

The evidence was the time to the first event, which says more of the queue than of the version: the old one had 92% of the load and was late as often (31/490 against 234/2752). The trace shows what differs: the fastest tenth of the new version's streams had 123 to 146 ms between events on all routes and models, the old one's 34 to 46.

Change: each daemon keeps a histogram of the pace of the first events of streams, by version, while both run; the sums decide. A version is slow if its fastest tenth is 2.2 times slower than the old one's. Ruled out: the mean pace (the old one's upper half is as slow as the new version), a threshold on slow answers (the margins overlap). Requests of an earlier incarnation of a daemon no longer count as running on the old version.

Four tests in tests/dispatch/rollout.rs.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -23,6 +23,7 @@
 pub mod health;
 mod hearing;
 pub mod orders;
+pub mod pace;
 pub mod peers;
 mod place;
 pub mod poison;
@@ -47,6 +48,7 @@
 use trial::Break;
 
 pub use orders::Applied;
+pub use pace::Pace;
 pub use ticket::{Ask, Choice, NoPlace, Quality, Ticket};
 pub use trial::KnownRollout;
 
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::coordination::dispatch::peers::PeerId;
+use crate::coordination::dispatch::{pace::PaceHistogram, peers::PeerId};
 
 /// How long sessions under way are gathered before any goes to the new version.
 const SETTLE_TIME: Duration = Duration::from_millis(1_200);
@@ -44,6 +44,10 @@
 const FAILURE_MARGIN_ON_ROUTE: f64 = 0.2;
 /// How many times longer than usual a slow answer takes to begin.
 const SLOW_FACTOR: f64 = 3.0;
+/// The streams of each version that are needed to judge the new one by its pace.
+const LEAST_PACED: u32 = 8;
+/// How many times slower a slow version's fastest streams are than the old version's.
+const SLOW_PACE_FACTOR: f64 = 2.2;
 /// The time within which no answer is slow.
 const NEVER_SLOW: Duration = Duration::from_millis(250);
 /// The part of the time to begin that does not depend on the request.
@@ -131,6 +135,10 @@
     pub old: BTreeMap<u32, Tally>,
     /// The new version's.
     pub new: BTreeMap<u32, Tally>,
+    /// The pace of the old version's streams.
+    pub old_pace: PaceHistogram,
+    /// The pace of the new version's streams.
+    pub new_pace: PaceHistogram,
     /// Requests that run on the old version now.
     pub running_old: u32,
 }
@@ -196,8 +204,15 @@
         self.new_seen.get_or_insert(now);
     }
 
-    /// Notes what a peer has seen.
+    /// Notes what a peer has seen; its earlier incarnations run nothing any more.
     pub fn merge(&mut self, peer: PeerId, evidence: Evidence) {
+        let ended = self
+            .peers
+            .iter_mut()
+            .filter(|(other, _)| other.name == peer.name && other.incarnation < peer.incarnation);
+        for (_, evidence) in ended {
+            evidence.running_old = 0;
+        }
         self.peers.insert(peer, evidence);
     }
 
@@ -263,6 +278,17 @@
         }
     }
 
+    /// Notes the mean time between the events of a stream, while both versions run.
+    pub fn paced(&mut self, arm: Arm, per_event: Duration, now: Instant) {
+        if !self.on_trial(now) {
+            return;
+        }
+        match arm {
+            Arm::Old => self.own.old_pace.note(per_event),
+            Arm::New => self.own.new_pace.note(per_event),
+        }
+    }
+
     /// Notes an answer of an arm.
     pub fn answered(&mut self, arm: Arm, route: u32, bad: bool) {
         let tally = self.tally(arm, route);
@@ -270,7 +296,8 @@
         tally.bad += u32::from(bad);
     }
 
-    /// The merged evidence by route, as failures of answers and slow ones of those that began, for the log.
+    /// The merged evidence by route, for the log: failures of answers, late ones of
+    /// those that began, and the paces of streams.
     pub fn evidence_text(&self) -> String {
         let text = |tallies: BTreeMap<u32, Tally>| {
             let parts: Vec<String> = tallies
@@ -286,7 +313,13 @@
         };
         let old = text(self.merged(|evidence| &evidence.old));
         let new = text(self.merged(|evidence| &evidence.new));
-        format!("old={old} new={new}")
+        let pace = |histogram: &PaceHistogram| {
+            let fastest = histogram.fastest().unwrap_or_default().as_millis();
+            format!("{fastest}/{}", histogram.total())
+        };
+        let old_pace = pace(&self.merged_pace(|evidence| &evidence.old_pace));
+        let new_pace = pace(&self.merged_pace(|evidence| &evidence.new_pace));
+        format!("old={old} new={new} old_event_ms={old_pace} new_event_ms={new_pace}")
     }
 
     /// Whether the merged evidence condemns the new version.
@@ -304,6 +337,9 @@
         if worse(before, now, LEAST_SLOW, SLOW_MARGIN) {
             return true;
         }
+        if self.is_slow_paced() {
+            return true;
+        }
         new.iter().any(|(route, tally)| {
             let before = old.get(route).copied().unwrap_or_default().failures();
             worse(
@@ -338,6 +374,31 @@
         now >= last_call || (now >= moved && quiet)
     }
 
+    /// Whether both versions run, so that one can be told from the other in the same seconds.
+    fn on_trial(&self, now: Instant) -> bool {
+        self.state == RolloutState::Running && self.share(now) < 1.0
+    }
+
+    fn is_slow_paced(&self) -> bool {
+        let old = self.merged_pace(|evidence| &evidence.old_pace);
+        let new = self.merged_pace(|evidence| &evidence.new_pace);
+        if old.total().min(new.total()) < LEAST_PACED {
+            return false;
+        }
+        match (old.fastest(), new.fastest()) {
+            (Some(old), Some(new)) => new >= old.mul_f64(SLOW_PACE_FACTOR),
+            _ => false,
+        }
+    }
+
+    fn merged_pace(&self, arm: impl Fn(&Evidence) -> &PaceHistogram) -> PaceHistogram {
+        let mut sum = PaceHistogram::default();
+        for evidence in std::iter::once(&self.own).chain(self.peers.values()) {
+            sum.add(arm(evidence));
+        }
+        sum
+    }
+
     fn ratio(reading: Duration, took: Duration) -> f64 {
         took.as_secs_f64() / (reading + BASE_TIME).as_secs_f64()
     }
--- a/src/coordination/dispatch/trial.rs
+++ b/src/coordination/dispatch/trial.rs
@@ -69,6 +69,17 @@
         }
     }
 
+    /// Notes the mean time between the events of a stream as evidence for a roll-out.
+    pub fn paced(&mut self, ticket: &Ticket, per_event: Duration, now: Instant) {
+        let Some(arm) = ticket.arm else { return };
+        if let Some(rollout) = self.rollouts.get_mut(&ticket.service)
+            && rollout.order == ticket.order
+            && ticket.settled
+        {
+            rollout.paced(arm, per_event, now);
+        }
+    }
+
     /// Notes that an upstream is dead or has started anew.
     pub fn died(&mut self, upstream: &str, now: Instant) {
         self.poison.died(upstream, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -374,6 +374,12 @@
         core.judge(&place.ticket, quality, now);
     }
 
+    /// Notes the pace of a stream's events for a roll-out.
+    pub fn paced(&self, place: &Place, per_event: Duration) {
+        let now = self.shared.now();
+        self.shared.core().paced(&place.ticket, per_event, now);
+    }
+
     /// Notes an attempt that is about to be made to go on with a stream.
     pub fn note_attempt(&mut self, place: &Place) {
         self.attempts += 1;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
-    coordination::dispatch::{Quality, health::Ended},
+    coordination::dispatch::{Pace, Quality, health::Ended},
     gateway::{
         attempt::{self, Answer},
         events::EventBuffer,
@@ -64,7 +64,7 @@
 impl Relay {
     async fn run(mut self, mut place: Place, mut answer: Answer) {
         loop {
-            let why = match self.pass_on(answer).await {
+            let why = match self.pass_on(&place, answer).await {
                 End::Complete => {
                     place.ended(Ended::Served);
                     self.exchange.judge(&place, Quality::Good);
@@ -95,10 +95,11 @@
         }
     }
 
-    async fn pass_on(&mut self, answer: Answer) -> End {
+    async fn pass_on(&mut self, place: &Place, answer: Answer) -> End {
         // The connection stays open until `answer` is dropped.
         let mut body = answer.response.into_body();
         let mut events = EventBuffer::default();
+        let mut pace = Pace::default();
         loop {
             let remaining = self.remaining();
             let frame = tokio::select! {
@@ -118,6 +119,9 @@
                 return End::Broken("overlong_event");
             }
             while let Some(event) = events.next_event() {
+                if let Some(per_event) = pace.note(self.exchange.shared.now()) {
+                    self.exchange.paced(place, per_event);
+                }
                 if event.id.is_some() && event.id <= self.last_event {
                     continue;
                 }
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -3,12 +3,15 @@
 use std::time::{Duration, Instant};
 
 use hibiscusyoke::coordination::dispatch::{
-    Dispatcher, Quality, health::Ended, peers::TableState, rollout::Arm,
+    Dispatcher, Quality,
+    health::Ended,
+    peers::{RolloutReport, TableState},
+    rollout::{Arm, Evidence},
 };
 use platform::orders::RolloutState;
 use serde_json::json;
 
-use crate::support::{LIMITS, ask, heartbeat, order, place, ready, row, upstream_with};
+use crate::support::{LIMITS, ask, hear, heartbeat, order, place, ready, row, upstream_with};
 
 const WITHIN: Duration = Duration::from_secs(24);
 
@@ -191,6 +194,95 @@
     assert_eq!(dispatcher.decide_rollouts(at(start, 6.0)).len(), 1);
 }
 
+/// Streams of both versions in the first half, with the pauses between their events.
+fn stream(dispatcher: &mut Dispatcher, old: &[u64], new: &[u64], now: Instant) {
+    for (session, i) in (1_000..2_000).zip(0..) {
+        let mut ticket = place(dispatcher, &ask(session), now);
+        let pauses = match ticket.arm {
+            Some(Arm::New) => new,
+            _ => old,
+        };
+        let pause = Duration::from_millis(pauses[i % pauses.len()]);
+        dispatcher.begun(&mut ticket, Duration::from_millis(100));
+        dispatcher.paced(&ticket, pause, now);
+        dispatcher.finish(&ticket, Ended::Served, now);
+    }
+}
+
+/// The old version has so much to do that its slower streams are as slow as the new version's.
+#[test]
+fn slow_version_is_told_beside_a_loaded_old_one() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    stream(
+        &mut dispatcher,
+        &[40, 60, 90, 160, 300],
+        &[130, 160, 300],
+        at(start, 6.0),
+    );
+    assert_eq!(dispatcher.decide_rollouts(at(start, 6.0)).len(), 1);
+}
+
+#[test]
+fn good_version_is_not_condemned_by_some_slow_streams() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    stream(
+        &mut dispatcher,
+        &[40, 60, 90],
+        &[45, 160, 300, 300],
+        at(start, 6.0),
+    );
+    assert_eq!(dispatcher.decide_rollouts(at(start, 6.0)), []);
+}
+
+/// Once all sessions have moved, the new version is slower because it has all the load.
+#[test]
+fn pace_under_the_load_of_all_sessions_says_nothing() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    stream(
+        &mut dispatcher,
+        &[40, 60, 90],
+        &[40, 60, 90],
+        at(start, 6.0),
+    );
+    let moved = at(start, 14.0);
+    stream(&mut dispatcher, &[300], &[300], moved);
+    assert_eq!(dispatcher.decide_rollouts(moved), []);
+}
+
+/// Requests of a daemon that was killed hold nothing up once it has started anew.
+#[test]
+fn requests_of_an_earlier_incarnation_do_not_hold_up_completion() {
+    let start = Instant::now();
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, at(start, 13.5));
+    let ended = at(start, 14.0);
+    for (incarnation, running_old) in [(1, 3), (2, 0)] {
+        let mut said = heartbeat("front-2", TableState::Answers);
+        said.from.incarnation = incarnation;
+        said.rollouts = vec![RolloutReport {
+            service: "pool".into(),
+            order: 2,
+            state: RolloutState::Running,
+            elapsed: Duration::from_secs(14),
+            evidence: Evidence {
+                running_old,
+                ..Evidence::default()
+            },
+            bound: Vec::new(),
+        }];
+        hear(&mut dispatcher, &[said], ended);
+        assert_eq!(dispatcher.decide_rollouts(ended), []);
+    }
+    let decided = dispatcher.decide_rollouts(ended + LIMITS.session_time);
+    assert_eq!(decided, [("pool".into(), RolloutState::Completed)]);
+}
+
 /// Sessions of the old version end before the roll-out is completed, but not beyond its time.
 #[test]
 fn good_version_is_completed_after_the_last_session() {
