Keep the exposure of a new version allowed even if its fault never shows

Change: a trial of 5% of sessions lasts until the rest of the time would just fill nine tenths of the allowed exposure, which is now a setting; then all sessions move. The old version is left at 0.97 of the time. Ruled out: completing one session time after the move, which misses the time of every roll-out shorter than 38 s; refusing sessions of the old version.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -59,6 +59,8 @@
     pub repeats: RepeatLimit,
     /// How long requests of one session may be apart.
     pub session_time: Duration,
+    /// The part of a service's requests that may reach a bad version, from 0 to 1.
+    pub exposure: f64,
 }
 
 /// What one daemon believes, and the decisions that follow from it.
--- a/src/coordination/dispatch/orders.rs
+++ b/src/coordination/dispatch/orders.rs
@@ -81,10 +81,12 @@
         if known.is_some_and(|known| known.order >= version) {
             return Applied::Nothing;
         }
-        let mut rollout = Rollout::new(version, order.target.clone(), order.within, now);
+        let applied = Applied::RolloutOrdered(order.service.clone(), order.target.clone());
+        let service = order.service.clone();
+        let mut rollout = Rollout::new(version, order, self.limits.exposure, now);
         rollout.bind(self.sessions.recent(now, self.limits.session_time), now);
-        self.rollouts.insert(order.service.clone(), rollout);
-        Applied::RolloutOrdered(order.service, order.target)
+        self.rollouts.insert(service, rollout);
+        applied
     }
 
     pub(super) fn restore(&mut self, domain: DomainName, now: Instant) -> Applied {
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -1,15 +1,19 @@
 //! Moving a service to a new version: which sessions go there, and when it is judged.
 //!
 //! Answers the load pattern of a version that fails, slows down, or does so late, under load or on
-//! one route only. For the first half of the time a small constant share of sessions runs on the
-//! new version; then all move in steps that stop at a doubt.
+//! one route only. A small constant share of sessions runs on the new version for as long as the
+//! rest of the time still keeps its part of all requests within the allowed exposure, because a
+//! fault may never show; then all move.
 
 use std::{
     collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
-use platform::{RowVersion, VersionName, orders::RolloutState};
+use platform::{
+    RowVersion, VersionName,
+    orders::{RolloutOrder, RolloutState},
+};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,23 +21,16 @@
 
 /// How long sessions under way are gathered before any goes to the new version.
 const SETTLE_TIME: Duration = Duration::from_millis(1_200);
-/// The steps of a roll-out: from this part of its time on, this part of sessions.
-const STEPS: [Step; 3] = [
-    Step {
-        from: 0.0,
-        share: 0.08,
-    },
-    Step {
-        from: 0.5,
-        share: 0.35,
-    },
-    Step {
-        from: 0.55,
-        share: 1.0,
-    },
-];
+/// The part of sessions that runs on the new version while it is on trial.
+const TRIAL_SHARE: f64 = 0.05;
+/// The part of the allowed exposure that is used, since the load may rise towards the end.
+const USED_EXPOSURE: f64 = 0.9;
+/// The part of the time before which sessions under way are not moved.
+const EARLIEST_MOVE: f64 = 0.55;
+/// The part of the time in which all sessions move at the latest.
+const LATEST_MOVE: f64 = 0.93;
 /// The part of the time after which the old version is left even if requests run on it.
-const LAST_CALL: f64 = 0.92;
+const LAST_CALL: f64 = 0.97;
 /// The failures that are needed to judge a version on all routes.
 const LEAST_FAILURES: u32 = 4;
 /// The failures that are needed to judge a version on one route.
@@ -61,12 +58,6 @@
 /// The sessions remembered at most.
 const MAX_BOUND: usize = 512;
 
-#[derive(Clone, Copy, Debug)]
-struct Step {
-    from: f64,
-    share: f64,
-}
-
 /// One of the two versions of a service in a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Arm {
@@ -86,6 +77,17 @@
     }
 }
 
+/// How far the sessions have moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Sessions under way are gathered.
+    Settling,
+    /// A small part of sessions runs on the new version.
+    Trial,
+    /// All sessions run there.
+    Moved,
+}
+
 /// Answers of one arm on one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -155,6 +157,8 @@
     /// When it was ordered, as far as this daemon knows.
     pub started: Instant,
     within: Duration,
+    /// The part of all requests that may reach a bad version.
+    exposure: f64,
     /// When an upstream of the new version was first seen.
     new_seen: Option<Instant>,
     /// When requests were last known to run on the old version.
@@ -169,13 +173,14 @@
 
 impl Rollout {
     /// A roll-out that was ordered at `started`.
-    pub fn new(order: RowVersion, target: VersionName, within: Duration, started: Instant) -> Self {
+    pub fn new(version: RowVersion, order: RolloutOrder, exposure: f64, started: Instant) -> Self {
         Self {
-            order,
-            target,
+            order: version,
+            target: order.target,
             state: RolloutState::Running,
             started,
-            within,
+            within: order.within,
+            exposure,
             new_seen: None,
             old_busy: None,
             usual: None,
@@ -221,7 +226,7 @@
         let order = self.order;
         let chosen = sessions
             .into_iter()
-            .filter(|session| lot(*session, order) < STEPS[0].share);
+            .filter(|session| lot(*session, order) < TRIAL_SHARE);
         for session in chosen {
             if self.bound.len() < MAX_BOUND {
                 self.bound.entry(session).or_insert(now);
@@ -231,15 +236,15 @@
 
     /// Where a session's next request runs.
     pub fn arm(&mut self, session: u64, now: Instant) -> Arm {
-        let share = self.share(now);
-        let arm = match self.state {
-            RolloutState::RolledBack => Arm::Old,
-            RolloutState::Completed => Arm::New,
-            RolloutState::Running if share > STEPS[0].share => arm_of(session, self.order, share),
-            RolloutState::Running if self.bound.contains_key(&session) => Arm::Old,
-            RolloutState::Running => arm_of(session, self.order, share),
+        let phase = self.phase(now);
+        let arm = match (self.state, phase) {
+            (RolloutState::RolledBack, _) => Arm::Old,
+            (RolloutState::Completed, _) | (RolloutState::Running, Phase::Moved) => Arm::New,
+            (RolloutState::Running, Phase::Settling) => Arm::Old,
+            (RolloutState::Running, Phase::Trial) if self.bound.contains_key(&session) => Arm::Old,
+            (RolloutState::Running, Phase::Trial) => arm_of(session, self.order),
         };
-        if arm == Arm::Old && self.state == RolloutState::Running && share <= STEPS[0].share {
+        if arm == Arm::Old && self.state == RolloutState::Running {
             self.bind([session], now);
         }
         arm
@@ -366,17 +371,23 @@
         if self.state != RolloutState::Running || self.new_seen.is_none() {
             return false;
         }
-        let moved = self.started + self.within.mul_f64(STEPS[STEPS.len() - 1].from);
         let quiet = self
             .old_busy
             .is_some_and(|busy| now.saturating_duration_since(busy) >= session_time);
         let last_call = self.started + self.within.mul_f64(LAST_CALL);
-        now >= last_call || (now >= moved && quiet)
+        now >= last_call || (now >= self.moved_from() && quiet)
     }
 
     /// Whether both versions run, so that one can be told from the other in the same seconds.
     fn on_trial(&self, now: Instant) -> bool {
-        self.state == RolloutState::Running && self.share(now) < 1.0
+        self.state == RolloutState::Running && self.phase(now) != Phase::Moved
+    }
+
+    /// When all sessions move, so that the new version's part of all requests stays allowed.
+    fn moved_from(&self) -> Instant {
+        let rest = 1.0 - self.exposure * USED_EXPOSURE;
+        let part = (rest / (1.0 - TRIAL_SHARE)).clamp(EARLIEST_MOVE, LATEST_MOVE);
+        self.started + self.within.mul_f64(part)
     }
 
     fn is_slow_paced(&self) -> bool {
@@ -416,20 +427,15 @@
         tallies.entry(route).or_default()
     }
 
-    fn share(&self, now: Instant) -> f64 {
-        let Some(seen) = self.new_seen else {
-            return 0.0;
-        };
-        if now.saturating_duration_since(seen) < SETTLE_TIME {
-            return 0.0;
+    fn phase(&self, now: Instant) -> Phase {
+        let settled = self
+            .new_seen
+            .is_some_and(|seen| now.saturating_duration_since(seen) >= SETTLE_TIME);
+        match settled {
+            false => Phase::Settling,
+            true if now >= self.moved_from() => Phase::Moved,
+            true => Phase::Trial,
         }
-        let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
-        let part = elapsed / self.within.as_secs_f64().max(f64::EPSILON);
-        STEPS
-            .iter()
-            .rev()
-            .find(|step| part >= step.from)
-            .map_or(0.0, |step| step.share)
     }
 
     fn merged(&self, arm: impl Fn(&Evidence) -> &BTreeMap<u32, Tally>) -> BTreeMap<u32, Tally> {
@@ -444,8 +450,8 @@
     }
 }
 
-fn arm_of(session: u64, order: RowVersion, share: f64) -> Arm {
-    match lot(session, order) < share {
+fn arm_of(session: u64, order: RowVersion) -> Arm {
+    match lot(session, order) < TRIAL_SHARE {
         true => Arm::New,
         false => Arm::Old,
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -63,6 +63,8 @@
     pub grace_period_s: f64,
     /// How long requests of one session may be apart.
     pub session_s: f64,
+    /// The part of a service's requests that may reach a bad version, from 0 to 1.
+    pub exposure: f64,
     /// Repeats allowed for each request, over all daemons.
     pub repeat_ratio: f64,
     /// Repeats allowed beside the ratio in a window.
@@ -93,6 +95,7 @@
                 slack: self.repeat_slack,
             },
             session_time: Duration::from_secs_f64(self.session_s),
+            exposure: self.exposure,
         }
     }
 
@@ -120,6 +123,9 @@
         if !(0.0..1e6).contains(&self.repeat_ratio) || !(0.0..1e9).contains(&self.repeat_slack) {
             return range("the limit on repeats is out of range");
         }
+        if !(0.0..=1.0).contains(&self.exposure) {
+            return range("exposure is not between 0 and 1");
+        }
         if self.peer_ports.0 > self.peer_ports.1 {
             return range("peer_ports: the first port is after the last");
         }
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -20,6 +20,7 @@
         slack: 56.0,
     },
     session_time: Duration::from_secs(5),
+    exposure: 0.15,
 };
 
 /// An address for something that no test connects to.
