Add a randomized soak of real gateways under faults from outside

One seed draws 4 to 12 overlapping faults: gateways killed, ordered to stop, halted, told to reload, all killed; connections to the table or to an upstream delayed, reset, cut one way or silenced by a loopback proxy; upstreams and the table misbehaving; drains and changes of the configuration. Callers keep open connections until their gateway is gone. Settings and configuration of a small deployment moved from tests/gateway to the stand-ins, where both use them.

Not covered: the time of day (no right to set it), heartbeats on UDP (only halted processes cut them), disks (the gateway has none).

--- /dev/null
+++ b/soak/src/caller.rs
@@ -0,0 +1,286 @@
+//! Callers, who keep using open connections until their gateway is gone.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro128PlusPlus;
+use stand_in::users::upstream::EVENTS;
+use tokio::{net::TcpStream, task::JoinHandle};
+
+use crate::{
+    ledger::{Kind, Outcome, Record},
+    site::{KEY, Site},
+};
+
+/// The time that callers grant a request.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// How much longer they wait for its answer.
+const ANSWER_SLACK: Duration = Duration::from_secs(2);
+/// The time to open a connection, or to be told where to open one.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The pause between two requests of a caller, in milliseconds.
+const PAUSES_MS: std::ops::Range<u64> = 5..60;
+/// How often a caller asks for another gateway although its connection is open.
+const MOVE_SHARE: f64 = 0.05;
+
+/// Callers at work.
+#[derive(Debug)]
+pub struct Callers {
+    stopped: Arc<AtomicBool>,
+    tasks: Vec<JoinHandle<Vec<Record>>>,
+}
+
+impl Callers {
+    /// Lets callers end their requests, and returns all requests that were sent.
+    pub async fn stop(self) -> Vec<Record> {
+        self.stopped.store(true, Ordering::Relaxed);
+        let records = futures::future::join_all(self.tasks).await;
+        records.into_iter().flatten().flatten().collect()
+    }
+}
+
+/// Starts callers of a site.
+pub fn spawn(site: &Site, seed: u64, callers: usize) -> Callers {
+    let stopped = Arc::new(AtomicBool::new(false));
+    let gateways: Arc<[Gateway]> = (0..site.fleet.len())
+        .map(|index| Gateway {
+            front: site.fleet.front(index),
+            directory: site.fleet.directory(index),
+        })
+        .collect();
+    let tasks = (0..callers)
+        .map(|number| {
+            let caller = Caller {
+                number,
+                gateways: gateways.clone(),
+                rng: Xoshiro128PlusPlus::seed_from_u64(seed ^ number as u64),
+                connection: None,
+                stopped: stopped.clone(),
+            };
+            tokio::spawn(caller.run())
+        })
+        .collect();
+    Callers { stopped, tasks }
+}
+
+#[derive(Debug)]
+struct Gateway {
+    front: SocketAddr,
+    directory: SocketAddr,
+}
+
+struct Connection {
+    gateway: usize,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+struct Caller {
+    number: usize,
+    gateways: Arc<[Gateway]>,
+    rng: Xoshiro128PlusPlus,
+    connection: Option<Connection>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Caller {
+    async fn run(mut self) -> Vec<Record> {
+        let mut records = Vec::new();
+        while !self.stopped.load(Ordering::Relaxed) {
+            let pause = Duration::from_millis(self.rng.random_range(PAUSES_MS));
+            tokio::time::sleep(pause).await;
+            let id = format!("c{}-{}", self.number, records.len());
+            if let Some(record) = self.request(id).await {
+                records.push(record);
+            }
+        }
+        records
+    }
+
+    /// Sends one request; tells nothing if no gateway could be found.
+    async fn request(&mut self, id: String) -> Option<Record> {
+        let kind = match self.rng.random_range(0..5) {
+            0 | 1 => Kind::Book,
+            2 => Kind::Look,
+            _ => Kind::Ask,
+        };
+        if self.rng.random_bool(MOVE_SHARE) {
+            self.connection = None;
+        }
+        let gateway = match &self.connection {
+            Some(connection) if !connection.sender.is_closed() => connection.gateway,
+            _ => self.find_gateway().await?,
+        };
+        let sent = Instant::now();
+        let within = tokio::time::timeout(DEADLINE + ANSWER_SLACK, self.send(gateway, kind, &id));
+        let outcome = within.await.unwrap_or(Outcome::TimedOut);
+        if matches!(outcome, Outcome::TimedOut | Outcome::NoAnswer(_)) {
+            self.connection = None;
+        }
+        Some(Record {
+            id,
+            kind,
+            gateway,
+            sent,
+            took: sent.elapsed(),
+            outcome,
+        })
+    }
+
+    /// Asks some gateway where to go.
+    async fn find_gateway(&mut self) -> Option<usize> {
+        let asked = self.rng.random_range(0..self.gateways.len());
+        let named = directory(self.gateways[asked].directory).await;
+        let known: Vec<usize> = (0..self.gateways.len())
+            .filter(|index| named.contains(&self.gateways[*index].front))
+            .collect();
+        self.connection = None;
+        match known.is_empty() {
+            true => None,
+            false => Some(known[self.rng.random_range(0..known.len())]),
+        }
+    }
+
+    async fn send(&mut self, gateway: usize, kind: Kind, id: &str) -> Outcome {
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => match connect(self.gateways[gateway].front).await {
+                Some(sender) => Connection { gateway, sender },
+                None => return Outcome::NotSent,
+            },
+        };
+        let outcome = exchange(&mut connection.sender, kind, id, KEY).await;
+        self.connection = Some(connection);
+        outcome
+    }
+}
+
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    kind: Kind,
+    id: &str,
+    key: &str,
+) -> Outcome {
+    if sender.ready().await.is_err() {
+        return Outcome::NotSent;
+    }
+    let response = match sender.send_request(request(kind, id, key)).await {
+        Ok(response) => response,
+        Err(e) => return Outcome::NoAnswer(e.to_string()),
+    };
+    let status = response.status();
+    let said_when = response.headers().contains_key("retry-after");
+    if status == StatusCode::SERVICE_UNAVAILABLE && said_when {
+        return Outcome::NotRun;
+    }
+    if !status.is_success() {
+        // The rest of a failure tells nothing more.
+        let _ = response.into_body().collect().await;
+        return Outcome::Failed(status);
+    }
+    read(response, kind, id).await
+}
+
+async fn read(response: Response<Incoming>, kind: Kind, id: &str) -> Outcome {
+    if !response.headers().contains_key("response-seal") {
+        return Outcome::Wrong("a success without a signature".into());
+    }
+    let body = match response.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) if kind == Kind::Ask => return Outcome::BrokenOff,
+        Err(e) => return Outcome::NoAnswer(e.to_string()),
+    };
+    let text = String::from_utf8_lossy(&body);
+    match kind {
+        Kind::Book | Kind::Look if text == format!("answer to {id}") => Outcome::Served,
+        Kind::Book | Kind::Look => Outcome::Wrong(text.into_owned()),
+        Kind::Ask => {
+            let events: Vec<u64> = text
+                .lines()
+                .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+                .collect();
+            match events == (1..=EVENTS).collect::<Vec<_>>() {
+                true => Outcome::Served,
+                false => Outcome::Wrong(format!("events {events:?}")),
+            }
+        }
+    }
+}
+
+/// What a gateway answers to a request with a key.
+pub async fn probe(front: SocketAddr, key: &str) -> Outcome {
+    let Some(mut sender) = connect(front).await else {
+        return Outcome::NotSent;
+    };
+    let asked = tokio::time::timeout(
+        DEADLINE + ANSWER_SLACK,
+        exchange(&mut sender, Kind::Look, "probe", key),
+    );
+    asked.await.unwrap_or(Outcome::TimedOut)
+}
+
+/// A request of a kind, with a key.
+fn request(kind: Kind, id: &str, key: &str) -> Request<Full<Bytes>> {
+    let builder = Request::builder()
+        .header("host", "h")
+        .header("request-id", id)
+        .header("x-api-key", key)
+        .header("deadline-ms", DEADLINE.as_millis().to_string());
+    let built = match kind {
+        Kind::Book => builder.method("POST").uri("/book/1").body(Full::default()),
+        Kind::Look => builder.method("GET").uri("/look/1").body(Full::default()),
+        Kind::Ask => builder
+            .method("POST")
+            .uri("/ask/1")
+            .header("model", "*")
+            .header("session", format!("session-{id}"))
+            .header("token-usage", "900,24")
+            .header("prompt-prefix", "a:500,b:200")
+            .body(Full::new(Bytes::from_static(b"a prompt"))),
+    };
+    built.expect("the parts of a request are constants")
+}
+
+/// Opens a connection to a gateway.
+async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = stream.await.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // The caller sees how its request ended.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
+
+/// The gateways that a gateway names; none if it doesn't answer.
+pub async fn directory(address: SocketAddr) -> Vec<SocketAddr> {
+    let asked = tokio::time::timeout(CONNECT_TIMEOUT, ask_directory(address));
+    asked.await.ok().flatten().unwrap_or_default()
+}
+
+async fn ask_directory(address: SocketAddr) -> Option<Vec<SocketAddr>> {
+    let mut sender = connect(address).await?;
+    let request = Request::get("/resolve?name=h&region=r&zone=a")
+        .header("host", "h")
+        .body(Full::default())
+        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let answer: serde_json::Value = serde_json::from_slice(&body).ok()?;
+    serde_json::from_value(answer["addresses"].clone()).ok()
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,135 @@
+//! The faults of one seed.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro128PlusPlus;
+use stand_in::users::{table::Fault as TableFault, upstream::Behaviour};
+
+use crate::link::Link;
+
+/// The faults of a plan, at least and at most.
+const STEPS: std::ops::RangeInclusive<usize> = 4..=12;
+/// How long a fault lasts, in milliseconds.
+const LENGTHS_MS: std::ops::RangeInclusive<u64> = 200..=4_000;
+
+/// Something that happens to the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway is killed, and started again later.
+    Kill(usize),
+    /// A gateway is ordered to stop, and started again later.
+    Stop(usize),
+    /// A gateway is halted and goes on later.
+    Pause(usize),
+    /// All gateways are killed, and started again later.
+    KillAll,
+    /// A gateway is told to read its settings again.
+    Reload(usize),
+    /// The connections between a gateway and the table suffer.
+    TableLink(usize, Link),
+    /// The connections to an upstream suffer.
+    UpstreamLink(usize, Link),
+    /// An upstream misbehaves.
+    Upstream(usize, Behaviour),
+    /// The table misbehaves.
+    Table(TableFault),
+    /// The table forgets its history.
+    Compact,
+    /// An upstream is emptied, and takes work again later.
+    Drain(usize),
+    /// The operators change the configuration.
+    Configure,
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    /// When it begins, from the start of the storm.
+    pub at: Duration,
+    /// How long it lasts.
+    pub length: Duration,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// The faults of one seed, in order of time.
+pub type Plan = Vec<Step>;
+
+/// Draws the faults of a seed; they may overlap and hit the same part several times.
+pub fn draw(seed: u64, gateways: usize, upstreams: usize, storm: Duration) -> Plan {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed);
+    let steps = rng.random_range(STEPS);
+    // Some seeds aim at one gateway and one upstream again and again.
+    let focus = rng.random_bool(0.3);
+    let (gateway, upstream) = (
+        rng.random_range(0..gateways),
+        rng.random_range(0..upstreams),
+    );
+    let mut plan: Plan = (0..steps)
+        .map(|_| {
+            let pick = |rng: &mut Xoshiro128PlusPlus, of, fixed| match focus {
+                true => fixed,
+                false => rng.random_range(0..of),
+            };
+            let gateway = pick(&mut rng, gateways, gateway);
+            let upstream = pick(&mut rng, upstreams, upstream);
+            Step {
+                at: storm.mul_f64(rng.random()),
+                length: Duration::from_millis(rng.random_range(LENGTHS_MS)),
+                fault: draw_fault(&mut rng, gateway, upstream),
+            }
+        })
+        .collect();
+    plan.sort_by_key(|step| step.at);
+    plan
+}
+
+fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
+    match rng.random_range(0..16) {
+        0 | 1 => Fault::Kill(gateway),
+        2 | 3 => Fault::Stop(gateway),
+        4 | 5 => Fault::Pause(gateway),
+        6 => Fault::Reload(gateway),
+        7 => Fault::TableLink(gateway, draw_link(rng)),
+        8 | 9 => Fault::UpstreamLink(upstream, draw_link(rng)),
+        10 | 11 => Fault::Upstream(upstream, draw_behaviour(rng)),
+        12 => Fault::Table(draw_table_fault(rng)),
+        13 => match rng.random_bool(0.5) {
+            true => Fault::Compact,
+            false => Fault::KillAll,
+        },
+        14 => Fault::Drain(upstream),
+        _ => Fault::Configure,
+    }
+}
+
+fn draw_link(rng: &mut impl Rng) -> Link {
+    match rng.random_range(0..5) {
+        0 => Link::Delayed(Duration::from_millis(rng.random_range(10..400))),
+        1 => Link::Reset,
+        2 => Link::Silent,
+        3 => Link::RequestsLost,
+        _ => Link::AnswersLost,
+    }
+}
+
+fn draw_behaviour(rng: &mut impl Rng) -> Behaviour {
+    match rng.random_range(0..7) {
+        0 => Behaviour::Fail,
+        1 => Behaviour::Refuse,
+        2 => Behaviour::Break,
+        3 => Behaviour::BreakAfter(rng.random_range(0..5)),
+        4 => Behaviour::Foreign,
+        5 => Behaviour::Unsigned,
+        _ => Behaviour::Hang,
+    }
+}
+
+fn draw_table_fault(rng: &mut impl Rng) -> TableFault {
+    match rng.random_range(0..3) {
+        0 => TableFault::Silent,
+        1 => TableFault::Busy,
+        _ => TableFault::LostAnswers,
+    }
+}
--- a/stand-in/src/users/upstream.rs
+++ b/stand-in/src/users/upstream.rs
@@ -7,7 +7,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -58,6 +58,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// When it had read it.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -124,8 +126,18 @@
 
     /// Its row in the table.
     pub fn row(&self, service: &str, version: &str) -> serde_json::Value {
+        self.row_at(self.address, service, version)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its row in the table, where gateways reach it at another address.
+    pub fn row_at(&self, address: SocketAddr, service: &str, version: &str) -> serde_json::Value {
         serde_json::json!({
-            "service": service, "address": self.address, "zone": "a", "version": version,
+            "service": service, "address": address, "zone": "a", "version": version,
             "slots": 16, "state": "ready", "cold_remaining_ms": 0, "born": 1,
         })
     }
@@ -158,6 +170,7 @@
             id: id.clone(),
             headers,
             body,
+            at: Instant::now(),
         });
         let _working = Working::begin(&self.working);
         match behaviour {
--- a/tests/gateway/bed.rs
+++ b/tests/gateway/bed.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::{Child, Command},
     sync::atomic::{AtomicU8, Ordering},
@@ -14,11 +14,14 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use serde_json::json;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 
-use stand_in::users::{table::TableStandIn, upstream::UpstreamStandIn};
+use stand_in::users::{
+    deployment::{Port, address, configuration, loopback, settings, signal},
+    table::TableStandIn,
+    upstream::UpstreamStandIn,
+};
 
 /// The time within which anything awaited must happen.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -130,17 +133,8 @@
     /// Starts one more gateway.
     pub(crate) fn start_gateway(&mut self) {
         let number = u8::try_from(self.gateways.len() + 1).expect("few gateways");
-        // Each run of the tests has addresses of its own.
-        let run = u8::try_from(std::process::id() % 200).expect("under 200") + 10;
-        let ip = IpAddr::V4(Ipv4Addr::new(127, run, self.number, number));
-        let settings = json!({
-            "name": format!("front-{number}"), "domain": "a", "ip": ip,
-            "front": address(ip, Port::Front), "ready": address(ip, Port::Ready),
-            "directory": address(ip, Port::Directory), "metrics": address(ip, Port::Metrics),
-            "table": self.table.address(), "peer_ports": [7_340, 7_355],
-            "directory_ttl_max_s": 5, "grace_period_s": 8, "session_s": 5, "exposure": 0.15,
-            "repeat_ratio": 0.9, "repeat_slack": 56, "repeat_window_s": 10,
-        });
+        let ip = loopback(self.number, number);
+        let settings = settings(&format!("front-{number}"), ip, self.table.address());
         let path = self.folder.path().join(format!("gateway-{number}.jsonc"));
         fs::write(&path, format!("// settings of a test\n{settings}")).expect("written");
         let log = self.folder.path().join(format!("gateway-{number}.log"));
@@ -261,10 +255,7 @@
 
     /// Sends a signal to its process.
     pub(crate) fn signal(&self, name: &str) {
-        let sent = Command::new("kill")
-            .args(["-s", name, &self.process.id().to_string()])
-            .status();
-        assert!(sent.expect("kill runs").success());
+        signal(self.process.id(), name).expect("sent");
     }
 
     /// Waits for its end.
@@ -289,45 +280,6 @@
     }
 }
 
-#[derive(Clone, Copy)]
-enum Port {
-    Front = 18_001,
-    Ready = 18_002,
-    Directory = 18_003,
-    Metrics = 18_004,
-}
-
-fn address(ip: IpAddr, port: Port) -> SocketAddr {
-    SocketAddr::new(ip, port as u16)
-}
-
-/// A configuration with a route of each kind.
-pub(crate) fn configuration(generation: u64, keys: &[&str]) -> serde_json::Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
-        json!({
-            "name": name, "hostname": "h", "prefix": prefix, "kind": kind, "service": service,
-            "timeout_ms": 4_000, "target_latency_ms": 500, "max_attempts": attempts,
-            "allow_anonymous": false, "stream_resume": kind == "streaming",
-            "sizes": if kind == "streaming" { json!(["small", "large"]) } else { json!([]) },
-        })
-    };
-    json!({
-        "version": generation,
-        "routes": [
-            route("ask", "/ask/", "streaming", "pool", 3),
-            route("book", "/book/", "non_idempotent", "desk", 1),
-            route("look", "/look/", "idempotent", "desk", 2),
-        ],
-        "services": [
-            {"name": "pool", "cold_start_s": 0.0, "cold_per_s": 0.0,
-             "engine": {"slots": 16, "kv_capacity_tokens": 100_000, "models": []}},
-            {"name": "desk"},
-        ],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_096, "idle_timeout_ms": 15_000},
-        "tenants": [{"name": "t1", "api_keys": keys}],
-    })
-}
-
 /// Waits until a condition holds.
 pub(crate) async fn wait<F: Future<Output = bool>>(condition: impl Fn() -> F) {
     let waiting = tokio::time::timeout(PATIENCE, async {
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -7,9 +7,9 @@
 
 use http::{Method, StatusCode};
 
-use stand_in::users::upstream::Behaviour;
+use stand_in::users::{deployment::configuration, upstream::Behaviour};
 
-use crate::bed::{Bed, configuration, plain, stream, wait};
+use crate::bed::{Bed, plain, stream, wait};
 
 /// What `hibiscusyoke trace ID` makes of a log.
 fn trace(id: &str, log: &str) -> String {
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -2,9 +2,12 @@
 
 use http::{Method, StatusCode};
 
-use stand_in::users::upstream::{EVENTS, runs_by_id};
+use stand_in::users::{
+    deployment::configuration,
+    upstream::{EVENTS, runs_by_id},
+};
 
-use crate::bed::{Bed, configuration, plain, stream, wait};
+use crate::bed::{Bed, plain, stream, wait};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_kind_through_two_gateways() {
