Tell the daemons that share an engine of each prompt sent to it

Cause: a replay of many daemons before engines that read one prompt after another (tests/dispatch/herd.rs, 70% use) shows the choice doing worse than chance: prompts waited 91 ms on the mean with 8 daemons and 9 engines (52 by chance), 305 ms with 40 and 48 (45 by chance). The backlog that a daemon added up came from heartbeats of 0.35 to 1.3 s of age, while a prompt is read in 45 ms, so all sent to the engine that had looked idle.

Change: each engine has a queue in time, which all who share it keep: a daemon that sends a prompt tells them at once, in a datagram of a few bytes. On large fleets a daemon uses the 12 engines that come next to it on a circle of hashes, so that the notices for a prompt don't grow with the fleet and the domain of what it must know stays small; others are used only when none of these can be. What this daemon still waits for counts until it has been read, so that an engine that stands still is not taken for idle. Heartbeats tell only prompts that are overdue.

Ruled out in the replay: the best of two to five drawn engines with the old counts (49 to 127 ms), less weight for others' counts (73 to 357 ms).

--- a/src/coordination/dispatch/hearing.rs
+++ b/src/coordination/dispatch/hearing.rs
@@ -5,12 +5,18 @@
     time::{Duration, Instant},
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::coordination::dispatch::{
     Dispatcher,
     followers::{self, Contender, Duty},
-    peers::{Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
+    peers::{DaemonName, Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
     place::UNSEEN_RESTART_TIME,
+    queue::SentNotice,
+    registry::Upstream,
+    ticket::Ticket,
     trial::KnownRollout,
+    window::Seat,
 };
 
 /// How long other daemons are told that the table was lost.
@@ -33,7 +39,7 @@
             .map(|u| LoadReport {
                 upstream: u.hash,
                 running: u.running,
-                backlog: u.backlog,
+                overdue: u.queue.overdue(now),
                 unreachable: u.health.is_unreachable() && !u.health.usable(now),
             })
             .collect();
@@ -78,6 +84,55 @@
         new
     }
 
+    /// What to tell the daemons that share an engine of a prompt that was sent to it.
+    pub fn notice(&self, ticket: &Ticket) -> Option<SentNotice> {
+        let upstream = self.registry.get(&ticket.upstream)?;
+        (!ticket.reading.is_zero()).then_some(SentNotice {
+            upstream: upstream.hash,
+            reading: ticket.reading,
+        })
+    }
+
+    /// Where the daemons are that share the engine of a ticket.
+    pub fn notice_receivers(&self, ticket: &Ticket, now: Instant) -> Vec<SocketAddr> {
+        let Some(engine) = self.registry.get(&ticket.upstream) else {
+            return Vec::new();
+        };
+        let engines = self.engines_beside(engine, now);
+        let index = engines.iter().filter(|hash| **hash < engine.hash).count();
+        let names: Vec<&DaemonName> = self.peers.sharers(now).collect();
+        self.peers
+            .living(now)
+            .filter(|peer| {
+                seat(&peer.last.from.name, &self.me.name, &names).uses(index, engines.len())
+            })
+            .map(|peer| peer.address)
+            .collect()
+    }
+
+    /// The hashes of the listed engines of the same service and version.
+    fn engines_beside(&self, engine: &Upstream, now: Instant) -> Vec<u64> {
+        self.registry
+            .of_service(&engine.service)
+            .filter(|u| u.is_listed(now) && u.version == engine.version)
+            .map(|u| u.hash)
+            .collect()
+    }
+
+    /// This daemon's place among all.
+    pub(super) fn own_seat(&self, now: Instant) -> Seat {
+        let names: Vec<&DaemonName> = self.peers.sharers(now).collect();
+        seat(&self.me.name, &self.me.name, &names)
+    }
+
+    /// Takes in that another daemon has sent a prompt to an engine.
+    pub fn hear_notice(&mut self, notice: SentNotice, now: Instant) {
+        let upstream = self.registry.all_mut().find(|u| u.hash == notice.upstream);
+        if let Some(upstream) = upstream {
+            upstream.queue.add(notice.reading, now);
+        }
+    }
+
     /// Notes that the table did not answer this daemon.
     pub fn table_lost(&mut self, now: Instant) {
         self.table_lost = Some(now);
@@ -167,8 +222,20 @@
             for load in &peer.last.loads {
                 let sum = self.peer_loads.entry(load.upstream).or_default();
                 sum.running += load.running;
-                sum.backlog += load.backlog;
+                sum.overdue += load.overdue;
             }
         }
     }
 }
+
+/// The place of a daemon among `me` and the others.
+fn seat(name: &str, me: &str, others: &[&DaemonName]) -> Seat {
+    let place = |name: &str| xxh3_64(name.as_bytes());
+    let own = place(name);
+    let others = others.iter().map(|name| name.as_str());
+    let all = others.chain(std::iter::once(me));
+    Seat {
+        rank: all.clone().filter(|other| place(other) < own).count(),
+        daemons: all.count(),
+    }
+}
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -28,6 +28,7 @@
 mod place;
 pub mod poison;
 pub mod prefix;
+pub mod queue;
 pub mod registry;
 pub mod rollout;
 pub mod routes;
@@ -35,6 +36,7 @@
 pub mod speed;
 pub mod ticket;
 mod trial;
+pub mod window;
 
 use budget::{RepeatBudget, RepeatLimit};
 use peers::{PeerId, Peers, Readiness};
@@ -95,7 +97,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerLoad {
     running: u32,
-    backlog: Duration,
+    overdue: Duration,
 }
 
 impl Dispatcher {
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -68,8 +68,8 @@
     pub upstream: u64,
     /// The daemon's requests on it.
     pub running: u32,
-    /// The time that it needs to read their prompts.
-    pub backlog: Duration,
+    /// The time to read those of their prompts that ought to have been read by now.
+    pub overdue: Duration,
     /// Whether the daemon could not connect to it lately.
     pub unreachable: bool,
 }
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -14,6 +14,7 @@
     prefix::{self, Link},
     registry::Upstream,
     rollout::Arm,
+    speed::FIRST_EVENT_TIME,
     ticket::{Ask, Choice, NoPlace, Ticket},
 };
 
@@ -51,7 +52,8 @@
             return;
         }
         if let Some(upstream) = self.registry.get_mut(&ticket.upstream) {
-            upstream.backlog = upstream.backlog.saturating_sub(ticket.reading);
+            let reading = took.saturating_sub(FIRST_EVENT_TIME);
+            upstream.queue.begun(ticket.due, ticket.taken + reading);
         }
         if let (Some(arm), Some(rollout)) = (ticket.arm, self.rollouts.get_mut(&ticket.service))
             && rollout.order == ticket.order
@@ -74,7 +76,7 @@
         if let Some(upstream) = self.registry.get_mut(&ticket.upstream) {
             upstream.running = upstream.running.saturating_sub(1);
             if !ticket.begun {
-                upstream.backlog = upstream.backlog.saturating_sub(ticket.reading);
+                upstream.queue.left(ticket.due, ticket.reading, now);
             }
             upstream.health.note(ended, now);
             if let (Ended::Unreachable, Some(cold)) = (ended, cold_time) {
@@ -104,9 +106,7 @@
             .filter(|u| !self.evacuated.contains(&u.domain))
             .collect();
         let home = home_of(&links, &listed);
-        let wait = |u: &Upstream| {
-            u.backlog + self.peer_load(u).backlog + self.reading(ask, u, &links, home, now)
-        };
+        let wait = |u: &Upstream| self.wait(u, now) + self.reading(ask, u, &links, home, now);
         listed.into_iter().map(wait).min()
     }
 
@@ -134,6 +134,7 @@
             .filter(|u| arm.is_some() || self.registry.is_settled(u, now))
             .collect();
         let listed = if settled.is_empty() { listed } else { settled };
+        let listed = self.in_window(ask, listed, now);
         let service = self.routes.as_ref().and_then(|r| r.service(ask.service));
         let home = home_of(&links, &listed);
         let mut best: Option<(f64, &Upstream, Duration)> = None;
@@ -159,7 +160,7 @@
             }
             let reading = self.reading(ask, upstream, &links, home, now);
             let candidate = Candidate {
-                backlog: upstream.backlog + peer.backlog,
+                backlog: self.wait(upstream, now),
                 reading,
                 running,
                 failure_rate: upstream.health.failure_rate(now),
@@ -180,8 +181,8 @@
                 None => Choice::Refuse(NoPlace::NoneUsable, NO_UPSTREAM_RETRY),
             };
         };
-        let peer = self.peer_load(upstream);
-        let ticket = Ticket {
+        let backlog = self.wait(upstream, now);
+        let mut ticket = Ticket {
             upstream: upstream.id.clone(),
             address: upstream.address,
             service: upstream.service.clone(),
@@ -189,32 +190,66 @@
             arm,
             route: route_hash(ask.route),
             settled: upstream.age(now) >= WARM_UP_TIME,
-            backlog: upstream.backlog + peer.backlog,
+            backlog,
             order,
+            due: now,
             taken: now,
             reading,
             model: ask.model.map(Into::into),
             begun: false,
         };
-        self.take_place(&ticket, &links, now);
+        self.take_place(&mut ticket, &links, now);
         Choice::Send(ticket)
     }
 
+    /// The engines among `listed` that this daemon uses, as long as one of them can be used.
+    fn in_window<'a>(
+        &self,
+        ask: &Ask<'_>,
+        listed: Vec<&'a Upstream>,
+        now: Instant,
+    ) -> Vec<&'a Upstream> {
+        if ask.prompt.is_none() {
+            return listed;
+        }
+        let seat = self.own_seat(now);
+        let index = |u: &Upstream| listed.iter().filter(|other| other.hash < u.hash).count();
+        let used: Vec<&Upstream> = listed
+            .iter()
+            .copied()
+            .filter(|u| seat.uses(index(u), listed.len()))
+            .collect();
+        let free = |u: &&&Upstream| {
+            let tried = ask.tried.contains(&u.id);
+            let running = u.running + self.peer_load(u).running;
+            !tried && u.health.usable(now) && !u.is_cold(now) && running < u.slots
+        };
+        match used.iter().any(|u| free(&u)) {
+            true => used,
+            false => listed,
+        }
+    }
+
     fn links(&self, ask: &Ask<'_>) -> Vec<Link> {
         let chain = |prompt| prefix::chain(ask.model.unwrap_or_default(), prompt);
         ask.prompt.map(chain).unwrap_or_default()
     }
 
+    /// The time until an engine has read what it was sent, as far as all daemons know.
+    fn wait(&self, upstream: &Upstream, now: Instant) -> Duration {
+        upstream.queue.wait(now) + self.peer_load(upstream).overdue
+    }
+
     fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
         let load = self.peer_loads.get(&upstream.hash);
         load.copied().unwrap_or_default()
     }
 
-    fn take_place(&mut self, ticket: &Ticket, links: &[Link], now: Instant) {
+    fn take_place(&mut self, ticket: &mut Ticket, links: &[Link], now: Instant) {
         let rate = self.cold_part(&ticket.upstream, &ticket.service, now);
         if let Some(upstream) = self.registry.get_mut(&ticket.upstream) {
             upstream.running += 1;
-            upstream.backlog += ticket.reading;
+            ticket.due = upstream.queue.send(ticket.reading, now);
             if upstream.is_cold(now)
                 && let Some(Part::Rate(rate)) = rate
             {
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -13,7 +13,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::coordination::dispatch::{cold::Pace, health::Health};
+use crate::coordination::dispatch::{cold::Pace, health::Health, queue::ReadingQueue};
 
 /// How long after an outage of the table an entry that vanished may come back.
 const LAPSE_TIME: Duration = Duration::from_millis(2_200);
@@ -53,8 +53,8 @@
     pub pace: Pace,
     /// This daemon's requests on it.
     pub running: u32,
-    /// The time that it needs to read the prompts of this daemon's requests that have not begun to answer.
-    pub backlog: Duration,
+    /// The prompts that it has to read, of all daemons.
+    pub queue: ReadingQueue,
     /// Until when its entry, which vanished around an outage, may come back.
     missing_until: Option<Instant>,
     first_seen: Instant,
@@ -305,7 +305,7 @@
             health: Health::default(),
             pace: Pace::default(),
             running: 0,
-            backlog: Duration::ZERO,
+            queue: ReadingQueue::default(),
             missing_until: None,
             first_seen: now,
             started_ms: registration.started_ms,
--- a/src/coordination/dispatch/speed.rs
+++ b/src/coordination/dispatch/speed.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 /// The part of the time to the first event that does not depend on the prompt.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(60);
+pub(super) const FIRST_EVENT_TIME: Duration = Duration::from_millis(60);
 /// The time to read a token before anything was learnt.
 const FIRST_GUESS: Duration = Duration::from_micros(15);
 /// The weight of the newest observation.
--- a/src/coordination/dispatch/ticket.rs
+++ b/src/coordination/dispatch/ticket.rs
@@ -49,6 +49,8 @@
     /// Whether the upstream has run for long enough to be judged by its speed.
     pub(super) settled: bool,
     pub(super) order: RowVersion,
+    /// When its answer is expected to begin.
+    pub(super) due: Instant,
     pub(super) taken: Instant,
     pub(super) reading: Duration,
     pub(super) model: Option<CompactString>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,7 +22,7 @@
     gateway::{
         attempt::{self, Answer, AttemptError},
         call::Call,
-        metrics, relay,
+        metrics, peer_link, relay,
         reply::{self, Body, Reason},
         shared::{Place, Shared},
     },
@@ -158,6 +158,7 @@
             match choice {
                 Choice::Send(ticket) => {
                     self.log_choice(&ticket);
+                    peer_link::announce(&self.shared, &ticket);
                     return Ok(Place::hold(self.shared.clone(), ticket));
                 }
                 Choice::Wait(wait) if wait < remaining => tokio::time::sleep(wait).await,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -71,7 +71,11 @@
             me.name,
             me.incarnation
         );
-        let shared = Arc::new(Shared::new(settings, me, clock, seed));
+        let address = settings.peer_address();
+        let socket = peer_link::bind(address)
+            .await
+            .map_err(|source| StartError { address, source })?;
+        let shared = Arc::new(Shared::new(settings, me, clock, seed, socket));
         let settings = &shared.settings;
         let listen =
             |address| listener::bind(address).map_err(|source| StartError { address, source });
@@ -80,17 +84,9 @@
         for address in control.into_iter().flatten() {
             tokio::spawn(listener::serve_control(shared.clone(), listen(address)?));
         }
-        let address = settings.peer_address();
-        let socket = peer_link::bind(address)
-            .await
-            .map_err(|source| StartError { address, source })?;
-        let socket = Arc::new(socket);
         tokio::spawn(table_link::serve(shared.clone(), listen(address)?));
-        tokio::spawn(peer_link::receive_heartbeats(
-            shared.clone(),
-            socket.clone(),
-        ));
-        tokio::spawn(peer_link::send_heartbeats(shared.clone(), socket));
+        tokio::spawn(peer_link::receive(shared.clone()));
+        tokio::spawn(peer_link::send_heartbeats(shared.clone()));
         tokio::spawn(follow(shared.clone(), Followed::Orders));
         tokio::spawn(follow(shared.clone(), Followed::Upstreams));
         tokio::spawn(records::keep(shared.clone()));
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -1,10 +1,15 @@
-//! Heartbeats between daemons, as datagrams.
+//! Heartbeats and notices between daemons, as datagrams.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::{coordination::dispatch::peers::Heartbeat, gateway::shared::Shared, protocol::codec};
+use crate::{
+    coordination::dispatch::{Ticket, peers::Heartbeat, queue::SentNotice},
+    gateway::shared::Shared,
+    protocol::codec,
+};
 
 /// The least time between heartbeats that carry news.
 const NEWS_PAUSE: Duration = Duration::from_millis(20);
@@ -15,16 +20,25 @@
 /// The largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
-/// The socket for heartbeats.
+/// What one daemon tells another.
+#[derive(Debug, Serialize, Deserialize)]
+enum Datagram {
+    /// What it knows, from time to time.
+    Heartbeat(Box<Heartbeat>),
+    /// That it has sent a prompt to an engine.
+    Sent(SentNotice),
+}
+
+/// The socket for datagrams.
 pub async fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
     UdpSocket::bind(address).await
 }
 
 /// Tells the other daemons what this one knows, for as long as the process lives.
-pub async fn send_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub async fn send_heartbeats(shared: Arc<Shared>) {
     loop {
         let addresses: Vec<SocketAddr> = shared.core().peers.addresses().collect();
-        tell(&shared, &socket, &addresses, BOUND_AGE);
+        tell(&shared, &addresses, BOUND_AGE);
         let period = shared.core().peers.period();
         tokio::select! {
             () = tokio::time::sleep(period) => {}
@@ -34,25 +48,26 @@
 }
 
 /// Takes in what the other daemons tell.
-pub async fn receive_heartbeats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub async fn receive(shared: Arc<Shared>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let (length, from) = match socket.recv_from(&mut buf).await {
+        let (length, from) = match shared.peer_socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(e) => {
-                log::debug!("event=heartbeat_receive_failed error=\"{e}\"");
+                log::debug!("event=datagram_receive_failed error=\"{e}\"");
                 tokio::time::sleep(NEWS_PAUSE).await;
                 continue;
             }
         };
-        match codec::decode_within::<Heartbeat, MAX_DATAGRAM_BYTES>(&buf[..length]) {
-            Ok(heartbeat) => hear(&shared, &socket, heartbeat, from),
-            Err(e) => log::warn!("event=heartbeat_unreadable peer={from} error=\"{e}\""),
+        match codec::decode_within::<Datagram, MAX_DATAGRAM_BYTES>(&buf[..length]) {
+            Ok(Datagram::Heartbeat(heartbeat)) => hear(&shared, *heartbeat, from),
+            Ok(Datagram::Sent(notice)) => shared.core().hear_notice(notice, shared.now()),
+            Err(e) => log::warn!("event=datagram_unreadable peer={from} error=\"{e}\""),
         }
     }
 }
 
-fn hear(shared: &Shared, socket: &UdpSocket, heartbeat: Heartbeat, from: SocketAddr) {
+fn hear(shared: &Shared, heartbeat: Heartbeat, from: SocketAddr) {
     let now = shared.now();
     let id = heartbeat.from.clone();
     let heard = heartbeat.orders_newest.max(heartbeat.upstreams_newest);
@@ -62,7 +77,7 @@
             id.name,
             id.incarnation
         );
-        tell(shared, socket, &[from], ALL_BOUND);
+        tell(shared, &[from], ALL_BOUND);
     }
     shared.heard.send_if_modified(|known| {
         let newer = heard > *known;
@@ -71,21 +86,38 @@
     });
 }
 
-fn tell(shared: &Shared, socket: &UdpSocket, addresses: &[SocketAddr], bound_age: Duration) {
+/// Tells the daemons that share an engine that a prompt was sent to it.
+pub fn announce(shared: &Shared, ticket: &Ticket) {
+    let (notice, sharers) = {
+        let core = shared.core();
+        let Some(notice) = core.notice(ticket) else {
+            return;
+        };
+        (notice, core.notice_receivers(ticket, shared.now()))
+    };
+    send(shared, &Datagram::Sent(notice), &sharers);
+}
+
+fn tell(shared: &Shared, addresses: &[SocketAddr], bound_age: Duration) {
     let now = shared.now();
     let readiness = shared.readiness();
     let front = shared.settings.front;
     let heartbeat = shared.core().heartbeat(front, readiness, bound_age, now);
-    let datagram = match codec::encode(&heartbeat) {
+    let datagram = Datagram::Heartbeat(Box::new(heartbeat));
+    send(shared, &datagram, addresses);
+}
+
+fn send(shared: &Shared, datagram: &Datagram, addresses: &[SocketAddr]) {
+    let datagram = match codec::encode(datagram) {
         Ok(datagram) => datagram,
         Err(e) => {
-            log::error!("event=heartbeat_not_encoded error=\"{e}\"");
+            log::error!("event=datagram_not_encoded error=\"{e}\"");
             return;
         }
     };
     for address in addresses {
-        if let Err(e) = socket.try_send_to(&datagram, *address) {
-            log::debug!("event=heartbeat_send_failed peer={address} error=\"{e}\"");
+        if let Err(e) = shared.peer_socket.try_send_to(&datagram, *address) {
+            log::debug!("event=datagram_send_failed peer={address} error=\"{e}\"");
         }
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::Notify;
+use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
     clock::SharedClock,
@@ -33,6 +33,8 @@
     pub news: Notify,
     /// Woken when another daemon may know of changes of the table.
     pub heard: tokio::sync::watch::Sender<u64>,
+    /// The socket for datagrams between daemons.
+    pub peer_socket: UdpSocket,
     core: Mutex<Dispatcher>,
     joined: AtomicBool,
     leaving: AtomicBool,
@@ -40,7 +42,13 @@
 
 impl Shared {
     /// The state of a gateway that knows nothing yet.
-    pub fn new(settings: Settings, me: PeerId, clock: SharedClock, seed: u64) -> Self {
+    pub fn new(
+        settings: Settings,
+        me: PeerId,
+        clock: SharedClock,
+        seed: u64,
+        peer_socket: UdpSocket,
+    ) -> Self {
         let core = Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
         Self {
             settings,
@@ -48,6 +56,7 @@
             clock,
             news: Notify::new(),
             heard: tokio::sync::watch::Sender::new(0),
+            peer_socket,
             core: Mutex::new(core),
             joined: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod escalation;
 mod followers;
+mod herd;
 mod lapse;
 mod orders;
 mod poison;
