Let a daemon that the table answers write a decision, and once only

Besides, every daemon that had not read the record tried to write it too, on the grown sites up to 84 calls for each state.

Change: the turn goes by the daemons that the table answers, in steps of 0.4 s; heartbeats tell that the table has the record; the old version is left at 0.95 of the time, so that some turns are left. Two tests in tests/dispatch/rollout.rs.

--- a/src/coordination/dispatch/hearing.rs
+++ b/src/coordination/dispatch/hearing.rs
@@ -50,6 +50,7 @@
                 service: service.clone(),
                 order: rollout.order,
                 state: rollout.state,
+                recorded: rollout.recorded,
                 elapsed: now.saturating_duration_since(rollout.started),
                 evidence: rollout.own().clone(),
                 bound: rollout.bound(bound_age, now),
@@ -208,6 +209,9 @@
             elapsed: report.elapsed,
         };
         self.learn_rollout(known, now);
+        if let Some(recorded) = report.recorded {
+            self.note_recorded(&report.service, report.order, recorded);
+        }
         if let Some(rollout) = self.rollouts.get_mut(&report.service)
             && rollout.order == report.order
         {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -39,7 +39,7 @@
 pub mod window;
 
 use budget::{RepeatBudget, RepeatLimit};
-use peers::{PeerId, Peers, Readiness};
+use peers::{PeerId, Peers, Readiness, TableState};
 use poison::Poison;
 use prefix::PrefixMemory;
 use registry::Registry;
@@ -179,12 +179,14 @@
         gone
     }
 
-    /// Whether this daemon, among those that live, is the first to act for all.
-    pub fn is_first(&self, now: Instant) -> bool {
+    /// How many daemons that live and are answered by the table act for all before this one.
+    pub fn turn(&self, now: Instant) -> u32 {
         self.peers
             .living(now)
             .filter(|peer| peer.last.readiness != Readiness::Leaving)
-            .all(|peer| peer.last.from.name > self.me.name)
+            .filter(|peer| peer.last.table != TableState::Lost)
+            .filter(|peer| self.has_lost_table(now) || peer.last.from.name < self.me.name)
+            .fold(0, |before, _| before + 1)
     }
 
     fn budget(&mut self, service: &str) -> &mut RepeatBudget {
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -83,6 +83,8 @@
     pub order: RowVersion,
     /// How far the roll-out is.
     pub state: RolloutState,
+    /// How far it is by the table, if that is known.
+    pub recorded: Option<RolloutState>,
     /// How long ago it was ordered.
     pub elapsed: Duration,
     /// What the daemon has seen itself.
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -30,7 +30,7 @@
 /// The part of the time in which all sessions move at the latest.
 const LATEST_MOVE: f64 = 0.93;
 /// The part of the time after which the old version is left even if requests run on it.
-const LAST_CALL: f64 = 0.97;
+const LAST_CALL: f64 = 0.95;
 /// The failures that are needed to judge a version on all routes.
 const LEAST_FAILURES: u32 = 4;
 /// The failures that are needed to judge a version on one route.
@@ -154,6 +154,8 @@
     pub target: VersionName,
     /// How far it is.
     pub state: RolloutState,
+    /// How far it is by the table, if that is known.
+    pub recorded: Option<RolloutState>,
     /// When it was ordered, as far as this daemon knows.
     pub started: Instant,
     within: Duration,
@@ -178,6 +180,7 @@
             order: version,
             target: order.target,
             state: RolloutState::Running,
+            recorded: None,
             started,
             within: order.within,
             exposure,
--- a/src/coordination/dispatch/trial.rs
+++ b/src/coordination/dispatch/trial.rs
@@ -140,6 +140,18 @@
         }
     }
 
+    /// Notes how far the table says that a roll-out is.
+    pub fn note_recorded(&mut self, service: &str, order: RowVersion, state: RolloutState) {
+        if let Some(rollout) = self.rollouts.get_mut(service)
+            && rollout.order == order
+            && rollout
+                .recorded
+                .is_none_or(|known| known == RolloutState::Running)
+        {
+            rollout.recorded = Some(state);
+        }
+    }
+
     pub(super) fn note_new_version(&mut self, service: &str, now: Instant) {
         let Some(rollout) = self.rollouts.get_mut(service) else {
             return;
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -7,16 +7,15 @@
     time::{Duration, Instant},
 };
 
-use compact_str::CompactString;
 use platform::{
-    RowVersion, ServiceName,
+    RowVersion, ServiceName, VersionName,
     orders::{self, RolloutState},
     table::{Decided, Row, Rows, TableClient, TableError, Transaction},
 };
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    coordination::dispatch::KnownRollout,
+    coordination::dispatch::{KnownRollout, rollout::Rollout},
     gateway::{metrics, shared::Shared},
 };
 
@@ -28,8 +27,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How often decisions about roll-outs are looked at.
 const PERIOD: Duration = Duration::from_millis(200);
-/// How long the first daemon has to write a decision before others do.
-const TURN_TIME: Duration = Duration::from_millis(1_500);
+/// How long each daemon has to write a decision before the next one does.
+const TURN_TIME: Duration = Duration::from_millis(400);
+/// The turn at which all daemons that are left write it.
+const LAST_TURN: u32 = 4;
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
 
@@ -70,6 +71,27 @@
     }
 }
 
+/// A state of a roll-out that the table ought to have.
+struct Wanted {
+    service: ServiceName,
+    order: RowVersion,
+    target: VersionName,
+    state: RolloutState,
+    started: Instant,
+}
+
+impl Wanted {
+    fn of(service: &ServiceName, rollout: &Rollout) -> Self {
+        Self {
+            service: service.clone(),
+            order: rollout.order,
+            target: rollout.target.clone(),
+            state: rollout.state,
+            started: rollout.started,
+        }
+    }
+}
+
 struct Keeper {
     shared: Arc<Shared>,
     client: TableClient,
@@ -163,56 +185,58 @@
             log::info!("event=rollout_decided service={service} state={state} {evidence}");
             self.shared.news.notify_one();
         }
-        let wanted: Vec<(
-            ServiceName,
-            RowVersion,
-            CompactString,
-            RolloutState,
-            Instant,
-        )> = self
-            .shared
-            .core()
-            .rollouts()
-            .map(|(service, r)| {
-                (
-                    service.clone(),
-                    r.order,
-                    r.target.clone(),
-                    r.state,
-                    r.started,
-                )
-            })
-            .collect();
-        for (service, order, target, state, started) in wanted {
-            if self.has(&service, order, state) {
-                self.due.remove(&service);
+        let wanted: Vec<Wanted> = {
+            let core = self.shared.core();
+            let unrecorded = |r: &Rollout| r.recorded != Some(r.state);
+            let rollouts = core.rollouts().filter(|(_, r)| unrecorded(r));
+            rollouts.map(|(name, r)| Wanted::of(name, r)).collect()
+        };
+        let is_wanted = |service: &ServiceName| wanted.iter().any(|w| w.service == *service);
+        self.due.retain(|service, _| is_wanted(service));
+        for wanted in &wanted {
+            if self.has(wanted) {
+                self.note_recorded(wanted);
                 continue;
             }
-            let since = *self.due.entry(service.clone()).or_insert(now);
-            let first = self.shared.core().is_first(now);
-            if first || now.saturating_duration_since(since) >= TURN_TIME {
-                self.write(&service, order, &target, state, started).await;
+            let since = *self.due.entry(wanted.service.clone()).or_insert(now);
+            let turn = self.shared.core().turn(now).min(LAST_TURN);
+            if now.saturating_duration_since(since) >= TURN_TIME * turn {
+                self.write(wanted).await;
             }
         }
     }
 
-    fn has(&self, service: &str, order: RowVersion, state: RolloutState) -> bool {
-        self.recorded.get(service).is_some_and(|recorded| {
+    /// Lets the other daemons know that they need not write it.
+    fn note_recorded(&self, wanted: &Wanted) {
+        let Wanted {
+            service,
+            order,
+            state,
+            ..
+        } = wanted;
+        self.shared.core().note_recorded(service, *order, *state);
+        self.shared.news.notify_one();
+    }
+
+    fn has(&self, wanted: &Wanted) -> bool {
+        self.recorded.get(&wanted.service).is_some_and(|recorded| {
             let record = &recorded.record;
             let decided = record.state != RolloutState::Running;
-            record.order > order || (record.order == order && (decided || record.state == state))
+            record.order > wanted.order
+                || (record.order == wanted.order && (decided || record.state == wanted.state))
         })
     }
 
-    async fn write(
-        &mut self,
-        service: &str,
-        order: RowVersion,
-        target: &str,
-        state: RolloutState,
-        started: Instant,
-    ) {
-        let age = self.shared.now().saturating_duration_since(started);
+    async fn write(&mut self, wanted: &Wanted) {
+        let Wanted {
+            service,
+            order,
+            target,
+            state,
+            started,
+        } = wanted;
+        let (order, state) = (*order, *state);
+        let age = self.shared.now().saturating_duration_since(*started);
         let record = RolloutRecord {
             order,
             state,
@@ -243,7 +267,8 @@
                     "event=rollout_recorded service={service} target={target} state={state} version={version}"
                 );
                 self.recorded
-                    .insert(service.into(), Recorded { record, version });
+                    .insert(service.clone(), Recorded { record, version });
+                self.note_recorded(wanted);
             }
             // Another daemon wrote first, or the answer was lost: the table knows.
             Ok(Decided::Refused) => {
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -11,7 +11,9 @@
 use platform::orders::RolloutState;
 use serde_json::json;
 
-use crate::support::{LIMITS, ask, hear, heartbeat, order, place, ready, row, upstream_with};
+use crate::support::{
+    LIMITS, address, ask, hear, heartbeat, order, place, ready, row, upstream_with,
+};
 
 /// The time of the roll-outs.
 const WITHIN: Duration = Duration::from_secs(120);
@@ -132,12 +134,7 @@
     run(&mut other, 0..500, Quality::Good, start);
     let mut told = heartbeat("front-2", TableState::Answers);
     told.rollouts = other
-        .heartbeat(
-            crate::support::address(1),
-            told.readiness,
-            Duration::from_secs(1),
-            start,
-        )
+        .heartbeat(address(1), told.readiness, Duration::from_secs(1), start)
         .rollouts;
     let mut dispatcher = rolling(start);
     run(&mut dispatcher, 9_000..9_001, Quality::Good, start);
@@ -298,6 +295,7 @@
             service: "pool".into(),
             order: 2,
             state: RolloutState::Running,
+            recorded: None,
             elapsed: Duration::from_secs_f64(MOVED + 0.5),
             evidence: Evidence {
                 running_old,
@@ -336,3 +334,36 @@
     let decided = dispatcher.decide_rollouts(start + WITHIN.mul_f64(0.98));
     assert_eq!(decided, [("pool".into(), RolloutState::Completed)]);
 }
+
+/// The first daemon by name is turned away by the table; another one writes the decision.
+#[test]
+fn daemon_without_the_table_is_not_the_first_to_write() {
+    let now = Instant::now();
+    let mut dispatcher = rolling(now);
+    let before = |table| heartbeat("front-0", table);
+    hear(&mut dispatcher, &[before(TableState::Answers)], now);
+    assert_eq!(dispatcher.turn(now), 1);
+    hear(&mut dispatcher, &[before(TableState::Lost)], now);
+    assert_eq!(dispatcher.turn(now), 0);
+    let after = heartbeat("front-2", TableState::NotAsked);
+    hear(&mut dispatcher, &[after], now);
+    assert_eq!(dispatcher.turn(now), 0);
+    dispatcher.table_lost(now);
+    assert_eq!(dispatcher.turn(now), 1);
+}
+
+/// Who hears that the table has a decision does not write it once more.
+#[test]
+fn record_that_another_daemon_wrote_is_known() {
+    let now = Instant::now();
+    let mut dispatcher = rolling(now);
+    dispatcher.note_recorded("pool", 2, RolloutState::Running);
+    let mut said = heartbeat("front-2", TableState::Answers);
+    said.rollouts = dispatcher
+        .heartbeat(address(1), said.readiness, Duration::ZERO, now)
+        .rollouts;
+    let mut other = rolling(now);
+    hear(&mut other, &[said], now);
+    let recorded: Vec<_> = other.rollouts().map(|(_, r)| r.recorded).collect();
+    assert_eq!(recorded, [Some(RolloutState::Running)]);
+}
