--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -19,6 +19,7 @@
 pub mod choose;
 pub mod cold;
 pub mod escalation;
+pub mod evidence;
 pub mod followers;
 pub mod health;
 mod hearing;
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -10,7 +10,7 @@
 use platform::{DomainName, RowVersion, orders::RolloutState};
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::dispatch::rollout::Evidence;
+use crate::coordination::dispatch::evidence::Evidence;
 
 /// The least time between a daemon's heartbeats.
 const LEAST_PERIOD: Duration = Duration::from_millis(250);
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -14,10 +14,9 @@
     RowVersion, VersionName,
     orders::{RolloutOrder, RolloutState},
 };
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::coordination::dispatch::{pace::PaceHistogram, peers::PeerId};
+use crate::coordination::dispatch::{evidence::Evidence, peers::PeerId};
 
 /// How long sessions under way are gathered before any goes to the new version.
 const SETTLE_TIME: Duration = Duration::from_millis(1_200);
@@ -31,30 +30,14 @@
 const LATEST_MOVE: f64 = 0.93;
 /// The part of the time after which the old version is left even if requests run on it.
 const LAST_CALL: f64 = 0.95;
-/// The failures that are needed to judge a version on all routes.
-const LEAST_FAILURES: u32 = 4;
-/// The failures that are needed to judge a version on one route.
-const LEAST_FAILURES_ON_ROUTE: u32 = 3;
-/// How much greater the failure rate of a bad version is than that of the old one.
-const FAILURE_MARGIN: f64 = 0.08;
-/// The same on one route.
-const FAILURE_MARGIN_ON_ROUTE: f64 = 0.2;
 /// How many times longer than usual a slow answer takes to begin.
 const SLOW_FACTOR: f64 = 3.0;
-/// The streams of each version that are needed to judge the new one by its pace.
-const LEAST_PACED: u32 = 8;
-/// How many times slower a slow version's fastest streams are than the old version's.
-const SLOW_PACE_FACTOR: f64 = 2.2;
 /// The time within which no answer is slow.
 const NEVER_SLOW: Duration = Duration::from_millis(250);
 /// The part of the time to begin that does not depend on the request.
 const BASE_TIME: Duration = Duration::from_millis(60);
 /// The weight of the newest answer in what is usual.
 const NEWEST_WEIGHT: f64 = 0.05;
-/// The slow answers that are needed to judge a version.
-const LEAST_SLOW: u32 = 5;
-/// How much greater the part of slow answers of a bad version is than that of the old one.
-const SLOW_MARGIN: f64 = 0.12;
 /// The sessions remembered at most.
 const MAX_BOUND: usize = 512;
 
@@ -88,63 +71,6 @@
     Moved,
 }
 
-/// Answers of one arm on one route.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tally {
-    /// Answers, good or bad.
-    pub answers: u32,
-    /// Failures.
-    pub bad: u32,
-    /// Answers that began.
-    pub begun: u32,
-    /// Answers that began late for what they were.
-    pub slow: u32,
-}
-
-impl Tally {
-    fn failures(self) -> Share {
-        Share {
-            bad: self.bad,
-            of: self.answers,
-        }
-    }
-
-    fn slowness(self) -> Share {
-        Share {
-            bad: self.slow,
-            of: self.begun,
-        }
-    }
-}
-
-/// The bad ones among a number of answers.
-#[derive(Clone, Copy, Debug)]
-struct Share {
-    bad: u32,
-    of: u32,
-}
-
-impl Share {
-    fn rate(self) -> f64 {
-        f64::from(self.bad) / f64::from(self.of.max(1))
-    }
-}
-
-/// One daemon's answers of both arms by route.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// The old version's, by the hash of the route's name.
-    pub old: BTreeMap<u32, Tally>,
-    /// The new version's.
-    pub new: BTreeMap<u32, Tally>,
-    /// The pace of the old version's streams.
-    pub old_pace: PaceHistogram,
-    /// The pace of the new version's streams.
-    pub new_pace: PaceHistogram,
-    /// Requests that run on the old version now.
-    pub running_old: u32,
-}
-
 /// A roll-out under way or decided.
 #[derive(Debug)]
 pub struct Rollout {
@@ -272,7 +198,7 @@
             self.usual = Some(usual + (ratio - usual) * NEWEST_WEIGHT);
         }
         let slow = self.is_slow(reading, took);
-        let tally = self.tally(arm, route);
+        let tally = self.own.tally(arm, route);
         tally.begun += 1;
         tally.slow += u32::from(slow);
     }
@@ -280,7 +206,7 @@
     /// Notes that a caller left after it had waited for an answer that did not begin.
     pub fn waited(&mut self, arm: Arm, route: u32, reading: Duration, waited: Duration) {
         if self.is_slow(reading, waited) {
-            let tally = self.tally(arm, route);
+            let tally = self.own.tally(arm, route);
             tally.begun += 1;
             tally.slow += 1;
         }
@@ -299,64 +225,18 @@
 
     /// Notes an answer of an arm.
     pub fn answered(&mut self, arm: Arm, route: u32, bad: bool) {
-        let tally = self.tally(arm, route);
+        let tally = self.own.tally(arm, route);
         tally.answers += 1;
         tally.bad += u32::from(bad);
     }
 
-    /// The merged evidence by route, for the log: failures of answers, late ones of
-    /// those that began, and the paces of streams.
-    pub fn evidence_text(&self) -> String {
-        let text = |tallies: BTreeMap<u32, Tally>| {
-            let parts: Vec<String> = tallies
-                .iter()
-                .map(|(route, tally)| {
-                    format!(
-                        "{route:08x}:{}/{}+{}/{}",
-                        tally.bad, tally.answers, tally.slow, tally.begun
-                    )
-                })
-                .collect();
-            parts.join(",")
-        };
-        let old = text(self.merged(|evidence| &evidence.old));
-        let new = text(self.merged(|evidence| &evidence.new));
-        let pace = |histogram: &PaceHistogram| {
-            let fastest = histogram.fastest().unwrap_or_default().as_millis();
-            format!("{fastest}/{}", histogram.total())
-        };
-        let old_pace = pace(&self.merged_pace(|evidence| &evidence.old_pace));
-        let new_pace = pace(&self.merged_pace(|evidence| &evidence.new_pace));
-        format!("old={old} new={new} old_event_ms={old_pace} new_event_ms={new_pace}")
-    }
-
-    /// Whether the merged evidence condemns the new version.
-    pub fn is_bad(&self) -> bool {
-        let old = self.merged(|evidence| &evidence.old);
-        let new = self.merged(|evidence| &evidence.new);
-        let all =
-            |tallies: &BTreeMap<u32, Tally>| tallies.values().copied().fold(Tally::default(), add);
-        let (all_old, all_new) = (all(&old), all(&new));
-        let (before, now) = (all_old.failures(), all_new.failures());
-        if worse(before, now, LEAST_FAILURES, FAILURE_MARGIN) {
-            return true;
-        }
-        let (before, now) = (all_old.slowness(), all_new.slowness());
-        if worse(before, now, LEAST_SLOW, SLOW_MARGIN) {
-            return true;
-        }
-        if self.is_slow_paced() {
-            return true;
+    /// What all daemons have seen.
+    pub fn evidence(&self) -> Evidence {
+        let mut sum = self.own.clone();
+        for evidence in self.peers.values() {
+            sum.add(evidence);
         }
-        new.iter().any(|(route, tally)| {
-            let before = old.get(route).copied().unwrap_or_default().failures();
-            worse(
-                before,
-                tally.failures(),
-                LEAST_FAILURES_ON_ROUTE,
-                FAILURE_MARGIN_ON_ROUTE,
-            )
-        })
+        sum
     }
 
     /// Whether all traffic has moved and the old version may stop.
@@ -364,10 +244,7 @@
     /// The sessions that ran on the old version are given time to end, so that none of them meets a
     /// further roll-out.
     pub fn may_complete(&mut self, session_time: Duration, now: Instant) -> bool {
-        let running: u32 = std::iter::once(&self.own)
-            .chain(self.peers.values())
-            .map(|evidence| evidence.running_old)
-            .sum();
+        let running = self.evidence().running_old;
         if running > 0 || self.old_busy.is_none() {
             self.old_busy = Some(now);
         }
@@ -393,26 +270,6 @@
         self.started + self.within.mul_f64(part)
     }
 
-    fn is_slow_paced(&self) -> bool {
-        let old = self.merged_pace(|evidence| &evidence.old_pace);
-        let new = self.merged_pace(|evidence| &evidence.new_pace);
-        if old.total().min(new.total()) < LEAST_PACED {
-            return false;
-        }
-        match (old.fastest(), new.fastest()) {
-            (Some(old), Some(new)) => new >= old.mul_f64(SLOW_PACE_FACTOR),
-            _ => false,
-        }
-    }
-
-    fn merged_pace(&self, arm: impl Fn(&Evidence) -> &PaceHistogram) -> PaceHistogram {
-        let mut sum = PaceHistogram::default();
-        for evidence in std::iter::once(&self.own).chain(self.peers.values()) {
-            sum.add(arm(evidence));
-        }
-        sum
-    }
-
     fn ratio(reading: Duration, took: Duration) -> f64 {
         took.as_secs_f64() / (reading + BASE_TIME).as_secs_f64()
     }
@@ -422,14 +279,6 @@
         took > NEVER_SLOW && Self::ratio(reading, took) > usual * SLOW_FACTOR
     }
 
-    fn tally(&mut self, arm: Arm, route: u32) -> &mut Tally {
-        let tallies = match arm {
-            Arm::Old => &mut self.own.old,
-            Arm::New => &mut self.own.new,
-        };
-        tallies.entry(route).or_default()
-    }
-
     fn phase(&self, now: Instant) -> Phase {
         let settled = self
             .new_seen
@@ -440,17 +289,6 @@
             true => Phase::Trial,
         }
     }
-
-    fn merged(&self, arm: impl Fn(&Evidence) -> &BTreeMap<u32, Tally>) -> BTreeMap<u32, Tally> {
-        let mut sums: BTreeMap<u32, Tally> = BTreeMap::new();
-        for evidence in std::iter::once(&self.own).chain(self.peers.values()) {
-            for (route, tally) in arm(evidence) {
-                let sum = sums.entry(*route).or_default();
-                *sum = add(*sum, *tally);
-            }
-        }
-        sums
-    }
 }
 
 fn arm_of(session: u64, order: RowVersion) -> Arm {
@@ -465,17 +303,3 @@
 fn lot(session: u64, order: RowVersion) -> f64 {
     xxh3_64_with_seed(&session.to_le_bytes(), order) as f64 / u64::MAX as f64
 }
-
-fn add(a: Tally, b: Tally) -> Tally {
-    Tally {
-        answers: a.answers + b.answers,
-        bad: a.bad + b.bad,
-        begun: a.begun + b.begun,
-        slow: a.slow + b.slow,
-    }
-}
-
-/// Whether a new version has enough bad cases, and a much greater part of them than the old one.
-fn worse(old: Share, new: Share, least: u32, margin: f64) -> bool {
-    new.bad >= least && new.rate() >= old.rate() + margin
-}
--- a/src/coordination/dispatch/trial.rs
+++ b/src/coordination/dispatch/trial.rs
@@ -6,7 +6,7 @@
 
 use crate::coordination::dispatch::{
     Dispatcher,
-    rollout::{Arm, Rollout},
+    rollout::Arm,
     ticket::{Quality, Ticket},
 };
 
@@ -108,7 +108,7 @@
             if rollout.state != RolloutState::Running {
                 continue;
             }
-            if rollout.is_bad() {
+            if rollout.evidence().condemns_new() {
                 rollout.state = RolloutState::RolledBack;
             } else if rollout.may_complete(session_time, now) {
                 rollout.state = RolloutState::Completed;
@@ -123,7 +123,7 @@
     /// The evidence on which a roll-out is decided, for the log.
     pub fn rollout_evidence(&self, service: &str) -> String {
         let rollout = self.rollouts.get(service);
-        rollout.map(Rollout::evidence_text).unwrap_or_default()
+        rollout.map(|r| r.evidence().text()).unwrap_or_default()
     }
 
     /// Takes in a roll-out that the table or a peer knows of.
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -4,9 +4,10 @@
 
 use hibiscusyoke::coordination::dispatch::{
     Dispatcher, Quality,
+    evidence::Evidence,
     health::Ended,
     peers::{RolloutReport, TableState},
-    rollout::{Arm, Evidence},
+    rollout::Arm,
 };
 use platform::orders::RolloutState;
 use serde_json::json;
