Wait in a test until refusing replicas have closed their listeners

The stand-in closes its listener in its accept task, after the control call has returned; a connection that the kernel takes before that is dropped after the daemon has sent its request, and then "unknown" is the true answer.

Change: the test waits until the replicas refuse connections. What it asserts is as before.

--- a/tests/claims_fleet/mod.rs
+++ b/tests/claims_fleet/mod.rs
@@ -38,13 +38,13 @@
 };
 use serde_json::json;
 use stand_in::{
-    control::Control,
+    control::{Control, Down},
     server::Running,
     service::{Service, ServiceConfig},
     stats::RoleStats,
     table::Table,
 };
-use tokio::runtime::Runtime;
+use tokio::{net::TcpStream, runtime::Runtime};
 
 const FLEET_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 const FLEET: [[&str; 2]; 3] = [["a", "x"], ["b", "y"], ["c", "z"]];
@@ -213,6 +213,18 @@
         }
     }
 
+    /// Takes all replicas down, and waits until they are: one that refuses connections closes its
+    /// listener in a task of its own, and a connection taken before that breaks after the request
+    /// was sent, so that it may have run.
+    pub(crate) async fn take_replicas_down(&self, how: Down) {
+        self.on_replicas(&Control::Down { how });
+        for replica in &self.replicas {
+            while how == Down::Refuse && TcpStream::connect(replica.address).await.is_ok() {
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+
     pub(crate) fn on_table(&self, control: &Control) {
         self.table.control(control).expect("a fault that it knows");
     }
--- a/tests/claims_services.rs
+++ b/tests/claims_services.rs
@@ -120,7 +120,7 @@
             fleet.home_key(0, &number.to_string()),
             format!("plain-{number}").into(),
         ] {
-            fleet.on_replicas(&Control::Down { how });
+            fleet.take_replicas_down(how).await;
             assert_eq!(run(&fleet.intake(0, &key).await), Run::NotRun, "{how:?}");
             assert_eq!(fleet.executions(&key), 0);
             fleet.on_replicas(&Control::Heal);
