--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -219,12 +219,12 @@
             .copied()
             .filter(|u| seat.uses(index(u), listed.len()))
             .collect();
-        let free = |u: &&&Upstream| {
+        let can_take = |u: &Upstream| {
             let tried = ask.tried.contains(&u.id);
             let running = u.running + self.peer_load(u).running;
             !tried && u.health.usable(now) && !u.is_cold(now) && running < u.slots
         };
-        match used.iter().any(|u| free(&u)) {
+        match used.iter().any(|u| can_take(u)) {
             true => used,
             false => listed,
         }
