Read the gateway's settings as the project reads documents

The gateway opened its JSON with comments and had errors of its own, while state/document.rs does both for serve and check: a bad value is now one error with its file, line and key. The setting `seeds` was read and used by nothing. In the dispatcher, the evidence of a roll-out is added up once a look and not twice, and an upstream is found by its hash in one place.

The daemons that a notice goes to now follow from the same list of engines as the choice; before, the list was made again without the evacuated and the unsettled ones, so that on more than 12 engines notices could miss a daemon while a domain was evacuated. Nothing else changes.

--- a/src/coordination/dispatch/hearing.rs
+++ b/src/coordination/dispatch/hearing.rs
@@ -10,13 +10,12 @@
 use crate::coordination::dispatch::{
     Dispatcher,
     followers::{self, Contender, Duty},
-    peers::{DaemonName, Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
+    peers::{Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
     place::UNSEEN_RESTART_TIME,
     queue::SentNotice,
-    registry::Upstream,
     ticket::Ticket,
     trial::KnownRollout,
-    window::Seat,
+    window::{Circle, Seat},
 };
 
 /// How long other daemons are told that the table was lost.
@@ -96,40 +95,30 @@
 
     /// Where the daemons are that share the engine of a ticket.
     pub fn notice_receivers(&self, ticket: &Ticket, now: Instant) -> Vec<SocketAddr> {
-        let Some(engine) = self.registry.get(&ticket.upstream) else {
-            return Vec::new();
-        };
-        let engines = self.engines_beside(engine, now);
-        let index = engines.iter().filter(|hash| **hash < engine.hash).count();
-        let names: Vec<&DaemonName> = self.peers.sharers(now).collect();
+        let daemons = self.daemons(now);
         self.peers
             .living(now)
             .filter(|peer| {
-                seat(&peer.last.from.name, &self.me.name, &names).uses(index, engines.len())
+                let seat = daemons.seat(name_hash(&peer.last.from.name));
+                seat.uses(ticket.engine_index, ticket.engines)
             })
             .map(|peer| peer.address)
             .collect()
     }
 
-    /// The hashes of the listed engines of the same service and version.
-    fn engines_beside(&self, engine: &Upstream, now: Instant) -> Vec<u64> {
-        self.registry
-            .of_service(&engine.service)
-            .filter(|u| u.is_listed(now) && u.version == engine.version)
-            .map(|u| u.hash)
-            .collect()
-    }
-
     /// This daemon's place among all.
     pub(super) fn own_seat(&self, now: Instant) -> Seat {
-        let names: Vec<&DaemonName> = self.peers.sharers(now).collect();
-        seat(&self.me.name, &self.me.name, &names)
+        self.daemons(now).seat(name_hash(&self.me.name))
+    }
+
+    fn daemons(&self, now: Instant) -> Circle {
+        let others = self.peers.sharers(now).map(|name| name_hash(name));
+        Circle::of(others.chain([name_hash(&self.me.name)]))
     }
 
     /// Takes in that another daemon has sent a prompt to an engine.
     pub fn hear_notice(&mut self, notice: SentNotice, now: Instant) {
-        let upstream = self.registry.all_mut().find(|u| u.hash == notice.upstream);
-        if let Some(upstream) = upstream {
+        if let Some(upstream) = self.registry.by_hash_mut(notice.upstream) {
             upstream.queue.add(notice.reading, now);
         }
     }
@@ -189,13 +178,11 @@
     pub(super) fn chill_unreachable(&mut self, loads: &[LoadReport], now: Instant) {
         let cold_times = self.cold_times();
         for load in loads.iter().filter(|load| load.unreachable) {
-            let upstream = self.registry.all_mut().find(|u| u.hash == load.upstream);
-            if let Some(upstream) = &upstream {
-                self.breaks.retain(|broken| !broken.is_at(&upstream.id));
-            }
-            if let Some(upstream) = upstream
-                && let Some(cold) = cold_times.get(&upstream.service)
-            {
+            let Some(upstream) = self.registry.by_hash_mut(load.upstream) else {
+                continue;
+            };
+            self.breaks.retain(|broken| !broken.is_at(&upstream.id));
+            if let Some(cold) = cold_times.get(&upstream.service) {
                 upstream.chill(now + *cold + UNSEEN_RESTART_TIME);
             }
         }
@@ -232,14 +219,6 @@
     }
 }
 
-/// The place of a daemon among `me` and the others.
-fn seat(name: &str, me: &str, others: &[&DaemonName]) -> Seat {
-    let place = |name: &str| xxh3_64(name.as_bytes());
-    let own = place(name);
-    let others = others.iter().map(|name| name.as_str());
-    let all = others.chain(std::iter::once(me));
-    Seat {
-        rank: all.clone().filter(|other| place(other) < own).count(),
-        daemons: all.count(),
-    }
+fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
 }
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -16,6 +16,7 @@
     rollout::Arm,
     speed::FIRST_EVENT_TIME,
     ticket::{Ask, Choice, NoPlace, Ticket},
+    window::Circle,
 };
 
 /// The longest pause for which a request waits until a cold upstream may be sent another.
@@ -134,7 +135,8 @@
             .filter(|u| arm.is_some() || self.registry.is_settled(u, now))
             .collect();
         let listed = if settled.is_empty() { listed } else { settled };
-        let listed = self.in_window(ask, listed, now);
+        let engines = Circle::of(listed.iter().map(|u| u.hash));
+        let listed = self.in_window(ask, listed, &engines, now);
         let service = self.routes.as_ref().and_then(|r| r.service(ask.service));
         let home = home_of(&links, &listed);
         let mut best: Option<(f64, &Upstream, Duration)> = None;
@@ -191,6 +193,8 @@
             route: route_hash(ask.route),
             settled: upstream.age(now) >= WARM_UP_TIME,
             backlog,
+            engine_index: engines.index(upstream.hash),
+            engines: engines.count(),
             order,
             due: now,
             taken: now,
@@ -207,17 +211,17 @@
         &self,
         ask: &Ask<'_>,
         listed: Vec<&'a Upstream>,
+        engines: &Circle,
         now: Instant,
     ) -> Vec<&'a Upstream> {
         if ask.prompt.is_none() {
             return listed;
         }
         let seat = self.own_seat(now);
-        let index = |u: &Upstream| listed.iter().filter(|other| other.hash < u.hash).count();
         let used: Vec<&Upstream> = listed
             .iter()
             .copied()
-            .filter(|u| seat.uses(index(u), listed.len()))
+            .filter(|u| seat.uses(engines.index(u.hash), engines.count()))
             .collect();
         let can_take = |u: &Upstream| {
             let tried = ask.tried.contains(&u.id);
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -142,6 +142,11 @@
         self.upstreams.get_mut(id)
     }
 
+    /// The upstream with this hash of its id.
+    pub fn by_hash_mut(&mut self, hash: u64) -> Option<&mut Upstream> {
+        self.upstreams.values_mut().find(|u| u.hash == hash)
+    }
+
     /// All upstreams, to be changed.
     pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
         self.upstreams.values_mut()
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -243,9 +243,8 @@
     ///
     /// The sessions that ran on the old version are given time to end, so that none of them meets a
     /// further roll-out.
-    pub fn may_complete(&mut self, session_time: Duration, now: Instant) -> bool {
-        let running = self.evidence().running_old;
-        if running > 0 || self.old_busy.is_none() {
+    pub fn may_complete(&mut self, running_old: u32, session_time: Duration, now: Instant) -> bool {
+        if running_old > 0 || self.old_busy.is_none() {
             self.old_busy = Some(now);
         }
         if self.state != RolloutState::Running || self.new_seen.is_none() {
--- a/src/coordination/dispatch/ticket.rs
+++ b/src/coordination/dispatch/ticket.rs
@@ -48,6 +48,9 @@
     pub(super) backlog: Duration,
     /// Whether the upstream has run for long enough to be judged by its speed.
     pub(super) settled: bool,
+    /// The upstream's index among the `engines` that were listed, in the order of their hashes.
+    pub(super) engine_index: u32,
+    pub(super) engines: u32,
     pub(super) order: RowVersion,
     /// When its answer is expected to begin.
     pub(super) due: Instant,
--- a/src/coordination/dispatch/trial.rs
+++ b/src/coordination/dispatch/trial.rs
@@ -108,9 +108,10 @@
             if rollout.state != RolloutState::Running {
                 continue;
             }
-            if rollout.evidence().condemns_new() {
+            let evidence = rollout.evidence();
+            if evidence.condemns_new() {
                 rollout.state = RolloutState::RolledBack;
-            } else if rollout.may_complete(session_time, now) {
+            } else if rollout.may_complete(evidence.running_old, session_time, now) {
                 rollout.state = RolloutState::Completed;
             } else {
                 continue;
--- a/src/coordination/dispatch/window.rs
+++ b/src/coordination/dispatch/window.rs
@@ -6,20 +6,51 @@
 //! next to it. Who joins or leaves shifts the others by less than one place.
 
 /// The engines that a daemon uses.
-const WINDOW: usize = 12;
+const WINDOW: u32 = 12;
+
+/// Daemons or engines in the order of their hashes.
+#[derive(Clone, Debug)]
+pub struct Circle(Vec<u64>);
+
+impl Circle {
+    /// Puts hashes in order.
+    pub fn of(hashes: impl IntoIterator<Item = u64>) -> Self {
+        let mut hashes: Vec<u64> = hashes.into_iter().collect();
+        hashes.sort_unstable();
+        Self(hashes)
+    }
+
+    /// How many stand before a hash.
+    pub fn index(&self, hash: u64) -> u32 {
+        count(self.0.partition_point(|other| *other < hash))
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> u32 {
+        count(self.0.len())
+    }
+
+    /// The place of the daemon with this hash of its name.
+    pub fn seat(&self, hash: u64) -> Seat {
+        Seat {
+            rank: self.index(hash),
+            daemons: self.count(),
+        }
+    }
+}
 
 /// A daemon's place among all daemons.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Seat {
     /// The daemons before it.
-    pub rank: usize,
+    pub rank: u32,
     /// The daemons in all.
-    pub daemons: usize,
+    pub daemons: u32,
 }
 
 impl Seat {
     /// Whether a daemon uses the engine that has `index` among `engines`.
-    pub fn uses(self, index: usize, engines: usize) -> bool {
+    pub fn uses(self, index: u32, engines: u32) -> bool {
         if engines <= WINDOW {
             return true;
         }
@@ -27,3 +58,7 @@
         (index + engines - first) % engines < WINDOW
     }
 }
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,35 +1,18 @@
 //! The settings of a gateway, in JSON with comments.
 
 use std::{
-    fs, io,
     net::{IpAddr, SocketAddr},
-    path::{Path, PathBuf},
+    path::Path,
     time::Duration,
 };
 
 use compact_str::CompactString;
-use jsonc_parser::ParseOptions;
 use serde::Deserialize;
-use thiserror::Error;
 
-use crate::coordination::dispatch::{FleetLimits, budget::RepeatLimit};
-
-/// Settings that cannot be used.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("{0}: {1}")]
-    Read(PathBuf, io::Error),
-    /// The file is not JSON with comments.
-    #[error("{0}: {1}")]
-    Syntax(PathBuf, jsonc_parser::errors::ParseError),
-    /// A value is missing or of the wrong type.
-    #[error("{0}: {1}: {2}")]
-    Value(PathBuf, String, serde_json::Error),
-    /// A value is out of its range.
-    #[error("{0}: {1}")]
-    Range(PathBuf, &'static str),
-}
+use crate::{
+    coordination::dispatch::{FleetLimits, budget::RepeatLimit},
+    state::document::{Document, DocumentError},
+};
 
 /// The settings of a gateway; times are in the units that their names give.
 #[derive(Clone, Debug, Deserialize)]
@@ -54,9 +37,6 @@
     pub table: SocketAddr,
     /// The first and the last port for traffic between daemons.
     pub peer_ports: (u16, u16),
-    /// Instances that may know others.
-    #[serde(default)]
-    pub seeds: Vec<SocketAddr>,
     /// How long callers may keep the directory's answer, at most.
     pub directory_ttl_max_s: f64,
     /// The time between the order to stop and the end of the process.
@@ -75,15 +55,13 @@
 
 impl Settings {
     /// Reads and checks a settings file.
-    pub fn open(path: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(path).map_err(|e| SettingsError::Read(path.into(), e))?;
-        let value: serde_json::Value =
-            jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-                .map_err(|e| SettingsError::Syntax(path.into(), e))?;
-        let settings: Self = serde_path_to_error::deserialize(value)
-            .map_err(|e| SettingsError::Value(path.into(), e.path().to_string(), e.into_inner()))?;
-        settings.check(path)?;
-        Ok(settings)
+    pub fn open(path: &Path) -> Result<Self, DocumentError> {
+        let document = Document::open(path)?;
+        let settings: Self = document.parse()?;
+        match settings.out_of_range() {
+            Some(value) => Err(document.fault(&[value.key], value.reason)),
+            None => Ok(settings),
+        }
     }
 
     /// The limits for the whole fleet.
@@ -109,26 +87,41 @@
         SocketAddr::new(self.ip, self.peer_ports.0)
     }
 
-    fn check(&self, path: &Path) -> Result<(), SettingsError> {
-        let range = |why| Err(SettingsError::Range(path.into(), why));
+    fn out_of_range(&self) -> Option<OutOfRange> {
         let times = [
-            self.directory_ttl_max_s,
-            self.grace_period_s,
-            self.session_s,
-            self.repeat_window_s,
+            ("directory_ttl_max_s", self.directory_ttl_max_s),
+            ("grace_period_s", self.grace_period_s),
+            ("session_s", self.session_s),
+            ("repeat_window_s", self.repeat_window_s),
         ];
-        if times.iter().any(|s| !(0.001..1e6).contains(s)) {
-            return range("a time is not between 1 ms and 1e6 s");
+        let wrong_time = times.iter().find(|(_, s)| !(0.001..1e6).contains(s));
+        if let Some((key, _)) = wrong_time {
+            return OutOfRange::of(key, "must be between 1 ms and 1e6 s");
+        }
+        if !(0.0..1e6).contains(&self.repeat_ratio) {
+            return OutOfRange::of("repeat_ratio", "must be between 0 and 1e6");
         }
-        if !(0.0..1e6).contains(&self.repeat_ratio) || !(0.0..1e9).contains(&self.repeat_slack) {
-            return range("the limit on repeats is out of range");
+        if !(0.0..1e9).contains(&self.repeat_slack) {
+            return OutOfRange::of("repeat_slack", "must be between 0 and 1e9");
         }
         if !(0.0..=1.0).contains(&self.exposure) {
-            return range("exposure is not between 0 and 1");
+            return OutOfRange::of("exposure", "must be between 0 and 1");
         }
         if self.peer_ports.0 > self.peer_ports.1 {
-            return range("peer_ports: the first port is after the last");
+            return OutOfRange::of("peer_ports", "the first port is after the last");
         }
-        Ok(())
+        None
+    }
+}
+
+/// A value that no gateway can use.
+struct OutOfRange {
+    key: &'static str,
+    reason: &'static str,
+}
+
+impl OutOfRange {
+    fn of(key: &'static str, reason: &'static str) -> Option<Self> {
+        Some(Self { key, reason })
     }
 }
