--- a/tests/dispatch/herd.rs
+++ b/tests/dispatch/herd.rs
@@ -19,7 +19,7 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use serde_json::json;
 
-use crate::support::{LIMITS, address, configuration, daemon, order, place, upstream_with};
+use crate::support::{LIMITS, address, configuration, daemon, order, place, row, upstream_with};
 
 /// The tokens of a prompt.
 const TOKENS: u32 = 3_000;
@@ -268,3 +268,47 @@
     }
     assert!(sent[1] <= 3, "{sent:?}");
 }
+
+/// Notices go by the engines that can be chosen, not by all that are listed.
+#[test]
+fn notices_reach_all_who_use_an_engine_while_a_domain_is_evacuated() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(20, 40, now);
+    let fields = [
+        ("slots", json!(1_000)),
+        ("zone", json!("b")),
+        ("born", json!(2)),
+    ];
+    let far = |n: u64| upstream_with(&n.to_string(), 2, &fields);
+    let far: Vec<_> = (0..40).step_by(3).map(far).collect();
+    let evacuate = row("evacuate/b", 3, Some(json!({})));
+    for daemon in &mut fleet.daemons {
+        daemon.registry.apply(&far, now);
+        order(daemon, &evacuate, now);
+    }
+    for n in 0..20 {
+        fleet.heartbeat(n, now);
+    }
+    for _ in 0..2_000 {
+        fleet.request(Policy::Daemons, now);
+    }
+    let sent: Vec<(usize, Ticket)> = fleet
+        .tickets
+        .into_iter()
+        .flatten()
+        .map(|t| (t.0, t.1))
+        .collect();
+    for (from, ticket) in &sent {
+        let receivers = fleet.daemons[*from].notice_receivers(ticket, now);
+        let users = sent
+            .iter()
+            .filter(|(_, other)| other.upstream == ticket.upstream);
+        for (user, _) in users.filter(|(user, _)| user != from) {
+            assert!(
+                receivers.contains(&peer_address(*user)),
+                "{user} uses {}",
+                ticket.upstream
+            );
+        }
+    }
+}
--- a/tests/dispatch/lapse.rs
+++ b/tests/dispatch/lapse.rs
@@ -2,17 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusyoke::coordination::dispatch::peers::TableState;
+use hibiscusyoke::coordination::dispatch::{Dispatcher, peers::TableState};
 
 use crate::support::{dispatcher, hear, heartbeat, row, upstream};
 
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The ids that take new work.
-fn listed(
-    dispatcher: &hibiscusyoke::coordination::dispatch::Dispatcher,
-    now: Instant,
-) -> Vec<String> {
+fn listed(dispatcher: &Dispatcher, now: Instant) -> Vec<String> {
     dispatcher
         .registry
         .of_service("pool")
@@ -21,48 +18,38 @@
         .collect()
 }
 
-/// Found by hunt-80e9-35: this daemon alone was turned away, and the entry was really removed.
-#[test]
-fn removal_after_own_outage_counts_at_once() {
-    let start = Instant::now();
+/// Of two upstreams u1 is removed a second after the table was lost, as it comes back; what other
+/// daemons said of the table at its loss.
+fn u1_removed_after_outage(said: &[TableState], start: Instant) -> Dispatcher {
     let mut dispatcher = dispatcher();
     let rows = [upstream("u1", 1, "ready"), upstream("u2", 2, "ready")];
     dispatcher.registry.replace(&rows, start);
-    hear(
-        &mut dispatcher,
-        &[
-            heartbeat("front-2", TableState::Answers),
-            heartbeat("front-3", TableState::Answers),
-        ],
-        start,
-    );
+    let heartbeats: Vec<_> = said
+        .iter()
+        .zip(["front-2", "front-3"])
+        .map(|(table, name)| heartbeat(name, *table))
+        .collect();
+    hear(&mut dispatcher, &heartbeats, start);
     dispatcher.table_lost(start);
     dispatcher.table_back(start + SECOND);
     dispatcher
         .registry
         .apply(&[row("u1", 3, None)], start + SECOND);
+    dispatcher
+}
+
+/// Found by hunt-80e9-35: this daemon alone was turned away, and the entry was really removed.
+#[test]
+fn removal_after_own_outage_counts_at_once() {
+    let start = Instant::now();
+    let mut dispatcher = u1_removed_after_outage(&[TableState::Answers; 2], start);
     assert_eq!(listed(&dispatcher, start + SECOND), ["u2"]);
 }
 
 #[test]
 fn removal_after_common_outage_may_come_back() {
     let start = Instant::now();
-    let mut dispatcher = dispatcher();
-    let rows = [upstream("u1", 1, "ready"), upstream("u2", 2, "ready")];
-    dispatcher.registry.replace(&rows, start);
-    hear(
-        &mut dispatcher,
-        &[
-            heartbeat("front-2", TableState::Lost),
-            heartbeat("front-3", TableState::Lost),
-        ],
-        start,
-    );
-    dispatcher.table_lost(start);
-    dispatcher.table_back(start + SECOND);
-    dispatcher
-        .registry
-        .apply(&[row("u1", 3, None)], start + SECOND);
+    let mut dispatcher = u1_removed_after_outage(&[TableState::Lost; 2], start);
     assert_eq!(listed(&dispatcher, start + 2 * SECOND), ["u1", "u2"]);
     dispatcher
         .registry
@@ -73,19 +60,7 @@
 #[test]
 fn removal_after_common_outage_ends_without_a_tick() {
     let start = Instant::now();
-    let mut dispatcher = dispatcher();
-    let rows = [upstream("u1", 1, "ready"), upstream("u2", 2, "ready")];
-    dispatcher.registry.replace(&rows, start);
-    hear(
-        &mut dispatcher,
-        &[heartbeat("front-2", TableState::Lost)],
-        start,
-    );
-    dispatcher.table_lost(start);
-    dispatcher.table_back(start + SECOND);
-    dispatcher
-        .registry
-        .apply(&[row("u1", 3, None)], start + SECOND);
+    let mut dispatcher = u1_removed_after_outage(&[TableState::Lost], start);
     assert_eq!(
         listed(&dispatcher, start + SECOND + 2_300 * SECOND / 1_000),
         ["u2"]
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -39,6 +39,13 @@
     dispatcher
 }
 
+/// The same, where a first request has shown that the new version has an upstream.
+fn rolling_with_new_seen(start: Instant) -> Dispatcher {
+    let mut dispatcher = rolling(start);
+    run(&mut dispatcher, 0..1, Quality::Good, start);
+    dispatcher
+}
+
 fn start_rollout(dispatcher: &mut Dispatcher, within: Duration, now: Instant) {
     let value = json!({"service": "pool", "target": "v2", "duration_s": within.as_secs()});
     order(dispatcher, &row("rollout/pool", 2, Some(value)), now);
@@ -139,7 +146,7 @@
         .rollouts;
     let mut dispatcher = rolling(start);
     run(&mut dispatcher, 9_000..9_001, Quality::Good, start);
-    crate::support::hear(&mut dispatcher, &[told], start);
+    hear(&mut dispatcher, &[told], start);
     assert_eq!(
         run(&mut dispatcher, 0..500, Quality::Good, at(start, 3.0)),
         0
@@ -149,8 +156,7 @@
 #[test]
 fn failing_version_is_rolled_back_and_gets_nothing_more() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     let exposed = run(
         &mut dispatcher,
         1_000..1_100,
@@ -175,8 +181,7 @@
 #[test]
 fn crash_says_nothing_of_the_version() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     run(
         &mut dispatcher,
         1_000..1_200,
@@ -191,8 +196,7 @@
 #[test]
 fn breaks_of_a_living_upstream_condemn_its_version() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     run(
         &mut dispatcher,
         1_000..1_200,
@@ -206,8 +210,7 @@
 #[test]
 fn slow_version_is_rolled_back() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     for session in 1_000..1_400 {
         let now = at(start, 6.0);
         let mut ticket = place(&mut dispatcher, &ask(session), now);
@@ -240,8 +243,7 @@
 #[test]
 fn slow_version_is_told_beside_a_loaded_old_one() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     stream(
         &mut dispatcher,
         &[40, 60, 90, 160, 300],
@@ -254,8 +256,7 @@
 #[test]
 fn good_version_is_not_condemned_by_some_slow_streams() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     stream(
         &mut dispatcher,
         &[40, 60, 90],
@@ -269,8 +270,7 @@
 #[test]
 fn pace_under_the_load_of_all_sessions_says_nothing() {
     let start = Instant::now();
-    let mut dispatcher = rolling(start);
-    run(&mut dispatcher, 0..1, Quality::Good, start);
+    let mut dispatcher = rolling_with_new_seen(start);
     stream(
         &mut dispatcher,
         &[40, 60, 90],
