Build callers' requests once for the soak and the gateway's tests

The soak and tests/gateway/bed.rs each made the same headers, requests and connections; stand_in::users::caller makes them for both. Setting and removing the plain upstreams stands once in the bed. Assertions are as before.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -10,27 +10,23 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
-use stand_in::users::upstream::EVENTS;
-use tokio::{net::TcpStream, task::JoinHandle};
+use stand_in::users::{caller as users, upstream::EVENTS};
+use tokio::{task::JoinHandle, time::timeout};
 
 use crate::{
     ledger::{Kind, Outcome, Record},
     site::{KEY, Site},
 };
 
-/// The time that callers grant a request.
-const DEADLINE: Duration = Duration::from_secs(4);
-/// How much longer they wait for its answer.
-const ANSWER_SLACK: Duration = Duration::from_secs(2);
+/// The time that callers grant a request, in milliseconds.
+const DEADLINE_MS: u32 = 4_000;
+/// How long they wait for its answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 /// The time to open a connection, or to be told where to open one.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The pause between two requests of a caller, in milliseconds.
@@ -126,7 +122,7 @@
             _ => self.find_gateway().await?,
         };
         let sent = Instant::now();
-        let within = tokio::time::timeout(DEADLINE + ANSWER_SLACK, self.send(gateway, kind, &id));
+        let within = timeout(ANSWER_TIMEOUT, self.send(gateway, kind, &id));
         let outcome = within.await.unwrap_or(Outcome::TimedOut);
         if matches!(outcome, Outcome::TimedOut | Outcome::NoAnswer(_)) {
             self.connection = None;
@@ -226,8 +222,8 @@
     let Some(mut sender) = connect(front).await else {
         return Outcome::NotSent;
     };
-    let asked = tokio::time::timeout(
-        DEADLINE + ANSWER_SLACK,
+    let asked = timeout(
+        ANSWER_TIMEOUT,
         exchange(&mut sender, Kind::Look, "probe", key),
     );
     asked.await.unwrap_or(Outcome::TimedOut)
@@ -235,51 +231,37 @@
 
 /// A request of a kind, with a key.
 fn request(kind: Kind, id: &str, key: &str) -> Request<Full<Bytes>> {
-    let builder = Request::builder()
-        .header("host", "h")
-        .header("request-id", id)
-        .header("x-api-key", key)
-        .header("deadline-ms", DEADLINE.as_millis().to_string());
-    let built = match kind {
-        Kind::Book => builder.method("POST").uri("/book/1").body(Full::default()),
-        Kind::Look => builder.method("GET").uri("/look/1").body(Full::default()),
-        Kind::Ask => builder
-            .method("POST")
-            .uri("/ask/1")
-            .header("model", "*")
-            .header("session", format!("session-{id}"))
-            .header("token-usage", "900,24")
-            .header("prompt-prefix", "a:500,b:200")
-            .body(Full::new(Bytes::from_static(b"a prompt"))),
+    let plain = |method, path| {
+        let headers = users::headers(id, key, DEADLINE_MS);
+        users::request(method, path, &headers, Bytes::new())
     };
-    built.expect("the parts of a request are constants")
+    match kind {
+        Kind::Book => plain(Method::POST, "/book/1"),
+        Kind::Look => plain(Method::GET, "/look/1"),
+        Kind::Ask => {
+            let headers = users::stream_headers(id, key, DEADLINE_MS);
+            let prompt = Bytes::from_static(users::PROMPT);
+            users::request(Method::POST, "/ask/1", &headers, prompt)
+        }
+    }
 }
 
 /// Opens a connection to a gateway.
 async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = stream.await.ok()?.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move {
-        // The caller sees how its request ended.
-        let _ = connection.await;
-    });
-    Some(sender)
+    let connected = timeout(CONNECT_TIMEOUT, users::connect(address));
+    connected.await.ok().flatten()
 }
 
 /// The gateways that a gateway names; none if it doesn't answer.
 pub async fn directory(address: SocketAddr) -> Vec<SocketAddr> {
-    let asked = tokio::time::timeout(CONNECT_TIMEOUT, ask_directory(address));
+    let asked = timeout(CONNECT_TIMEOUT, ask_directory(address));
     asked.await.ok().flatten().unwrap_or_default()
 }
 
 async fn ask_directory(address: SocketAddr) -> Option<Vec<SocketAddr>> {
-    let mut sender = connect(address).await?;
-    let request = Request::get("/resolve?name=h&region=r&zone=a")
-        .header("host", "h")
-        .body(Full::default())
-        .ok()?;
-    let response = sender.send_request(request).await.ok()?;
+    let mut sender = users::connect(address).await?;
+    let asked = users::get(users::DIRECTORY_PATH);
+    let response = sender.send_request(asked).await.ok()?;
     let body = response.into_body().collect().await.ok()?.to_bytes();
     let answer: serde_json::Value = serde_json::from_slice(&body).ok()?;
     serde_json::from_value(answer["addresses"].clone()).ok()
--- /dev/null
+++ b/stand-in/src/users/caller.rs
@@ -0,0 +1,76 @@
+//! Callers of gateways: their requests, and the questions that they ask before.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// The host of all routes.
+pub const HOST: &str = "h";
+
+/// The question where callers may go.
+pub const DIRECTORY_PATH: &str = "/resolve?name=h&region=r&zone=a";
+/// The prompt of all streams.
+pub const PROMPT: &[u8] = b"a prompt";
+
+/// A request's headers, in order.
+pub type Headers = Vec<(&'static str, String)>;
+
+/// The headers of a request with an id and a key.
+pub fn headers(id: &str, key: &str, deadline_ms: u32) -> Headers {
+    vec![
+        ("host", HOST.into()),
+        ("request-id", id.into()),
+        ("x-api-key", key.into()),
+        ("deadline-ms", deadline_ms.to_string()),
+    ]
+}
+
+/// The same for a stream from the model pool, in a session of its own.
+pub fn stream_headers(id: &str, key: &str, deadline_ms: u32) -> Headers {
+    let mut headers = headers(id, key, deadline_ms);
+    headers.extend([
+        ("model", "*".into()),
+        ("session", format!("session-{id}")),
+        ("token-usage", "900,24".into()),
+        ("prompt-prefix", "a:500,b:200".into()),
+    ]);
+    headers
+}
+
+/// A request of these parts.
+///
+/// # Panics
+///
+/// If a header or the path is not valid.
+pub fn request(method: Method, path: &str, headers: &Headers, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("a path");
+    for (name, value) in headers {
+        let value = value.parse().expect("a header's value");
+        request.headers_mut().append(*name, value);
+    }
+    request
+}
+
+/// A question without a key.
+pub fn get(path: &'static str) -> Request<Full<Bytes>> {
+    let headers = vec![("host", HOST.into())];
+    request(Method::GET, path, &headers, Bytes::new())
+}
+
+/// Opens a connection.
+pub async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // Whoever sends a request sees how it ended.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
--- a/tests/dispatch/lapse.rs
+++ b/tests/dispatch/lapse.rs
@@ -42,7 +42,7 @@
 #[test]
 fn removal_after_own_outage_counts_at_once() {
     let start = Instant::now();
-    let mut dispatcher = u1_removed_after_outage(&[TableState::Answers; 2], start);
+    let dispatcher = u1_removed_after_outage(&[TableState::Answers; 2], start);
     assert_eq!(listed(&dispatcher, start + SECOND), ["u2"]);
 }
 
@@ -60,7 +60,7 @@
 #[test]
 fn removal_after_common_outage_ends_without_a_tick() {
     let start = Instant::now();
-    let mut dispatcher = u1_removed_after_outage(&[TableState::Lost], start);
+    let dispatcher = u1_removed_after_outage(&[TableState::Lost], start);
     assert_eq!(
         listed(&dispatcher, start + SECOND + 2_300 * SECOND / 1_000),
         ["u2"]
--- a/tests/gateway/bed.rs
+++ b/tests/gateway/bed.rs
@@ -12,15 +12,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::{body::Incoming, client::conn::http1};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use tempfile::TempDir;
-use tokio::net::TcpStream;
 
 use stand_in::users::{
+    caller::{self, DIRECTORY_PATH, Headers, PROMPT},
     deployment::{Port, address, configuration, loopback, settings, signal},
     table::TableStandIn,
-    upstream::UpstreamStandIn,
+    upstream::{Behaviour, UpstreamStandIn},
 };
 
 /// The time within which anything awaited must happen.
@@ -59,7 +58,7 @@
 pub(crate) struct Call {
     pub(crate) method: Method,
     pub(crate) path: &'static str,
-    pub(crate) headers: Vec<(&'static str, String)>,
+    pub(crate) headers: Headers,
     pub(crate) body: Bytes,
 }
 
@@ -68,17 +67,8 @@
     Call {
         method: Method::POST,
         path,
-        headers: vec![
-            ("host", "h".into()),
-            ("request-id", id.into()),
-            ("x-api-key", "k1".into()),
-            ("deadline-ms", "8000".into()),
-            ("model", "*".into()),
-            ("session", format!("session-{id}")),
-            ("token-usage", "900,24".into()),
-            ("prompt-prefix", "a:500,b:200".into()),
-        ],
-        body: Bytes::from_static(b"a prompt"),
+        headers: caller::stream_headers(id, "k1", 8_000),
+        body: Bytes::from_static(PROMPT),
     }
 }
 
@@ -87,12 +77,7 @@
     Call {
         method,
         path,
-        headers: vec![
-            ("host", "h".into()),
-            ("request-id", id.into()),
-            ("x-api-key", "k1".into()),
-            ("deadline-ms", "4000".into()),
-        ],
+        headers: caller::headers(id, "k1", 4_000),
         body: Bytes::new(),
     }
 }
@@ -162,6 +147,22 @@
         self.gateways[0].call(call).await
     }
 
+    /// Lets all plain upstreams behave alike.
+    pub(crate) fn set_desks(&self, behaviour: Behaviour) {
+        for desk in self.desks() {
+            desk.set(behaviour);
+        }
+    }
+
+    /// Removes the plain upstreams from the table, and waits until the first gateway knows.
+    pub(crate) async fn remove_desks(&self) {
+        for desk in self.desks() {
+            self.table.remove("servers", &desk.id);
+        }
+        let last = "event=upstream_left upstream=p2";
+        wait(|| async { self.gateways[0].log().contains(last) }).await;
+    }
+
     /// The engines.
     pub(crate) fn engines(&self) -> [&UpstreamStandIn; 2] {
         [&self.upstreams[0], &self.upstreams[1]]
@@ -188,14 +189,8 @@
 
     /// Sends a call and reads the head of the answer.
     pub(crate) async fn open(&self, call: &Call) -> http::Response<Incoming> {
-        let mut request = Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.path.parse().expect("a path");
-        for (name, value) in &call.headers {
-            request
-                .headers_mut()
-                .append(*name, value.parse().expect("a value"));
-        }
+        let body = call.body.clone();
+        let request = caller::request(call.method.clone(), call.path, &call.headers, body);
         exchange(address(self.ip, Port::Front), request)
             .await
             .expect("an answer")
@@ -203,14 +198,14 @@
 
     /// Whether the gateway says that callers may come.
     pub(crate) async fn is_ready(&self) -> bool {
-        let request = get("/ready");
+        let request = caller::get("/ready");
         let response = exchange(address(self.ip, Port::Ready), request).await;
         response.is_some_and(|response| response.status() == StatusCode::OK)
     }
 
     /// The addresses that the directory names.
     pub(crate) async fn directory(&self) -> Vec<SocketAddr> {
-        let request = get("/resolve?name=h&region=r&zone=a");
+        let request = caller::get(DIRECTORY_PATH);
         let Some(response) = exchange(address(self.ip, Port::Directory), request).await else {
             return Vec::new();
         };
@@ -228,7 +223,7 @@
 
     /// The metrics.
     pub(crate) async fn metrics(&self) -> String {
-        let response = exchange(address(self.ip, Port::Metrics), get("/metrics")).await;
+        let response = exchange(address(self.ip, Port::Metrics), caller::get("/metrics")).await;
         let body = response
             .expect("an answer")
             .into_body()
@@ -290,19 +285,10 @@
     waiting.await.expect("the condition comes to hold");
 }
 
-fn get(path: &'static str) -> Request<Full<Bytes>> {
-    Request::get(path)
-        .header("host", "h")
-        .body(Full::default())
-        .expect("a request")
-}
-
 async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Option<http::Response<Incoming>> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(connection);
+    let mut sender = caller::connect(address).await?;
     sender.send_request(request).await.ok()
 }
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -30,15 +30,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_request_without_places() {
     let bed = Bed::spawn(1).await;
-    for id in ["p1", "p2"] {
-        bed.table.remove("servers", id);
-    }
-    wait(|| async {
-        bed.gateways[0]
-            .log()
-            .contains("event=upstream_left upstream=p2")
-    })
-    .await;
+    bed.remove_desks().await;
     let answer = bed.call(&plain("q1", Method::POST, "/book/1")).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     let told = trace("q1", &bed.gateways[0].log());
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -62,7 +62,7 @@
 async fn non_idempotent_call_runs_at_most_once() {
     let bed = Bed::spawn(1).await;
     for behaviour in [Behaviour::Break, Behaviour::Foreign, Behaviour::Unsigned] {
-        bed.desks().iter().for_each(|desk| desk.set(behaviour));
+        bed.set_desks(behaviour);
         let id = format!("b-{behaviour:?}");
         let answer = bed.call(&plain(&id, Method::POST, "/book/1")).await;
         assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{behaviour:?}");
@@ -73,9 +73,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_call_is_not_run_and_may_come_back() {
     let bed = Bed::spawn(1).await;
-    bed.desks()
-        .iter()
-        .for_each(|desk| desk.set(Behaviour::Refuse));
+    bed.set_desks(Behaviour::Refuse);
     let answer = bed.call(&plain("b1", Method::POST, "/book/1")).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     let wait: f64 = answer.headers["retry-after"]
@@ -90,9 +88,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn upstreams_own_failure_is_passed_on() {
     let bed = Bed::spawn(1).await;
-    bed.desks()
-        .iter()
-        .for_each(|desk| desk.set(Behaviour::Fail));
+    bed.set_desks(Behaviour::Fail);
     let answer = bed.call(&plain("b1", Method::POST, "/book/1")).await;
     assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
     assert_eq!(answer.headers["response-seal"], "s");
@@ -101,9 +97,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_upstream_ends_with_the_routes_timeout() {
     let bed = Bed::spawn(1).await;
-    bed.desks()
-        .iter()
-        .for_each(|desk| desk.set(Behaviour::Hang));
+    bed.set_desks(Behaviour::Hang);
     let begun = Instant::now();
     let answer = bed.call(&plain("b1", Method::POST, "/book/1")).await;
     assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
@@ -117,9 +111,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn work_stops_when_the_caller_leaves() {
     let bed = Bed::spawn(1).await;
-    bed.desks()
-        .iter()
-        .for_each(|desk| desk.set(Behaviour::Hang));
+    bed.set_desks(Behaviour::Hang);
     let call = plain("l1", Method::GET, "/look/1");
     let leaving = tokio::time::timeout(Duration::from_millis(200), bed.call(&call));
     leaving.await.expect_err("it hangs");
@@ -139,15 +131,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_upstream_is_refused_at_once() {
     let bed = Bed::spawn(1).await;
-    for id in ["p1", "p2"] {
-        bed.table.remove("servers", id);
-    }
-    wait(|| async {
-        bed.gateways[0]
-            .log()
-            .contains("event=upstream_left upstream=p2")
-    })
-    .await;
+    bed.remove_desks().await;
     let begun = Instant::now();
     let answer = bed.call(&plain("b1", Method::POST, "/book/1")).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
