Give each prompt prefix the same home engines on all daemons

Change: the homes of a prefix are derived from all listed engines and are candidates beside the subset. The next home is used while the backlog of those before it exceeds the prefill time that the cache saves. Daemons report the backlog that they know in their heartbeats, so that others know the load of homes outside their subset; the number of messages does not change. Sums of peers' loads are updated per heartbeat instead of rebuilt, and upstreams are indexed by hash.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -22,6 +22,7 @@
 pub mod escalation;
 pub mod evidence;
 pub mod health;
+pub mod homes;
 pub mod orders;
 pub mod pace;
 mod peer_messages;
@@ -40,7 +41,7 @@
 pub mod sessions;
 pub mod subset;
 
-use peers::{PeerId, Peers, Readiness, TableState};
+use peers::{LoadReport, PeerId, Peers, Readiness, TableState};
 use poison::PoisonTracker;
 use prefill_speed::PrefillSpeeds;
 use prefix::PrefixIndex;
@@ -102,6 +103,18 @@
     overdue: Duration,
 }
 
+impl PeerLoad {
+    fn add(&mut self, load: &LoadReport) {
+        self.running = self.running.saturating_add(load.running);
+        self.overdue = self.overdue.saturating_add(load.overdue);
+    }
+
+    fn subtract(&mut self, load: &LoadReport) {
+        self.running = self.running.saturating_sub(load.running);
+        self.overdue = self.overdue.saturating_sub(load.overdue);
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without any routes, upstreams or peers.
     pub fn new(me: PeerId, domain: DomainName, limits: FleetLimits, seed: u64) -> Self {
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -33,11 +33,14 @@
         let loads = self
             .registry
             .all()
-            .filter(|u| u.running > 0 || u.health.is_unreachable())
+            .filter(|u| {
+                u.running > 0 || u.health.is_unreachable() || !u.queue.known_wait(now).is_zero()
+            })
             .map(|u| LoadReport {
                 upstream: u.hash,
                 running: u.running,
                 overdue: u.queue.overdue(now),
+                backlog: u.queue.known_wait(now),
                 unreachable: u.health.is_unreachable() && !u.health.is_usable(now),
             })
             .collect();
@@ -83,8 +86,11 @@
             self.merge_rollout(&heartbeat.from, report, now);
         }
         self.mark_unreachable_cold(&heartbeat.loads, now);
+        self.record_reported_backlogs(&heartbeat.loads, now);
+        let name = heartbeat.from.name.clone();
+        self.count_loads_of(&name, LoadCount::Subtract, now);
         let new = self.peers.receive_heartbeat(heartbeat, address, now);
-        self.sum_peer_loads(now);
+        self.count_loads_of(&name, LoadCount::Add, now);
         new
     }
 
@@ -194,6 +200,14 @@
         }
     }
 
+    fn record_reported_backlogs(&mut self, loads: &[LoadReport], now: Instant) {
+        for load in loads.iter().filter(|load| !load.backlog.is_zero()) {
+            if let Some(upstream) = self.registry.by_hash_mut(load.upstream) {
+                upstream.queue.record_report(load.backlog, now);
+            }
+        }
+    }
+
     pub(super) fn merge_rollout(&mut self, peer: &PeerId, report: &RolloutReport, now: Instant) {
         let known = RolloutStatus {
             service: report.service.clone(),
@@ -213,18 +227,38 @@
         }
     }
 
+    /// Updates the sums for one daemon. The next tick corrects them if the daemon went silent since
+    /// the last one.
+    fn count_loads_of(&mut self, name: &str, count: LoadCount, now: Instant) {
+        let Some(peer) = self.peers.live_peer(name, now) else {
+            return;
+        };
+        for load in &peer.last_heartbeat.loads {
+            let sum = self.peer_loads.entry(load.upstream).or_default();
+            match count {
+                LoadCount::Add => sum.add(load),
+                LoadCount::Subtract => sum.subtract(load),
+            }
+        }
+    }
+
     pub(super) fn sum_peer_loads(&mut self, now: Instant) {
         self.peer_loads.clear();
         for peer in self.peers.live(now) {
             for load in &peer.last_heartbeat.loads {
-                let sum = self.peer_loads.entry(load.upstream).or_default();
-                sum.running += load.running;
-                sum.overdue += load.overdue;
+                self.peer_loads.entry(load.upstream).or_default().add(load);
             }
         }
     }
 }
 
+/// How a daemon's loads change the sums.
+#[derive(Clone, Copy, Debug)]
+enum LoadCount {
+    Add,
+    Subtract,
+}
+
 fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -70,6 +70,8 @@
     pub running: u32,
     /// Prefill time of the daemon's overdue prompts.
     pub overdue: Duration,
+    /// Time until the prompts that the daemon knows of are processed.
+    pub backlog: Duration,
     /// Whether the daemon could not connect to it recently.
     pub unreachable: bool,
 }
@@ -210,11 +212,21 @@
 
     /// Returns the daemons with a recent heartbeat.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let silence = self
-            .heartbeat_period()
+        self.received_within(self.live_silence(), now)
+    }
+
+    /// Returns a daemon if it has sent a heartbeat recently.
+    pub fn live_peer(&self, name: &str, now: Instant) -> Option<&Peer> {
+        let peer = self.known.get(name)?;
+        let silence = now.saturating_duration_since(peer.received_at);
+        (silence < self.live_silence()).then_some(peer)
+    }
+
+    /// Returns for how long a daemon counts as live after its last heartbeat.
+    fn live_silence(&self) -> Duration {
+        self.heartbeat_period()
             .mul_f64(MAX_MISSED_HEARTBEATS)
-            .max(MIN_SILENCE);
-        self.received_within(silence, now)
+            .max(MIN_SILENCE)
     }
 
     /// Returns the daemons whose heartbeat is recent enough to rely on them for polling the table.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -12,6 +12,7 @@
     cold::{self, RateShare},
     cost::{Candidate, cost},
     health::AttemptOutcome,
+    homes::Homes,
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::{self, PrefixBlock},
     registry::Upstream,
@@ -125,10 +126,9 @@
             .filter(|u| u.is_listed(now) && u.health.is_usable(now))
             .filter(|u| !self.evacuated.contains(&u.domain))
             .collect();
-        let preferred_engine = find_preferred_engine(&blocks, &listed);
-        let wait = |u: &Upstream| {
-            self.wait(u, now) + self.prefill_time(request, u, &blocks, preferred_engine, now)
-        };
+        let homes = self.homes_in_use(request, &blocks, &find_homes(&blocks, &listed), now);
+        let wait =
+            |u: &Upstream| self.wait(u, now) + self.prefill_time(request, u, &blocks, &homes, now);
         listed.into_iter().map(wait).min()
     }
 
@@ -162,12 +162,13 @@
             .collect();
         let listed = if settled.is_empty() { listed } else { settled };
         let engines = HashRing::from_hashes(listed.iter().map(|u| u.hash));
-        let listed = self.in_subset(request, listed, &engines, now);
+        let homes = find_homes(&blocks, &listed);
+        let listed = self.candidates(request, listed, &engines, &homes, now);
         let service = self
             .routes
             .as_ref()
             .and_then(|r| r.service(request.service));
-        let preferred_engine = find_preferred_engine(&blocks, &listed);
+        let homes = self.homes_in_use(request, &blocks, &homes, now);
         let mut best: Option<(f64, &Upstream, Duration)> = None;
         let mut cold_wait: Option<Duration> = None;
         let mut full = false;
@@ -189,7 +190,7 @@
                 }
                 continue;
             }
-            let prefill_time = self.prefill_time(request, upstream, &blocks, preferred_engine, now);
+            let prefill_time = self.prefill_time(request, upstream, &blocks, &homes, now);
             let candidate = Candidate {
                 backlog: self.wait(upstream, now),
                 prefill_time,
@@ -235,13 +236,14 @@
         Placement::Assigned(assignment)
     }
 
-    /// Returns the engines of `listed` in this daemon's subset, or all of `listed` if no engine of
-    /// the subset is usable.
-    fn in_subset<'a>(
+    /// Returns the engines of `listed` in this daemon's subset and the homes of the request's prefix,
+    /// or all of `listed` if none of these can take the request.
+    fn candidates<'a>(
         &self,
         request: &PlacementRequest<'_>,
         listed: Vec<&'a Upstream>,
         engines: &HashRing,
+        homes: &Homes,
         now: Instant,
     ) -> Vec<&'a Upstream> {
         if request.prompt.is_none() {
@@ -251,7 +253,9 @@
         let used: Vec<&Upstream> = listed
             .iter()
             .copied()
-            .filter(|u| position.uses(engines.index(u.hash), engines.count()))
+            .filter(|u| {
+                homes.contains(u.hash) || position.uses(engines.index(u.hash), engines.count())
+            })
             .collect();
         let can_take = |u: &Upstream| {
             let tried = request.tried.contains(&u.id);
@@ -264,6 +268,23 @@
         }
     }
 
+    /// Returns the homes among which the requests with this prefix are now spread.
+    fn homes_in_use(
+        &self,
+        request: &PlacementRequest<'_>,
+        blocks: &[PrefixBlock],
+        homes: &Homes,
+        now: Instant,
+    ) -> Homes {
+        let tokens = blocks.last().map_or(0, |block| block.tokens);
+        let model = request.model.unwrap_or_default();
+        let saved = self.prefill_speeds.prefill_time(model, tokens);
+        homes.in_use(saved, |engine| {
+            let upstream = self.registry.by_hash(engine);
+            upstream.map_or(Duration::ZERO, |upstream| self.wait(upstream, now))
+        })
+    }
+
     fn blocks(&self, request: &PlacementRequest<'_>) -> Vec<PrefixBlock> {
         let chain = |prompt| prefix::chain(request.model.unwrap_or_default(), prompt);
         request.prompt.map(chain).unwrap_or_default()
@@ -340,18 +361,16 @@
         request: &PlacementRequest<'_>,
         upstream: &Upstream,
         blocks: &[PrefixBlock],
-        preferred_engine: Option<u64>,
+        homes_in_use: &Homes,
         now: Instant,
     ) -> Duration {
         let Some(prompt) = request.prompt else {
             return Duration::ZERO;
         };
         let cached_tokens = self.prefixes.cached_tokens(upstream.hash, blocks, now);
-        let assumed = match preferred_engine {
-            Some(preferred_engine) if preferred_engine == upstream.hash => {
-                blocks.last().map_or(0, |block| block.tokens)
-            }
-            _ => 0,
+        let assumed = match homes_in_use.contains(upstream.hash) {
+            true => blocks.last().map_or(0, |block| block.tokens),
+            false => 0,
         };
         let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens.max(assumed));
         self.prefill_speeds
@@ -367,15 +386,11 @@
     }
 }
 
-/// Returns the engine that daemons assume to have a prefix chain cached if they have not sent that
-/// chain themselves; all daemons assume the same one.
-fn find_preferred_engine(blocks: &[PrefixBlock], listed: &[&Upstream]) -> Option<u64> {
-    let chain = blocks.last()?.chain;
-    listed
-        .iter()
-        .filter(|u| u.state == UpstreamState::Ready)
-        .map(|u| u.hash)
-        .max_by_key(|hash| xxh3_64_with_seed(&hash.to_le_bytes(), chain))
+/// Returns the home engines of a prefix; daemons assume that these have it cached, also if they have
+/// not sent it themselves.
+fn find_homes(blocks: &[PrefixBlock], listed: &[&Upstream]) -> Homes {
+    let ready = listed.iter().filter(|u| u.state == UpstreamState::Ready);
+    Homes::find(blocks, ready.map(|u| u.hash))
 }
 
 fn route_hash(route: &str) -> u32 {
--- a/src/coordination/dispatch/prefill_queue.rs
+++ b/src/coordination/dispatch/prefill_queue.rs
@@ -34,14 +34,23 @@
 pub struct PrefillQueue {
     /// When all prompts are expected to be processed, if the engine keeps its usual speed.
     empty_at: Option<Instant>,
+    /// The latest such time that another daemon reported.
+    reported_empty_at: Option<Instant>,
     /// Outstanding prompts of this daemon.
     pending: Vec<PendingPrefill>,
 }
 
 impl PrefillQueue {
-    /// Returns the time until all prompts are processed; at least the outstanding prefill time of
-    /// this daemon, in case the engine is slow or stalled.
+    /// Returns the time until all prompts are processed, as far as this daemon or another knows.
     pub fn wait(&self, now: Instant) -> Duration {
+        let reported = self.reported_empty_at.unwrap_or(now);
+        let reported = reported.saturating_duration_since(now);
+        self.known_wait(now).max(reported)
+    }
+
+    /// Returns the time until all prompts that this daemon knows of are processed; at least the
+    /// outstanding prefill time of this daemon, in case the engine is slow or stalled.
+    pub fn known_wait(&self, now: Instant) -> Duration {
         let empty_at = self.empty_at.unwrap_or(now);
         let own: Duration = self
             .pending
@@ -61,6 +70,12 @@
             .sum()
     }
 
+    /// Records the backlog that another daemon reported. The daemons that are notified of an engine's
+    /// prompts report it to the others.
+    pub fn record_report(&mut self, backlog: Duration, now: Instant) {
+        self.reported_empty_at = self.reported_empty_at.max(Some(now + backlog));
+    }
+
     /// Adds a prompt of another daemon.
     pub fn add(&mut self, prefill_time: Duration, now: Instant) {
         let empty_at = self.empty_at.map_or(now, |at| at.max(now));
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -1,7 +1,7 @@
 //! The registered upstreams and this daemon's state for each.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -108,6 +108,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     upstreams: BTreeMap<UpstreamId, Upstream>,
+    ids_by_hash: HashMap<u64, UpstreamId>,
     /// Versions in use before the first rollout was ordered.
     settled: BTreeMap<ServiceName, BTreeSet<VersionName>>,
     /// Whether the table has been read.
@@ -145,8 +146,13 @@
     }
 
     /// Returns the upstream whose id has this hash.
+    pub fn by_hash(&self, hash: u64) -> Option<&Upstream> {
+        self.upstreams.get(self.ids_by_hash.get(&hash)?)
+    }
+
+    /// Returns the upstream whose id has this hash, mutably.
     pub fn by_hash_mut(&mut self, hash: u64) -> Option<&mut Upstream> {
-        self.upstreams.values_mut().find(|u| u.hash == hash)
+        self.upstreams.get_mut(self.ids_by_hash.get(&hash)?)
     }
 
     /// Returns all upstreams, mutably.
@@ -227,7 +233,7 @@
             .map(|u| u.id.clone())
             .collect();
         for id in &expired {
-            self.upstreams.remove(id);
+            self.remove(id);
         }
         expired
     }
@@ -239,7 +245,7 @@
         let registration = match Registration::decode(value) {
             Ok(registration) => registration,
             Err(e) => {
-                self.upstreams.remove(&row.key);
+                self.remove(&row.key);
                 return Change::Unreadable(row.key.clone(), e.to_string());
             }
         };
@@ -263,12 +269,19 @@
             _ => {
                 let mut upstream = Upstream::new(row.key.clone(), registration, now);
                 upstream.cold_until = cold_until;
+                self.ids_by_hash.insert(upstream.hash, row.key.clone());
                 self.upstreams.insert(row.key.clone(), upstream);
                 Change::Joined(row.key.clone())
             }
         }
     }
 
+    fn remove(&mut self, id: &str) {
+        if let Some(upstream) = self.upstreams.remove(id) {
+            self.ids_by_hash.remove(&upstream.hash);
+        }
+    }
+
     /// Returns until when missing entries may return, if a grace period applies.
     fn grace_deadline(&self, missing: &[UpstreamId], now: Instant) -> Option<Instant> {
         let after_outage = self.grace_until.filter(|until| now < *until);
@@ -296,7 +309,7 @@
         };
         let id = upstream.id.clone();
         let Some(until) = grace_deadline.filter(|_| upstream.state == UpstreamState::Ready) else {
-            self.upstreams.remove(&id);
+            self.remove(&id);
             return Change::Left(id);
         };
         upstream.missing_until.get_or_insert(until);
--- /dev/null
+++ b/tests/dispatch/fleet.rs
@@ -0,0 +1,166 @@
+//! A simulated fleet of daemons in front of engines that process one prompt at a time.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hibiscusyoke::coordination::dispatch::{
+    Assignment, Dispatcher, PlacementRequest,
+    peers::{PeerId, Readiness},
+};
+use platform::headers::{Prompt, PromptSegment};
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro128PlusPlus;
+use serde_json::json;
+
+use crate::support::{LIMITS, address, assign, configuration, daemon, order, upstream_with};
+
+/// Prefill time per token, equal to the daemons' initial estimate.
+const TIME_PER_TOKEN: Duration = Duration::from_micros(15);
+/// Port of the first daemon.
+const FIRST_PORT: u16 = 10_000;
+
+/// How an engine is selected.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// By the daemons.
+    Daemons,
+    /// At random.
+    Random,
+}
+
+/// One prompt that was sent to an engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    /// When the engine has processed the prompt.
+    pub(crate) prefilled_at: Instant,
+    /// Time that the engine spends on the part that it does not have cached.
+    pub(crate) prefill_time: Duration,
+}
+
+/// An engine that processes one prompt after another and keeps all prefixes.
+#[derive(Clone, Debug)]
+struct Engine {
+    free_at: Instant,
+    cached: BTreeSet<u64>,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) daemons: Vec<Dispatcher>,
+    engines: Vec<Engine>,
+    pub(crate) assignments: Vec<Option<(usize, Assignment, Instant)>>,
+    pub(crate) rng: Xoshiro128PlusPlus,
+}
+
+impl Fleet {
+    pub(crate) fn new(daemons: usize, engines: usize, start: Instant) -> Self {
+        let rows: Vec<_> = (0..engines)
+            .map(|n| upstream_with(&n.to_string(), 1, &[("slots", json!(1_000))]))
+            .collect();
+        let daemons = (0..daemons)
+            .zip(1..)
+            .map(|(n, seed)| {
+                let me: PeerId = daemon(&format!("front-{n}"));
+                let mut dispatcher = Dispatcher::new(me, "a".into(), LIMITS, seed);
+                order(&mut dispatcher, &configuration(1), start);
+                dispatcher.registry.replace(&rows, start);
+                dispatcher
+            })
+            .collect();
+        let engine = Engine {
+            free_at: start,
+            cached: BTreeSet::new(),
+        };
+        Self {
+            daemons,
+            engines: vec![engine; engines],
+            assignments: Vec::new(),
+            rng: Xoshiro128PlusPlus::seed_from_u64(1),
+        }
+    }
+
+    /// Sends one request.
+    pub(crate) fn request(&mut self, policy: Policy, prompt: &Prompt, now: Instant) -> Sent {
+        let engine = match policy {
+            Policy::Random => self.rng.random_range(0..self.engines.len()),
+            Policy::Daemons => {
+                let placement_request = PlacementRequest {
+                    service: "pool",
+                    route: "ask",
+                    session: self.assignments.len() as u64,
+                    model: Some("small"),
+                    prompt: Some(prompt),
+                    body_bytes: 100,
+                    tried: &[],
+                };
+                let daemon = self.rng.random_range(0..self.daemons.len());
+                let assignment = assign(&mut self.daemons[daemon], &placement_request, now);
+                let engine = assignment.upstream.parse().expect("a number");
+                self.send_notices(daemon, &assignment, now);
+                self.assignments.push(Some((daemon, assignment, now)));
+                engine
+            }
+        };
+        self.engines[engine].process(prompt, now)
+    }
+
+    fn send_notices(&mut self, from: usize, assignment: &Assignment, now: Instant) {
+        let Some(notice) = self.daemons[from].notice(assignment) else {
+            return;
+        };
+        for receiver in self.daemons[from].notice_receivers(assignment, now) {
+            let n = usize::from(receiver.port() - FIRST_PORT);
+            self.daemons[n].receive_notice(notice, now);
+        }
+    }
+
+    pub(crate) fn heartbeat(&mut self, from: usize, now: Instant) {
+        self.daemons[from].tick(now);
+        let heartbeat_message =
+            self.daemons[from].heartbeat(address(1), Readiness::Ready, Duration::ZERO, now);
+        for (n, daemon) in self.daemons.iter_mut().enumerate() {
+            if n != from {
+                daemon.receive_heartbeat(heartbeat_message.clone(), peer_address(from), now);
+            }
+        }
+    }
+}
+
+impl Engine {
+    fn process(&mut self, prompt: &Prompt, now: Instant) -> Sent {
+        let mut cached = 0;
+        for segment in &prompt.segments {
+            if !self.cached.insert(segment.id) {
+                cached += segment.tokens;
+            }
+        }
+        let prefill_time = TIME_PER_TOKEN * (prompt.tokens - cached);
+        self.free_at = self.free_at.max(now) + prefill_time;
+        Sent {
+            prefilled_at: self.free_at,
+            prefill_time,
+        }
+    }
+}
+
+/// A prompt of segments with these ids and sizes in tokens.
+pub(crate) fn prompt_of(segments: &[(u64, u32)]) -> Prompt {
+    let segments = segments.iter().map(|(id, tokens)| PromptSegment {
+        id: *id,
+        tokens: *tokens,
+    });
+    let segments: Vec<PromptSegment> = segments.collect();
+    Prompt {
+        tokens: segments.iter().map(|segment| segment.tokens).sum(),
+        segments,
+        max_output_tokens: 50,
+    }
+}
+
+/// Source address of a daemon's datagrams.
+pub(crate) fn peer_address(daemon: usize) -> SocketAddr {
+    let port = FIRST_PORT + u16::try_from(daemon).expect("few daemons");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- a/tests/dispatch/herd.rs
+++ b/tests/dispatch/herd.rs
@@ -5,22 +5,20 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeSet, BinaryHeap},
-    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use hibiscusyoke::coordination::dispatch::{
-    Assignment, Dispatcher, PlacementRequest,
-    health::AttemptOutcome,
-    peers::{PeerId, Readiness},
-    subset::RingPosition,
+    Assignment, health::AttemptOutcome, subset::RingPosition,
 };
-use platform::headers::{Prompt, PromptSegment};
-use rand::{Rng, SeedableRng};
-use rand_xoshiro::Xoshiro128PlusPlus;
+use platform::headers::Prompt;
+use rand::Rng;
 use serde_json::json;
 
-use crate::support::{LIMITS, address, assign, configuration, daemon, order, row, upstream_with};
+use crate::{
+    fleet::{Fleet, Policy, peer_address, prompt_of},
+    support::{order, row, upstream_with},
+};
 
 /// Tokens per prompt.
 const TOKENS: u32 = 3_000;
@@ -35,18 +33,6 @@
 /// How long the load lasts.
 const LOAD_DURATION: Duration = Duration::from_secs(8);
 
-/// Port of the first daemon.
-const FIRST_PORT: u16 = 10_000;
-
-/// How an engine is selected.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Policy {
-    /// By the daemons.
-    Daemons,
-    /// At random.
-    Random,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Heartbeat(usize),
@@ -55,99 +41,9 @@
     Request,
 }
 
-struct Fleet {
-    daemons: Vec<Dispatcher>,
-    /// When each engine has processed all prompts that were sent to it.
-    free_at: Vec<Instant>,
-    assignments: Vec<Option<(usize, Assignment, Instant)>>,
-    rng: Xoshiro128PlusPlus,
-}
-
-impl Fleet {
-    fn new(daemons: usize, engines: usize, start: Instant) -> Self {
-        let rows: Vec<_> = (0..engines)
-            .map(|n| upstream_with(&n.to_string(), 1, &[("slots", json!(1_000))]))
-            .collect();
-        let daemons = (0..daemons)
-            .zip(1..)
-            .map(|(n, seed)| {
-                let me: PeerId = daemon(&format!("front-{n}"));
-                let mut dispatcher = Dispatcher::new(me, "a".into(), LIMITS, seed);
-                order(&mut dispatcher, &configuration(1), start);
-                dispatcher.registry.replace(&rows, start);
-                dispatcher
-            })
-            .collect();
-        Self {
-            daemons,
-            free_at: vec![start; engines],
-            assignments: Vec::new(),
-            rng: Xoshiro128PlusPlus::seed_from_u64(1),
-        }
-    }
-
-    /// Sends one request; returns when its prefill completes.
-    fn request(&mut self, policy: Policy, now: Instant) -> Instant {
-        let n = self.assignments.len();
-        let prompt = Prompt {
-            segments: vec![PromptSegment {
-                id: n as u64,
-                tokens: TOKENS,
-            }],
-            tokens: TOKENS,
-            max_output_tokens: 50,
-        };
-        let engine = match policy {
-            Policy::Random => self.rng.random_range(0..self.free_at.len()),
-            Policy::Daemons => {
-                let placement_request = PlacementRequest {
-                    service: "pool",
-                    route: "ask",
-                    session: n as u64,
-                    model: Some("small"),
-                    prompt: Some(&prompt),
-                    body_bytes: 100,
-                    tried: &[],
-                };
-                let daemon = self.rng.random_range(0..self.daemons.len());
-                let assignment = assign(&mut self.daemons[daemon], &placement_request, now);
-                let engine = assignment.upstream.parse().expect("a number");
-                self.send_notices(daemon, &assignment, now);
-                self.assignments.push(Some((daemon, assignment, now)));
-                engine
-            }
-        };
-        let prefilled_at = self.free_at[engine].max(now) + PREFILL_TIME;
-        self.free_at[engine] = prefilled_at;
-        prefilled_at
-    }
-
-    fn send_notices(&mut self, from: usize, assignment: &Assignment, now: Instant) {
-        let Some(notice) = self.daemons[from].notice(assignment) else {
-            return;
-        };
-        for receiver in self.daemons[from].notice_receivers(assignment, now) {
-            let n = usize::from(receiver.port() - FIRST_PORT);
-            self.daemons[n].receive_notice(notice, now);
-        }
-    }
-
-    fn heartbeat(&mut self, from: usize, now: Instant) {
-        self.daemons[from].tick(now);
-        let heartbeat_message =
-            self.daemons[from].heartbeat(address(1), Readiness::Ready, Duration::ZERO, now);
-        for (n, daemon) in self.daemons.iter_mut().enumerate() {
-            if n != from {
-                daemon.receive_heartbeat(heartbeat_message.clone(), peer_address(from), now);
-            }
-        }
-    }
-}
-
-/// Source address of a daemon's datagrams.
-fn peer_address(daemon: usize) -> SocketAddr {
-    let port = FIRST_PORT + u16::try_from(daemon).expect("few daemons");
-    SocketAddr::from(([127, 0, 0, 1], port))
+/// A prompt that shares nothing with others.
+fn unshared_prompt(n: usize) -> Prompt {
+    prompt_of(&[(n as u64, TOKENS)])
 }
 
 /// Returns the mean and the 99th percentile of the time that prompts wait for their prefill.
@@ -169,7 +65,8 @@
         }
         match event {
             Event::Request => {
-                let prefilled_at = fleet.request(policy, now);
+                let prompt = unshared_prompt(waits.len());
+                let prefilled_at = fleet.request(policy, &prompt, now).prefilled_at;
                 waits.push(prefilled_at - now - PREFILL_TIME);
                 if policy == Policy::Daemons {
                     let response_started = Event::ResponseStarted(fleet.assignments.len() - 1);
@@ -265,7 +162,7 @@
     let mut sent = [0; 2];
     for n in 0..40 {
         let now = start + PREFILL_TIME * n;
-        fleet.request(Policy::Daemons, now);
+        fleet.request(Policy::Daemons, &unshared_prompt(n as usize), now);
         let (daemon, mut assignment, _) = fleet.assignments.pop().flatten().expect("sent");
         let engine: usize = assignment.upstream.parse().expect("a number");
         sent[engine] += 1;
@@ -298,8 +195,8 @@
     for n in 0..20 {
         fleet.heartbeat(n, now);
     }
-    for _ in 0..2_000 {
-        fleet.request(Policy::Daemons, now);
+    for n in 0..2_000 {
+        fleet.request(Policy::Daemons, &unshared_prompt(n), now);
     }
     let sent: Vec<(usize, Assignment)> = fleet
         .assignments
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,11 +2,13 @@
 
 mod cold;
 mod escalation;
+mod fleet;
 mod herd;
 mod orders;
 mod placement;
 mod poison;
 mod polling;
+mod prefix_homes;
 mod retry_budget;
 mod rollout;
 mod routes;
--- /dev/null
+++ b/tests/dispatch/prefix_homes.rs
@@ -0,0 +1,176 @@
+//! Tests that a large fleet keeps shared prompt prefixes cached on few engines, and that a prefix
+//! which is too hot for one engine spreads.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
+
+use hibiscusyoke::coordination::dispatch::{health::AttemptOutcome, homes::Homes, prefix};
+use platform::headers::Prompt;
+use rand::Rng;
+
+use crate::fleet::{Fleet, Policy, prompt_of};
+
+/// Tokens that all requests share, that the requests of one subject share, and of one request.
+const SEGMENT_TOKENS: [u32; 3] = [2_500, 10_800, 3_700];
+/// Number of subjects per engine.
+const SUBJECTS_PER_ENGINE: usize = 11;
+/// Requests per second and engine.
+const RATE_PER_ENGINE: f64 = 2.0;
+/// How long the load lasts, after the time in which each subject is first asked for.
+const LOAD_DURATION: Duration = Duration::from_secs(24);
+/// Part of the load that is not evaluated, as nothing is cached yet.
+const FIRST_USE_TIME: Duration = Duration::from_secs(12);
+/// Time from the end of the prefill to the first event.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(60);
+/// Time to generate the response after the first event.
+const GENERATION_TIME: Duration = Duration::from_millis(800);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Heartbeat(usize),
+    ResponseStarted(usize),
+    Finished(usize),
+    Request,
+}
+
+/// What a load showed.
+struct Measured {
+    /// Fraction of the shared tokens that did not have to be processed again.
+    kept: f64,
+    /// 99th percentile of the time from the request to the end of its prefill.
+    late: Duration,
+}
+
+/// Plays requests of many subjects; a fraction of `hot` belongs to one subject.
+fn play(policy: Policy, daemons: usize, engines: usize, hot: f64) -> Measured {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(daemons, engines, start);
+    let pause = Duration::from_secs(1).div_f64(RATE_PER_ENGINE * engines as f64);
+    let mut events = BinaryHeap::from([Reverse((start, Event::Request))]);
+    for n in 0..daemons {
+        let first = start + Duration::from_millis(12) * n as u32;
+        events.push(Reverse((first, Event::Heartbeat(n))));
+    }
+    let mut requests = 0;
+    let (mut shared, mut kept) = (0.0, 0.0);
+    let mut times = Vec::new();
+    while let Some(Reverse((now, event))) = events.pop() {
+        if now > start + LOAD_DURATION {
+            break;
+        }
+        match event {
+            Event::Request => {
+                let subject = match fleet.rng.random_bool(hot) {
+                    true => 0,
+                    false => fleet.rng.random_range(1..engines * SUBJECTS_PER_ENGINE),
+                };
+                let prompt = subject_prompt(subject as u64, requests);
+                requests += 1;
+                let sent = fleet.request(policy, &prompt, now);
+                if now > start + FIRST_USE_TIME {
+                    let tokens = f64::from(SEGMENT_TOKENS[0] + SEGMENT_TOKENS[1]);
+                    let processed = sent.prefill_time.as_secs_f64() / 15e-6;
+                    shared += tokens;
+                    kept += tokens - (processed - f64::from(SEGMENT_TOKENS[2]));
+                    times.push(sent.prefilled_at - now);
+                }
+                if policy == Policy::Daemons {
+                    let started = Event::ResponseStarted(fleet.assignments.len() - 1);
+                    events.push(Reverse((sent.prefilled_at + FIRST_EVENT_DELAY, started)));
+                }
+                let factor = -fleet.rng.random::<f64>().ln();
+                events.push(Reverse((now + pause.mul_f64(factor), Event::Request)));
+            }
+            Event::ResponseStarted(n) => {
+                let (daemon, assignment, sent) = fleet.assignments[n].as_mut().expect("running");
+                fleet.daemons[*daemon].response_started(assignment, now - *sent);
+                events.push(Reverse((now + GENERATION_TIME, Event::Finished(n))));
+            }
+            Event::Finished(n) => {
+                let (daemon, assignment, _) = fleet.assignments[n].take().expect("running");
+                fleet.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
+            }
+            Event::Heartbeat(n) => {
+                if policy == Policy::Daemons {
+                    fleet.heartbeat(n, now);
+                }
+                let period = fleet.daemons[n].peers.heartbeat_period();
+                events.push(Reverse((now + period, Event::Heartbeat(n))));
+            }
+        }
+    }
+    times.sort();
+    Measured {
+        kept: kept / shared,
+        late: times[times.len() * 99 / 100],
+    }
+}
+
+fn subject_prompt(subject: u64, request: u64) -> Prompt {
+    let [common, own, unshared] = SEGMENT_TOKENS;
+    prompt_of(&[
+        (1, common),
+        (1_000 + subject, own),
+        (1_000_000 + request, unshared),
+    ])
+}
+
+/// Each daemon had its own home for a prefix, and four fifths of the shared tokens were processed
+/// again.
+#[test]
+fn shared_prefixes_stay_cached_in_large_fleets() {
+    for (daemons, engines) in [(8, 12), (83, 90), (195, 99)] {
+        let measured = play(Policy::Daemons, daemons, engines, 0.0);
+        assert!(
+            measured.kept >= 0.6,
+            "{daemons} daemons keep {:.3}",
+            measured.kept
+        );
+    }
+}
+
+/// A prefix that is requested more often than one engine can serve does not queue up there.
+#[test]
+fn hot_prefix_spreads_in_a_large_fleet() {
+    let (random, measured) = (
+        play(Policy::Random, 83, 90, 0.3),
+        play(Policy::Daemons, 83, 90, 0.3),
+    );
+    assert!(measured.kept >= 0.6, "{:.3}", measured.kept);
+    assert!(
+        measured.late < random.late,
+        "99th percentile {:?}, random {:?}",
+        measured.late,
+        random.late
+    );
+}
+
+#[test]
+fn homes_change_only_with_their_engines() {
+    let blocks = prefix::chain("small", &subject_prompt(7, 1));
+    let homes = Homes::find(&blocks, 0..90);
+    let other = (0..90).find(|engine| !homes.contains(*engine));
+    let without_other = Homes::find(&blocks, (0..90).filter(|engine| Some(*engine) != other));
+    assert_eq!(homes, without_other);
+    let first = homes.in_use(Duration::from_millis(100), |_| Duration::ZERO);
+    let home = (0..90).find(|engine| first.contains(*engine));
+    let moved = Homes::find(&blocks, (0..90).filter(|engine| Some(*engine) != home));
+    let kept = (0..90).filter(|engine| homes.contains(*engine) && moved.contains(*engine));
+    assert_eq!(kept.count(), 2);
+}
+
+#[test]
+fn next_home_is_used_while_the_ones_before_are_overloaded() {
+    let blocks = prefix::chain("small", &subject_prompt(7, 1));
+    let homes = Homes::find(&blocks, 0..90);
+    let saved = Duration::from_millis(200);
+    let count = |backlog| {
+        let in_use = homes.in_use(saved, |_| backlog);
+        (0..90).filter(|engine| in_use.contains(*engine)).count()
+    };
+    assert_eq!(count(Duration::from_millis(150)), 1);
+    assert_eq!(count(Duration::from_millis(250)), 3);
+}
