Act on upstreams that announce in answers that they leave or want a pause

Cause: the header Server-Leaving and the Retry-After of a 503 were not read. Change: announcements of an incarnation are kept until another one registers, also over older rows and a removal of the entry, and leaving is told to peers. If all upstreams pause, requests are refused at once with the time left. A refusal is no longer taken as a measurement of an engine's prefill speed or as a first event of a rollout's evidence.

--- a/src/coordination/dispatch/assignment.rs
+++ b/src/coordination/dispatch/assignment.rs
@@ -52,6 +52,10 @@
     /// Index of the upstream among the listed `engines`, in the order of their hashes.
     pub(super) engine_index: u32,
     pub(super) engines: u32,
+    /// Startup time of the upstream's incarnation in Unix milliseconds, if known.
+    pub(super) started_ms: Option<u64>,
+    /// Whether it is the single request to the upstream after a pause, and not accepted yet.
+    pub(super) on_trial: bool,
     pub(super) order: RowVersion,
     /// When the first event is expected.
     pub(super) expected_at: Instant,
@@ -96,13 +100,15 @@
     AllFull,
     /// All upstreams are cold and have used up their rate share.
     AllCold,
+    /// All usable upstreams have asked for a pause.
+    AllPaused,
 }
 
 /// Result of placing a request.
 #[derive(Debug)]
 pub enum Placement {
     /// A slot has been reserved.
-    Assigned(Assignment),
+    Assigned(Box<Assignment>),
     /// Retry the placement after this delay.
     Wait(Duration),
     /// Refuse the request, with a Retry-After.
--- a/src/coordination/dispatch/health.rs
+++ b/src/coordination/dispatch/health.rs
@@ -36,6 +36,20 @@
     updated: Option<Instant>,
     unreachable: u32,
     backoff_until: Option<Instant>,
+    /// End of the pause that the upstream asked for.
+    paused_until: Option<Instant>,
+    trial: Trial,
+}
+
+/// Whether an upstream gets a single request before it gets others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Trial {
+    #[default]
+    None,
+    /// It has asked for a pause and has not accepted a request since.
+    Due,
+    /// The single request is outstanding.
+    Sent,
 }
 
 impl Health {
@@ -50,9 +64,44 @@
         }
     }
 
-    /// Returns whether it may get work.
+    /// Returns whether it may get work; after a pause it gets a single request first.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.backoff_until.is_none_or(|until| until <= now)
+        let in_backoff = self.backoff_until.is_some_and(|until| now < until);
+        !in_backoff && !self.is_paused(now) && self.trial != Trial::Sent
+    }
+
+    /// Records that it wants no requests until a time.
+    pub fn pause_until(&mut self, until: Instant) {
+        self.paused_until = self.paused_until.max(Some(until));
+        self.trial = Trial::Due;
+    }
+
+    /// Records that a request is sent; returns whether it is the single one after a pause.
+    pub fn request_sent(&mut self) -> bool {
+        if self.trial == Trial::None {
+            return false;
+        }
+        self.trial = Trial::Sent;
+        true
+    }
+
+    /// Records whether the single request after a pause was accepted.
+    pub fn trial_ended(&mut self, accepted: bool, now: Instant) {
+        self.trial = match accepted && !self.is_paused(now) {
+            true => Trial::None,
+            false => Trial::Due,
+        };
+    }
+
+    /// Returns whether it has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        !self.pause_left(now).is_zero()
+    }
+
+    /// Returns the time until its pause ends; zero if there is none.
+    pub fn pause_left(&self, now: Instant) -> Duration {
+        self.paused_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Returns whether the last connection attempt failed.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::state::rows::RowCache;
 
+pub mod announcements;
 pub mod assignment;
 pub mod cold;
 pub mod cost;
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -68,6 +68,7 @@
             loads,
             rollouts,
             crashes: self.poison.own_crashes(),
+            leaving: self.leaving_reports(),
         }
     }
 
@@ -87,6 +88,7 @@
         }
         self.mark_unreachable_cold(&heartbeat.loads, now);
         self.record_reported_backlogs(&heartbeat.loads, now);
+        self.record_leaving(&heartbeat.leaving);
         let name = heartbeat.from.name.clone();
         self.count_loads_of(&name, LoadCount::Subtract, now);
         let new = self.peers.receive_heartbeat(heartbeat, address, now);
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -10,7 +10,7 @@
 use platform::{DomainName, RowVersion, orders::RolloutState};
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::dispatch::evidence::Evidence;
+use crate::coordination::dispatch::{announcements::LeavingReport, evidence::Evidence};
 
 /// Minimum time between a daemon's heartbeats.
 const MIN_PERIOD: Duration = Duration::from_millis(250);
@@ -118,6 +118,8 @@
     pub rollouts: Vec<RolloutReport>,
     /// Fingerprints of requests that crashed upstreams, with counts.
     pub crashes: Vec<CrashCount>,
+    /// Upstreams that have announced to it, or to a daemon that it heard, that they leave.
+    pub leaving: Vec<LeavingReport>,
 }
 
 /// How often one daemon saw a request crash an upstream.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -50,12 +50,17 @@
         }
     }
 
-    /// Records that the first event of the response has arrived, so the prefill is complete.
+    /// Records that the first event of the response has arrived, so the request was accepted and its
+    /// prefill is complete.
     pub fn response_started(&mut self, assignment: &mut Assignment, took: Duration) {
         if std::mem::replace(&mut assignment.response_started, true) {
             return;
         }
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
+            if std::mem::take(&mut assignment.on_trial) {
+                let now = assignment.reserved_at + took;
+                upstream.health.trial_ended(true, now);
+            }
             let prefill_time = took.saturating_sub(FIRST_EVENT_OVERHEAD);
             upstream.queue.response_started(
                 assignment.expected_at,
@@ -91,6 +96,9 @@
                     .cancel(assignment.expected_at, assignment.prefill_time, now);
             }
             upstream.health.record(outcome, now);
+            if assignment.on_trial {
+                upstream.health.trial_ended(false, now);
+            }
             if let (AttemptOutcome::Unreachable, Some(cold)) = (outcome, cold_time) {
                 upstream.mark_cold_until(now + cold + UNDETECTED_RESTART_MARGIN);
             }
@@ -171,10 +179,18 @@
         let homes = self.homes_in_use(request, &blocks, &homes, now);
         let mut best: Option<(f64, &Upstream, Duration)> = None;
         let mut cold_wait: Option<Duration> = None;
+        let mut pause_left: Option<Duration> = None;
         let mut full = false;
         for upstream in listed {
             let tried = request.tried.contains(&upstream.id);
-            if tried || !upstream.health.is_usable(now) {
+            if tried {
+                continue;
+            }
+            if !upstream.health.is_usable(now) {
+                if upstream.health.is_paused(now) {
+                    let left = upstream.health.pause_left(now);
+                    pause_left = Some(pause_left.map_or(left, |known| known.min(left)));
+                }
                 continue;
             }
             let peer = self.peer_load(upstream);
@@ -210,7 +226,10 @@
                 Some(wait) if wait <= MAX_COLD_WAIT => Placement::Wait(wait),
                 Some(wait) => Placement::Refuse(NoSlotReason::AllCold, wait),
                 None if full => Placement::Refuse(NoSlotReason::AllFull, FULL_RETRY_AFTER),
-                None => Placement::Refuse(NoSlotReason::NoneUsable, NO_UPSTREAM_RETRY_AFTER),
+                None => match pause_left {
+                    Some(left) => Placement::Refuse(NoSlotReason::AllPaused, left),
+                    None => Placement::Refuse(NoSlotReason::NoneUsable, NO_UPSTREAM_RETRY_AFTER),
+                },
             };
         };
         let backlog = self.wait(upstream, now);
@@ -225,6 +244,8 @@
             backlog,
             engine_index: engines.index(upstream.hash),
             engines: engines.count(),
+            started_ms: upstream.started_ms,
+            on_trial: false,
             order,
             expected_at: now,
             reserved_at: now,
@@ -233,7 +254,7 @@
             response_started: false,
         };
         self.reserve_slot(&mut assignment, &blocks, now);
-        Placement::Assigned(assignment)
+        Placement::Assigned(Box::new(assignment))
     }
 
     /// Returns the engines of `listed` in this daemon's subset and the homes of the request's prefix,
@@ -305,6 +326,7 @@
         let rate = self.cold_share(&assignment.upstream, &assignment.service, now);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running += 1;
+            assignment.on_trial = upstream.health.request_sent();
             assignment.expected_at = upstream.queue.enqueue(assignment.prefill_time, now);
             if upstream.is_cold(now)
                 && let Some(RateShare::Rate(rate)) = rate
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -25,6 +25,8 @@
 const MASS_REMOVAL_FRACTION: f64 = 0.5;
 /// Minimum number of entries for a mass removal.
 const MASS_REMOVAL_MIN_COUNT: usize = 3;
+/// How long the announcements of a removed upstream are kept, in case that its entry reappears.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
 /// How long an upstream is held back whose version nobody has ordered; the order may arrive later.
 const UNORDERED_VERSION_HOLD: Duration = Duration::from_secs(3);
 
@@ -60,13 +62,17 @@
     /// Until when an entry that disappeared around a table outage may return.
     missing_until: Option<Instant>,
     first_seen: Instant,
-    started_ms: Option<u64>,
+    /// Startup time of the incarnation in Unix milliseconds by its own clock, if known.
+    pub started_ms: Option<u64>,
+    /// Whether the incarnation has announced in a response that it leaves.
+    pub leaving: bool,
 }
 
 impl Upstream {
-    /// Returns whether its entry says that it accepts new work.
+    /// Returns whether it accepts new work according to its entry and its own announcements.
     pub fn is_listed(&self, now: Instant) -> bool {
-        self.state == UpstreamState::Ready && self.missing_until.is_none_or(|until| now < until)
+        let is_missing = self.missing_until.is_some_and(|until| until <= now);
+        self.state == UpstreamState::Ready && !self.leaving && !is_missing
     }
 
     /// Returns the time since this daemon first saw it.
@@ -104,6 +110,16 @@
     None,
 }
 
+/// What a removed incarnation had announced.
+#[derive(Clone, Debug)]
+struct Departed {
+    started_ms: Option<u64>,
+    address: SocketAddr,
+    leaving: bool,
+    health: Health,
+    removed_at: Instant,
+}
+
 /// The upstreams of all services.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -111,6 +127,8 @@
     ids_by_hash: HashMap<u64, UpstreamId>,
     /// Versions in use before the first rollout was ordered.
     settled: BTreeMap<ServiceName, BTreeSet<VersionName>>,
+    /// Removed upstreams that had announced something, in case that their entries reappear.
+    departed: HashMap<UpstreamId, Departed>,
     /// Whether the table has been read.
     loaded: bool,
     /// Until when missing entries may return.
@@ -197,7 +215,7 @@
             .cloned()
             .collect();
         let grace_deadline = self.grace_deadline(&missing, now);
-        let handle_removal = |id: &UpstreamId| self.handle_removal(id, grace_deadline);
+        let handle_removal = |id: &UpstreamId| self.handle_removal(id, grace_deadline, now);
         let mut changes: Vec<Change> = missing.iter().map(handle_removal).collect();
         changes.extend(rows.iter().map(|row| self.put(row, now)));
         if first {
@@ -219,7 +237,7 @@
         rows.iter()
             .map(|row| match row.value {
                 Some(_) => self.put(row, now),
-                None => self.handle_removal(&row.key, grace_deadline),
+                None => self.handle_removal(&row.key, grace_deadline, now),
             })
             .collect()
     }
@@ -233,8 +251,11 @@
             .map(|u| u.id.clone())
             .collect();
         for id in &expired {
-            self.remove(id);
+            self.remove(id, now);
         }
+        self.departed.retain(|_, departed| {
+            now.saturating_duration_since(departed.removed_at) < DEPARTED_RETENTION
+        });
         expired
     }
 
@@ -245,7 +266,7 @@
         let registration = match Registration::decode(value) {
             Ok(registration) => registration,
             Err(e) => {
-                self.remove(&row.key);
+                self.remove(&row.key, now);
                 return Change::Unreadable(row.key.clone(), e.to_string());
             }
         };
@@ -269,6 +290,9 @@
             _ => {
                 let mut upstream = Upstream::new(row.key.clone(), registration, now);
                 upstream.cold_until = cold_until;
+                if let Some(departed) = self.departed.remove(&row.key) {
+                    upstream.restore_announcements(&departed);
+                }
                 self.ids_by_hash.insert(upstream.hash, row.key.clone());
                 self.upstreams.insert(row.key.clone(), upstream);
                 Change::Joined(row.key.clone())
@@ -276,9 +300,20 @@
         }
     }
 
-    fn remove(&mut self, id: &str) {
-        if let Some(upstream) = self.upstreams.remove(id) {
-            self.ids_by_hash.remove(&upstream.hash);
+    fn remove(&mut self, id: &str, now: Instant) {
+        let Some(upstream) = self.upstreams.remove(id) else {
+            return;
+        };
+        self.ids_by_hash.remove(&upstream.hash);
+        if upstream.leaving || upstream.health.is_paused(now) {
+            let departed = Departed {
+                started_ms: upstream.started_ms,
+                address: upstream.address,
+                leaving: upstream.leaving,
+                health: upstream.health,
+                removed_at: now,
+            };
+            self.departed.insert(upstream.id, departed);
         }
     }
 
@@ -303,13 +338,18 @@
         })
     }
 
-    fn handle_removal(&mut self, id: &str, grace_deadline: Option<Instant>) -> Change {
+    fn handle_removal(
+        &mut self,
+        id: &str,
+        grace_deadline: Option<Instant>,
+        now: Instant,
+    ) -> Change {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return Change::None;
         };
         let id = upstream.id.clone();
         let Some(until) = grace_deadline.filter(|_| upstream.state == UpstreamState::Ready) else {
-            self.remove(&id);
+            self.remove(&id, now);
             return Change::Left(id);
         };
         upstream.missing_until.get_or_insert(until);
@@ -336,6 +376,15 @@
             missing_until: None,
             first_seen: now,
             started_ms: registration.started_ms,
+            leaving: false,
+        }
+    }
+
+    /// Takes over what the same incarnation announced before its entry disappeared.
+    fn restore_announcements(&mut self, departed: &Departed) {
+        if self.started_ms == departed.started_ms && self.address == departed.address {
+            self.leaving = departed.leaving;
+            self.health = departed.health;
         }
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -164,7 +164,7 @@
                 Placement::Assigned(assignment) => {
                     self.log_placement(&assignment);
                     peer_link::send_prefill_notice(&self.shared, &assignment);
-                    return Ok(SlotGuard::for_assignment(self.shared.clone(), assignment));
+                    return Ok(SlotGuard::for_assignment(self.shared.clone(), *assignment));
                 }
                 Placement::Wait(wait) if wait < remaining => tokio::time::sleep(wait).await,
                 Placement::Wait(wait) => return Err((RefusalReason::NoSlot, Some(wait))),
@@ -248,13 +248,14 @@
             Err(e) => return self.handle_failure(&mut slot, &e),
         };
         let head = self.response_head(&upstream_response);
-        slot.record_response_start();
+        self.record_announcements(&slot, &head);
         self.record_tried(&slot);
         if head.not_run {
             slot.set_outcome(AttemptOutcome::Refused);
             self.log_attempt_end(&slot, "refused_by_upstream");
             return NextStep::Retry;
         }
+        slot.record_response_start();
         self.may_have_run = true;
         if !head.matches_request || (!head.signed && head.status.is_success()) {
             slot.set_outcome(AttemptOutcome::Failed);
@@ -428,6 +429,25 @@
         )
     }
 
+    /// Records what the upstream of a slot announces in the head of its response.
+    pub fn record_announcements(&self, slot: &SlotGuard, head: &ResponseHead) {
+        let now = self.shared.now();
+        let mut dispatcher = self.shared.dispatcher();
+        let announcements = dispatcher.record_announcements(&slot.assignment, head, now);
+        drop(dispatcher);
+        for announcement in &announcements {
+            log::info!(
+                "event=upstream_announced upstream={} id={} {announcement}",
+                slot.assignment.upstream,
+                self.call.id()
+            );
+            metrics::announcement(announcement);
+        }
+        if !announcements.is_empty() {
+            self.shared.urgent_heartbeat.notify_one();
+        }
+    }
+
     /// Records the outcome and the duration of the request.
     pub fn count_request(&self, outcome: &str) {
         metrics::request(outcome, self.call.age(self.shared.now()));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
+    coordination::dispatch::announcements::Announcement,
     gateway::shared::Shared,
     metrics::{counter, gauge, histogram},
 };
@@ -36,6 +37,14 @@
     )
 });
 
+static ANNOUNCEMENTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_upstream_announcements_total",
+        "Upstreams that announced that they leave or want a pause.",
+        &["what"],
+    )
+});
+
 static TABLE_CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter(
         "hibiscusyoke_gateway_table_calls_total",
@@ -65,6 +74,16 @@
     ATTEMPTS.with_label_values(&[outcome]).inc();
 }
 
+/// Counts an announcement of an upstream.
+pub fn announcement(announcement: &Announcement) {
+    let what = match announcement {
+        Announcement::Leaving => "leaving",
+        Announcement::Pause(_) => "pause",
+        Announcement::InvalidPause => "invalid_pause",
+    };
+    ANNOUNCEMENTS.with_label_values(&[what]).inc();
+}
+
 /// Counts a call to the table by outcome.
 pub fn table_call(call: &str, outcome: &str) {
     TABLE_CALLS.with_label_values(&[call, outcome]).inc();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -182,7 +182,10 @@
                 }
             };
             let head = self.exchange.response_head(&upstream_response);
-            slot.record_response_start();
+            self.exchange.record_announcements(&slot, &head);
+            if !head.not_run {
+                slot.record_response_start();
+            }
             if head.matches_request && head.signed && head.status.is_success() {
                 log::info!(
                     "event=resumed id={} upstream={} after_event={}",
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -37,6 +37,10 @@
     Fail,
     /// Refuses requests, and reports that they were not executed.
     Refuse,
+    /// Refuses requests and asks for a pause of this many seconds.
+    RefuseWithPause(u64),
+    /// Executes and answers requests, and announces that it leaves.
+    Leave,
     /// Executes requests and closes the connection without a response.
     Break,
     /// Closes the connection after the given number of events.
@@ -66,6 +70,8 @@
 struct State {
     behaviour: Behaviour,
     runs: Vec<Run>,
+    /// Times at which requests arrived, also those that were refused.
+    arrivals: Vec<Instant>,
 }
 
 /// Running fake of an upstream.
@@ -119,6 +125,11 @@
         self.state().runs.clone()
     }
 
+    /// Returns the times at which requests arrived, also those that were refused.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state().arrivals.clone()
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
@@ -156,12 +167,8 @@
         if text("expect-instance") != self.id {
             return Some(full_response(StatusCode::MISDIRECTED_REQUEST, &id, None));
         }
-        let behaviour = self.state().behaviour;
-        if behaviour == Behaviour::Refuse {
-            let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, &id, None);
-            response
-                .headers_mut()
-                .insert("not-executed", "1".parse().expect("valid header value"));
+        let behaviour = self.record_arrival();
+        if let Some(response) = refusal(behaviour, &id) {
             return Some(response);
         }
         let body = body.collect().await.ok()?.to_bytes();
@@ -185,23 +192,51 @@
             Behaviour::Foreign => return Some(full_response(StatusCode::OK, "another", Some("s"))),
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
-            Behaviour::Serve | Behaviour::BreakAfter(_) | Behaviour::Refuse => {}
+            Behaviour::Serve
+            | Behaviour::BreakAfter(_)
+            | Behaviour::Refuse
+            | Behaviour::RefuseWithPause(_)
+            | Behaviour::Leave => {}
+        }
+        let mut response = self.successful_response(&parts, &id, behaviour);
+        if behaviour == Behaviour::Leave {
+            let value = "1".parse().expect("valid header value");
+            response.headers_mut().insert("server-leaving", value);
         }
+        Some(response)
+    }
+
+    fn record_arrival(&self) -> Behaviour {
+        let mut state = self.state();
+        state.arrivals.push(Instant::now());
+        state.behaviour
+    }
+
+    fn successful_response(
+        &self,
+        parts: &http::request::Parts,
+        id: &str,
+        behaviour: Behaviour,
+    ) -> Response<Body> {
+        let text = |name: &str| {
+            let value = parts.headers.get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
         if !parts.uri.path().starts_with("/ask/") {
-            return Some(full_response(StatusCode::OK, &id, Some("s")));
+            return full_response(StatusCode::OK, id, Some("s"));
         }
         let last = match behaviour {
             Behaviour::BreakAfter(events) => Some(events),
             _ => None,
         };
         let after = text("last-event-id").parse().unwrap_or(0);
-        Some(self.events(
-            &id,
+        self.events(
+            id,
             &text("model"),
             parts.uri.path().contains("hard"),
             after,
             last,
-        ))
+        )
     }
 
     fn events(
@@ -264,6 +299,22 @@
     }
 }
 
+/// Returns the refusal of an upstream that refuses requests, as one that did not execute the request.
+fn refusal(behaviour: Behaviour, id: &str) -> Option<Response<Body>> {
+    let pause = match behaviour {
+        Behaviour::Refuse => None,
+        Behaviour::RefuseWithPause(seconds) => Some(seconds),
+        _ => return None,
+    };
+    let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, id, None);
+    let headers = response.headers_mut();
+    headers.insert("not-executed", "1".parse().expect("valid header value"));
+    if let Some(seconds) = pause {
+        headers.insert("retry-after", seconds.into());
+    }
+    Some(response)
+}
+
 fn full_response(status: StatusCode, id: &str, seal: Option<&str>) -> Response<Body> {
     let body = Bytes::from(format!("answer to {id}"));
     let mut response = Response::new(Either::Left(Full::new(body)));
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions in virtual time.
 
+mod announcements;
 mod cold;
 mod escalation;
 mod fleet;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -72,6 +72,7 @@
         loads: Vec::new(),
         rollouts: Vec::new(),
         crashes: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -140,7 +141,7 @@
     now: Instant,
 ) -> Assignment {
     match dispatcher.select_upstream(request, now) {
-        Placement::Assigned(assignment) => assignment,
+        Placement::Assigned(assignment) => *assignment,
         other => panic!("no slot reserved: {other:?}"),
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes with stand-ins for the platform.
 
+mod announcements;
 mod faults;
 mod harness;
 mod input;
--- a/tests/platform/headers.rs
+++ b/tests/platform/headers.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use platform::headers::{
-    PromptSegment, RequestHead, ResponseHead, UpstreamHead, headers_for_caller,
+    PauseRequest, PromptSegment, RequestHead, ResponseHead, UpstreamHead, headers_for_caller,
     headers_for_upstream,
 };
 
@@ -162,3 +162,22 @@
         .collect();
     assert_eq!(names, ["response-seal"]);
 }
+
+#[test]
+fn response_head_announces_leaving_and_pauses() {
+    let decode =
+        |status, lines: &[(&str, &str)]| ResponseHead::decode(status, &headers(lines), None);
+    let pause = |value| decode(StatusCode::SERVICE_UNAVAILABLE, &[("retry-after", value)]).pause;
+    assert_eq!(
+        pause("1.5"),
+        Some(PauseRequest::For(Duration::from_millis(1_500)))
+    );
+    for invalid in ["-1", "soon", "", "NaN", "1e400"] {
+        assert_eq!(pause(invalid), Some(PauseRequest::Invalid), "{invalid}");
+    }
+    let busy = decode(StatusCode::TOO_MANY_REQUESTS, &[("retry-after", "1")]);
+    assert_eq!(busy.pause, None);
+    assert!(decode(StatusCode::OK, &[("server-leaving", "1")]).leaving);
+    assert!(!decode(StatusCode::OK, &[("server-leaving", "0")]).leaving);
+    assert!(!decode(StatusCode::OK, &[]).leaving);
+}
