Escalate less the more of the latency objective the backlog uses up

Cause: a response of low confidence was escalated as long as the larger model's response would start within the objective, so under overload the backlog grew to the objective itself and nearly all responses were late. Change: the confidence below which a response is discarded falls with the backlog of the engine that would be selected, to zero at half of the objective. The expected start is that of the engines that may be selected, not of the whole list.

--- a/src/coordination/dispatch/escalation.rs
+++ b/src/coordination/dispatch/escalation.rs
@@ -1,13 +1,22 @@
 //! Decides whether a small model's response is good enough, as requests differ in difficulty.
 //!
 //! The smallest model runs first, and its reported confidence decides whether the largest runs
-//! instead. If the largest model's response would be late, only a response of very low confidence
-//! is discarded for it.
+//! instead.
+//!
+//! Load pattern: more prompts than the engines can process in time, such as after the loss of a
+//! failure domain. The largest model takes several times as long per prompt, so each escalation
+//! delays all requests behind it. The more of the latency objective the backlog uses up, the less
+//! confident a response must be to be discarded. So the backlog settles well below the objective,
+//! and only the responses that are least likely to be good are escalated.
+
+use std::time::Duration;
 
-/// Confidence below which a response is discarded, from 0 to 100.
-const MIN_CONFIDENCE: u8 = 58;
+/// Confidence below which a response is discarded on idle engines, from 0 to 100.
+const MIN_CONFIDENCE: f64 = 58.0;
 /// The same if a larger model's response would be late.
-const MIN_CONFIDENCE_LATE: u8 = 30;
+const MIN_CONFIDENCE_LATE: f64 = 30.0;
+/// Backlog at which nothing is escalated, as a fraction of the latency objective.
+const MAX_BACKLOG_FRACTION: f64 = 0.5;
 
 /// What to do with a response that has just started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,14 +27,44 @@
     Escalate,
 }
 
-/// Decides by the reported confidence, and by whether a larger model would respond in time.
-pub fn decide_escalation(confidence: Option<u8>, on_time: bool) -> EscalationDecision {
-    let min_confidence = match on_time {
+/// The expected start of a response on the upstream that would be selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpectedStart {
+    /// Time until the upstream has processed the prompts before it.
+    pub backlog: Duration,
+    /// Time to process the prompt.
+    pub prefill_time: Duration,
+}
+
+/// A response of a smaller model that has just started.
+#[derive(Clone, Copy, Debug)]
+pub struct StartedResponse {
+    /// The model's confidence from 0 to 100, if it reported one.
+    pub confidence: Option<u8>,
+    /// Time since the request arrived.
+    pub waited: Duration,
+    /// The route's latency objective.
+    pub objective: Duration,
+}
+
+/// Decides by the reported confidence and by when a larger model's response would start; `larger` is
+/// absent if no upstream can run it.
+pub fn decide_escalation(
+    response: &StartedResponse,
+    larger: Option<ExpectedStart>,
+) -> EscalationDecision {
+    let (Some(confidence), Some(larger)) = (response.confidence, larger) else {
+        return EscalationDecision::Keep;
+    };
+    let starts_at = response.waited + larger.backlog + larger.prefill_time;
+    let min_confidence = match starts_at <= response.objective {
         true => MIN_CONFIDENCE,
         false => MIN_CONFIDENCE_LATE,
     };
-    match confidence {
-        Some(confidence) if confidence < min_confidence => EscalationDecision::Escalate,
-        _ => EscalationDecision::Keep,
+    let max_backlog = response.objective.mul_f64(MAX_BACKLOG_FRACTION);
+    let used = larger.backlog.as_secs_f64() / max_backlog.as_secs_f64().max(f64::EPSILON);
+    match f64::from(confidence) < min_confidence * (1.0 - used) {
+        true => EscalationDecision::Escalate,
+        false => EscalationDecision::Keep,
     }
 }
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -11,6 +11,7 @@
     assignment::{Assignment, NoSlotReason, Placement, PlacementRequest},
     cold::{self, RateShare},
     cost::{Candidate, cost},
+    escalation::ExpectedStart,
     health::AttemptOutcome,
     homes::Homes,
     prefill_speed::FIRST_EVENT_OVERHEAD,
@@ -125,8 +126,12 @@
         }
     }
 
-    /// Returns the minimum expected time to first event over all usable upstreams.
-    pub fn expected_wait(&self, request: &PlacementRequest<'_>, now: Instant) -> Option<Duration> {
+    /// Returns the earliest expected start of a response among the upstreams that may be selected.
+    pub fn expected_start(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Instant,
+    ) -> Option<ExpectedStart> {
         let blocks = self.blocks(request);
         let listed: Vec<&Upstream> = self
             .registry
@@ -134,10 +139,16 @@
             .filter(|u| u.is_listed(now) && u.health.is_usable(now))
             .filter(|u| !self.evacuated.contains(&u.domain))
             .collect();
-        let homes = self.homes_in_use(request, &blocks, &find_homes(&blocks, &listed), now);
-        let wait =
-            |u: &Upstream| self.wait(u, now) + self.prefill_time(request, u, &blocks, &homes, now);
-        listed.into_iter().map(wait).min()
+        let engines = HashRing::from_hashes(listed.iter().map(|u| u.hash));
+        let homes = find_homes(&blocks, &listed);
+        let candidates = self.candidates(request, listed, &engines, &homes, now);
+        let homes = self.homes_in_use(request, &blocks, &homes, now);
+        let start = |u: &Upstream| ExpectedStart {
+            backlog: self.wait(u, now),
+            prefill_time: self.prefill_time(request, u, &blocks, &homes, now),
+        };
+        let starts = candidates.into_iter().map(start);
+        starts.min_by_key(|start| start.backlog + start.prefill_time)
     }
 
     fn select_in_arm(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,7 +16,7 @@
 use crate::{
     coordination::dispatch::{
         Assignment, NoSlotReason, Placement, PlacementRequest, Quality,
-        escalation::{EscalationDecision, decide_escalation},
+        escalation::{EscalationDecision, StartedResponse, decide_escalation},
         health::AttemptOutcome,
     },
     gateway::{
@@ -471,13 +471,16 @@
             return None;
         }
         let now = self.shared.now();
-        let waited = self.call.age(now);
-        let wait = self
+        let response = StartedResponse {
+            confidence: head.confidence,
+            waited: self.call.age(now),
+            objective: self.call.route.latency_objective,
+        };
+        let larger = self
             .shared
             .dispatcher()
-            .expected_wait(&self.placement_request(Some(largest)), now);
-        let on_time = wait.is_some_and(|wait| waited + wait <= self.call.route.latency_objective);
-        match decide_escalation(head.confidence, on_time) {
+            .expected_start(&self.placement_request(Some(largest)), now);
+        match decide_escalation(&response, larger) {
             EscalationDecision::Keep => None,
             EscalationDecision::Escalate => Some(largest.clone()),
         }
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -15,10 +15,14 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use serde_json::json;
 
-use crate::support::{LIMITS, address, assign, configuration, daemon, order, upstream_with};
+use crate::support::{
+    LIMITS, address, assign, configuration, daemon, order, request, upstream_with,
+};
 
-/// Prefill time per token, equal to the daemons' initial estimate.
+/// Prefill time per token of most models, equal to the daemons' initial estimate.
 const TIME_PER_TOKEN: Duration = Duration::from_micros(15);
+/// The same for the model `large`.
+const LARGE_TIME_PER_TOKEN: Duration = Duration::from_micros(45);
 /// Port of the first daemon.
 const FIRST_PORT: u16 = 10_000;
 
@@ -44,7 +48,8 @@
 #[derive(Clone, Debug)]
 struct Engine {
     free_at: Instant,
-    cached: BTreeSet<u64>,
+    /// Models and segments.
+    cached: BTreeSet<(&'static str, u64)>,
 }
 
 pub(crate) struct Fleet {
@@ -81,29 +86,34 @@
         }
     }
 
-    /// Sends one request.
+    /// Sends one request to the model `small`.
     pub(crate) fn request(&mut self, policy: Policy, prompt: &Prompt, now: Instant) -> Sent {
-        let engine = match policy {
-            Policy::Random => self.rng.random_range(0..self.engines.len()),
+        match policy {
+            Policy::Random => {
+                let engine = self.rng.random_range(0..self.engines.len());
+                self.engines[engine].process("small", prompt, now)
+            }
             Policy::Daemons => {
-                let placement_request = PlacementRequest {
-                    service: "pool",
-                    route: "ask",
-                    session: self.assignments.len() as u64,
-                    model: Some("small"),
-                    prompt: Some(prompt),
-                    body_bytes: 100,
-                    tried: &[],
-                };
                 let daemon = self.rng.random_range(0..self.daemons.len());
-                let assignment = assign(&mut self.daemons[daemon], &placement_request, now);
-                let engine = assignment.upstream.parse().expect("a number");
-                self.send_notices(daemon, &assignment, now);
-                self.assignments.push(Some((daemon, assignment, now)));
-                engine
+                self.request_to(daemon, "small", prompt, now)
             }
-        };
-        self.engines[engine].process(prompt, now)
+        }
+    }
+
+    /// Sends one request to a model by way of a daemon.
+    pub(crate) fn request_to(
+        &mut self,
+        daemon: usize,
+        model: &'static str,
+        prompt: &Prompt,
+        now: Instant,
+    ) -> Sent {
+        let placement_request = placement_request(model, prompt, self.assignments.len() as u64);
+        let assignment = assign(&mut self.daemons[daemon], &placement_request, now);
+        let engine: usize = assignment.upstream.parse().expect("a number");
+        self.send_notices(daemon, &assignment, now);
+        self.assignments.push(Some((daemon, assignment, now)));
+        self.engines[engine].process(model, prompt, now)
     }
 
     fn send_notices(&mut self, from: usize, assignment: &Assignment, now: Instant) {
@@ -129,14 +139,18 @@
 }
 
 impl Engine {
-    fn process(&mut self, prompt: &Prompt, now: Instant) -> Sent {
+    fn process(&mut self, model: &'static str, prompt: &Prompt, now: Instant) -> Sent {
         let mut cached = 0;
         for segment in &prompt.segments {
-            if !self.cached.insert(segment.id) {
+            if !self.cached.insert((model, segment.id)) {
                 cached += segment.tokens;
             }
         }
-        let prefill_time = TIME_PER_TOKEN * (prompt.tokens - cached);
+        let time_per_token = match model {
+            "large" => LARGE_TIME_PER_TOKEN,
+            _ => TIME_PER_TOKEN,
+        };
+        let prefill_time = time_per_token * (prompt.tokens - cached);
         self.free_at = self.free_at.max(now) + prefill_time;
         Sent {
             prefilled_at: self.free_at,
@@ -145,6 +159,19 @@
     }
 }
 
+/// A request for a model.
+pub(crate) fn placement_request<'a>(
+    model: &'static str,
+    prompt: &'a Prompt,
+    session: u64,
+) -> PlacementRequest<'a> {
+    PlacementRequest {
+        model: Some(model),
+        prompt: Some(prompt),
+        ..request(session)
+    }
+}
+
 /// A prompt of segments with these ids and sizes in tokens.
 pub(crate) fn prompt_of(segments: &[(u64, u32)]) -> Prompt {
     let segments = segments.iter().map(|(id, tokens)| PromptSegment {
