Follow the table across restores from an older copy

Cause: versions were bare numbers. Change: versions carry the table's era (header Store-Era) and compare by it first. An answer without a valid era, once one is known, or of an earlier era, is not used. In a new era each followed table is read in full once by its pollers and the rest is told by peers. Orders that the copy lacks are carried over for 3 s, a configuration until a newer one is written; a rollout order that is written again keeps its decision; an upstream's entry with a lower sequence is ignored; entries that are missing get the grace period of an outage. Rollout records are written again by the daemon whose turn it is, and daemons that registered within the last 30 s register again, spread over 2 s. A starting daemon takes over a newer configuration of a peer.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use platform::{DomainName, ServiceName, UpstreamId, configuration::Route};
+use platform::{DomainName, ServiceName, TableEra, UpstreamId, configuration::Route};
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 
@@ -87,6 +87,7 @@
     /// Rows of the upstreams' table.
     pub upstreams: RowCache,
     table_lost: Option<Instant>,
+    table_era: TableEra,
     evacuated: BTreeSet<DomainName>,
     rollouts: BTreeMap<ServiceName, Rollout>,
     budgets: HashMap<ServiceName, RetryBudget>,
@@ -130,6 +131,7 @@
             orders: RowCache::default(),
             upstreams: RowCache::default(),
             table_lost: None,
+            table_era: 0,
             evacuated: BTreeSet::new(),
             rollouts: BTreeMap::new(),
             budgets: HashMap::new(),
@@ -147,6 +149,13 @@
         self.routes.clone()
     }
 
+    /// Returns the generation of the active configuration; 0 if there is none.
+    pub fn generation(&self) -> u64 {
+        self.routes
+            .as_ref()
+            .map_or(0, |routes| routes.configuration().generation)
+    }
+
     /// Returns the rollouts by service.
     pub fn rollouts(&self) -> impl Iterator<Item = (&ServiceName, &Rollout)> {
         self.rollouts.iter()
--- a/src/coordination/dispatch/orders.rs
+++ b/src/coordination/dispatch/orders.rs
@@ -77,8 +77,12 @@
         version: RowVersion,
         now: Instant,
     ) -> Applied {
-        let known = self.rollouts.get(&order.service);
-        if known.is_some_and(|known| known.order >= version) {
+        // After a restore of the table, operators write an order again under another version.
+        let is_known = |known: &Rollout| {
+            let written_again = known.order.era < version.era && known.target == order.target;
+            known.order >= version || written_again
+        };
+        if self.rollouts.get(&order.service).is_some_and(is_known) {
             return Applied::Nothing;
         }
         let applied = Applied::RolloutOrdered(order.service.clone(), order.target.clone());
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use platform::TableEra;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::dispatch::{
@@ -63,6 +64,8 @@
             readiness,
             domain: self.domain.clone(),
             table: self.table_state(now),
+            generation: self.generation(),
+            table_era: self.table_era,
             newest_order_version: self.orders.newest_change(),
             newest_upstream_version: self.upstreams.newest_change(),
             loads,
@@ -83,8 +86,13 @@
             return false;
         }
         self.poison.merge(&heartbeat.from, &heartbeat.crashes);
+        self.enter_era(heartbeat.table_era, now);
+        let same_era = heartbeat.table_era == self.table_era;
         for report in &heartbeat.rollouts {
             self.merge_rollout(&heartbeat.from, report, now);
+            if let Some(recorded) = report.recorded.filter(|_| same_era) {
+                self.set_recorded_state(&report.service, report.order, recorded);
+            }
         }
         self.mark_unreachable_cold(&heartbeat.loads, now);
         self.record_reported_backlogs(&heartbeat.loads, now);
@@ -155,6 +163,31 @@
         }
     }
 
+    /// Returns the newest era of the table that this daemon knows.
+    pub fn table_era(&self) -> TableEra {
+        self.table_era
+    }
+
+    /// Records an era of the table; returns whether the table was restored from a copy.
+    ///
+    /// What the daemons and the upstreams wrote since the copy is gone: rollouts are recorded again,
+    /// and entries that are missing may return.
+    pub fn enter_era(&mut self, era: TableEra, now: Instant) -> bool {
+        let known = self.table_era;
+        if era <= known {
+            return false;
+        }
+        self.table_era = era;
+        if known == 0 {
+            return false;
+        }
+        for rollout in self.rollouts.values_mut() {
+            rollout.recorded = None;
+        }
+        self.registry.table_restored(now);
+        true
+    }
+
     /// Returns how this daemon learns of changes to the table.
     pub fn polling_role(&self, now: Instant) -> PollingRole {
         let me = PollingCandidate {
@@ -218,9 +251,6 @@
             elapsed: report.elapsed,
         };
         self.merge_rollout_status(known, now);
-        if let Some(recorded) = report.recorded {
-            self.set_recorded_state(&report.service, report.order, recorded);
-        }
         if let Some(rollout) = self.rollouts.get_mut(&report.service)
             && rollout.order == report.order
         {
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -7,7 +7,7 @@
 };
 
 use compact_str::CompactString;
-use platform::{DomainName, RowVersion, orders::RolloutState};
+use platform::{DomainName, RowVersion, TableEra, orders::RolloutState};
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{announcements::LeavingReport, evidence::Evidence};
@@ -85,7 +85,7 @@
     pub order: RowVersion,
     /// State of the rollout.
     pub state: RolloutState,
-    /// State recorded in the table, if known.
+    /// State recorded in the table in its current era, if known.
     pub recorded: Option<RolloutState>,
     /// Time since it was ordered.
     pub elapsed: Duration,
@@ -108,6 +108,10 @@
     pub domain: DomainName,
     /// Its connectivity to the table.
     pub table: TableState,
+    /// Generation of its configuration; 0 if it has none.
+    pub generation: u64,
+    /// Newest era of the table that it knows.
+    pub table_era: TableEra,
     /// Newest row version of the operators' table that it has seen.
     pub newest_order_version: RowVersion,
     /// Newest row version of the upstreams' table that it has seen.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::{configuration::Service, upstream::UpstreamState};
+use platform::{RowVersion, configuration::Service, upstream::UpstreamState};
 use rand::Rng;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -160,7 +160,7 @@
         let blocks = self.blocks(request);
         let rollout = self.rollouts.get(request.service);
         let target = rollout.map(|rollout| rollout.target.clone());
-        let order = rollout.map_or(0, |rollout| rollout.order);
+        let order = rollout.map_or(RowVersion::default(), |rollout| rollout.order);
         let in_arm = |upstream: &Upstream| match (arm, &target) {
             (Some(Arm::New), Some(target)) => upstream.version == *target,
             (Some(Arm::Old), Some(target)) => upstream.version != *target,
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -62,6 +62,8 @@
     /// Until when an entry that disappeared around a table outage may return.
     missing_until: Option<Instant>,
     first_seen: Instant,
+    /// Number of the newest known write of the incarnation.
+    sequence: Option<u64>,
     /// Startup time of the incarnation in Unix milliseconds by its own clock, if known.
     pub started_ms: Option<u64>,
     /// Whether the incarnation has announced in a response that it leaves.
@@ -273,7 +275,13 @@
         let cold_until =
             (!registration.cold_remaining.is_zero()).then(|| now + registration.cold_remaining);
         match self.upstreams.get_mut(&row.key) {
+            // A table that was restored from a copy lists earlier states of an incarnation.
+            Some(known) if known.is_same(&registration) && known.is_newer_than(&registration) => {
+                known.missing_until = None;
+                Change::None
+            }
             Some(known) if known.is_same(&registration) => {
+                known.sequence = registration.sequence;
                 let previous_state = known.state;
                 known.state = registration.state;
                 known.missing_until = None;
@@ -375,6 +383,7 @@
             queue: PrefillQueue::default(),
             missing_until: None,
             first_seen: now,
+            sequence: registration.sequence,
             started_ms: registration.started_ms,
             leaving: false,
         }
@@ -388,6 +397,10 @@
         }
     }
 
+    fn is_newer_than(&self, registration: &Registration) -> bool {
+        registration.sequence.is_some() && registration.sequence < self.sequence
+    }
+
     fn is_same(&self, registration: &Registration) -> bool {
         self.started_ms == registration.started_ms
             && self.address == registration.address
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -331,5 +331,5 @@
     reason = "52 bits are enough for a fraction"
 )]
 fn session_fraction(session: u64, order: RowVersion) -> f64 {
-    xxh3_64_with_seed(&session.to_le_bytes(), order) as f64 / u64::MAX as f64
+    xxh3_64_with_seed(&session.to_le_bytes(), order.number) as f64 / u64::MAX as f64
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,11 @@
 //! Follows the operators' and the upstreams' tables by long polling or by querying peers.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use platform::{
     RowVersion,
@@ -35,6 +40,8 @@
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(1_500);
 /// How often a listening daemon checks whether its polling role has changed.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long rows that a restored table lacks are carried over.
+const CARRY_OVER_TIME: Duration = Duration::from_secs(3);
 /// Number of consecutive failed queries to peers after which a daemon polls the table itself.
 const MAX_FAILED_QUERIES: u32 = 2;
 
@@ -50,11 +57,14 @@
 /// Follows a table until the process exits.
 pub async fn follow(shared: Arc<Shared>, followed: FollowedTable) {
     let mut follower = Follower {
-        client: TableClient::open(shared.settings.table),
+        client: TableClient::open(shared.settings.table, shared.table_era.clone()),
         followed,
         failures: 0,
         failed_queries: 0,
         needs_full_read: true,
+        history_gone: false,
+        settle_at: None,
+        vain_generation: 0,
         shared,
     };
     loop {
@@ -72,12 +82,22 @@
     failed_queries: u32,
     /// Whether the next call must read the whole table.
     needs_full_read: bool,
+    /// Whether the last call failed because the requested history was gone.
+    history_gone: bool,
+    /// When rows that were carried over from an earlier era are dropped unless they were written again.
+    settle_at: Option<Instant>,
+    /// Generation of a peer's configuration that the peer did not have a row for.
+    vain_generation: u64,
 }
 
 impl Follower {
     async fn step(&mut self) {
+        if self.followed == FollowedTable::Orders {
+            self.vain_generation = fetch_newer_generation(&self.shared, self.vain_generation).await;
+        }
         let role = self.shared.dispatcher().polling_role(self.shared.now());
-        let initialized = self.followed.cache(&self.shared.dispatcher()).version() > 0;
+        let version = self.followed.cache(&self.shared.dispatcher()).version();
+        let initialized = version != RowVersion::default();
         match role {
             PollingRole::Listen if initialized && self.failed_queries < MAX_FAILED_QUERIES => {
                 self.listen().await;
@@ -106,36 +126,17 @@
         let Some((peer, after)) = self.newer_peer() else {
             return false;
         };
-        match table_link::fetch_changes(peer, self.followed, after).await {
-            Ok(reply) => {
-                self.failed_queries = 0;
-                log::info!(
-                    "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={}",
-                    self.followed.table(),
-                    reply.changes.version,
-                    reply.changes.rows.len(),
-                    reply.changes.full
-                );
-                let now = self.shared.now();
-                if let Some(remaining) = reply.grace_remaining {
-                    self.shared
-                        .dispatcher()
-                        .registry
-                        .set_grace_until(now + remaining);
-                }
-                self.followed.apply_changes(&self.shared, &reply.changes);
-                // If nothing newer arrived, an immediate repeat is not worthwhile.
-                self.followed
-                    .cache(&self.shared.dispatcher())
-                    .newest_change()
-                    > after
-            }
-            Err(e) => {
-                self.failed_queries += 1;
-                log::warn!("event=changes_untold table={} {e}", self.followed.table());
-                false
-            }
+        if !self.followed.fetch_from(&self.shared, peer, after).await {
+            self.failed_queries += 1;
+            return false;
         }
+        self.failed_queries = 0;
+        let cache_version = self
+            .followed
+            .cache(&self.shared.dispatcher())
+            .newest_change();
+        // If nothing newer arrived, an immediate repeat is not worthwhile.
+        cache_version > after
     }
 
     fn newer_peer(&self) -> Option<(SocketAddr, RowVersion)> {
@@ -158,6 +159,7 @@
 
     async fn poll(&mut self) {
         let result = self.call().await;
+        self.shared.enter_table_era();
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics::table_call(self.followed.table(), outcome);
         match result {
@@ -171,6 +173,12 @@
             return self.client.read(self.followed.table(), READ_TIMEOUT).await;
         }
         let after = self.followed.cache(&self.shared.dispatcher()).version();
+        let now = self.shared.now();
+        let is_settled = self.settle_at.take_if(|at| *at <= now).is_some();
+        if is_settled || after.era < self.shared.table_era.current() {
+            self.needs_full_read = true;
+            return self.client.read(self.followed.table(), READ_TIMEOUT).await;
+        }
         let wait = match self.failures {
             0 => POLL_WAIT,
             _ => POLL_WAIT_AFTER_FAILURE,
@@ -195,7 +203,11 @@
             rows: rows.rows,
             version: rows.version,
         };
-        self.followed.apply_changes(&self.shared, &changes);
+        let carried = self.followed.apply_changes(&self.shared, &changes);
+        if carried > 0 {
+            self.settle_at = Some(self.shared.now() + CARRY_OVER_TIME);
+        }
+        self.history_gone = false;
         self.failures = 0;
         self.failed_queries = 0;
         self.needs_full_read = false;
@@ -205,6 +217,10 @@
         if matches!(e.cause, TableErrorCause::HistoryGone) {
             log::info!("event=history_gone table={}", self.followed.table());
             self.needs_full_read = true;
+            // A table that keeps answering so must not be called without a pause.
+            if std::mem::replace(&mut self.history_gone, true) {
+                tokio::time::sleep(INITIAL_BACKOFF).await;
+            }
             return;
         }
         if self.failures == 0 {
@@ -235,19 +251,106 @@
         }
     }
 
-    fn apply_changes(self, shared: &Shared, changes: &RowChanges) {
+    /// Fetches and applies a peer's changes after a version; returns whether the peer answered.
+    async fn fetch_from(self, shared: &Shared, peer: SocketAddr, after: RowVersion) -> bool {
+        let reply = match table_link::fetch_changes(peer, self, after).await {
+            Ok(reply) => reply,
+            Err(e) => {
+                log::warn!("event=changes_untold table={} {e}", self.table());
+                return false;
+            }
+        };
+        log::info!(
+            "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={}",
+            self.table(),
+            reply.changes.version,
+            reply.changes.rows.len(),
+            reply.changes.full
+        );
+        if let Some(remaining) = reply.grace_remaining {
+            let until = shared.now() + remaining;
+            shared.dispatcher().registry.set_grace_until(until);
+        }
+        self.apply_changes(shared, &reply.changes);
+        true
+    }
+
+    /// Applies changes and stores them for peers; returns how many rows were carried over from an
+    /// earlier era.
+    fn apply_changes(self, shared: &Shared, changes: &RowChanges) -> usize {
+        let (known, carried) = {
+            let dispatcher = shared.dispatcher();
+            let cache = self.cache(&dispatcher);
+            let carried = match self {
+                Self::Orders => cache.carried_over(changes, is_newer_configuration),
+                // The registry has a grace period for missing entries.
+                Self::Upstreams => Vec::new(),
+            };
+            (cache.version(), carried)
+        };
+        if changes.version.era < known.era {
+            return 0;
+        }
+        let count = carried.len();
+        if count > 0 {
+            log::warn!(
+                "event=rows_carried_over table={} rows={count}",
+                self.table()
+            );
+        }
+        let changes = changes.with_rows(carried);
         if changes.full || !changes.rows.is_empty() {
             match self {
-                Self::Orders => apply_orders(shared, changes),
-                Self::Upstreams => apply_upstreams(shared, changes),
+                Self::Orders => apply_orders(shared, &changes),
+                Self::Upstreams => apply_upstreams(shared, &changes),
             }
             shared.urgent_heartbeat.notify_one();
         }
         let mut dispatcher = shared.dispatcher();
         match self {
-            Self::Orders => dispatcher.orders.merge(changes),
-            Self::Upstreams => dispatcher.upstreams.merge(changes),
+            Self::Orders => dispatcher.orders.merge(&changes),
+            Self::Upstreams => dispatcher.upstreams.merge(&changes),
+        }
+        count
+    }
+}
+
+/// Fetches the orders of a peer whose configuration is newer than this daemon's and than the `vain`
+/// generation. A daemon that starts after the table was restored would otherwise use the older
+/// configuration of the copy.
+///
+/// Returns the newest generation for which a peer did not have a row.
+pub async fn fetch_newer_generation(shared: &Shared, vain: u64) -> u64 {
+    let own = shared.dispatcher().generation();
+    let newest = shared
+        .dispatcher()
+        .peers
+        .live(shared.now())
+        .map(|peer| (peer.last_heartbeat.generation, peer.address))
+        .max_by_key(|(generation, _)| *generation);
+    let Some((generation, peer)) = newest else {
+        return vain;
+    };
+    // Without a configuration of its own, a daemon reads the table first.
+    if own == 0 || generation <= own.max(vain) {
+        return vain;
+    }
+    let answered = FollowedTable::Orders
+        .fetch_from(shared, peer, RowVersion::default())
+        .await;
+    match answered && shared.dispatcher().generation() < generation {
+        true => generation,
+        false => vain,
+    }
+}
+
+/// Returns whether both rows hold configurations and the known one has a later generation.
+fn is_newer_configuration(known: &Row, read: &Row) -> bool {
+    match (Order::decode(known), Order::decode(read)) {
+        (Ok(Order::Configure(known)), Ok(Order::Configure(read))) => {
+            known.generation > read.generation
         }
+        _ => false,
     }
 }
 
@@ -274,7 +377,8 @@
             log::info!("event=order_applied version={} {applied}", row.version);
         }
     }
-    if changes.full {
+    // A peer's rows may be older than those that this daemon has read itself.
+    if changes.full && changes.version >= shared.dispatcher().orders.version() {
         shared.dispatcher().replace_evacuations(&evacuated, now);
     }
 }
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -73,6 +73,8 @@
 fn handle_heartbeat(shared: &Shared, heartbeat: Heartbeat, from: SocketAddr) {
     let now = shared.now();
     let id = heartbeat.from.clone();
+    shared.table_era.learn(heartbeat.table_era);
+    shared.enter_table_era();
     let reported_version = heartbeat
         .newest_order_version
         .max(heartbeat.newest_upstream_version);
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -8,7 +8,7 @@
 };
 
 use platform::{
-    RowVersion, ServiceName, VersionName,
+    RowVersion, ServiceName, TableEra, VersionName,
     orders::{self, RolloutState},
     table::{Row, Rows, TableClient, TableError, Transaction, TransactionOutcome},
 };
@@ -16,7 +16,7 @@
 
 use crate::{
     coordination::dispatch::{RolloutStatus, rollout::Rollout},
-    gateway::{metrics, shared::Shared},
+    gateway::{follow, metrics, shared::Shared},
 };
 
 /// Name of the daemons' own table.
@@ -31,6 +31,14 @@
 const WRITER_RANK_DELAY: Duration = Duration::from_millis(400);
 /// Maximum writer rank; all daemons with this or a higher rank write at the same time.
 const MAX_WRITER_RANK: u32 = 4;
+/// Maximum age of the copy from which the table is restored.
+const MAX_COPY_AGE: Duration = Duration::from_secs(30);
+/// Time over which the daemons spread their registrations after a restore.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_secs(2);
+/// Maximum time that a starting daemon waits for the first heartbeat of a peer.
+const MAX_PEER_WAIT: Duration = Duration::from_millis(200);
+/// Interval between checks for it.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -58,15 +66,21 @@
 /// Registers this daemon and writes rollout decisions to the table until the process exits.
 pub async fn run(shared: Arc<Shared>) {
     let mut writer = RecordWriter {
-        client: TableClient::open(shared.settings.table),
+        shared: shared.clone(),
+        client: TableClient::open(shared.settings.table, shared.table_era.clone()),
+        era: 0,
+        registered_at: shared.now(),
+        registration_due: None,
         recorded: HashMap::new(),
         pending_since: HashMap::new(),
         clock: None,
-        shared,
     };
     writer.join().await;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
+        shared.enter_table_era();
+        writer.follow_era();
+        writer.register_if_due().await;
         writer.write_pending().await;
     }
 }
@@ -95,6 +109,11 @@
 struct RecordWriter {
     shared: Arc<Shared>,
     client: TableClient,
+    /// The table's era in which this daemon's records were written.
+    era: TableEra,
+    registered_at: Instant,
+    /// When this daemon must register again.
+    registration_due: Option<Instant>,
     recorded: HashMap<ServiceName, StoredRollout>,
     /// When each unwritten decision was first seen.
     pending_since: HashMap<ServiceName, Instant>,
@@ -111,6 +130,9 @@
                 registered = self.register_daemon().await;
             }
             if registered && self.read_records().await {
+                self.compare_with_peers().await;
+                self.era = self.shared.table_era.current();
+                self.registered_at = self.shared.now();
                 self.shared.set_joined();
                 self.shared.urgent_heartbeat.notify_one();
                 return;
@@ -119,6 +141,57 @@
         }
     }
 
+    /// Waits for a first heartbeat, and takes over a newer configuration that a peer has.
+    async fn compare_with_peers(&self) {
+        self.shared.urgent_heartbeat.notify_one();
+        let wait_until = self.shared.now() + MAX_PEER_WAIT;
+        while !self.has_heard_peer() && self.shared.now() < wait_until {
+            tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+        }
+        follow::fetch_newer_generation(&self.shared, 0).await;
+    }
+
+    /// Returns whether a peer has sent a heartbeat, or whether there are none.
+    fn has_heard_peer(&self) -> bool {
+        let now = self.shared.now();
+        let dispatcher = self.shared.dispatcher();
+        let is_alone = dispatcher.peers.addresses().next().is_none();
+        is_alone || (dispatcher.generation() > 0 && dispatcher.peers.live(now).next().is_some())
+    }
+
+    /// Forgets the records of an earlier era, and schedules another registration if the copy from which
+    /// the table was restored may be older than the last one.
+    fn follow_era(&mut self) {
+        let era = self.shared.table_era.current();
+        if era == self.era {
+            return;
+        }
+        self.era = era;
+        self.recorded.clear();
+        self.pending_since.clear();
+        let now = self.shared.now();
+        if now.saturating_duration_since(self.registered_at) <= MAX_COPY_AGE {
+            let delay = MAX_REGISTRATION_DELAY.mul_f64(rand::random());
+            self.registration_due = Some(now + delay);
+        }
+    }
+
+    /// Registers this daemon again if that is due.
+    async fn register_if_due(&mut self) {
+        let now = self.shared.now();
+        if self.registration_due.take_if(|due| *due <= now).is_none() {
+            return;
+        }
+        let registered = self.register_daemon().await;
+        log::info!(
+            "event=registered_again era={} registered={registered}",
+            self.era
+        );
+        if !registered {
+            self.registration_due = Some(self.shared.now() + RETRY_DELAY);
+        }
+    }
+
     async fn register_daemon(&mut self) -> bool {
         let record = DaemonRecord {
             address: self.shared.settings.peer_address(),
@@ -265,7 +338,7 @@
         let known = self
             .recorded
             .get(service)
-            .map_or(0, |recorded| recorded.version);
+            .map_or(RowVersion::default(), |recorded| recorded.version);
         let write = Transaction::default()
             .expect(TABLE, &rollout_row.key, known)
             .put(TABLE, &rollout_row)
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use platform::{EraTracker, RowVersion};
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
@@ -32,7 +33,9 @@
     /// Notified when a heartbeat should be sent without waiting for the next period.
     pub urgent_heartbeat: Notify,
     /// Newest table version reported by any peer; listening followers wake when it increases.
-    pub newest_peer_version: tokio::sync::watch::Sender<u64>,
+    pub newest_peer_version: tokio::sync::watch::Sender<RowVersion>,
+    /// The table's newest known era.
+    pub table_era: EraTracker,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -56,7 +59,8 @@
             me,
             clock,
             urgent_heartbeat: Notify::new(),
-            newest_peer_version: tokio::sync::watch::Sender::new(0),
+            newest_peer_version: tokio::sync::watch::Sender::new(RowVersion::default()),
+            table_era: EraTracker::default(),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             joined: AtomicBool::new(false),
@@ -76,6 +80,15 @@
         self.clock.now()
     }
 
+    /// Passes the table's newest known era to the dispatcher.
+    pub fn enter_table_era(&self) {
+        let era = self.table_era.current();
+        if self.dispatcher().enter_era(era, self.now()) {
+            log::warn!("event=table_restored era={era}");
+            self.urgent_heartbeat.notify_one();
+        }
+    }
+
     /// Records that this daemon is registered and has read the state of current rollouts.
     pub fn set_joined(&self) {
         self.joined.store(true, Ordering::Relaxed);
--- a/src/state/rows.rs
+++ b/src/state/rows.rs
@@ -1,4 +1,7 @@
 //! A cache of the rows of a followed table, from which other daemons request changes.
+//!
+//! After the table was restored from a copy, rows may be missing that were in force. They are carried
+//! over into the new era until their writers have had time to write them again.
 
 use std::collections::BTreeMap;
 
@@ -21,6 +24,18 @@
     pub version: RowVersion,
 }
 
+impl RowChanges {
+    /// Returns these changes with `rows` in place of the rows with the same keys.
+    pub fn with_rows(&self, rows: Vec<Row>) -> Self {
+        let replaced = |row: &&Row| rows.iter().any(|other| other.key == row.key);
+        let kept = self.rows.iter().filter(|row| !replaced(row));
+        Self {
+            rows: kept.cloned().chain(rows.iter().cloned()).collect(),
+            ..*self
+        }
+    }
+}
+
 /// The rows of a table, including recent removals.
 #[derive(Clone, Debug, Default)]
 pub struct RowCache {
@@ -44,8 +59,36 @@
         self.newest_change
     }
 
-    /// Merges changes; older rows never replace newer ones.
+    /// Returns the rows to carry over into a full read: those for which `is_newer(known, read)` holds
+    /// and, if it is the first of a later era, those that it lacks.
+    pub fn carried_over(
+        &self,
+        changes: &RowChanges,
+        is_newer: impl Fn(&Row, &Row) -> bool,
+    ) -> Vec<Row> {
+        if !changes.full {
+            return Vec::new();
+        }
+        let later_era = changes.version.era > self.version.era;
+        let is_lost = |known: &&Row| {
+            let read = changes.rows.iter().find(|row| row.key == known.key);
+            read.map_or(later_era, |read| is_newer(known, read))
+        };
+        let known = self.rows.values().filter(|row| row.value.is_some());
+        known
+            .filter(is_lost)
+            .map(|row| Row {
+                version: changes.version,
+                ..row.clone()
+            })
+            .collect()
+    }
+
+    /// Merges changes; older rows never replace newer ones, and changes of an earlier era are ignored.
     pub fn merge(&mut self, changes: &RowChanges) {
+        if changes.version.era < self.version.era {
+            return;
+        }
         if changes.full && changes.version >= self.version {
             self.rows.clear();
             self.pruned_through = changes.version;
@@ -54,8 +97,8 @@
             self.newest_change = self.newest_change.max(changes.version);
         }
         for row in &changes.rows {
-            let known = self.rows.get(&row.key).map_or(0, |known| known.version);
-            if row.version >= known {
+            let known = self.rows.get(&row.key).map(|known| known.version);
+            if Some(row.version) >= known {
                 self.rows.insert(row.key.clone(), row.clone());
                 self.newest_change = self.newest_change.max(row.version);
             }
--- a/stand-in/src/gateway/table.rs
+++ b/stand-in/src/gateway/table.rs
@@ -29,9 +29,22 @@
     LostAnswers,
 }
 
+type TableRows = BTreeMap<(String, String), (Option<String>, u64)>;
+
+/// Copy of the table from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct TableCopy {
+    rows: TableRows,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    rows: BTreeMap<(String, String), (Option<String>, u64)>,
+    rows: TableRows,
+    /// Number of restores so far.
+    restores: u64,
+    /// Era to announce instead of the real one; `Some(None)` for none.
+    announced_era: Option<Option<String>>,
     version: u64,
     /// Feed requests for older versions than this are answered with status 410.
     oldest_version: u64,
@@ -86,6 +99,39 @@
         state.oldest_version = state.version;
     }
 
+    /// Copies all rows.
+    pub fn copy(&self) -> TableCopy {
+        let state = self.state();
+        TableCopy {
+            rows: state.rows.clone(),
+            version: state.version,
+        }
+    }
+
+    /// Copies all rows but those of one table.
+    pub fn copy_without(&self, table: &str) -> TableCopy {
+        let mut copy = self.copy();
+        copy.rows.retain(|(name, _), _| name != table);
+        copy
+    }
+
+    /// Restores the table from a copy and begins another era. Changes before the copy are no longer
+    /// available.
+    pub fn restore(&self, copy: &TableCopy) {
+        let mut state = self.state();
+        state.rows = copy.rows.clone();
+        state.version = copy.version;
+        state.oldest_version = copy.version;
+        state.restores += 1;
+        drop(state);
+        self.changed.send_replace(copy.version);
+    }
+
+    /// Announces another era than the real one, or none.
+    pub fn announce_era(&self, era: Option<&str>) {
+        self.state().announced_era = Some(era.map(str::to_owned));
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -135,7 +181,10 @@
         };
         match fault {
             Fault::Silent => std::future::pending().await,
-            Fault::Busy => return Some(reply(StatusCode::TOO_MANY_REQUESTS, &json!({}))),
+            Fault::Busy => {
+                let response = reply(StatusCode::TOO_MANY_REQUESTS, &json!({}));
+                return Some(self.with_era(response));
+            }
             Fault::None | Fault::LostAnswers => {}
         }
         let query = query(req.uri().query().unwrap_or_default());
@@ -149,7 +198,18 @@
             }
             _ => reply(StatusCode::NOT_FOUND, &json!({})),
         };
-        (fault != Fault::LostAnswers).then_some(response)
+        (fault != Fault::LostAnswers).then_some(self.with_era(response))
+    }
+
+    fn with_era(&self, mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+        let state = self.state();
+        let real = Some((state.restores + 1).to_string());
+        let era = state.announced_era.clone().unwrap_or(real);
+        if let Some(era) = era {
+            let value = era.parse().expect("valid header value");
+            response.headers_mut().insert("store-era", value);
+        }
+        response
     }
 
     fn read(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
@@ -178,7 +238,7 @@
         loop {
             {
                 let state = self.state();
-                if after < state.oldest_version {
+                if after < state.oldest_version || after > state.version {
                     return reply(StatusCode::GONE, &json!({}));
                 }
                 let rows = rows(&state, &query["table"], after);
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -15,3 +15,4 @@
 mod routes;
 mod support;
 mod table_outage;
+mod table_restore;
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -14,7 +14,7 @@
 
 use crate::support::{
     LIMITS, address, assign, heartbeat, order, ready, receive_heartbeat, request, row,
-    upstream_with,
+    upstream_with, version_of,
 };
 
 /// Duration of the rollouts.
@@ -302,7 +302,7 @@
         message.from.incarnation = incarnation;
         message.rollouts = vec![RolloutReport {
             service: "pool".into(),
-            order: 2,
+            order: version_of(2),
             state: RolloutState::Running,
             recorded: None,
             elapsed: Duration::from_secs_f64(MOVED + 0.5),
@@ -366,7 +366,7 @@
 fn record_written_by_another_daemon_is_merged() {
     let now = Instant::now();
     let mut dispatcher = start_rolling_pool(now);
-    dispatcher.set_recorded_state("pool", 2, RolloutState::Running);
+    dispatcher.set_recorded_state("pool", version_of(2), RolloutState::Running);
     let mut message = heartbeat("front-2", TableState::Reachable);
     message.rollouts = dispatcher
         .heartbeat(address(1), message.readiness, Duration::ZERO, now)
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -10,7 +10,7 @@
     peers::{Heartbeat, PeerId, Readiness, TableState},
     retry_budget::RetryLimit,
 };
-use platform::{orders::Order, table::Row};
+use platform::{RowVersion, orders::Order, table::Row};
 
 /// Limits of a small deployment.
 pub(crate) const LIMITS: FleetLimits = FleetLimits {
@@ -55,10 +55,15 @@
     Row {
         key: key.into(),
         value: value.map(|value| value.to_string().into_bytes()),
-        version,
+        version: version_of(version),
     }
 }
 
+/// Returns a row version of the table's first era.
+pub(crate) fn version_of(number: u64) -> RowVersion {
+    RowVersion { era: 1, number }
+}
+
 /// Returns another daemon's heartbeat with the given connectivity to the table.
 pub(crate) fn heartbeat(name: &str, table: TableState) -> Heartbeat {
     Heartbeat {
@@ -67,8 +72,10 @@
         readiness: Readiness::Ready,
         domain: "a".into(),
         table,
-        newest_order_version: 0,
-        newest_upstream_version: 0,
+        generation: 0,
+        table_era: 0,
+        newest_order_version: RowVersion::default(),
+        newest_upstream_version: RowVersion::default(),
         loads: Vec::new(),
         rollouts: Vec::new(),
         crashes: Vec::new(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,4 +7,5 @@
 mod reload;
 mod serve;
 mod shutdown;
+mod table_restore;
 mod trace;
--- a/tests/platform/table.rs
+++ b/tests/platform/table.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use platform::table::{Row, Step, TableClient, TableErrorCause, Transaction, TransactionOutcome};
+use platform::{
+    EraTracker, RowVersion,
+    table::{Row, Step, TableClient, TableErrorCause, Transaction, TransactionOutcome},
+    version::EraError,
+};
 use serde_json::json;
 
 use stand_in::gateway::table::{FakeTable, Fault};
@@ -10,16 +14,21 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 const SHORT_WAIT: Duration = Duration::from_millis(100);
 
+/// A version of the stand-in's first era.
+fn version(number: u64) -> RowVersion {
+    RowVersion { era: 1, number }
+}
+
 #[tokio::test]
 async fn read_pages_through_all_rows() {
     let table = FakeTable::spawn().await;
     for i in 0..1_201 {
         table.put("servers", &format!("a/{i:05}"), &json!(i));
     }
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let rows = client.read("servers", TIMEOUT).await.expect("answered");
     assert_eq!(rows.rows.len(), 1_201);
-    assert_eq!(rows.version, 1_201);
+    assert_eq!(rows.version, version(1_201));
     assert_eq!(table.calls(), 3);
 }
 
@@ -27,7 +36,7 @@
 async fn changes_include_writes_and_removals() {
     let table = FakeTable::spawn().await;
     table.put("op", "config", &json!(1));
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let before = client.read("op", TIMEOUT).await.expect("answered");
     table.put("op", "rollout/pool", &json!(2));
     table.remove("op", "config");
@@ -46,8 +55,8 @@
 #[tokio::test]
 async fn changes_return_on_first_change() {
     let table = FakeTable::spawn().await;
-    let mut client = TableClient::open(table.address());
-    let polling = client.changes("op", 0, TIMEOUT, TIMEOUT);
+    let mut client = TableClient::open(table.address(), EraTracker::default());
+    let polling = client.changes("op", version(0), TIMEOUT, TIMEOUT);
     let writing = async { table.put("op", "config", &json!(1)) };
     let (changes, ()) = tokio::join!(polling, writing);
     assert_eq!(changes.expect("answered").rows.len(), 1);
@@ -58,9 +67,9 @@
     let table = FakeTable::spawn().await;
     table.put("op", "config", &json!(1));
     table.compact();
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let e = client
-        .changes("op", 0, SHORT_WAIT, TIMEOUT)
+        .changes("op", version(0), SHORT_WAIT, TIMEOUT)
         .await
         .expect_err("too old");
     assert!(matches!(e.cause, TableErrorCause::HistoryGone), "{e}");
@@ -70,16 +79,16 @@
 async fn silent_table_times_out() {
     let table = FakeTable::spawn().await;
     table.set_fault(Fault::Silent);
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let e = client
-        .changes("op", 0, SHORT_WAIT, SHORT_WAIT)
+        .changes("op", version(0), SHORT_WAIT, SHORT_WAIT)
         .await
         .expect_err("silent");
     assert!(matches!(e.cause, TableErrorCause::Timeout(_)), "{e}");
     assert_eq!((e.step, e.peer), (Step::Call, table.address()));
     table.set_fault(Fault::None);
     client
-        .changes("op", 0, SHORT_WAIT, TIMEOUT)
+        .changes("op", version(0), SHORT_WAIT, TIMEOUT)
         .await
         .expect("a new connection");
 }
@@ -88,7 +97,7 @@
 async fn call_fails_when_table_is_busy() {
     let table = FakeTable::spawn().await;
     table.set_fault(Fault::Busy);
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let e = client.read("op", TIMEOUT).await.expect_err("busy");
     assert!(
         matches!(e.cause, TableErrorCause::Status(status) if status == 429),
@@ -99,25 +108,25 @@
 #[tokio::test]
 async fn transaction_requires_its_conditions() {
     let table = FakeTable::spawn().await;
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let row = Row::new("owner", b"me".to_vec());
     let write = Transaction::default()
-        .expect("own", "owner", 0)
+        .expect("own", "owner", RowVersion::default())
         .put("own", &row);
     assert_eq!(
         client.transact(&write, TIMEOUT).await.expect("decided"),
-        TransactionOutcome::Written(1)
+        TransactionOutcome::Written(version(1))
     );
     assert_eq!(
         client.transact(&write, TIMEOUT).await.expect("decided"),
         TransactionOutcome::ConditionFailed
     );
     let next = Transaction::default()
-        .expect("own", "owner", 1)
+        .expect("own", "owner", version(1))
         .remove("own", "owner");
     assert_eq!(
         client.transact(&next, TIMEOUT).await.expect("decided"),
-        TransactionOutcome::Written(2)
+        TransactionOutcome::Written(version(2))
     );
 }
 
@@ -127,10 +136,10 @@
 async fn transaction_with_lost_response() {
     let table = FakeTable::spawn().await;
     table.set_fault(Fault::LostAnswers);
-    let mut client = TableClient::open(table.address());
+    let mut client = TableClient::open(table.address(), EraTracker::default());
     let row = Row::new("owner", b"me".to_vec());
     let write = Transaction::default()
-        .expect("own", "owner", 0)
+        .expect("own", "owner", RowVersion::default())
         .put("own", &row);
     client
         .transact(&write, TIMEOUT)
@@ -143,3 +152,63 @@
         TransactionOutcome::ConditionFailed
     );
 }
+
+/// Numbers are assigned again after a restore, so changes after a number of an earlier era would miss
+/// rows.
+#[tokio::test]
+async fn changes_across_a_restore_require_a_full_read() {
+    let table = FakeTable::spawn().await;
+    table.put("op", "config", &json!(1));
+    let copy = table.copy();
+    let mut client = TableClient::open(table.address(), EraTracker::default());
+    table.put("op", "config", &json!(2));
+    let before = client.read("op", TIMEOUT).await.expect("answered");
+    table.restore(&copy);
+    for n in 0..3 {
+        table.put("op", &format!("other/{n}"), &json!(n));
+    }
+    let e = client
+        .changes("op", before.version, SHORT_WAIT, TIMEOUT)
+        .await
+        .expect_err("another era");
+    assert!(matches!(e.cause, TableErrorCause::HistoryGone), "{e}");
+    let after = client.read("op", TIMEOUT).await.expect("answered");
+    assert_eq!(after.version, RowVersion { era: 2, number: 4 });
+    assert!(after.version > before.version && after.rows.len() == 4);
+}
+
+#[tokio::test]
+async fn response_of_an_earlier_or_invalid_era_is_not_used() {
+    let table = FakeTable::spawn().await;
+    let era = EraTracker::default();
+    let mut client = TableClient::open(table.address(), era.clone());
+    client.read("op", TIMEOUT).await.expect("answered");
+    for (announced, expected) in [
+        (None, EraError::Missing),
+        (Some("soon"), EraError::Invalid("soon".into())),
+        (Some("-1"), EraError::Invalid("-1".into())),
+        (Some("0"), EraError::Older(0, 1)),
+    ] {
+        table.announce_era(announced);
+        let e = client
+            .read("op", TIMEOUT)
+            .await
+            .expect_err("an invalid era");
+        assert!(
+            matches!(&e.cause, TableErrorCause::Era(cause) if *cause == expected),
+            "{announced:?}: {e}"
+        );
+    }
+    assert_eq!(era.current(), 1);
+}
+
+#[tokio::test]
+async fn era_is_learned_from_failures() {
+    let table = FakeTable::spawn().await;
+    let era = EraTracker::default();
+    let mut client = TableClient::open(table.address(), era.clone());
+    table.restore(&table.copy());
+    table.set_fault(Fault::Busy);
+    client.read("op", TIMEOUT).await.expect_err("busy");
+    assert_eq!(era.current(), 2);
+}
--- a/tests/row_cache.rs
+++ b/tests/row_cache.rs
@@ -1,24 +1,47 @@
 //! Tests of the cache of table rows that daemons forward to each other.
 
 use hibiscusyoke::state::rows::{RowCache, RowChanges};
-use platform::table::Row;
+use platform::{RowVersion, table::Row};
 
-fn row(key: &str, version: u64, value: Option<&str>) -> Row {
+/// A version of the table's first era.
+fn version(number: u64) -> RowVersion {
+    RowVersion { era: 1, number }
+}
+
+fn row(key: &str, number: u64, value: Option<&str>) -> Row {
     Row {
         key: key.into(),
         value: value.map(|text| text.as_bytes().to_vec()),
-        version,
+        version: version(number),
     }
 }
 
-fn changes(full: bool, version: u64, rows: &[Row]) -> RowChanges {
+fn changes(full: bool, number: u64, rows: &[Row]) -> RowChanges {
     RowChanges {
         full,
         rows: rows.to_vec(),
-        version,
+        version: version(number),
+    }
+}
+
+/// The same rows and versions in the era after a restore.
+fn restored(changes: RowChanges) -> RowChanges {
+    let restore = |version: RowVersion| RowVersion { era: 2, ..version };
+    let rows = changes.rows.into_iter().map(|row| Row {
+        version: restore(row.version),
+        ..row
+    });
+    RowChanges {
+        rows: rows.collect(),
+        version: restore(changes.version),
+        ..changes
     }
 }
 
+fn never_newer(_: &Row, _: &Row) -> bool {
+    false
+}
+
 #[test]
 fn changes_after_version_include_removals() {
     let mut cache = RowCache::default();
@@ -32,9 +55,9 @@
         8,
         &[row("a", 7, None), row("c", 8, Some("1"))],
     ));
-    let update = cache.changes_after(5);
+    let update = cache.changes_after(version(5));
     assert!(!update.full);
-    assert_eq!(update.version, 8);
+    assert_eq!(update.version, version(8));
     assert_eq!(update.rows, [row("a", 7, None), row("c", 8, Some("1"))]);
 }
 
@@ -42,7 +65,7 @@
 fn changes_after_pruned_version_include_all_rows() {
     let mut cache = RowCache::default();
     cache.merge(&changes(true, 5, &[row("a", 3, Some("1"))]));
-    let update = cache.changes_after(2);
+    let update = cache.changes_after(version(2));
     assert!(update.full);
     assert_eq!(update.rows, [row("a", 3, Some("1"))]);
 }
@@ -53,8 +76,11 @@
     cache.merge(&changes(true, 9, &[row("config", 9, Some("new"))]));
     cache.merge(&changes(false, 4, &[row("config", 4, Some("old"))]));
     cache.merge(&changes(true, 4, &[row("config", 4, Some("old"))]));
-    assert_eq!(cache.changes_after(8).rows, [row("config", 9, Some("new"))]);
-    assert_eq!(cache.version(), 9);
+    assert_eq!(
+        cache.changes_after(version(8)).rows,
+        [row("config", 9, Some("new"))]
+    );
+    assert_eq!(cache.version(), version(9));
 }
 
 /// A full set that lags behind the receiver's own polls must still advance its newest change.
@@ -71,3 +97,70 @@
     receiver.merge(&sender.changes_after(receiver.newest_change()));
     assert_eq!(receiver.newest_change(), sender.newest_change());
 }
+
+/// The full read of a restored table was merged away, as its numbers were lower, and was requested
+/// again without a pause.
+#[test]
+fn full_read_of_a_later_era_replaces_rows_with_higher_numbers() {
+    let mut cache = RowCache::default();
+    cache.merge(&changes(
+        true,
+        9,
+        &[row("config", 9, Some("9")), row("gone", 8, Some("8"))],
+    ));
+    let read = restored(changes(true, 4, &[row("config", 4, Some("4"))]));
+    cache.merge(&read);
+    assert_eq!(cache.version(), read.version);
+    assert_eq!(cache.newest_change(), read.version);
+    let told = cache.changes_after(version(9));
+    assert!(told.full);
+    assert_eq!(told.rows, read.rows);
+}
+
+#[test]
+fn late_changes_of_an_earlier_era_are_ignored() {
+    let mut cache = RowCache::default();
+    let read = restored(changes(true, 4, &[row("a", 4, Some("4"))]));
+    cache.merge(&read);
+    cache.merge(&changes(false, 20, &[row("b", 20, Some("20"))]));
+    cache.merge(&changes(true, 20, &[row("a", 20, Some("20"))]));
+    assert_eq!(cache.changes_after(version(0)).rows, read.rows);
+}
+
+#[test]
+fn rows_that_a_restored_table_lacks_are_carried_over_once() {
+    let mut cache = RowCache::default();
+    cache.merge(&changes(
+        true,
+        9,
+        &[
+            row("kept", 2, Some("2")),
+            row("lost", 8, Some("8")),
+            row("removed", 9, None),
+        ],
+    ));
+    let read = restored(changes(true, 4, &[row("kept", 2, Some("2"))]));
+    let carried = cache.carried_over(&read, never_newer);
+    let keys: Vec<&str> = carried.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["lost"]);
+    assert_eq!(carried[0].version, read.version);
+    cache.merge(&read.with_rows(carried));
+    assert_eq!(cache.changes_after(version(0)).rows.len(), 2);
+
+    // The next full read settles what was not written again.
+    let settled = restored(changes(true, 6, &[row("kept", 2, Some("2"))]));
+    assert_eq!(cache.carried_over(&settled, never_newer), []);
+    cache.merge(&settled);
+    assert_eq!(cache.changes_after(version(0)).rows, settled.rows);
+}
+
+#[test]
+fn newer_value_is_carried_over_in_place_of_the_restored_one() {
+    let mut cache = RowCache::default();
+    cache.merge(&changes(true, 9, &[row("config", 9, Some("9"))]));
+    let read = restored(changes(true, 4, &[row("config", 4, Some("4"))]));
+    let carried = cache.carried_over(&read, |known, read| known.value > read.value);
+    let merged = read.with_rows(carried);
+    assert_eq!(merged.rows.len(), 1);
+    assert_eq!(merged.rows[0].value.as_deref(), Some(b"9".as_slice()));
+}
