Restore the table, and let upstreams leave and pause, in the soak

The soak's table is restored from a copy as old as the fault is long, after which operators and upstreams write their rows again; upstreams announce that they leave and restart as another incarnation, or refuse with a pause. Checked: no gateway sends to an upstream 2 s after it passed on such an announcement, unless it was restarted or paused since.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::BTreeMap, fs, io, path::Path, time::Instant};
 
-use stand_in::gateway::{deployment, table::FakeTable, upstream::FakeUpstream};
+use stand_in::gateway::{
+    deployment,
+    table::{FakeTable, TableCopy},
+    upstream::FakeUpstream,
+};
 
 use crate::{Options, fleet::Fleet, proxy::Proxy, records::Span};
 
@@ -41,6 +45,8 @@
     /// Proxy for the connections to the upstream.
     pub proxy: Proxy,
     service: &'static str,
+    /// State in the upstream's row.
+    state: &'static str,
 }
 
 /// A running deployment.
@@ -54,6 +60,8 @@
     pub fleet: Fleet,
     /// Time spans in which an upstream was draining, by index.
     pub drained: BTreeMap<usize, Vec<Span>>,
+    /// Time spans in which an upstream announced that it leaves, by index.
+    pub left: BTreeMap<usize, Vec<Span>>,
     /// Time spans in which the table or a connection failed.
     unstable: Vec<Span>,
     /// Generation of the current configuration.
@@ -76,8 +84,9 @@
                 upstream,
                 proxy,
                 service,
+                state: "ready",
             };
-            table.put("servers", id, &proxied.row("ready"));
+            table.put("servers", id, &proxied.row());
             upstreams.push(proxied);
         }
         table.put("op", "config", &deployment::configuration(1, &[KEY]));
@@ -87,21 +96,53 @@
             upstreams,
             fleet,
             drained: BTreeMap::new(),
+            left: BTreeMap::new(),
             unstable: Vec::new(),
             generation: 1,
         })
     }
 
     /// Sets the state in an upstream's row, such as `ready` or `draining`.
-    pub fn set_state(&self, upstream: usize, state: &str) {
+    pub fn set_state(&mut self, upstream: usize, state: &'static str) {
+        self.upstreams[upstream].state = state;
+        self.write_row(upstream);
+    }
+
+    fn write_row(&self, upstream: usize) {
         let proxied = &self.upstreams[upstream];
         self.table
-            .put("servers", &proxied.upstream.id, &proxied.row(state));
+            .put("servers", &proxied.upstream.id, &proxied.row());
+    }
+
+    /// Restores the table from a copy; operators and upstreams then write their rows again.
+    pub fn restore_table(&mut self, copy: &TableCopy) {
+        let from = Instant::now();
+        self.table.restore(copy);
+        self.write_configuration();
+        for upstream in 0..self.upstreams.len() {
+            self.write_row(upstream);
+        }
+        self.record_unstable(from);
+    }
+
+    /// Restarts an upstream that has announced since `from` that it leaves.
+    pub fn restart_left_upstream(&mut self, upstream: usize, from: Instant) {
+        let span = Span {
+            from,
+            to: Instant::now(),
+        };
+        self.left.entry(upstream).or_default().push(span);
+        self.upstreams[upstream].upstream.restart();
+        self.write_row(upstream);
     }
 
     /// Publishes a new configuration, which still allows the callers' key.
     pub fn publish_configuration(&mut self) {
         self.generation += 1;
+        self.write_configuration();
+    }
+
+    fn write_configuration(&self) {
         let newest = self.newest_key();
         let configuration = deployment::configuration(self.generation, &[KEY, &newest]);
         self.table.put("op", "config", &configuration);
@@ -152,11 +193,11 @@
 }
 
 impl ProxiedUpstream {
-    fn row(&self, state: &str) -> serde_json::Value {
+    fn row(&self) -> serde_json::Value {
         let mut row = self
             .upstream
             .row_at(self.proxy.address(), self.service, "v1");
-        row["state"] = state.into();
+        row["state"] = self.state.into();
         row
     }
 }
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -34,6 +34,7 @@
 pub(crate) async fn run(deployment: &mut Deployment, schedule: &Schedule) -> io::Result<()> {
     let start = Instant::now();
     let mut started = HashMap::new();
+    let mut copies = HashMap::new();
     let mut events: BinaryHeap<Reverse<Event>> = (0..schedule.len())
         .map(|step| {
             Reverse(Event {
@@ -48,6 +49,9 @@
         let step = schedule[event.step];
         if !event.is_end {
             started.insert(event.step, Instant::now());
+            if step.fault == Fault::Restore {
+                copies.insert(event.step, deployment.table.copy());
+            }
             start_fault(deployment, step.fault).await?;
             events.push(Reverse(Event {
                 at: event.at + step.duration,
@@ -57,6 +61,9 @@
             continue;
         }
         let from = started.get(&event.step).copied().unwrap_or(start);
+        if let Some(copy) = copies.remove(&event.step) {
+            deployment.restore_table(&copy);
+        }
         if !end_fault(deployment, step.fault, from).await? {
             events.push(Reverse(Event {
                 at: Instant::now() + RESTART_RETRY_DELAY,
@@ -86,6 +93,11 @@
         Fault::Table(fault) => deployment.table.set_fault(fault),
         Fault::Compact => deployment.table.compact(),
         Fault::Drain(upstream) => deployment.set_state(upstream, "draining"),
+        Fault::Leave(upstream) => deployment.upstreams[upstream]
+            .upstream
+            .set_behaviour(Behaviour::Leave),
+        // The copy is taken now and restored at the end.
+        Fault::Restore => {}
         Fault::Configure => deployment.publish_configuration(),
     }
     Ok(())
@@ -133,7 +145,8 @@
             deployment.record_drained(upstream, from);
             deployment.set_state(upstream, "ready");
         }
-        Fault::Reload(_) | Fault::Compact | Fault::Configure => {}
+        Fault::Leave(upstream) => deployment.restart_left_upstream(upstream, from),
+        Fault::Reload(_) | Fault::Compact | Fault::Restore | Fault::Configure => {}
     }
     Ok(true)
 }
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 use http::StatusCode;
+use stand_in::gateway::upstream::Run;
 
 use crate::{
     caller,
@@ -51,6 +52,9 @@
     /// A draining upstream executed a request.
     #[display("upstream {_1} executed {_0} while draining")]
     RanOnDrained(String, usize),
+    /// A gateway sent a request to an upstream that had announced to it that it leaves.
+    #[display("gateway {_2} sent {_0} to upstream {_1}, which had announced that it leaves")]
+    RanOnLeaving(String, usize, usize),
     /// An upstream received a caller's key, or another customer.
     #[display("{_0} reached its upstream with a caller's key or for another customer")]
     WrongCustomer(String),
@@ -79,6 +83,7 @@
     }
     violations.extend(check_recovery(records));
     violations.extend(check_drained(deployment));
+    violations.extend(check_left(deployment, records));
     violations.extend(check_customers(deployment));
     violations
 }
@@ -157,6 +162,48 @@
     violations
 }
 
+/// Checks that no gateway sent requests to an upstream after it had passed on a response in which the
+/// upstream announced that it leaves. Only a restart or a pause of the gateway excuses them.
+fn check_left(deployment: &Deployment, records: &[RequestRecord]) -> Vec<Violation> {
+    let by_id: HashMap<&str, &RequestRecord> = records
+        .iter()
+        .map(|record| (record.id.as_str(), record))
+        .collect();
+    let mut violations = Vec::new();
+    for (index, spans) in &deployment.left {
+        let runs = deployment.upstreams[*index].upstream.runs();
+        for (span, gateway) in spans.iter().flat_map(|span| {
+            let gateways = 0..deployment.fleet.len();
+            gateways.map(move |gateway| (span, gateway))
+        }) {
+            let sent: Vec<(&Run, &RequestRecord)> = runs
+                .iter()
+                .filter(|run| run.executed_at >= span.from && run.executed_at <= span.to)
+                .filter_map(|run| Some((run, *by_id.get(run.id.as_str())?)))
+                .filter(|(_, record)| record.gateway == gateway)
+                .collect();
+            let told = sent
+                .iter()
+                .filter(|(run, record)| run.announced_leaving && record.outcome.is_served());
+            let Some(announced_at) = told.map(|(_, record)| record.ended_at()).min() else {
+                continue;
+            };
+            let disrupted = |until: Instant| {
+                let mut disruptions = deployment.fleet.disruptions(gateway).iter();
+                disruptions.any(|other| other.to >= announced_at && other.from <= until)
+            };
+            let late = sent.iter().filter(|(_, record)| {
+                record.sent_at > announced_at + DRAIN_PROPAGATION_TIME
+                    && !disrupted(record.ended_at())
+            });
+            violations.extend(
+                late.map(|(_, record)| Violation::RanOnLeaving(record.id.clone(), *index, gateway)),
+            );
+        }
+    }
+    violations
+}
+
 fn check_customers(deployment: &Deployment) -> Vec<Violation> {
     let mut seen = HashSet::new();
     let mut violations = Vec::new();
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -36,6 +36,11 @@
     Table(TableFault),
     /// The table discards its history.
     Compact,
+    /// The table is restored from a copy that is as old as the fault is long. Operators and upstreams
+    /// write their rows again.
+    Restore,
+    /// An upstream announces that it leaves, and then restarts.
+    Leave(usize),
     /// An upstream is drained and accepts requests again later.
     Drain(usize),
     /// The configuration is changed by operators.
@@ -92,7 +97,7 @@
 }
 
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
-    match rng.random_range(0..16) {
+    match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
         2 | 3 => Fault::Stop(gateway),
         4 | 5 => Fault::Pause(gateway),
@@ -106,6 +111,8 @@
             false => Fault::KillAll,
         },
         14 => Fault::Drain(upstream),
+        15 | 16 => Fault::Restore,
+        17 => Fault::Leave(upstream),
         _ => Fault::Configure,
     }
 }
@@ -121,13 +128,14 @@
 }
 
 fn draw_behaviour(rng: &mut impl Rng) -> Behaviour {
-    match rng.random_range(0..7) {
+    match rng.random_range(0..8) {
         0 => Behaviour::Fail,
         1 => Behaviour::Refuse,
         2 => Behaviour::Break,
         3 => Behaviour::BreakAfter(rng.random_range(0..5)),
         4 => Behaviour::Foreign,
         5 => Behaviour::Unsigned,
+        6 => Behaviour::RefuseWithPause(rng.random_range(1..4)),
         _ => Behaviour::Hang,
     }
 }
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -64,6 +64,8 @@
     pub body: Bytes,
     /// Time at which the upstream had read the request.
     pub executed_at: Instant,
+    /// Whether the response announced that the upstream leaves.
+    pub announced_leaving: bool,
 }
 
 #[derive(Debug, Default)]
@@ -72,6 +74,8 @@
     runs: Vec<Run>,
     /// Times at which requests arrived, also those that were refused.
     arrivals: Vec<Instant>,
+    /// Number of restarts so far.
+    restarts: u64,
 }
 
 /// Running fake of an upstream.
@@ -120,6 +124,13 @@
         self.state().behaviour = behaviour;
     }
 
+    /// Restarts the upstream as another incarnation that serves requests.
+    pub fn restart(&self) {
+        let mut state = self.state();
+        state.behaviour = Behaviour::Serve;
+        state.restarts += 1;
+    }
+
     /// Returns the executed requests.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -149,7 +160,7 @@
     pub fn row_at(&self, address: SocketAddr, service: &str, version: &str) -> serde_json::Value {
         serde_json::json!({
             "service": service, "address": address, "zone": "a", "version": version,
-            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "born": 1,
+            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "born": self.state().restarts + 1,
         })
     }
 
@@ -178,6 +189,7 @@
             headers,
             body,
             executed_at: Instant::now(),
+            announced_leaving: behaviour == Behaviour::Leave,
         });
         let _in_flight = InFlightGuard::begin(&self.in_flight);
         match behaviour {
