Refuse requests that cannot start before their deadline, and use reported backlogs only where nothing else is known

Cause: a request was placed on the least loaded engine even if the response would start after its deadline. Reported backlogs were also applied to engines whose prompts the daemon is notified of, where a stale report is worse than its own knowledge. Change: such a request is refused as not run, with the time after which it would start in time. Reports count only outside the daemon's subset. Result: tests/dispatch/placement.rs replays it; it was accepted before.

--- a/src/coordination/dispatch/assignment.rs
+++ b/src/coordination/dispatch/assignment.rs
@@ -28,6 +28,8 @@
     pub body_bytes: usize,
     /// Upstreams that have already been tried.
     pub tried: &'a [UpstreamId],
+    /// Time left until the request's deadline.
+    pub remaining: Duration,
 }
 
 /// A reserved slot for one attempt; release it with
@@ -100,6 +102,8 @@
     AllFull,
     /// All upstreams are cold and have used up their rate share.
     AllCold,
+    /// The response would start after the request's deadline.
+    TooLate,
     /// All usable upstreams have asked for a pause.
     AllPaused,
 }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -5,7 +5,7 @@
 //! deterministically.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -96,6 +96,8 @@
     prefill_speeds: PrefillSpeeds,
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
+    /// Hashes of the engines whose prompts this daemon is notified of.
+    own_subset: HashSet<u64>,
     rng: Xoshiro128PlusPlus,
 }
 
@@ -140,6 +142,7 @@
             prefill_speeds: PrefillSpeeds::default(),
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
+            own_subset: HashSet::new(),
             rng: Xoshiro128PlusPlus::seed_from_u64(seed),
         }
     }
@@ -196,6 +199,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
         self.peers.expire(now);
         self.sum_peer_loads(now);
+        self.update_own_subset(now);
         self.resolve_broken_connections(now);
         let expired = self.registry.expire(now);
         for id in &expired {
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -1,6 +1,7 @@
 //! Builds and merges the messages between daemons.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -131,6 +132,26 @@
         self.daemons(now).position(name_hash(&self.me.name))
     }
 
+    /// Updates the set of engines whose prompts this daemon is notified of.
+    pub(super) fn update_own_subset(&mut self, now: Instant) {
+        let position = self.own_position(now);
+        let mut engines: HashMap<&str, Vec<u64>> = HashMap::new();
+        for upstream in self.registry.all().filter(|u| u.is_listed(now)) {
+            engines
+                .entry(&upstream.service)
+                .or_default()
+                .push(upstream.hash);
+        }
+        self.own_subset = engines
+            .into_values()
+            .flat_map(|hashes| {
+                let ring = HashRing::from_hashes(hashes.iter().copied());
+                let used = move |hash: &u64| position.uses(ring.index(*hash), ring.count());
+                hashes.into_iter().filter(used)
+            })
+            .collect();
+    }
+
     fn daemons(&self, now: Instant) -> HashRing {
         let others = self.peers.limit_sharers(now).map(|name| name_hash(name));
         HashRing::from_hashes(others.chain([name_hash(&self.me.name)]))
@@ -235,8 +256,12 @@
         }
     }
 
+    /// Records the backlogs of engines whose prompts this daemon is not notified of.
     fn record_reported_backlogs(&mut self, loads: &[LoadReport], now: Instant) {
         for load in loads.iter().filter(|load| !load.backlog.is_zero()) {
+            if self.own_subset.contains(&load.upstream) {
+                continue;
+            }
             if let Some(upstream) = self.registry.by_hash_mut(load.upstream) {
                 upstream.queue.record_report(load.backlog, now);
             }
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -244,6 +244,10 @@
             };
         };
         let backlog = self.wait(upstream, now);
+        let excess = (backlog + prefill_time).saturating_sub(request.remaining);
+        if !excess.is_zero() {
+            return Placement::Refuse(NoSlotReason::TooLate, excess);
+        }
         let mut assignment = Assignment {
             upstream: upstream.id.clone(),
             address: upstream.address,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -193,6 +193,7 @@
             prompt: self.call.head.prompt.as_ref(),
             body_bytes: self.call.body.len(),
             tried: &self.tried,
+            remaining: self.call.remaining(self.shared.now()),
         }
     }
 
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -194,3 +194,45 @@
         );
     }
 }
+
+/// Load pattern: the engines have more prompts than they can process before the deadline of a new
+/// request. It was accepted and timed out.
+#[test]
+fn request_that_cannot_start_before_its_deadline_is_refused_at_once() {
+    let now = Instant::now();
+    let mut dispatcher = ready(&pool(2), now);
+    let prompt = prompt(7, 1);
+    let long = PlacementRequest {
+        model: Some("small"),
+        prompt: Some(&prompt),
+        remaining: Duration::from_secs(2),
+        ..request(1)
+    };
+    let mut accepted = Vec::new();
+    let refusal = loop {
+        match dispatcher.select_upstream(&long, now) {
+            Placement::Assigned(assignment) => accepted.push(*assignment),
+            other => break other,
+        }
+    };
+    let Placement::Refuse(NoSlotReason::TooLate, wait) = refusal else {
+        panic!("{refusal:?}");
+    };
+    assert!(accepted.len() > 20, "{} accepted", accepted.len());
+    assert!(
+        !wait.is_zero() && wait < Duration::from_millis(200),
+        "{wait:?}"
+    );
+    let patient = PlacementRequest {
+        remaining: Duration::from_secs(8),
+        ..long
+    };
+    assign(&mut dispatcher, &patient, now);
+    // By then the engines have processed the first prompts.
+    let later = now + wait + Duration::from_millis(200);
+    for assignment in accepted.iter_mut().take(6) {
+        dispatcher.response_started(assignment, later - now);
+        dispatcher.release(assignment, AttemptOutcome::Served, later);
+    }
+    assign(&mut dispatcher, &long, later);
+}
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -138,6 +138,7 @@
         prompt: None,
         body_bytes: 100,
         tried: &[],
+        remaining: Duration::from_secs(8),
     }
 }
 
