List a leaving daemon in the directory if no other is ready

Cause: when all instances were told to stop at about the same time, each left the directory at once and nobody could be asked, though all still accepted requests for 2.8 s. Result: gateway shutdown::directory_lists_a_leaving_daemon_if_no_other_is_ready; the directory was empty before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -120,6 +120,7 @@
         log::info!("event=stop grace_ms={}", grace.as_millis());
         self.shared.set_leaving();
         tokio::time::sleep(SHUTDOWN_DELAY.min(grace / 2)).await;
+        self.shared.stop_accepting();
         self.stop.send_replace(true);
         let drain_timeout = grace.saturating_sub(SHUTDOWN_DELAY + EXIT_RESERVE);
         match tokio::time::timeout(drain_timeout, self.caller_server).await {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -41,6 +41,8 @@
     dispatcher: Mutex<Dispatcher>,
     joined: AtomicBool,
     leaving: AtomicBool,
+    /// Whether callers can connect to this daemon.
+    accepting: AtomicBool,
 }
 
 impl Shared {
@@ -65,6 +67,7 @@
             dispatcher: Mutex::new(dispatcher),
             joined: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            accepting: AtomicBool::new(true),
         }
     }
 
@@ -100,6 +103,11 @@
         self.urgent_heartbeat.notify_one();
     }
 
+    /// Records that callers can no longer connect to this daemon.
+    pub fn stop_accepting(&self) {
+        self.accepting.store(false, Ordering::Relaxed);
+    }
+
     /// Whether the process is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -119,6 +127,9 @@
     }
 
     /// Returns the caller addresses of all live and ready daemons, including this one.
+    ///
+    /// If there are none because all daemons are shutting down at the same time, it returns the address
+    /// of this daemon as long as callers can connect to it.
     pub fn directory(&self) -> Vec<SocketAddr> {
         let own = (self.readiness() == Readiness::Ready).then_some(self.settings.front);
         let dispatcher = self.dispatcher();
@@ -127,7 +138,11 @@
             .ready(self.now())
             .map(|p| p.last_heartbeat.caller_address)
             .collect();
-        own.into_iter().chain(peers).collect()
+        let ready: Vec<SocketAddr> = own.into_iter().chain(peers).collect();
+        match ready.is_empty() && self.is_leaving() && self.accepting.load(Ordering::Relaxed) {
+            true => vec![self.settings.front],
+            false => ready,
+        }
     }
 }
 
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -34,3 +34,25 @@
     assert_eq!(text.matches("id: ").count() as u64, EVENTS_PER_STREAM);
     assert!(harness.gateways[0].wait_for_exit().await);
 }
+
+/// When all daemons are stopped at the same time, callers still find one that serves them.
+#[tokio::test(flavor = "multi_thread")]
+async fn directory_lists_a_leaving_daemon_if_no_other_is_ready() {
+    let mut harness = Harness::spawn(2).await;
+    for gateway in &harness.gateways {
+        gateway.terminate();
+    }
+    let addresses: Vec<_> = harness
+        .gateways
+        .iter()
+        .map(|gateway| gateway.caller_address())
+        .collect();
+    for (gateway, address) in harness.gateways.iter().zip(&addresses) {
+        wait_until(|| async { gateway.directory().await == [*address] }).await;
+        let reply = gateway.call(&plain("l1", Method::GET, "/look/1")).await;
+        assert_eq!(reply.status, StatusCode::OK);
+    }
+    for gateway in &mut harness.gateways {
+        assert!(gateway.wait_for_exit().await);
+    }
+}
