Start from what peers know, and poll the upstreams less often while they change

Change: a restarted daemon that finds its record does not write it again; a starting daemon waits up to 140 ms (1.5 s at the fleet's first start) for a peer that has read the tables and takes them from it; a poller waits 250 ms after a change of the upstreams. Result: gateway serve::started_daemon_learns_the_tables_from_its_peers; each start read both tables before.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -42,6 +42,19 @@
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long rows that a restored table lacks are carried over.
 const CARRY_OVER_TIME: Duration = Duration::from_secs(3);
+/// Maximum time in which a starting daemon reads the list of its peers.
+const MAX_RECORDS_WAIT: Duration = Duration::from_millis(300);
+/// Time in which a starting daemon hears from its peers.
+const MIN_START_WAIT: Duration = Duration::from_millis(40);
+/// Time over which the daemons spread their first reads if the whole fleet starts for the first time.
+const MAX_BOOTSTRAP_WAIT: Duration = Duration::from_millis(1_500);
+/// The same after a restart, when callers may be waiting.
+const MAX_RESTART_WAIT: Duration = Duration::from_millis(100);
+/// Interval between checks for a peer that has read the table.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Delay between polls of the upstreams after a change; they change several times a second while a
+/// service is replaced.
+const UPSTREAM_POLL_DELAY: Duration = Duration::from_millis(250);
 /// Number of consecutive failed queries to peers after which a daemon polls the table itself.
 const MAX_FAILED_QUERIES: u32 = 2;
 
@@ -65,6 +78,7 @@
         history_gone: false,
         settle_at: None,
         vain_generation: 0,
+        has_asked_peers: false,
         shared,
     };
     loop {
@@ -88,6 +102,8 @@
     settle_at: Option<Instant>,
     /// Generation of a peer's configuration that the peer did not have a row for.
     vain_generation: u64,
+    /// Whether this daemon has waited at its start for a peer that has read the table.
+    has_asked_peers: bool,
 }
 
 impl Follower {
@@ -98,6 +114,13 @@
         let role = self.shared.dispatcher().polling_role(self.shared.now());
         let version = self.followed.cache(&self.shared.dispatcher()).version();
         let initialized = version != RowVersion::default();
+        if !initialized && !std::mem::replace(&mut self.has_asked_peers, true) {
+            self.await_peer_changes().await;
+            if self.fetch_from_newer_peer().await {
+                self.needs_full_read = false;
+                return;
+            }
+        }
         match role {
             PollingRole::Listen if initialized && self.failed_queries < MAX_FAILED_QUERIES => {
                 self.listen().await;
@@ -111,6 +134,25 @@
         }
     }
 
+    /// Waits at the start of this daemon until a peer has read the table, for a random time at most.
+    ///
+    /// Load pattern: many daemons start at once. If each read the table, the calls would grow with the
+    /// fleet; as it is, few read it before the others hear of them.
+    async fn await_peer_changes(&self) {
+        let max_wait = match self.shared.settings.bootstrap {
+            true => MAX_BOOTSTRAP_WAIT,
+            false => MAX_RESTART_WAIT,
+        };
+        let records_deadline = self.shared.now() + MAX_RECORDS_WAIT;
+        while !self.shared.knows_peers() && self.shared.now() < records_deadline {
+            tokio::time::sleep(START_CHECK_INTERVAL).await;
+        }
+        let deadline = self.shared.now() + MIN_START_WAIT + max_wait.mul_f64(rand::random());
+        while self.newer_peer().is_none() && self.shared.now() < deadline {
+            tokio::time::sleep(START_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Queries a peer that has newer changes, or waits until a peer reports some.
     async fn listen(&mut self) {
         self.failures = 0;
@@ -163,7 +205,13 @@
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics::table_call(self.followed.table(), outcome);
         match result {
-            Ok(rows) => self.handle_rows(rows),
+            Ok(rows) => {
+                let has_changes = !rows.rows.is_empty();
+                self.handle_rows(rows);
+                if has_changes && self.followed == FollowedTable::Upstreams {
+                    tokio::time::sleep(UPSTREAM_POLL_DELAY).await;
+                }
+            }
             Err(e) => self.handle_failure(&e).await,
         }
     }
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -69,6 +69,7 @@
         shared: shared.clone(),
         client: TableClient::open(shared.settings.table, shared.table_era.clone()),
         era: 0,
+        is_registered: false,
         registered_at: shared.now(),
         registration_due: None,
         recorded: HashMap::new(),
@@ -111,6 +112,8 @@
     client: TableClient,
     /// The table's era in which this daemon's records were written.
     era: TableEra,
+    /// Whether the last read of the records found this daemon's.
+    is_registered: bool,
     registered_at: Instant,
     /// When this daemon must register again.
     registration_due: Option<Instant>,
@@ -123,22 +126,30 @@
 
 impl RecordWriter {
     /// Registers this daemon in the table and reads the records of the other daemons and of rollouts.
+    ///
+    /// A daemon registers before the read that it relies on, so that of two daemons that start at the
+    /// same time at least one learns of the other. A restarted daemon finds its record.
     async fn join(&mut self) {
         let mut registered = false;
+        let mut may_be_registered = !self.shared.settings.bootstrap;
         loop {
-            if !registered {
+            if !registered && !may_be_registered {
                 registered = self.register_daemon().await;
             }
-            if registered && self.read_records().await {
-                self.compare_with_peers().await;
-                self.era = self.shared.table_era.current();
-                self.registered_at = self.shared.now();
-                self.shared.set_joined();
-                self.shared.urgent_heartbeat.notify_one();
-                return;
+            if (registered || may_be_registered) && self.read_records().await {
+                if registered || self.is_registered {
+                    break;
+                }
+                may_be_registered = false;
+                continue;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
+        self.compare_with_peers().await;
+        self.era = self.shared.table_era.current();
+        self.registered_at = self.shared.now();
+        self.shared.set_joined();
+        self.shared.urgent_heartbeat.notify_one();
     }
 
     /// Waits for a first heartbeat, and takes over a newer configuration that a peer has.
@@ -208,6 +219,8 @@
         record_call("read_records", &result);
         let Ok(rows) = result else { return false };
         self.apply_rows(&rows);
+        self.shared.set_knows_peers();
+        self.shared.urgent_heartbeat.notify_one();
         true
     }
 
@@ -216,9 +229,11 @@
         self.clock = Some((rows.now, now));
         for row in &rows.rows {
             if let Some(name) = row.key.strip_prefix(DAEMON_PREFIX) {
-                if let Some(record) = decode::<DaemonRecord>(row)
-                    && name != self.shared.me.name
-                {
+                let record = decode::<DaemonRecord>(row);
+                if name == self.shared.me.name {
+                    let own = self.shared.settings.peer_address();
+                    self.is_registered = record.is_some_and(|record| record.address == own);
+                } else if let Some(record) = record {
                     self.shared
                         .dispatcher()
                         .peers
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -36,6 +36,9 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's table.
     pub table: SocketAddr,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// First and last port for traffic between daemons.
     pub peer_ports: (u16, u16),
     /// Maximum time in seconds that callers may cache a directory response.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -39,6 +39,7 @@
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
+    knows_peers: AtomicBool,
     joined: AtomicBool,
     leaving: AtomicBool,
     /// Whether callers can connect to this daemon.
@@ -65,12 +66,23 @@
             table_era: EraTracker::default(),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
+            knows_peers: AtomicBool::new(false),
             joined: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             accepting: AtomicBool::new(true),
         }
     }
 
+    /// Records that this daemon has read the list of its peers.
+    pub fn set_knows_peers(&self) {
+        self.knows_peers.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this daemon has read the list of its peers.
+    pub fn knows_peers(&self) -> bool {
+        self.knows_peers.load(Ordering::Relaxed)
+    }
+
     /// Locks the dispatcher; the lock must not be held across an await.
     pub fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         self.dispatcher
--- a/stand-in/src/gateway/table.rs
+++ b/stand-in/src/gateway/table.rs
@@ -50,6 +50,8 @@
     oldest_version: u64,
     fault: Fault,
     calls: u64,
+    /// Full reads by table.
+    reads: BTreeMap<String, u64>,
 }
 
 /// Running fake of the table.
@@ -156,6 +158,11 @@
         Some(String::from_utf8(bytes).expect("UTF-8 text"))
     }
 
+    /// Returns the number of full reads of a table so far.
+    pub fn reads(&self, table: &str) -> u64 {
+        self.state().reads.get(table).copied().unwrap_or(0)
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<String>) {
         let version = {
             let mut state = self.state();
@@ -213,7 +220,8 @@
     }
 
     fn read(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
-        let state = self.state();
+        let mut state = self.state();
+        *state.reads.entry(query["table"].clone()).or_default() += 1;
         let limit: usize = query
             .get("limit")
             .and_then(|l| l.parse().ok())
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -111,3 +111,23 @@
     }
     assert_eq!((e1.runs().len(), e2.runs().len()), (0, 8));
 }
+
+/// Each start made two full reads of the tables, which grew with the fleet. A daemon that does not
+/// hear from a peer in time, such as on a busy machine, still reads them.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_daemon_learns_the_tables_from_its_peers() {
+    const MAX_STARTS: usize = 5;
+    let mut harness = Harness::spawn(3).await;
+    for _ in 0..MAX_STARTS {
+        let before = ["op", "servers"].map(|table| harness.table.reads(table));
+        harness.start_gateway();
+        let started = harness.gateways.last().expect("started");
+        wait_until(|| async { started.is_ready().await }).await;
+        let reply = started.call(&plain("l1", Method::GET, "/look/1")).await;
+        assert_eq!(reply.status, StatusCode::OK);
+        if before == ["op", "servers"].map(|table| harness.table.reads(table)) {
+            return;
+        }
+    }
+    panic!("each start reads the tables: {}", harness.gateways[3].log());
+}
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -5,7 +5,7 @@
 
 use stand_in::gateway::upstream::EVENTS_PER_STREAM;
 
-use crate::harness::{Harness, plain, stream, wait_until};
+use crate::harness::{Gateway, Harness, plain, stream, wait_until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn shutdown_completes_in_flight_requests() {
@@ -45,7 +45,7 @@
     let addresses: Vec<_> = harness
         .gateways
         .iter()
-        .map(|gateway| gateway.caller_address())
+        .map(Gateway::caller_address)
         .collect();
     for (gateway, address) in harness.gateways.iter().zip(&addresses) {
         wait_until(|| async { gateway.directory().await == [*address] }).await;
