Bound the backlog by what prompts experienced, avoid crowded engines, and spread queries to peers

Change: the backlog that lowers escalations is at most the average delay that recent prompts experienced. The cost of an engine rises from half of its slots in use. Only daemons that are notified of an engine's prompts report its backlog, in milliseconds. Listening daemons choose one of the peers with the newest changes at random, after a random time of up to 2 ms a daemon, and look at generations only if no peer has newer changes. Result: tests/dispatch/placement.rs (2).

--- a/src/coordination/dispatch/cost.rs
+++ b/src/coordination/dispatch/cost.rs
@@ -9,6 +9,11 @@
 
 /// Milliseconds added by each concurrent request on a model engine.
 const ENGINE_CONCURRENCY_MS: f64 = 1.0;
+/// Milliseconds added on a model engine whose slots are all in use, where a request waits for a slot.
+const ENGINE_FULL_MS: f64 = 250.0;
+/// Fraction of the slots in use above which this is added in part. Counts of other daemons' requests
+/// are old, so an engine may be full although it does not seem to be.
+const CROWDED_FRACTION: f64 = 0.5;
 /// Milliseconds added by each concurrent request on a plain upstream.
 const PLAIN_CONCURRENCY_MS: f64 = 40.0;
 /// Milliseconds added at a failure rate of 1; scaled by the actual rate.
@@ -29,6 +34,8 @@
     pub prefill_time: Duration,
     /// Requests of all daemons that run on the upstream.
     pub running: u32,
+    /// Its concurrency limit.
+    pub slots: u32,
     /// Fraction of recent attempts that failed.
     pub failure_rate: f64,
     /// Whether it is cold.
@@ -46,6 +53,10 @@
         true => ENGINE_CONCURRENCY_MS,
         false => PLAIN_CONCURRENCY_MS,
     };
+    let crowding_ms = match candidate.engine {
+        true => ENGINE_FULL_MS * crowding(candidate).powi(2),
+        false => 0.0,
+    };
     let remote_kb = match candidate.remote {
         true => kilobytes(body_bytes) + 1.0,
         false => 0.0,
@@ -57,12 +68,19 @@
     millis(candidate.backlog)
         + millis(candidate.prefill_time)
         + concurrency_ms * f64::from(candidate.running)
+        + crowding_ms
         + FAILURE_MS * candidate.failure_rate
         + REMOTE_KB_MS * remote_kb
         + cold
         + JITTER_MS * draw
 }
 
+/// Returns how crowded the slots are, from 0 up to half of them to 1 if all are in use.
+fn crowding(candidate: &Candidate) -> f64 {
+    let used = f64::from(candidate.running) / f64::from(candidate.slots.max(1));
+    ((used - CROWDED_FRACTION) / (1.0 - CROWDED_FRACTION)).max(0.0)
+}
+
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -31,6 +31,7 @@
 mod placement;
 pub mod poison;
 pub mod polling;
+pub mod prefill_delay;
 pub mod prefill_queue;
 pub mod prefill_speed;
 pub mod prefix;
@@ -44,6 +45,7 @@
 
 use peers::{LoadReport, PeerId, Peers, Readiness, TableState};
 use poison::PoisonTracker;
+use prefill_delay::PrefillDelay;
 use prefill_speed::PrefillSpeeds;
 use prefix::PrefixIndex;
 use registry::Registry;
@@ -94,6 +96,7 @@
     broken_connections: Vec<BrokenConnection>,
     prefixes: PrefixIndex,
     prefill_speeds: PrefillSpeeds,
+    prefill_delays: HashMap<ServiceName, PrefillDelay>,
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
     /// Hashes of the engines whose prompts this daemon is notified of.
@@ -110,12 +113,14 @@
 impl PeerLoad {
     fn add(&mut self, load: &LoadReport) {
         self.running = self.running.saturating_add(load.running);
-        self.overdue = self.overdue.saturating_add(load.overdue);
+        let overdue = Duration::from_millis(load.overdue_ms.into());
+        self.overdue = self.overdue.saturating_add(overdue);
     }
 
     fn subtract(&mut self, load: &LoadReport) {
         self.running = self.running.saturating_sub(load.running);
-        self.overdue = self.overdue.saturating_sub(load.overdue);
+        let overdue = Duration::from_millis(load.overdue_ms.into());
+        self.overdue = self.overdue.saturating_sub(overdue);
     }
 }
 
@@ -140,6 +145,7 @@
             broken_connections: Vec::new(),
             prefixes: PrefixIndex::default(),
             prefill_speeds: PrefillSpeeds::default(),
+            prefill_delays: HashMap::new(),
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
             own_subset: HashSet::new(),
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -16,6 +16,7 @@
     placement::UNDETECTED_RESTART_MARGIN,
     polling::{self, PollingCandidate, PollingRole},
     prefill_queue::PrefillNotice,
+    registry::Upstream,
     rollout_decision::RolloutStatus,
     subset::{HashRing, RingPosition},
 };
@@ -35,14 +36,12 @@
         let loads = self
             .registry
             .all()
-            .filter(|u| {
-                u.running > 0 || u.health.is_unreachable() || !u.queue.known_wait(now).is_zero()
-            })
+            .filter(|u| u.running > 0 || u.health.is_unreachable() || self.backlog_ms(u, now) > 0)
             .map(|u| LoadReport {
                 upstream: u.hash,
                 running: u.running,
-                overdue: u.queue.overdue(now),
-                backlog: u.queue.known_wait(now),
+                overdue_ms: as_millis(u.queue.overdue(now)),
+                backlog_ms: self.backlog_ms(u, now),
                 unreachable: u.health.is_unreachable() && !u.health.is_usable(now),
             })
             .collect();
@@ -256,14 +255,23 @@
         }
     }
 
+    /// Returns the backlog to report: only daemons that are notified of an engine's prompts know it.
+    fn backlog_ms(&self, upstream: &Upstream, now: Instant) -> u32 {
+        match self.own_subset.contains(&upstream.hash) {
+            true => as_millis(upstream.queue.known_wait(now)),
+            false => 0,
+        }
+    }
+
     /// Records the backlogs of engines whose prompts this daemon is not notified of.
     fn record_reported_backlogs(&mut self, loads: &[LoadReport], now: Instant) {
-        for load in loads.iter().filter(|load| !load.backlog.is_zero()) {
+        for load in loads.iter().filter(|load| load.backlog_ms > 0) {
             if self.own_subset.contains(&load.upstream) {
                 continue;
             }
             if let Some(upstream) = self.registry.by_hash_mut(load.upstream) {
-                upstream.queue.record_report(load.backlog, now);
+                let backlog = Duration::from_millis(load.backlog_ms.into());
+                upstream.queue.record_report(backlog, now);
             }
         }
     }
@@ -316,6 +324,10 @@
     Subtract,
 }
 
+fn as_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -16,6 +16,10 @@
 const MIN_PERIOD: Duration = Duration::from_millis(250);
 /// Time between heartbeats per daemon in the fleet, which bounds a daemon's traffic.
 const PERIOD_PER_DAEMON: Duration = Duration::from_millis(12);
+/// Time per daemon over which the fleet spreads its reactions to an event.
+const SPREAD_PER_DAEMON: Duration = Duration::from_millis(2);
+/// Maximum time over which the fleet spreads its reactions to an event.
+const MAX_SPREAD: Duration = Duration::from_millis(500);
 /// Minimum time for which a daemon counts as live after its last heartbeat.
 const MIN_SILENCE: Duration = Duration::from_millis(1_800);
 /// Number of missed heartbeats after which a daemon counts as crashed.
@@ -68,10 +72,10 @@
     pub upstream: u64,
     /// Outstanding requests of the daemon.
     pub running: u32,
-    /// Prefill time of the daemon's overdue prompts.
-    pub overdue: Duration,
-    /// Time until the prompts that the daemon knows of are processed.
-    pub backlog: Duration,
+    /// Prefill time of the daemon's overdue prompts in milliseconds.
+    pub overdue_ms: u32,
+    /// Time in milliseconds until all prompts are processed; 0 if the daemon does not know it.
+    pub backlog_ms: u32,
     /// Whether the daemon could not connect to it recently.
     pub unreachable: bool,
 }
@@ -216,6 +220,12 @@
         PERIOD_PER_DAEMON.saturating_mul(daemons).max(MIN_PERIOD)
     }
 
+    /// Returns the time over which the daemons spread what all of them do after an event.
+    pub fn spread_over_fleet(&self) -> Duration {
+        let daemons = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
+        SPREAD_PER_DAEMON.saturating_mul(daemons).min(MAX_SPREAD)
+    }
+
     /// Returns the daemons with a recent heartbeat.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.received_within(self.live_silence(), now)
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -14,6 +14,7 @@
     escalation::ExpectedStart,
     health::AttemptOutcome,
     homes::Homes,
+    prefill_delay::PrefillDelay,
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::{self, PrefixBlock},
     registry::Upstream,
@@ -75,6 +76,12 @@
         {
             rollout.record_first_event(arm, assignment.route, assignment.prefill_time, took);
         }
+        if assignment.model.is_some() && assignment.arm != Some(Arm::New) {
+            self.prefill_delays
+                .entry(assignment.service.clone())
+                .or_default()
+                .record(assignment.prefill_time, took);
+        }
         // Behind other prompts, or on a version on trial, the time says little about the model's
         // speed.
         if let Some(model) = &assignment.model
@@ -126,7 +133,8 @@
         }
     }
 
-    /// Returns the earliest expected start of a response among the upstreams that may be selected.
+    /// Returns the earliest expected start of a response among the upstreams that may be selected. The
+    /// backlog is at most the delay that recent prompts experienced.
     pub fn expected_start(
         &self,
         request: &PlacementRequest<'_>,
@@ -148,7 +156,13 @@
             prefill_time: self.prefill_time(request, u, &blocks, &homes, now),
         };
         let starts = candidates.into_iter().map(start);
-        starts.min_by_key(|start| start.backlog + start.prefill_time)
+        let start = starts.min_by_key(|start| start.backlog + start.prefill_time)?;
+        let delay = self.prefill_delays.get(request.service);
+        let observed = delay.and_then(PrefillDelay::average);
+        Some(ExpectedStart {
+            backlog: observed.map_or(start.backlog, |delay| start.backlog.min(delay)),
+            ..start
+        })
     }
 
     fn select_in_arm(
@@ -222,6 +236,7 @@
                 backlog: self.wait(upstream, now),
                 prefill_time,
                 running,
+                slots: upstream.slots,
                 failure_rate: upstream.health.failure_rate(now),
                 cold,
                 remote: upstream.domain != self.domain,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,10 +13,13 @@
     table::{Row, Rows, TableClient, TableError, TableErrorCause},
     upstream,
 };
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    coordination::dispatch::{Applied, Dispatcher, polling::PollingRole, registry::Change},
+    coordination::dispatch::{
+        Applied, Dispatcher, peers::Peer, polling::PollingRole, registry::Change,
+    },
     gateway::{metrics, shared::Shared, table_link},
     state::rows::{RowCache, RowChanges},
 };
@@ -108,7 +111,7 @@
 
 impl Follower {
     async fn step(&mut self) {
-        if self.followed == FollowedTable::Orders {
+        if self.followed == FollowedTable::Orders && self.newer_peer().is_none() {
             self.vain_generation = fetch_newer_generation(&self.shared, self.vain_generation).await;
         }
         let role = self.shared.dispatcher().polling_role(self.shared.now());
@@ -157,6 +160,10 @@
     async fn listen(&mut self) {
         self.failures = 0;
         let mut peer_version = self.shared.newest_peer_version.subscribe();
+        if self.newer_peer().is_some() {
+            let spread = self.shared.dispatcher().peers.spread_over_fleet();
+            tokio::time::sleep(spread.mul_f64(rand::random())).await;
+        }
         if !self.fetch_from_newer_peer().await {
             // The next step checks for new changes whether the wait timed out or was notified.
             let _ = tokio::time::timeout(ROLE_CHECK_INTERVAL, peer_version.changed()).await;
@@ -181,22 +188,24 @@
         cache_version > after
     }
 
+    /// Returns one of the peers with the newest changes, if these are newer than this daemon's.
+    ///
+    /// Load pattern: all daemons learn of a change at once, and at first few have it. A random choice
+    /// and the spread over time keep them from querying the same one.
     fn newer_peer(&self) -> Option<(SocketAddr, RowVersion)> {
         let dispatcher = self.shared.dispatcher();
         let known = self.followed.cache(&dispatcher).newest_change();
-        let newest = |newest: &(RowVersion, SocketAddr)| newest.0;
-        dispatcher
-            .peers
-            .live(self.shared.now())
-            .map(|peer| match self.followed {
-                FollowedTable::Orders => (peer.last_heartbeat.newest_order_version, peer.address),
-                FollowedTable::Upstreams => {
-                    (peer.last_heartbeat.newest_upstream_version, peer.address)
-                }
-            })
-            .max_by_key(newest)
-            .filter(|(newest, _)| *newest > known)
-            .map(|(_, address)| (address, known))
+        let version = |peer: &Peer| match self.followed {
+            FollowedTable::Orders => peer.last_heartbeat.newest_order_version,
+            FollowedTable::Upstreams => peer.last_heartbeat.newest_upstream_version,
+        };
+        let now = self.shared.now();
+        let newest = dispatcher.peers.live(now).map(version).max()?;
+        let sources = dispatcher.peers.live(now);
+        let source = sources
+            .filter(|peer| version(peer) == newest)
+            .choose(&mut rand::rng())?;
+        (newest > known).then_some((source.address, known))
     }
 
     async fn poll(&mut self) {
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -236,3 +236,55 @@
     }
     assign(&mut dispatcher, &long, later);
 }
+
+/// Load pattern: prompts that share a prefix, on engines with few slots. The home of the prefix is
+/// left before it is full, as the counts of other daemons' requests are old.
+#[test]
+fn crowded_home_is_left_before_it_is_full() {
+    let now = Instant::now();
+    let rows: Vec<Row> = (1..=4)
+        .map(|i| upstream_with(&format!("u{i}"), i, &[("slots", json!(16))]))
+        .collect();
+    let mut dispatcher = ready(&rows, now);
+    let prompt = prompt(7, 1);
+    let hot = PlacementRequest {
+        model: Some("small"),
+        prompt: Some(&prompt),
+        ..request(1)
+    };
+    let mut running: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..32 {
+        let mut assignment = assign(&mut dispatcher, &hot, now);
+        // The prefill has completed, but the response is still generated.
+        dispatcher.response_started(&mut assignment, Duration::from_millis(100));
+        *running.entry(assignment.upstream.to_string()).or_default() += 1;
+    }
+    let most = running.values().max().copied().unwrap_or_default();
+    assert!((9..16).contains(&most), "{running:?}");
+}
+
+/// Estimates of an engine's backlog may be too high; what recent prompts experienced bounds them.
+#[test]
+fn expected_start_is_bounded_by_the_observed_delay() {
+    let now = Instant::now();
+    let mut dispatcher = ready(&pool(1), now);
+    let prompt = prompt(7, 1);
+    let long = PlacementRequest {
+        model: Some("small"),
+        prompt: Some(&prompt),
+        ..request(1)
+    };
+    let mut first = assign(&mut dispatcher, &long, now);
+    for _ in 0..20 {
+        assign(&mut dispatcher, &long, now);
+    }
+    let estimated = dispatcher.expected_start(&long, now).expect("an engine");
+    assert!(
+        estimated.backlog > Duration::from_millis(500),
+        "{estimated:?}"
+    );
+    let later = now + Duration::from_millis(200);
+    dispatcher.response_started(&mut first, later - now);
+    let bounded = dispatcher.expected_start(&long, later).expect("an engine");
+    assert!(bounded.backlog < Duration::from_millis(200), "{bounded:?}");
+}
