Hold responses in the claims tests until the daemon is stopped

Cause: home_killed_during_and_after_dispatch and home_frozen_past_all_timeouts_and_resumed fail on a busy machine when the claims end before the daemon is stopped, as the service worked for a fixed 400 and 300 ms. Change: the stand-in's service holds the responses until the test lets them go; checks are as before.

--- a/stand-in/src/control.rs
+++ b/stand-in/src/control.rs
@@ -146,6 +146,11 @@
         /// Number of streams.
         count: u32,
     },
+    /// Sets whether a plain service holds the responses of requests that it has counted.
+    HoldResponses {
+        /// Whether they are held.
+        hold: bool,
+    },
     /// Sets whether an engine reports that it is leaving.
     Leaving {
         /// Whether the engine is leaving.
--- a/stand-in/src/service.rs
+++ b/stand-in/src/service.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use platform_api::engine::ATTEMPT_HEADER;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::{
     connection::FaultyConnection,
@@ -57,6 +58,8 @@
     cfg: ServiceConfig,
     faults: Arc<Faults>,
     log: Mutex<ExecutionLog>,
+    /// Whether responses are held.
+    holds_responses: watch::Sender<bool>,
 }
 
 #[derive(Default)]
@@ -82,6 +85,7 @@
             cfg,
             faults: faults.clone(),
             log: Mutex::default(),
+            holds_responses: watch::Sender::new(false),
         });
         RoleHandle::spawn(role, faults, listen.into()).await
     }
@@ -102,6 +106,9 @@
             return std::future::pending().await;
         }
         tokio::time::sleep(self.cfg.work).await;
+        let mut holds = self.holds_responses.subscribe();
+        // Fails only if the sender is gone, and it is a field of `self`.
+        let _ = holds.wait_for(|holds| !holds).await;
         let mut res = json(&ServiceAnswer { key, path, serial });
         if let Some(attempt) = attempt {
             set_header(&mut res, ATTEMPT_HEADER, &attempt);
@@ -151,8 +158,12 @@
         exchange::serve(self, connection, faults)
     }
 
-    fn control(&self, _: &Control) -> bool {
-        false
+    fn control(&self, control: &Control) -> bool {
+        let Control::HoldResponses { hold } = control else {
+            return false;
+        };
+        self.holds_responses.send_replace(*hold);
+        true
     }
 
     fn stats(&self) -> RoleStats {
--- a/tests/claims_process.rs
+++ b/tests/claims_process.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use claims_process_support::{
-    WAIT_TIMEOUT, assert_answered, assert_run_unknown, book, executions, home_key, spawn,
+    WAIT_TIMEOUT, assert_answered, assert_run_unknown, book, executions, hold_responses, home_key,
+    spawn,
 };
 use futures::future::join_all;
 use hibiscusyoke::protocol::problem::{ExecutionState, Problem};
@@ -21,7 +22,8 @@
 
 #[tokio::test]
 async fn home_killed_during_and_after_dispatch() {
-    let mut fleet = spawn(Duration::from_millis(400)).await;
+    let mut fleet = spawn(NO_WORK).await;
+    hold_responses(&fleet, true).await;
     let keys = [home_key(&fleet, 0, "1").await, "plain".into()];
     {
         let calls = keys.iter().map(|key| book(&fleet, 0, key));
@@ -45,6 +47,7 @@
         }
         assert_eq!(executions(&fleet, key).await, 1, "{key}");
     }
+    hold_responses(&fleet, false).await;
     let answered = [home_key(&fleet, 1, "2").await, "plain-2".into()];
     for key in &answered {
         assert_answered(&book(&fleet, 1, key).await.unwrap(), key);
@@ -83,7 +86,8 @@
 
 #[tokio::test]
 async fn home_frozen_past_all_timeouts_and_resumed() {
-    let fleet = spawn(Duration::from_millis(300)).await;
+    let fleet = spawn(NO_WORK).await;
+    hold_responses(&fleet, true).await;
     let keys = [home_key(&fleet, 0, "1").await, "plain".into()];
     {
         let calls = keys.iter().map(|key| book(&fleet, 0, key));
@@ -111,6 +115,7 @@
             assert!(elapsed < MAX_FROZEN_HOME_DELAY, "{key} {elapsed:?}");
         }
     }
+    hold_responses(&fleet, false).await;
     assert_answered(&book(&fleet, 2, &unused).await.unwrap(), &unused);
     fleet.daemons[0].process.signal(Signal::Continue);
     for key in &keys {
--- a/tests/claims_process_support/mod.rs
+++ b/tests/claims_process_support/mod.rs
@@ -97,6 +97,13 @@
     call.send(fleet.daemons[daemon_index].callers).await.ok()
 }
 
+/// Sets whether the service replicas hold the responses of requests that they have counted.
+pub async fn hold_responses(fleet: &Fleet, hold: bool) {
+    for replica in &fleet.services {
+        replica.send_control(Control::HoldResponses { hold }).await;
+    }
+}
+
 /// Returns the number of executions of a key on all replicas.
 pub async fn executions(fleet: &Fleet, key: &str) -> u32 {
     let mut count = 0;
