Count an engine's delay once, and learn prefill speeds from the first samples

And a daemon of a large fleet sees few prompts of each model: with a weight of 5%, only from engines that seemed idle, its estimate stayed at the initial value, four times the small model's. Change: a correction shifts the other outstanding prompts too. The first samples weigh 1/n, and a response that is faster than expected counts whatever the backlog. A request is refused as too late only if recent prompts experienced the delay.

--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -82,10 +82,11 @@
                 .or_default()
                 .record(assignment.prefill_time, took);
         }
-        // Behind other prompts, or on a version on trial, the time says little about the model's
-        // speed.
+        // Behind other prompts, or on a version on trial, the time says little about the model's speed,
+        // unless it is shorter than expected.
+        let is_faster = took < assignment.prefill_time + FIRST_EVENT_OVERHEAD;
         if let Some(model) = &assignment.model
-            && assignment.backlog.is_zero()
+            && (assignment.backlog.is_zero() || is_faster)
             && assignment.arm != Some(Arm::New)
         {
             self.prefill_speeds
@@ -99,9 +100,7 @@
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running = upstream.running.saturating_sub(1);
             if !assignment.response_started {
-                upstream
-                    .queue
-                    .cancel(assignment.expected_at, assignment.prefill_time, now);
+                upstream.queue.cancel(assignment.expected_at, now);
             }
             upstream.health.record(outcome, now);
             if assignment.on_trial {
@@ -157,14 +156,18 @@
         };
         let starts = candidates.into_iter().map(start);
         let start = starts.min_by_key(|start| start.backlog + start.prefill_time)?;
-        let delay = self.prefill_delays.get(request.service);
-        let observed = delay.and_then(PrefillDelay::average);
         Some(ExpectedStart {
-            backlog: observed.map_or(start.backlog, |delay| start.backlog.min(delay)),
+            backlog: start.backlog.min(self.observed_delay(request.service)),
             ..start
         })
     }
 
+    /// Returns the delay that recent prompts experienced; zero before the first response.
+    fn observed_delay(&self, service: &str) -> Duration {
+        let delay = self.prefill_delays.get(service);
+        delay.and_then(PrefillDelay::average).unwrap_or_default()
+    }
+
     fn select_in_arm(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -259,7 +262,8 @@
             };
         };
         let backlog = self.wait(upstream, now);
-        let excess = (backlog + prefill_time).saturating_sub(request.remaining);
+        let known_backlog = backlog.min(self.observed_delay(request.service));
+        let excess = (known_backlog + prefill_time).saturating_sub(request.remaining);
         if !excess.is_zero() {
             return Placement::Refuse(NoSlotReason::TooLate, excess);
         }
--- a/src/coordination/dispatch/prefill_queue.rs
+++ b/src/coordination/dispatch/prefill_queue.rs
@@ -25,6 +25,9 @@
 /// A prompt of this daemon whose prefill has not completed.
 #[derive(Clone, Copy, Debug)]
 struct PendingPrefill {
+    /// When it was expected to complete when it was added, which identifies it.
+    initially_expected_at: Instant,
+    /// When it is expected to complete.
     expected_at: Instant,
     prefill_time: Duration,
 }
@@ -87,41 +90,53 @@
         self.add(prefill_time, now);
         let expected_at = self.empty_at.unwrap_or(now);
         self.pending.push(PendingPrefill {
+            initially_expected_at: expected_at,
             expected_at,
             prefill_time,
         });
         expected_at
     }
 
-    /// Records that a prefill that was expected to complete at `expected_at` completed at `now`.
-    pub fn response_started(&mut self, expected_at: Instant, now: Instant) {
-        self.remove_pending(expected_at);
-        let Some(empty_at) = self.empty_at else {
+    /// Records that a prefill that was initially expected to complete at `initially_expected_at` completed
+    /// at `now`.
+    ///
+    /// The other outstanding prompts are expected earlier or later by the same time, so that a delay
+    /// of the engine which makes all of them late is counted once.
+    pub fn response_started(&mut self, initially_expected_at: Instant, now: Instant) {
+        let Some(completed) = self.remove_pending(initially_expected_at) else {
             return;
         };
-        let early = expected_at
+        let early = completed
+            .expected_at
             .saturating_duration_since(now)
             .mul_f64(CORRECTION_FACTOR);
         let late = now
-            .saturating_duration_since(expected_at)
+            .saturating_duration_since(completed.expected_at)
             .mul_f64(CORRECTION_FACTOR);
-        self.empty_at = (empty_at + late).checked_sub(early);
+        let corrected = |at: Instant| (at + late).checked_sub(early).unwrap_or(at);
+        self.empty_at = self.empty_at.map(corrected);
+        for pending in &mut self.pending {
+            pending.expected_at = corrected(pending.expected_at);
+        }
     }
 
     /// Removes a prompt that will not be processed because its caller left or its connection broke.
-    pub fn cancel(&mut self, expected_at: Instant, prefill_time: Duration, now: Instant) {
-        self.remove_pending(expected_at);
-        let remaining = expected_at.saturating_duration_since(now).min(prefill_time);
+    pub fn cancel(&mut self, initially_expected_at: Instant, now: Instant) {
+        let Some(cancelled) = self.remove_pending(initially_expected_at) else {
+            return;
+        };
+        let remaining = cancelled
+            .expected_at
+            .saturating_duration_since(now)
+            .min(cancelled.prefill_time);
         self.empty_at = self.empty_at.and_then(|at| at.checked_sub(remaining));
     }
 
-    fn remove_pending(&mut self, expected_at: Instant) {
-        if let Some(index) = self
+    fn remove_pending(&mut self, initially_expected_at: Instant) -> Option<PendingPrefill> {
+        let index = self
             .pending
             .iter()
-            .position(|pending| pending.expected_at == expected_at)
-        {
-            self.pending.swap_remove(index);
-        }
+            .position(|pending| pending.initially_expected_at == initially_expected_at)?;
+        Some(self.pending.swap_remove(index))
     }
 }
--- a/src/coordination/dispatch/prefill_speed.rs
+++ b/src/coordination/dispatch/prefill_speed.rs
@@ -8,24 +8,30 @@
 pub(super) const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(60);
 /// Prefill time per token until a measurement exists.
 const DEFAULT_TIME_PER_TOKEN: Duration = Duration::from_micros(15);
-/// Weight of the latest sample in the moving average.
-const SAMPLE_WEIGHT: f64 = 0.05;
+/// Minimum weight of the latest sample in the moving average; the first samples weigh more, as a daemon
+/// of a large fleet sees few.
+const MIN_SAMPLE_WEIGHT: f64 = 0.05;
 /// Minimum and maximum correction factor of a single sample.
 const FACTOR_RANGE: (f64, f64) = (0.25, 4.0);
 
 /// Prefill time per token, by model.
 #[derive(Clone, Debug, Default)]
 pub struct PrefillSpeeds {
-    per_token: HashMap<CompactString, Duration>,
+    models: HashMap<CompactString, ModelSpeed>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ModelSpeed {
+    per_token: Duration,
+    samples: u32,
 }
 
 impl PrefillSpeeds {
     /// Returns the prefill time of `tokens` for a model.
     pub fn prefill_time(&self, model: &str, tokens: u32) -> Duration {
-        self.per_token
+        self.models
             .get(model)
-            .copied()
-            .unwrap_or(DEFAULT_TIME_PER_TOKEN)
+            .map_or(DEFAULT_TIME_PER_TOKEN, |speed| speed.per_token)
             * tokens
     }
 
@@ -38,10 +44,12 @@
         let took = took.saturating_sub(FIRST_EVENT_OVERHEAD);
         let factor = took.as_secs_f64() / expected.as_secs_f64();
         let factor = factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
-        let per_token = self
-            .per_token
-            .entry(model.into())
-            .or_insert(DEFAULT_TIME_PER_TOKEN);
-        *per_token = per_token.mul_f64(1.0 + (factor - 1.0) * SAMPLE_WEIGHT);
+        let speed = self.models.entry(model.into()).or_insert(ModelSpeed {
+            per_token: DEFAULT_TIME_PER_TOKEN,
+            samples: 0,
+        });
+        speed.samples = speed.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(speed.samples)).max(MIN_SAMPLE_WEIGHT);
+        speed.per_token = speed.per_token.mul_f64(1.0 + (factor - 1.0) * weight);
     }
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -9,6 +9,8 @@
 mod placement;
 mod poison;
 mod polling;
+mod prefill_queue;
+mod prefill_speed;
 mod prefix_homes;
 mod retry_budget;
 mod rollout;
