--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -18,6 +18,7 @@
 
 pub mod announcements;
 pub mod assignment;
+mod candidates;
 pub mod cold;
 pub mod cost;
 pub mod escalation;
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -2,21 +2,19 @@
 
 use std::time::{Duration, Instant};
 
-use platform::{RowVersion, configuration::Service, upstream::UpstreamState};
+use platform::{RowVersion, configuration::Service};
 use rand::Rng;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::coordination::dispatch::{
-    Dispatcher, PeerLoad,
+    Dispatcher,
     assignment::{Assignment, NoSlotReason, Placement, PlacementRequest},
+    candidates::find_homes,
     cold::{self, RateShare},
     cost::{Candidate, cost},
-    escalation::ExpectedStart,
     health::AttemptOutcome,
-    homes::Homes,
-    prefill_delay::PrefillDelay,
     prefill_speed::FIRST_EVENT_OVERHEAD,
-    prefix::{self, PrefixBlock},
+    prefix::PrefixBlock,
     registry::Upstream,
     rollout::Arm,
     subset::HashRing,
@@ -132,42 +130,6 @@
         }
     }
 
-    /// Returns the earliest expected start of a response among the upstreams that may be selected. The
-    /// backlog is at most the delay that recent prompts experienced.
-    pub fn expected_start(
-        &self,
-        request: &PlacementRequest<'_>,
-        now: Instant,
-    ) -> Option<ExpectedStart> {
-        let blocks = self.blocks(request);
-        let listed: Vec<&Upstream> = self
-            .registry
-            .of_service(request.service)
-            .filter(|u| u.is_listed(now) && u.health.is_usable(now))
-            .filter(|u| !self.evacuated.contains(&u.domain))
-            .collect();
-        let engines = HashRing::from_hashes(listed.iter().map(|u| u.hash));
-        let homes = find_homes(&blocks, &listed);
-        let candidates = self.candidates(request, listed, &engines, &homes, now);
-        let homes = self.homes_in_use(request, &blocks, &homes, now);
-        let start = |u: &Upstream| ExpectedStart {
-            backlog: self.wait(u, now),
-            prefill_time: self.prefill_time(request, u, &blocks, &homes, now),
-        };
-        let starts = candidates.into_iter().map(start);
-        let start = starts.min_by_key(|start| start.backlog + start.prefill_time)?;
-        Some(ExpectedStart {
-            backlog: start.backlog.min(self.observed_delay(request.service)),
-            ..start
-        })
-    }
-
-    /// Returns the delay that recent prompts experienced; zero before the first response.
-    fn observed_delay(&self, service: &str) -> Duration {
-        let delay = self.prefill_delays.get(service);
-        delay.and_then(PrefillDelay::average).unwrap_or_default()
-    }
-
     fn select_in_arm(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -291,71 +253,6 @@
         Placement::Assigned(Box::new(assignment))
     }
 
-    /// Returns the engines of `listed` in this daemon's subset and the homes of the request's prefix,
-    /// or all of `listed` if none of these can take the request.
-    fn candidates<'a>(
-        &self,
-        request: &PlacementRequest<'_>,
-        listed: Vec<&'a Upstream>,
-        engines: &HashRing,
-        homes: &Homes,
-        now: Instant,
-    ) -> Vec<&'a Upstream> {
-        if request.prompt.is_none() {
-            return listed;
-        }
-        let position = self.own_position(now);
-        let used: Vec<&Upstream> = listed
-            .iter()
-            .copied()
-            .filter(|u| {
-                homes.contains(u.hash) || position.uses(engines.index(u.hash), engines.count())
-            })
-            .collect();
-        let can_take = |u: &Upstream| {
-            let tried = request.tried.contains(&u.id);
-            let running = u.running + self.peer_load(u).running;
-            !tried && u.health.is_usable(now) && !u.is_cold(now) && running < u.slots
-        };
-        match used.iter().any(|u| can_take(u)) {
-            true => used,
-            false => listed,
-        }
-    }
-
-    /// Returns the homes among which the requests with this prefix are now spread.
-    fn homes_in_use(
-        &self,
-        request: &PlacementRequest<'_>,
-        blocks: &[PrefixBlock],
-        homes: &Homes,
-        now: Instant,
-    ) -> Homes {
-        let tokens = blocks.last().map_or(0, |block| block.tokens);
-        let model = request.model.unwrap_or_default();
-        let saved = self.prefill_speeds.prefill_time(model, tokens);
-        homes.in_use(saved, |engine| {
-            let upstream = self.registry.by_hash(engine);
-            upstream.map_or(Duration::ZERO, |upstream| self.wait(upstream, now))
-        })
-    }
-
-    fn blocks(&self, request: &PlacementRequest<'_>) -> Vec<PrefixBlock> {
-        let chain = |prompt| prefix::chain(request.model.unwrap_or_default(), prompt);
-        request.prompt.map(chain).unwrap_or_default()
-    }
-
-    /// Returns the time until an engine has processed its outstanding prompts, as far as all
-    /// daemons know.
-    fn wait(&self, upstream: &Upstream, now: Instant) -> Duration {
-        upstream.queue.wait(now) + self.peer_load(upstream).overdue
-    }
-
-    fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
-        let load = self.peer_loads.get(&upstream.hash);
-        load.copied().unwrap_or_default()
-    }
-
     fn reserve_slot(&mut self, assignment: &mut Assignment, blocks: &[PrefixBlock], now: Instant) {
         let rate = self.cold_share(&assignment.upstream, &assignment.service, now);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
@@ -411,27 +308,6 @@
         }
         cold::rate_share(service.cold_rate, rank, daemons)
     }
-
-    fn prefill_time(
-        &self,
-        request: &PlacementRequest<'_>,
-        upstream: &Upstream,
-        blocks: &[PrefixBlock],
-        homes_in_use: &Homes,
-        now: Instant,
-    ) -> Duration {
-        let Some(prompt) = request.prompt else {
-            return Duration::ZERO;
-        };
-        let cached_tokens = self.prefixes.cached_tokens(upstream.hash, blocks, now);
-        let assumed = match homes_in_use.contains(upstream.hash) {
-            true => blocks.last().map_or(0, |block| block.tokens),
-            false => 0,
-        };
-        let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens.max(assumed));
-        self.prefill_speeds
-            .prefill_time(request.model.unwrap_or_default(), uncached_tokens)
-    }
 }
 
 /// Returns how many requests an upstream accepts per slot; plain upstreams also queue requests.
@@ -442,13 +318,6 @@
     }
 }
 
-/// Returns the home engines of a prefix; daemons assume that these have it cached, also if they have
-/// not sent it themselves.
-fn find_homes(blocks: &[PrefixBlock], listed: &[&Upstream]) -> Homes {
-    let ready = listed.iter().filter(|u| u.state == UpstreamState::Ready);
-    Homes::find(blocks, ready.map(|u| u.hash))
-}
-
 fn route_hash(route: &str) -> u32 {
     let hash = xxh3_64(route.as_bytes());
     u32::try_from(hash >> 32).unwrap_or_default()
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,7 +1,6 @@
 //! Follows the operators' and the upstreams' tables by long polling or by querying peers.
 
 use std::{
-    collections::BTreeSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -9,19 +8,14 @@
 
 use platform::{
     RowVersion,
-    orders::{self, Order},
-    table::{Row, Rows, TableClient, TableError, TableErrorCause},
-    upstream,
+    table::{Rows, TableClient, TableError, TableErrorCause},
 };
 use rand::seq::IteratorRandom;
-use serde::{Deserialize, Serialize};
 
 use crate::{
-    coordination::dispatch::{
-        Applied, Dispatcher, peers::Peer, polling::PollingRole, registry::Change,
-    },
-    gateway::{metrics, shared::Shared, table_link},
-    state::rows::{RowCache, RowChanges},
+    coordination::dispatch::{peers::Peer, polling::PollingRole},
+    gateway::{followed_table::FollowedTable, metrics, shared::Shared, table_link},
+    state::rows::RowChanges,
 };
 
 /// How long the table holds a poll open when there are no changes.
@@ -61,15 +55,6 @@
 /// Number of consecutive failed queries to peers after which a daemon polls the table itself.
 const MAX_FAILED_QUERIES: u32 = 2;
 
-/// A table that the daemons follow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum FollowedTable {
-    /// The operators' orders.
-    Orders,
-    /// The registered upstreams.
-    Upstreams,
-}
-
 /// Follows a table until the process exits.
 pub async fn follow(shared: Arc<Shared>, followed: FollowedTable) {
     let mut follower = Follower {
@@ -175,7 +160,7 @@
         let Some((peer, after)) = self.newer_peer() else {
             return false;
         };
-        if !self.followed.fetch_from(&self.shared, peer, after).await {
+        if !fetch_from(&self.shared, self.followed, peer, after).await {
             self.failed_queries += 1;
             return false;
         }
@@ -292,84 +277,33 @@
     }
 }
 
-impl FollowedTable {
-    fn table(self) -> &'static str {
-        match self {
-            Self::Orders => orders::TABLE,
-            Self::Upstreams => upstream::TABLE,
-        }
-    }
-
-    /// Returns the cached rows of the table.
-    pub fn cache(self, dispatcher: &Dispatcher) -> &RowCache {
-        match self {
-            Self::Orders => &dispatcher.orders,
-            Self::Upstreams => &dispatcher.upstreams,
-        }
-    }
-
-    /// Fetches and applies a peer's changes after a version; returns whether the peer answered.
-    async fn fetch_from(self, shared: &Shared, peer: SocketAddr, after: RowVersion) -> bool {
-        let reply = match table_link::fetch_changes(peer, self, after).await {
-            Ok(reply) => reply,
-            Err(e) => {
-                log::warn!("event=changes_untold table={} {e}", self.table());
-                return false;
-            }
-        };
-        log::info!(
-            "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={}",
-            self.table(),
-            reply.changes.version,
-            reply.changes.rows.len(),
-            reply.changes.full
-        );
-        if let Some(remaining) = reply.grace_remaining {
-            let until = shared.now() + remaining;
-            shared.dispatcher().registry.set_grace_until(until);
-        }
-        self.apply_changes(shared, &reply.changes);
-        true
-    }
-
-    /// Applies changes and stores them for peers; returns how many rows were carried over from an
-    /// earlier era.
-    fn apply_changes(self, shared: &Shared, changes: &RowChanges) -> usize {
-        let (known, carried) = {
-            let dispatcher = shared.dispatcher();
-            let cache = self.cache(&dispatcher);
-            let carried = match self {
-                Self::Orders => cache.carried_over(changes, is_newer_configuration),
-                // The registry has a grace period for missing entries.
-                Self::Upstreams => Vec::new(),
-            };
-            (cache.version(), carried)
-        };
-        if changes.version.era < known.era {
-            return 0;
-        }
-        let count = carried.len();
-        if count > 0 {
-            log::warn!(
-                "event=rows_carried_over table={} rows={count}",
-                self.table()
-            );
-        }
-        let changes = changes.with_rows(carried);
-        if changes.full || !changes.rows.is_empty() {
-            match self {
-                Self::Orders => apply_orders(shared, &changes),
-                Self::Upstreams => apply_upstreams(shared, &changes),
-            }
-            shared.urgent_heartbeat.notify_one();
-        }
-        let mut dispatcher = shared.dispatcher();
-        match self {
-            Self::Orders => dispatcher.orders.merge(&changes),
-            Self::Upstreams => dispatcher.upstreams.merge(&changes),
+/// Fetches and applies a peer's changes after a version; returns whether the peer answered.
+async fn fetch_from(
+    shared: &Shared,
+    followed: FollowedTable,
+    peer: SocketAddr,
+    after: RowVersion,
+) -> bool {
+    let reply = match table_link::fetch_changes(peer, followed, after).await {
+        Ok(reply) => reply,
+        Err(e) => {
+            log::warn!("event=changes_untold table={} {e}", followed.table());
+            return false;
         }
-        count
+    };
+    log::info!(
+        "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={}",
+        followed.table(),
+        reply.changes.version,
+        reply.changes.rows.len(),
+        reply.changes.full
+    );
+    if let Some(remaining) = reply.grace_remaining {
+        let until = shared.now() + remaining;
+        shared.dispatcher().registry.set_grace_until(until);
     }
+    followed.apply_changes(shared, &reply.changes);
+    true
 }
 
 /// Fetches the orders of a peer whose configuration is newer than this daemon's and than the `vain`
@@ -392,91 +326,9 @@
     if own == 0 || generation <= own.max(vain) {
         return vain;
     }
-    let answered = FollowedTable::Orders
-        .fetch_from(shared, peer, RowVersion::default())
-        .await;
+    let answered = fetch_from(shared, FollowedTable::Orders, peer, RowVersion::default()).await;
     match answered && shared.dispatcher().generation() < generation {
         true => generation,
         false => vain,
     }
 }
-
-/// Returns whether both rows hold configurations and the known one has a later generation.
-fn is_newer_configuration(known: &Row, read: &Row) -> bool {
-    match (Order::decode(known), Order::decode(read)) {
-        (Ok(Order::Configure(known)), Ok(Order::Configure(read))) => {
-            known.generation > read.generation
-        }
-        _ => false,
-    }
-}
-
-fn apply_orders(shared: &Shared, changes: &RowChanges) {
-    let now = shared.now();
-    let mut evacuated = BTreeSet::new();
-    for row in &changes.rows {
-        let order = match Order::decode(row) {
-            Ok(order) => order,
-            Err(e) => {
-                log::error!(
-                    "event=order_unreadable key={} version={} error=\"{e}\"",
-                    row.key,
-                    row.version
-                );
-                continue;
-            }
-        };
-        if let Order::Evacuate(domain) = &order {
-            evacuated.insert(domain.clone());
-        }
-        let applied = shared.dispatcher().apply(order, row.version, now);
-        if applied != Applied::Nothing {
-            log::info!("event=order_applied version={} {applied}", row.version);
-        }
-    }
-    // A peer's rows may be older than those that this daemon has read itself.
-    if changes.full && changes.version >= shared.dispatcher().orders.version() {
-        shared.dispatcher().replace_evacuations(&evacuated, now);
-    }
-}
-
-fn apply_upstreams(shared: &Shared, changes: &RowChanges) {
-    let now = shared.now();
-    let mut dispatcher = shared.dispatcher();
-    let registry_changes = match changes.full {
-        true => dispatcher.registry.replace(&changes.rows, now),
-        false => dispatcher.registry.apply(&changes.rows, now),
-    };
-    let version = changes.version;
-    for change in registry_changes {
-        match &change {
-            Change::Joined(id) => {
-                dispatcher.upstream_stopped(id, now);
-                log_row(&changes.rows, id);
-            }
-            Change::Left(id) => {
-                dispatcher.upstream_stopped(id, now);
-                log::info!("event=upstream_left upstream={id} version={version}");
-            }
-            Change::Draining(id) => {
-                log::info!("event=upstream_draining upstream={id} version={version}");
-            }
-            Change::Missing(id) => {
-                log::info!("event=upstream_lapsed upstream={id} version={version}");
-            }
-            Change::Unreadable(id, cause) => {
-                log::warn!("event=upstream_unreadable upstream={id} error=\"{cause}\"");
-            }
-            Change::Updated(_) | Change::None => {}
-        }
-    }
-}
-
-fn log_row(rows: &[Row], id: &str) {
-    let row = rows.iter().find(|row| row.key == id);
-    let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
-    log::info!(
-        "event=upstream_joined upstream={id} row={}",
-        String::from_utf8_lossy(value)
-    );
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,17 +11,14 @@
 use crate::{
     clock::SharedClock,
     coordination::dispatch::peers::PeerId,
-    gateway::{
-        follow::{FollowedTable, follow},
-        settings::Settings,
-        shared::Shared,
-    },
+    gateway::{follow::follow, followed_table::FollowedTable, settings::Settings, shared::Shared},
 };
 
 pub mod attempt;
 pub mod call;
 pub mod events;
 pub mod follow;
+pub mod followed_table;
 pub mod forward;
 pub mod listener;
 pub mod logging;
--- a/src/gateway/table_link.rs
+++ b/src/gateway/table_link.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     gateway::{
-        follow::FollowedTable,
+        followed_table::FollowedTable,
         listener::accept,
         reply::{InfallibleResult, plain},
         shared::Shared,
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -1,13 +1,15 @@
 //! A simulated fleet of daemons in front of engines that process one prompt at a time.
 
 use std::{
-    collections::BTreeSet,
+    cmp::Reverse,
+    collections::{BTreeSet, BinaryHeap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use hibiscusyoke::coordination::dispatch::{
     Assignment, Dispatcher, PlacementRequest,
+    health::AttemptOutcome,
     peers::{PeerId, Readiness},
 };
 use platform::headers::{Prompt, PromptSegment};
@@ -20,9 +22,15 @@
 };
 
 /// Prefill time per token of most models, equal to the daemons' initial estimate.
-const TIME_PER_TOKEN: Duration = Duration::from_micros(15);
+pub(crate) const TIME_PER_TOKEN: Duration = Duration::from_micros(15);
 /// The same for the model `large`.
 const LARGE_TIME_PER_TOKEN: Duration = Duration::from_micros(45);
+/// Time from the end of the prefill to the first event.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(60);
+/// Time to generate the response after the first event.
+const GENERATION_TIME: Duration = Duration::from_millis(800);
+/// Time between the first heartbeats of two daemons.
+const HEARTBEAT_OFFSET: Duration = Duration::from_millis(7);
 /// Port of the first daemon.
 const FIRST_PORT: u16 = 10_000;
 
@@ -35,6 +43,22 @@
     Random,
 }
 
+/// Requests that arrive at random times.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Load {
+    /// Mean time between two requests.
+    pub(crate) pause: Duration,
+    pub(crate) duration: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Heartbeat(usize),
+    ResponseStarted(usize),
+    Finished(usize),
+    Request,
+}
+
 /// One prompt that was sent to an engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sent {
@@ -86,6 +110,57 @@
         }
     }
 
+    /// Plays a load; `prompt` returns the prompt of each request, and `observe` sees when and how it
+    /// was sent.
+    pub(crate) fn play(
+        &mut self,
+        policy: Policy,
+        load: Load,
+        mut prompt: impl FnMut(&mut Xoshiro128PlusPlus) -> Prompt,
+        mut observe: impl FnMut(Instant, Sent),
+    ) {
+        let start = self.engines[0].free_at;
+        let mut events = BinaryHeap::from([Reverse((start, Event::Request))]);
+        for (n, offset) in (0..self.daemons.len()).zip(0..) {
+            let first = start + HEARTBEAT_OFFSET * offset;
+            events.push(Reverse((first, Event::Heartbeat(n))));
+        }
+        while let Some(Reverse((now, event))) = events.pop() {
+            if now > start + load.duration {
+                break;
+            }
+            match event {
+                Event::Request => {
+                    let prompt = prompt(&mut self.rng);
+                    let sent = self.request(policy, &prompt, now);
+                    observe(now, sent);
+                    if policy == Policy::Daemons {
+                        let started = Event::ResponseStarted(self.assignments.len() - 1);
+                        events.push(Reverse((sent.prefilled_at + FIRST_EVENT_DELAY, started)));
+                    }
+                    let factor = -self.rng.random::<f64>().ln();
+                    events.push(Reverse((now + load.pause.mul_f64(factor), Event::Request)));
+                }
+                Event::ResponseStarted(n) => {
+                    let (daemon, assignment, sent) = self.assignments[n].as_mut().expect("running");
+                    self.daemons[*daemon].response_started(assignment, now - *sent);
+                    events.push(Reverse((now + GENERATION_TIME, Event::Finished(n))));
+                }
+                Event::Finished(n) => {
+                    let (daemon, assignment, _) = self.assignments[n].take().expect("running");
+                    self.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
+                }
+                Event::Heartbeat(n) => {
+                    if policy == Policy::Daemons {
+                        self.heartbeat(n, now);
+                    }
+                    let period = self.daemons[n].peers.heartbeat_period();
+                    events.push(Reverse((now + period, Event::Heartbeat(n))));
+                }
+            }
+        }
+    }
+
     /// Sends one request to the model `small`.
     pub(crate) fn request(&mut self, policy: Policy, prompt: &Prompt, now: Instant) -> Sent {
         match policy {
--- a/tests/dispatch/herd.rs
+++ b/tests/dispatch/herd.rs
@@ -3,8 +3,7 @@
 //! ago.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeSet, BinaryHeap},
+    collections::BTreeSet,
     time::{Duration, Instant},
 };
 
@@ -12,11 +11,10 @@
     Assignment, health::AttemptOutcome, subset::RingPosition,
 };
 use platform::headers::Prompt;
-use rand::Rng;
 use serde_json::json;
 
 use crate::{
-    fleet::{Fleet, Policy, peer_address, prompt_of},
+    fleet::{Fleet, Load, Policy, peer_address, prompt_of},
     support::{order, row, upstream_with},
 };
 
@@ -26,21 +24,11 @@
 const PREFILL_TIME: Duration = Duration::from_millis(45);
 /// Time from the end of the prefill to the first event.
 const FIRST_EVENT_DELAY: Duration = Duration::from_millis(60);
-/// Time to generate the response after the first event.
-const GENERATION_TIME: Duration = Duration::from_millis(800);
 /// Fraction of the engines' time spent on prefill.
 const UTILIZATION: f64 = 0.7;
 /// How long the load lasts.
 const LOAD_DURATION: Duration = Duration::from_secs(8);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Heartbeat(usize),
-    ResponseStarted(usize),
-    Finished(usize),
-    Request,
-}
-
 /// A prompt that shares nothing with others.
 fn unshared_prompt(n: usize) -> Prompt {
     prompt_of(&[(n as u64, TOKENS)])
@@ -50,52 +38,21 @@
 fn waits(policy: Policy, daemons: usize, engines: usize) -> (Duration, Duration) {
     let start = Instant::now();
     let mut fleet = Fleet::new(daemons, engines, start);
-    let pause = PREFILL_TIME.div_f64(UTILIZATION * engines as f64);
-    let mut events = BinaryHeap::from([Reverse((start, Event::Request))]);
-    for n in 0..daemons {
-        events.push(Reverse((
-            start + Duration::from_millis(7) * n as u32,
-            Event::Heartbeat(n),
-        )));
-    }
+    let load = Load {
+        pause: PREFILL_TIME.div_f64(UTILIZATION * engines as f64),
+        duration: LOAD_DURATION,
+    };
+    let mut requests = 0;
     let mut waits = Vec::new();
-    while let Some(Reverse((now, event))) = events.pop() {
-        if now > start + LOAD_DURATION {
-            break;
-        }
-        match event {
-            Event::Request => {
-                let prompt = unshared_prompt(waits.len());
-                let prefilled_at = fleet.request(policy, &prompt, now).prefilled_at;
-                waits.push(prefilled_at - now - PREFILL_TIME);
-                if policy == Policy::Daemons {
-                    let response_started = Event::ResponseStarted(fleet.assignments.len() - 1);
-                    events.push(Reverse((
-                        prefilled_at + FIRST_EVENT_DELAY,
-                        response_started,
-                    )));
-                }
-                let factor = -fleet.rng.random::<f64>().ln();
-                events.push(Reverse((now + pause.mul_f64(factor), Event::Request)));
-            }
-            Event::ResponseStarted(n) => {
-                let (daemon, assignment, sent) = fleet.assignments[n].as_mut().expect("running");
-                fleet.daemons[*daemon].response_started(assignment, now - *sent);
-                events.push(Reverse((now + GENERATION_TIME, Event::Finished(n))));
-            }
-            Event::Finished(n) => {
-                let (daemon, assignment, _) = fleet.assignments[n].take().expect("running");
-                fleet.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
-            }
-            Event::Heartbeat(n) => {
-                if policy == Policy::Daemons {
-                    fleet.heartbeat(n, now);
-                }
-                let heartbeat_period = fleet.daemons[n].peers.heartbeat_period();
-                events.push(Reverse((now + heartbeat_period, Event::Heartbeat(n))));
-            }
-        }
-    }
+    fleet.play(
+        policy,
+        load,
+        |_| {
+            requests += 1;
+            unshared_prompt(requests)
+        },
+        |now, sent| waits.push(sent.prefilled_at - now - PREFILL_TIME),
+    );
     waits.sort();
     let mean = waits.iter().sum::<Duration>() / waits.len() as u32;
     (mean, waits[waits.len() * 99 / 100])
--- a/tests/dispatch/prefix_homes.rs
+++ b/tests/dispatch/prefix_homes.rs
@@ -1,17 +1,13 @@
 //! Tests that a large fleet keeps shared prompt prefixes cached on few engines, and that a prefix
 //! which is too hot for one engine spreads.
 
-use std::{
-    cmp::Reverse,
-    collections::BinaryHeap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use hibiscusyoke::coordination::dispatch::{health::AttemptOutcome, homes::Homes, prefix};
+use hibiscusyoke::coordination::dispatch::{homes::Homes, prefix};
 use platform::headers::Prompt;
 use rand::Rng;
 
-use crate::fleet::{Fleet, Policy, prompt_of};
+use crate::fleet::{Fleet, Load, Policy, TIME_PER_TOKEN, prompt_of};
 
 /// Tokens that all requests share, that the requests of one subject share, and of one request.
 const SEGMENT_TOKENS: [u32; 3] = [2_500, 10_800, 3_700];
@@ -23,18 +19,6 @@
 const LOAD_DURATION: Duration = Duration::from_secs(24);
 /// Part of the load that is not evaluated, as nothing is cached yet.
 const FIRST_USE_TIME: Duration = Duration::from_secs(12);
-/// Time from the end of the prefill to the first event.
-const FIRST_EVENT_DELAY: Duration = Duration::from_millis(60);
-/// Time to generate the response after the first event.
-const GENERATION_TIME: Duration = Duration::from_millis(800);
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Heartbeat(usize),
-    ResponseStarted(usize),
-    Finished(usize),
-    Request,
-}
 
 /// What a load showed.
 struct Measured {
@@ -48,60 +32,34 @@
 fn play(policy: Policy, daemons: usize, engines: usize, hot: f64) -> Measured {
     let start = Instant::now();
     let mut fleet = Fleet::new(daemons, engines, start);
-    let pause = Duration::from_secs(1).div_f64(RATE_PER_ENGINE * engines as f64);
-    let mut events = BinaryHeap::from([Reverse((start, Event::Request))]);
-    for n in 0..daemons {
-        let first = start + Duration::from_millis(12) * n as u32;
-        events.push(Reverse((first, Event::Heartbeat(n))));
-    }
+    let load = Load {
+        pause: Duration::from_secs(1).div_f64(RATE_PER_ENGINE * engines as f64),
+        duration: LOAD_DURATION,
+    };
+    let shared_tokens = f64::from(SEGMENT_TOKENS[0] + SEGMENT_TOKENS[1]);
     let mut requests = 0;
     let (mut shared, mut kept) = (0.0, 0.0);
     let mut times = Vec::new();
-    while let Some(Reverse((now, event))) = events.pop() {
-        if now > start + LOAD_DURATION {
-            break;
-        }
-        match event {
-            Event::Request => {
-                let subject = match fleet.rng.random_bool(hot) {
-                    true => 0,
-                    false => fleet.rng.random_range(1..engines * SUBJECTS_PER_ENGINE),
-                };
-                let prompt = subject_prompt(subject as u64, requests);
-                requests += 1;
-                let sent = fleet.request(policy, &prompt, now);
-                if now > start + FIRST_USE_TIME {
-                    let tokens = f64::from(SEGMENT_TOKENS[0] + SEGMENT_TOKENS[1]);
-                    let processed = sent.prefill_time.as_secs_f64() / 15e-6;
-                    shared += tokens;
-                    kept += tokens - (processed - f64::from(SEGMENT_TOKENS[2]));
-                    times.push(sent.prefilled_at - now);
-                }
-                if policy == Policy::Daemons {
-                    let started = Event::ResponseStarted(fleet.assignments.len() - 1);
-                    events.push(Reverse((sent.prefilled_at + FIRST_EVENT_DELAY, started)));
-                }
-                let factor = -fleet.rng.random::<f64>().ln();
-                events.push(Reverse((now + pause.mul_f64(factor), Event::Request)));
-            }
-            Event::ResponseStarted(n) => {
-                let (daemon, assignment, sent) = fleet.assignments[n].as_mut().expect("running");
-                fleet.daemons[*daemon].response_started(assignment, now - *sent);
-                events.push(Reverse((now + GENERATION_TIME, Event::Finished(n))));
+    fleet.play(
+        policy,
+        load,
+        |rng| {
+            let subject = match rng.random_bool(hot) {
+                true => 0,
+                false => rng.random_range(1..engines * SUBJECTS_PER_ENGINE),
+            };
+            requests += 1;
+            subject_prompt(subject as u64, requests)
+        },
+        |now, sent| {
+            if now > start + FIRST_USE_TIME {
+                let processed = sent.prefill_time.div_duration_f64(TIME_PER_TOKEN);
+                shared += shared_tokens;
+                kept += shared_tokens - (processed - f64::from(SEGMENT_TOKENS[2]));
+                times.push(sent.prefilled_at - now);
             }
-            Event::Finished(n) => {
-                let (daemon, assignment, _) = fleet.assignments[n].take().expect("running");
-                fleet.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
-            }
-            Event::Heartbeat(n) => {
-                if policy == Policy::Daemons {
-                    fleet.heartbeat(n, now);
-                }
-                let period = fleet.daemons[n].peers.heartbeat_period();
-                events.push(Reverse((now + period, Event::Heartbeat(n))));
-            }
-        }
-    }
+        },
+    );
     times.sort();
     Measured {
         kept: kept / shared,
