Keep a rollout's decision if its record is read before its order

Cause: since a starting daemon waits for its peers, it reads the records before the orders; a record of an unknown rollout was dropped, so after the loss of all daemons a completed rollout began again and no upstream of the old version was there. Result: dispatch rollout::decision_that_is_known_before_the_order_stays and gateway serve::completed_rollout_stays_completed_after_a_restart_of_all_daemons, which fails without the change.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -52,7 +52,7 @@
 use registry::Registry;
 use retry_budget::{RetryBudget, RetryLimit};
 use rollout::Rollout;
-use rollout_decision::BrokenConnection;
+use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
 use sessions::RecentSessions;
 
@@ -93,6 +93,7 @@
     table_era: TableEra,
     evacuated: BTreeSet<DomainName>,
     rollouts: BTreeMap<ServiceName, Rollout>,
+    early_statuses: HashMap<ServiceName, EarlyStatus>,
     budgets: HashMap<ServiceName, RetryBudget>,
     broken_connections: Vec<BrokenConnection>,
     prefixes: PrefixIndex,
@@ -142,6 +143,7 @@
             table_era: 0,
             evacuated: BTreeSet::new(),
             rollouts: BTreeMap::new(),
+            early_statuses: HashMap::new(),
             budgets: HashMap::new(),
             broken_connections: Vec::new(),
             prefixes: PrefixIndex::default(),
--- a/src/coordination/dispatch/orders.rs
+++ b/src/coordination/dispatch/orders.rs
@@ -89,6 +89,9 @@
         let service = order.service.clone();
         let mut rollout = Rollout::new(version, order, self.limits.exposure, now);
         rollout.add_sticky_sessions(self.sessions.recent(now, self.limits.session_timeout), now);
+        if let Some(early) = self.early_statuses.remove(&service) {
+            early.apply(&mut rollout);
+        }
         self.rollouts.insert(service, rollout);
         applied
     }
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -16,7 +16,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::coordination::dispatch::{evidence::Evidence, peers::PeerId};
+use crate::coordination::dispatch::{RolloutStatus, evidence::Evidence, peers::PeerId};
 
 /// How long sessions in progress are collected before any session goes to the new version.
 const SETTLE_TIME: Duration = Duration::from_millis(1_200);
@@ -121,6 +121,15 @@
         }
     }
 
+    /// Takes over the state and the start of this rollout that the table or a peer knew at `known_at`.
+    pub fn adopt(&mut self, known: &RolloutStatus, known_at: Instant) {
+        let started = known_at.checked_sub(known.elapsed).unwrap_or(known_at);
+        self.started = self.started.min(started);
+        if self.state == RolloutState::Running {
+            self.state = known.state;
+        }
+    }
+
     /// Returns the evidence collected by this daemon.
     pub fn own_evidence(&self) -> &Evidence {
         &self.own_evidence
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -8,7 +8,7 @@
 use crate::coordination::dispatch::{
     Dispatcher,
     assignment::{Assignment, Quality},
-    rollout::Arm,
+    rollout::{Arm, Rollout},
 };
 
 /// Maximum time to detect the crash of an upstream after its connections broke.
@@ -45,6 +45,22 @@
     pub elapsed: Duration,
 }
 
+/// The status of a rollout whose order has not been read yet.
+#[derive(Clone, Debug)]
+pub(super) struct EarlyStatus {
+    known: RolloutStatus,
+    known_at: Instant,
+}
+
+impl EarlyStatus {
+    /// Applies the status to the rollout if it is of the same order.
+    pub(super) fn apply(&self, rollout: &mut Rollout) {
+        if rollout.order == self.known.order {
+            rollout.adopt(&self.known, self.known_at);
+        }
+    }
+}
+
 impl Dispatcher {
     /// Records the quality of a response as evidence for a rollout.
     ///
@@ -136,15 +152,16 @@
 
     /// Merges the state of a rollout that the table or a peer knows of.
     pub fn merge_rollout_status(&mut self, known: RolloutStatus, now: Instant) {
-        let started = now.checked_sub(known.elapsed).unwrap_or(now);
         match self.rollouts.get_mut(&known.service) {
-            Some(rollout) if rollout.order == known.order => {
-                rollout.started = rollout.started.min(started);
-                if rollout.state == RolloutState::Running {
-                    rollout.state = known.state;
-                }
+            Some(rollout) if rollout.order == known.order => rollout.adopt(&known, now),
+            Some(rollout) if rollout.order > known.order => {}
+            // The order is read later; it must not start the rollout again.
+            _ => {
+                let known_at = now;
+                let early = EarlyStatus { known, known_at };
+                self.early_statuses
+                    .insert(early.known.service.clone(), early);
             }
-            _ => {}
         }
     }
 
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusyoke::coordination::dispatch::{
-    Dispatcher, Quality,
+    Dispatcher, Quality, RolloutStatus,
     evidence::Evidence,
     health::AttemptOutcome,
     peers::{RolloutReport, TableState},
@@ -376,3 +376,26 @@
     let recorded: Vec<_> = other.rollouts().map(|(_, r)| r.recorded).collect();
     assert_eq!(recorded, [Some(RolloutState::Running)]);
 }
+
+/// A daemon may read the record of a rollout before its order.
+#[test]
+fn decision_that_is_known_before_the_order_stays() {
+    let start = Instant::now();
+    for (order_read, expected) in [
+        (2, RolloutState::Completed),
+        // An older record says nothing about a later order.
+        (1, RolloutState::Running),
+    ] {
+        let mut dispatcher = ready(&[], start);
+        let known = RolloutStatus {
+            service: "pool".into(),
+            order: version_of(order_read),
+            state: RolloutState::Completed,
+            elapsed: WITHIN,
+        };
+        dispatcher.merge_rollout_status(known, start);
+        start_rollout(&mut dispatcher, WITHIN, start);
+        let (_, rollout) = dispatcher.rollouts().next().expect("a rollout");
+        assert_eq!(rollout.state, expected);
+    }
+}
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -1,6 +1,7 @@
 //! Normal operation: requests of each kind and changes in the table.
 
 use http::{Method, StatusCode};
+use serde_json::json;
 
 use stand_in::gateway::{
     deployment::configuration,
@@ -131,3 +132,35 @@
     }
     panic!("each start reads the tables: {}", harness.gateways[3].log());
 }
+
+/// A daemon that read the record of a completed rollout before its order started the rollout again,
+/// and found no upstream of the old version.
+#[tokio::test(flavor = "multi_thread")]
+async fn completed_rollout_stays_completed_after_a_restart_of_all_daemons() {
+    let mut harness = Harness::spawn(1).await;
+    let order = json!({"service": "pool", "target": "v2", "duration_s": 3.0});
+    harness.table.put("op", "rollout/pool", &order);
+    for engine in harness.engines() {
+        harness
+            .table
+            .put("servers", &engine.id, &engine.row("pool", "v2"));
+    }
+    let status = || {
+        harness
+            .table
+            .get("status", "rollout/pool")
+            .unwrap_or_default()
+    };
+    wait_until(|| async {
+        harness.call(&stream("s0", "/ask/easy")).await;
+        status().contains("completed")
+    })
+    .await;
+    harness.gateways[0].terminate();
+    assert!(harness.gateways[0].wait_for_exit().await);
+    harness.start_gateway();
+    let started = harness.gateways.last().expect("started");
+    wait_until(|| async { started.is_ready().await }).await;
+    let reply = started.call(&stream("s1", "/ask/easy")).await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", started.log());
+}
