Do not tell peers of full reads that show nothing new

Cause: while the table discards its history, its pollers read the orders in full many times a second. Change: a full read that shows the rows that are known is taken as no change.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -248,6 +248,14 @@
             rows: rows.rows,
             version: rows.version,
         };
+        let nothing_new = self
+            .followed
+            .cache(&self.shared.dispatcher())
+            .shows_nothing_new(&changes);
+        let changes = match nothing_new {
+            true => RowChanges::none(changes.version),
+            false => changes,
+        };
         let carried = self.followed.apply_changes(&self.shared, &changes);
         if carried > 0 {
             self.settle_at = Some(self.shared.now() + CARRY_OVER_TIME);
--- a/src/state/rows.rs
+++ b/src/state/rows.rs
@@ -25,6 +25,14 @@
 }
 
 impl RowChanges {
+    /// Returns an empty set of changes up to a version.
+    pub fn none(version: RowVersion) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
     /// Returns these changes with `rows` in place of the rows with the same keys.
     pub fn with_rows(&self, rows: Vec<Row>) -> Self {
         let replaced = |row: &&Row| rows.iter().any(|other| other.key == row.key);
@@ -59,6 +67,18 @@
         self.newest_change
     }
 
+    /// Returns whether a full read shows the rows that are already known.
+    ///
+    /// Load pattern: the table discards its history many times a second, so that pollers read it in
+    /// full again and again. If each read counted as a change, all daemons would fetch all rows from
+    /// the daemon that read last.
+    pub fn shows_nothing_new(&self, changes: &RowChanges) -> bool {
+        let known = self.rows.values().filter(|row| row.value.is_some());
+        let mut read: Vec<&Row> = changes.rows.iter().collect();
+        read.sort_by(|a, b| a.key.cmp(&b.key));
+        changes.full && self.version != RowVersion::default() && known.eq(read.into_iter())
+    }
+
     /// Returns the rows to carry over into a full read: those for which `is_newer(known, read)` holds
     /// and, if it is the first of a later era, those that it lacks.
     pub fn carried_over(
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -11,7 +11,7 @@
     upstream::{EVENTS_PER_STREAM, runs_by_id},
 };
 
-use crate::harness::{Harness, plain, stream, wait_until};
+use crate::harness::{Gateway, Harness, plain, stream, wait_until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_kind_of_request_is_served_by_two_gateways() {
@@ -194,3 +194,30 @@
     let elapsed = written_at.elapsed();
     assert!(elapsed < CONFIGURATION_APPLY_TIME, "{elapsed:?}");
 }
+
+/// While the table discarded its history, all daemons fetched all orders after each read of a poller.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_reads_without_news_are_not_told_to_peers() {
+    const ROUNDS: u32 = 10;
+    let harness = Harness::spawn(4).await;
+    let told = |gateway: &Gateway| gateway.log().matches("changes_told table=op").count();
+    let before: usize = harness.gateways.iter().map(told).sum();
+    for round in 0..ROUNDS {
+        let reads = harness.table.reads("op");
+        harness.table.put("other", "row", &json!(round));
+        harness.table.compact();
+        wait_until(|| async { harness.table.reads("op") > reads }).await;
+    }
+    harness
+        .table
+        .put("op", "config", &configuration(2, &["k2"]));
+    for gateway in &harness.gateways {
+        wait_until(|| async { gateway.log().contains("configuration generation=2") }).await;
+    }
+    let after: usize = harness.gateways.iter().map(told).sum();
+    assert!(
+        after - before <= harness.gateways.len(),
+        "{}",
+        after - before
+    );
+}
--- a/tests/row_cache.rs
+++ b/tests/row_cache.rs
@@ -164,3 +164,32 @@
     assert_eq!(merged.rows.len(), 1);
     assert_eq!(merged.rows[0].value.as_deref(), Some(b"9".as_slice()));
 }
+
+/// Each full read counted as a change, and all daemons fetched all rows from the one that read last.
+#[test]
+fn full_read_of_known_rows_shows_nothing_new() {
+    let mut cache = RowCache::default();
+    let rows = [row("a", 3, Some("1")), row("b", 5, Some("1"))];
+    let read = changes(true, 5, &rows);
+    assert!(!cache.shows_nothing_new(&read), "the first read");
+    cache.merge(&read);
+    cache.merge(&changes(false, 6, &[row("c", 6, None)]));
+    let [a, b] = rows.clone();
+    assert!(cache.shows_nothing_new(&changes(true, 9, &[b.clone(), a.clone()])));
+    cache.merge(&RowChanges::none(version(9)));
+    assert_eq!(cache.newest_change(), version(6));
+    assert_eq!(cache.version(), version(9));
+    assert!(
+        !cache.shows_nothing_new(&changes(true, 9, &[a.clone()])),
+        "a removal"
+    );
+    let changed = row("b", 8, Some("2"));
+    assert!(
+        !cache.shows_nothing_new(&changes(true, 9, &[a, changed])),
+        "a change"
+    );
+    assert!(
+        !cache.shows_nothing_new(&restored(changes(true, 9, &rows))),
+        "another era"
+    );
+}
