--- a/src/state/rows.rs
+++ b/src/state/rows.rs
@@ -76,7 +76,7 @@
         let known = self.rows.values().filter(|row| row.value.is_some());
         let mut read: Vec<&Row> = changes.rows.iter().collect();
         read.sort_by(|a, b| a.key.cmp(&b.key));
-        changes.full && self.version != RowVersion::default() && known.eq(read.into_iter())
+        changes.full && self.version != RowVersion::default() && known.eq(read)
     }
 
     /// Returns the rows to carry over into a full read: those for which `is_newer(known, read)` holds
