--- a/tests/row_cache.rs
+++ b/tests/row_cache.rs
@@ -180,7 +180,7 @@
     assert_eq!(cache.newest_change(), version(6));
     assert_eq!(cache.version(), version(9));
     assert!(
-        !cache.shows_nothing_new(&changes(true, 9, &[a.clone()])),
+        !cache.shows_nothing_new(&changes(true, 9, std::slice::from_ref(&a))),
         "a removal"
     );
     let changed = row("b", 8, Some("2"));
