Let the resume test wait until a stream has reached the engine that breaks

The test sent four streams while each engine in turn broke, and expected that one of them reaches it. The stand-in starts its responses at once, so the learned prefill speed soon makes the home of the prefix worth less than the random part of the cost, and four streams may all go to the other engine.

Change: streams are sent until the breaking engine has run one, at most 64 of them, for each of the two engines. Each stream must be complete, and the log must name the broken stream as resumed. Stricter than before: either engine was enough, and any resumed stream.

--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -9,17 +9,21 @@
 
 use crate::harness::{Harness, plain, stream, wait_until};
 
+/// Maximum number of streams until one is sent to a given engine; the choice is partly random.
+const MAX_STREAMS: usize = 64;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_stream_resumes_on_another_upstream() {
     let harness = Harness::spawn(1).await;
-    for (breaking, n) in harness.engines().into_iter().zip(1..) {
-        let others = harness.engines();
-        others
-            .iter()
-            .for_each(|engine| engine.set_behaviour(Behaviour::Serve));
+    for breaking in harness.engines() {
+        for engine in harness.engines() {
+            engine.set_behaviour(Behaviour::Serve);
+        }
         breaking.set_behaviour(Behaviour::BreakAfter(2));
-        for m in 0..4 {
-            let id = format!("s{n}-{m}");
+        let runs_before = breaking.runs().len();
+        let mut broken = None;
+        for n in 0..MAX_STREAMS {
+            let id = format!("{}-{n}", breaking.id);
             let reply = harness.call(&stream(&id, "/ask/easy")).await;
             let ids: Vec<&str> = reply
                 .body
@@ -27,9 +31,15 @@
                 .filter_map(|line| line.strip_prefix("id: "))
                 .collect();
             assert_eq!(ids, ["1", "2", "3", "4", "5", "6"], "{}", reply.body);
+            if breaking.runs().len() > runs_before {
+                broken = Some(id);
+                break;
+            }
         }
+        let id = broken.expect("a stream is sent to the engine that breaks");
+        let log = harness.gateways[0].log();
+        assert!(log.contains(&format!("event=resumed id={id} ")), "{log}");
     }
-    assert!(harness.gateways[0].log().contains("event=resumed"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
