Forward heartbeats within failure domains and pass on signs of life

Cause: every daemon sent its heartbeat to every other one, 12 ms a daemon apart. A pair of daemons exchanged one each 2.3 s, so a crashed daemon stayed in the directory for 8.2 s, and at 340 daemons for 14 s. Urgent heartbeats had no limit but 20 ms: after a crash of engines the fleet sent five times its usual traffic. Sessions that stay on the old version were told for 1.5 s only, less than the period at 195 daemons.

Change (dispatch/fanout.rs, decided without I/O): a heartbeat crosses to each domain of four daemons or more once, to one that was alive just before, which forwards it to its domain. Each periodic heartbeat goes to a part of the fleet, several times a second, and carries the newest signs of life that its sender knows (sequence number and age of other daemons' heartbeats), an eighth of the fleet. A daemon is live for 1.8 to 3 s after the last sign of life at any size; what depends on the content of its heartbeats uses them for 3.5 periods as before. A heartbeat that was overtaken by a newer one is ignored. Urgent heartbeats go to all at most eight times a period. Sessions are told for three periods. Datagrams and their bytes are counted by kind.

Weighed: SWIM of coordination/membership for all (a second membership beside the heartbeats that loads and evidence need anyway); a tree with one summing daemon a domain (its loss silences a domain); random signs of life instead of the newest (at 195 daemons after a mass crash some survivors were taken for dead); signs of life without an age (the dead lived on for over 4 s).

Measured: tests/dispatch/fanout.rs: at 8, 85, 195 and 340 daemons of which 55% crash at once all survivors know it within 4 s and none of them is taken for dead; datagrams of a daemon do not grow from 30 to 300 daemons, those to other domains fall. A gateway test with processes.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -23,6 +23,7 @@
 pub mod cost;
 pub mod escalation;
 pub mod evidence;
+pub mod fanout;
 pub mod health;
 pub mod homes;
 pub mod orders;
@@ -83,6 +84,10 @@
     pub poison: PoisonTracker,
     me: PeerId,
     domain: DomainName,
+    /// Number of heartbeats that this incarnation has sent.
+    heartbeats_sent: u32,
+    /// The part of the fleet that receives the next periodic heartbeat.
+    fanout_part: u32,
     limits: FleetLimits,
     routes: Option<Arc<Routes>>,
     /// Rows of the operators' table.
@@ -129,12 +134,16 @@
 impl Dispatcher {
     /// Creates a dispatcher without any routes, upstreams or peers.
     pub fn new(me: PeerId, domain: DomainName, limits: FleetLimits, seed: u64) -> Self {
+        let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed);
         Self {
             registry: Registry::default(),
             peers: Peers::default(),
             poison: PoisonTracker::default(),
             me,
             domain,
+            heartbeats_sent: 0,
+            // Daemons that start together must not all send to the same ones at a time.
+            fanout_part: rng.random::<u16>().into(),
             limits,
             routes: None,
             orders: RowCache::default(),
@@ -152,7 +161,7 @@
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
             own_subset: HashSet::new(),
-            rng: Xoshiro128PlusPlus::seed_from_u64(seed),
+            rng,
         }
     }
 
@@ -221,7 +230,7 @@
     /// table.
     pub fn writer_rank(&self, now: Instant) -> u32 {
         self.peers
-            .live(now)
+            .reporting(now)
             .filter(|peer| peer.last_heartbeat.readiness != Readiness::Leaving)
             .filter(|peer| peer.last_heartbeat.table != TableState::Lost)
             .filter(|peer| self.has_lost_table(now) || peer.last_heartbeat.from.name < self.me.name)
@@ -232,3 +241,8 @@
         self.budgets.entry(service.into()).or_default()
     }
 }
+
+/// Returns whole milliseconds for a message, at most the maximum of the type.
+fn as_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::dispatch::{
-    Dispatcher,
+    Dispatcher, as_millis,
     assignment::Assignment,
     peers::{Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
     placement::UNDETECTED_RESTART_MARGIN,
@@ -27,7 +27,7 @@
 impl Dispatcher {
     /// Builds a heartbeat. It lists the sticky sessions that were added within `max_session_age`.
     pub fn heartbeat(
-        &self,
+        &mut self,
         caller_address: SocketAddr,
         readiness: Readiness,
         max_session_age: Duration,
@@ -58,8 +58,11 @@
                 sticky_sessions: rollout.sticky_sessions(max_session_age, now),
             })
             .collect();
+        self.heartbeats_sent += 1;
         Heartbeat {
             from: self.me.clone(),
+            sequence: self.heartbeats_sent,
+            liveness: self.peers.liveness_reports(now),
             caller_address,
             readiness,
             domain: self.domain.clone(),
@@ -82,9 +85,12 @@
         address: SocketAddr,
         now: Instant,
     ) -> bool {
-        if heartbeat.from.name == self.me.name {
+        if heartbeat.from.name == self.me.name || self.peers.is_outdated(&heartbeat) {
             return false;
         }
+        for report in &heartbeat.liveness {
+            self.peers.merge_liveness(report, now);
+        }
         self.poison.merge(&heartbeat.from, &heartbeat.crashes);
         self.enter_era(heartbeat.table_era, now);
         let same_era = heartbeat.table_era == self.table_era;
@@ -174,8 +180,9 @@
     /// refused only this daemon, the entries were really removed.
     pub fn table_restored(&mut self, now: Instant) {
         let count = |state| {
-            let live = self.peers.live(now);
-            live.filter(|peer| peer.last_heartbeat.table == state)
+            let reporting = self.peers.reporting(now);
+            reporting
+                .filter(|peer| peer.last_heartbeat.table == state)
                 .count()
         };
         if count(TableState::Lost) >= count(TableState::Reachable) {
@@ -295,7 +302,7 @@
     /// Updates the sums for one daemon. The next tick corrects them if the daemon went silent since
     /// the last one.
     fn count_loads_of(&mut self, name: &str, count: LoadCount, now: Instant) {
-        let Some(peer) = self.peers.live_peer(name, now) else {
+        let Some(peer) = self.peers.reporting_peer(name, now) else {
             return;
         };
         for load in &peer.last_heartbeat.loads {
@@ -309,7 +316,7 @@
 
     pub(super) fn sum_peer_loads(&mut self, now: Instant) {
         self.peer_loads.clear();
-        for peer in self.peers.live(now) {
+        for peer in self.peers.reporting(now) {
             for load in &peer.last_heartbeat.loads {
                 self.peer_loads.entry(load.upstream).or_default().add(load);
             }
@@ -324,10 +331,6 @@
     Subtract,
 }
 
-fn as_millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -10,24 +10,30 @@
 use platform::{DomainName, RowVersion, TableEra, orders::RolloutState};
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::dispatch::{announcements::LeavingReport, evidence::Evidence};
+use crate::coordination::dispatch::{announcements::LeavingReport, as_millis, evidence::Evidence};
 
 /// Minimum time between a daemon's heartbeats.
-const MIN_PERIOD: Duration = Duration::from_millis(250);
+pub(super) const MIN_PERIOD: Duration = Duration::from_millis(250);
 /// Time between heartbeats per daemon in the fleet, which bounds a daemon's traffic.
 const PERIOD_PER_DAEMON: Duration = Duration::from_millis(12);
 /// Time per daemon over which the fleet spreads its reactions to an event.
 const SPREAD_PER_DAEMON: Duration = Duration::from_millis(2);
 /// Maximum time over which the fleet spreads its reactions to an event.
 const MAX_SPREAD: Duration = Duration::from_millis(500);
-/// Minimum time for which a daemon counts as live after its last heartbeat.
-const MIN_SILENCE: Duration = Duration::from_millis(1_800);
-/// Number of missed heartbeats after which a daemon counts as crashed.
+/// Number of missed heartbeats after which a daemon counts as crashed, and its report as outdated.
 const MAX_MISSED_HEARTBEATS: f64 = 3.5;
+/// Minimum time for which a daemon counts as live after the last sign of life.
+const MIN_SILENCE: Duration = Duration::from_millis(1_800);
+/// Maximum time for which a daemon counts as live after the last sign of life.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
 /// Number of missed heartbeats after which another daemon polls the table instead.
 const MAX_MISSED_BY_POLLER: f64 = 2.5;
 /// Minimum time before another daemon polls the table instead.
 const MIN_POLLER_SILENCE: Duration = Duration::from_secs(1);
+/// Number of known daemons for each sign of life that a heartbeat passes on.
+const KNOWN_PER_LIVENESS_REPORT: usize = 8;
+/// Maximum age of a sign of life that is passed on.
+const MAX_LIVENESS_REPORT_AGE: Duration = Duration::from_secs(1);
 /// How long a silent daemon keeps its share of fleet-wide limits.
 const SHARE_RETENTION: Duration = Duration::from_secs(20);
 
@@ -99,11 +105,26 @@
     pub sticky_sessions: Vec<u64>,
 }
 
+/// A sign of life of a daemon, passed on by another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LivenessReport {
+    /// The daemon that is alive.
+    pub peer: PeerId,
+    /// Sequence number of its newest heartbeat that is known of.
+    pub sequence: u32,
+    /// Time in milliseconds since that heartbeat was sent, without transmission delays.
+    pub age_ms: u32,
+}
+
 /// Sent by each daemon to the others several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender.
     pub from: PeerId,
+    /// Increases with each heartbeat of the incarnation.
+    pub sequence: u32,
+    /// Some of the daemons that the sender knows to be alive.
+    pub liveness: Vec<LivenessReport>,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Whether it accepts callers.
@@ -146,7 +167,24 @@
     pub last_heartbeat: Heartbeat,
     /// Source address of its datagrams.
     pub address: SocketAddr,
-    received_at: Instant,
+    /// When the last heartbeat arrived.
+    heard_at: Instant,
+    /// Sequence number of its newest heartbeat that this daemon knows of.
+    newest_sequence: u32,
+    /// When that heartbeat was sent, without transmission delays.
+    alive_at: Instant,
+}
+
+impl Peer {
+    /// Returns the time since its last sign of life.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.alive_at)
+    }
+
+    /// Returns the time since its last heartbeat arrived.
+    fn report_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard_at)
+    }
 }
 
 /// The other daemons.
@@ -191,27 +229,84 @@
     ) -> bool {
         let name = heartbeat.from.name.clone();
         self.expected.remove(&name);
+        if self.is_outdated(&heartbeat) {
+            return false;
+        }
         let known = self
             .known
             .get(&name)
-            .map(|peer| peer.last_heartbeat.from.incarnation);
-        if known.is_some_and(|known| known > heartbeat.from.incarnation) {
-            return false;
-        }
-        let new = known != Some(heartbeat.from.incarnation);
+            .filter(|peer| peer.last_heartbeat.from == heartbeat.from);
+        let overtaken = known.filter(|peer| peer.newest_sequence > heartbeat.sequence);
         let peer = Peer {
+            newest_sequence: overtaken.map_or(heartbeat.sequence, |peer| peer.newest_sequence),
+            alive_at: overtaken.map_or(now, |peer| peer.alive_at),
+            heard_at: now,
             last_heartbeat: heartbeat,
             address,
-            received_at: now,
         };
+        let new = known.is_none();
         self.known.insert(name, peer);
         new
     }
 
-    /// Returns the addresses to send heartbeats to.
-    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        let expected = self.expected.values().map(|expected| expected.address);
-        self.known.values().map(|peer| peer.address).chain(expected)
+    /// Returns whether a newer heartbeat of the same daemon has arrived, as a forwarded one may be
+    /// overtaken.
+    pub fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
+        let Some(peer) = self.known.get(&heartbeat.from.name) else {
+            return false;
+        };
+        let known = &peer.last_heartbeat;
+        let newest = (known.from.incarnation, known.sequence);
+        (heartbeat.from.incarnation, heartbeat.sequence) < newest
+    }
+
+    /// Merges what another daemon knows of a daemon's liveness.
+    pub fn merge_liveness(&mut self, report: &LivenessReport, now: Instant) {
+        let Some(peer) = self.known.get_mut(&report.peer.name) else {
+            return;
+        };
+        let same_incarnation = peer.last_heartbeat.from == report.peer;
+        if same_incarnation && report.sequence > peer.newest_sequence {
+            let age = Duration::from_millis(report.age_ms.into());
+            let alive_at = now.checked_sub(age).unwrap_or(now);
+            peer.newest_sequence = report.sequence;
+            peer.alive_at = peer.alive_at.max(alive_at);
+        }
+    }
+
+    /// Returns the newest signs of life of other daemons.
+    ///
+    /// Load pattern: a daemon of a large fleet sends to each of the others only every few seconds.
+    /// Its sign of life reaches them much earlier by way of those that it has sent to.
+    pub fn liveness_reports(&self, now: Instant) -> Vec<LivenessReport> {
+        let mut recent: Vec<&Peer> = self
+            .known
+            .values()
+            .filter(|peer| peer.silence(now) < MAX_LIVENESS_REPORT_AGE)
+            .collect();
+        recent.sort_unstable_by_key(|peer| peer.silence(now));
+        recent.truncate(self.known.len().div_ceil(KNOWN_PER_LIVENESS_REPORT));
+        let report = |peer: &Peer| LivenessReport {
+            peer: peer.last_heartbeat.from.clone(),
+            sequence: peer.newest_sequence,
+            age_ms: as_millis(peer.silence(now)),
+        };
+        recent.into_iter().map(report).collect()
+    }
+
+    /// Returns whether no other daemon is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty() && self.expected.is_empty()
+    }
+
+    /// Returns the addresses of the daemons that have not sent a heartbeat.
+    pub fn expected_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.expected.values().map(|expected| expected.address)
+    }
+
+    /// Returns the daemons that have sent a heartbeat.
+    pub fn known(&self) -> impl Iterator<Item = &Peer> {
+        self.known.values()
     }
 
     /// Returns the time between heartbeats, which grows with the number of daemons.
@@ -226,31 +321,49 @@
         SPREAD_PER_DAEMON.saturating_mul(daemons).min(MAX_SPREAD)
     }
 
-    /// Returns the daemons with a recent heartbeat.
+    /// Returns the daemons that were alive recently, also if only other daemons heard of them.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.received_within(self.live_silence(), now)
+        self.alive_within(self.max_silence(), now)
     }
 
-    /// Returns a daemon if it has sent a heartbeat recently.
-    pub fn live_peer(&self, name: &str, now: Instant) -> Option<&Peer> {
+    /// Returns the live daemons whose last heartbeat is recent enough to go by its content.
+    pub fn reporting(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.known
+            .values()
+            .filter(move |peer| self.is_reporting(peer, now))
+    }
+
+    /// Returns whether a daemon is live and its last heartbeat recent enough to go by its content.
+    pub fn is_reporting(&self, peer: &Peer, now: Instant) -> bool {
+        peer.silence(now) < self.max_silence() && peer.report_age(now) < self.max_report_age()
+    }
+
+    /// Returns a daemon if it is one of those that report.
+    pub fn reporting_peer(&self, name: &str, now: Instant) -> Option<&Peer> {
         let peer = self.known.get(name)?;
-        let silence = now.saturating_duration_since(peer.received_at);
-        (silence < self.live_silence()).then_some(peer)
+        self.is_reporting(peer, now).then_some(peer)
+    }
+
+    /// Returns the daemons whose heartbeats are recent enough to rely on them for polling the table.
+    pub fn responsive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let report_age = self.heartbeat_period().mul_f64(MAX_MISSED_BY_POLLER);
+        let report_age = report_age.max(MIN_POLLER_SILENCE);
+        self.alive_within(report_age.min(self.max_silence()), now)
+            .filter(move |peer| peer.report_age(now) < report_age)
     }
 
-    /// Returns for how long a daemon counts as live after its last heartbeat.
-    fn live_silence(&self) -> Duration {
+    /// Returns for how long a daemon counts as live after the last sign of life.
+    fn max_silence(&self) -> Duration {
+        self.max_report_age().min(MAX_SILENCE)
+    }
+
+    /// Returns for how long the content of a heartbeat is used.
+    fn max_report_age(&self) -> Duration {
         self.heartbeat_period()
             .mul_f64(MAX_MISSED_HEARTBEATS)
             .max(MIN_SILENCE)
     }
 
-    /// Returns the daemons whose heartbeat is recent enough to rely on them for polling the table.
-    pub fn responsive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let silence = self.heartbeat_period().mul_f64(MAX_MISSED_BY_POLLER);
-        self.received_within(silence.max(MIN_POLLER_SILENCE), now)
-    }
-
     /// Returns the daemons that accept callers.
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.live(now)
@@ -264,7 +377,7 @@
             .known
             .iter()
             .filter(move |(_, peer)| {
-                recent(peer.received_at) && peer.last_heartbeat.readiness != Readiness::Leaving
+                recent(peer.alive_at) && peer.last_heartbeat.readiness != Readiness::Leaving
             })
             .map(|(name, _)| name);
         let expected = self
@@ -275,16 +388,16 @@
         live_names.chain(expected)
     }
 
-    fn received_within(&self, silence: Duration, now: Instant) -> impl Iterator<Item = &Peer> {
+    fn alive_within(&self, silence: Duration, now: Instant) -> impl Iterator<Item = &Peer> {
         self.known
             .values()
-            .filter(move |peer| now.saturating_duration_since(peer.received_at) < silence)
+            .filter(move |peer| peer.silence(now) < silence)
     }
 
     /// Removes daemons that have been silent for a long time.
     pub fn expire(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < SHARE_RETENTION * 3;
-        self.known.retain(|_, peer| recent(peer.received_at));
+        self.known.retain(|_, peer| recent(peer.alive_at));
         self.expected.retain(|_, expected| recent(expected.since));
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -188,8 +188,8 @@
             FollowedTable::Upstreams => peer.last_heartbeat.newest_upstream_version,
         };
         let now = self.shared.now();
-        let newest = dispatcher.peers.live(now).map(version).max()?;
-        let sources = dispatcher.peers.live(now);
+        let newest = dispatcher.peers.reporting(now).map(version).max()?;
+        let sources = dispatcher.peers.reporting(now);
         let source = sources
             .filter(|peer| version(peer) == newest)
             .choose(&mut rand::rng())?;
@@ -328,7 +328,7 @@
     let newest = shared
         .dispatcher()
         .peers
-        .live(shared.now())
+        .reporting(shared.now())
         .map(|peer| (peer.last_heartbeat.generation, peer.address))
         .max_by_key(|(generation, _)| *generation);
     let Some((generation, peer)) = newest else {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -53,6 +53,22 @@
     )
 });
 
+static DATAGRAMS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_datagrams_sent_total",
+        "Datagrams sent to other daemons, by kind.",
+        &["kind"],
+    )
+});
+
+static DATAGRAM_BYTES: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_datagram_bytes_sent_total",
+        "Bytes of datagrams sent to other daemons, by kind.",
+        &["kind"],
+    )
+});
+
 static STATE: LazyLock<IntGaugeVec> = LazyLock::new(|| {
     gauge(
         "hibiscusyoke_gateway_state",
@@ -89,6 +105,13 @@
     TABLE_CALLS.with_label_values(&[call, outcome]).inc();
 }
 
+/// Counts datagrams of one kind and their bytes.
+pub fn datagrams(kind: &str, count: usize, bytes: usize) {
+    let [count, bytes] = [count, bytes].map(|n| u64::try_from(n).unwrap_or(u64::MAX));
+    DATAGRAMS.with_label_values(&[kind]).inc_by(count);
+    DATAGRAM_BYTES.with_label_values(&[kind]).inc_by(bytes);
+}
+
 /// Renders all metrics of the process in the Prometheus text format.
 pub fn render(shared: &Shared) -> String {
     let now = shared.now();
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -6,16 +6,20 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    coordination::dispatch::{Assignment, peers::Heartbeat, prefill_queue::PrefillNotice},
-    gateway::shared::Shared,
+    coordination::dispatch::{
+        Assignment, fanout::Fanout, peers::Heartbeat, prefill_queue::PrefillNotice,
+    },
+    gateway::{metrics, shared::Shared},
     protocol::codec,
 };
 
-/// Minimum interval between urgent heartbeats, and the delay after a failed receive.
-const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
-/// How long after it was added a sticky session is included in heartbeats.
-const MAX_SESSION_AGE: Duration = Duration::from_millis(1_500);
-/// The same limit for the first heartbeat to a new peer, long enough to include all sessions.
+/// Delay after a failed receive.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Number of heartbeats to a peer that include a sticky session, as datagrams may be lost.
+const REPORTS_OF_SESSION: u32 = 3;
+/// Minimum time after it was added for which a sticky session is included in heartbeats.
+const MIN_SESSION_AGE: Duration = Duration::from_millis(1_500);
+/// The same time for the first heartbeat to a new peer, long enough to include all sessions.
 const MAX_SESSION_AGE_FOR_NEW_PEER: Duration = Duration::from_secs(3_600);
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -25,29 +29,68 @@
 enum Datagram {
     /// The sender's current state, sent periodically.
     Heartbeat(Box<Heartbeat>),
+    /// The same, to be forwarded within the receiver's failure domain.
+    HeartbeatToForward(Box<Heartbeat>),
+    /// The state of another daemon, which has this address.
+    ForwardedHeartbeat(SocketAddr, Box<Heartbeat>),
     /// Reports that the sender has sent a prompt to an engine.
     PromptSent(PrefillNotice),
 }
 
+impl Datagram {
+    /// Returns the name used in metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::HeartbeatToForward(_) => "heartbeat_to_forward",
+            Self::ForwardedHeartbeat(..) => "forwarded_heartbeat",
+            Self::PromptSent(_) => "prompt_sent",
+        }
+    }
+}
+
 /// Binds the socket for datagrams.
 pub async fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
     UdpSocket::bind(address).await
 }
 
-/// Sends heartbeats to the other daemons until the process exits.
+/// Sends heartbeats to the other daemons until the process exits: periodic ones to a part of the
+/// fleet at a time, and urgent ones to all.
 pub async fn send_heartbeats(shared: Arc<Shared>) {
+    let mut next_urgent = tokio::time::Instant::now();
     loop {
-        let addresses: Vec<SocketAddr> = shared.dispatcher().peers.addresses().collect();
-        send_heartbeat(&shared, &addresses, MAX_SESSION_AGE);
-        let period = shared.dispatcher().peers.heartbeat_period();
-        tokio::select! {
-            () = tokio::time::sleep(period) => {}
-            () = shared.urgent_heartbeat.notified() =>
-                tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await,
-        }
+        let (part_interval, urgent_interval) = {
+            let dispatcher = shared.dispatcher();
+            let peers = &dispatcher.peers;
+            (peers.part_interval(), peers.urgent_interval())
+        };
+        let urgent = async {
+            tokio::time::sleep_until(next_urgent).await;
+            shared.urgent_heartbeat.notified().await;
+        };
+        let fanout = tokio::select! {
+            () = tokio::time::sleep(part_interval) => {
+                shared.dispatcher().next_fanout(shared.now())
+            }
+            () = urgent => {
+                next_urgent = tokio::time::Instant::now() + urgent_interval;
+                shared.dispatcher().full_fanout(shared.now())
+            }
+        };
+        send_to_fleet(&shared, &fanout);
     }
 }
 
+fn send_to_fleet(shared: &Shared, fanout: &Fanout) {
+    let max_session_age = shared.dispatcher().peers.heartbeat_period() * REPORTS_OF_SESSION;
+    let heartbeat = heartbeat(shared, max_session_age.max(MIN_SESSION_AGE));
+    if !fanout.forwarders.is_empty() {
+        let datagram = Datagram::HeartbeatToForward(heartbeat.clone());
+        send(shared, &datagram, &fanout.forwarders);
+    }
+    send(shared, &Datagram::Heartbeat(heartbeat), &fanout.direct);
+}
+
 /// Receives and applies datagrams from the other daemons.
 pub async fn receive(shared: Arc<Shared>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -56,12 +99,21 @@
             Ok(received) => received,
             Err(e) => {
                 log::debug!("event=datagram_receive_failed error=\"{e}\"");
-                tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
+                tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
                 continue;
             }
         };
         match codec::decode_within::<Datagram, MAX_DATAGRAM_BYTES>(&buf[..length]) {
             Ok(Datagram::Heartbeat(heartbeat)) => handle_heartbeat(&shared, *heartbeat, from),
+            Ok(Datagram::HeartbeatToForward(heartbeat)) => {
+                let receivers = shared.dispatcher().forward_receivers();
+                let forwarded = Datagram::ForwardedHeartbeat(from, heartbeat.clone());
+                send(&shared, &forwarded, &receivers);
+                handle_heartbeat(&shared, *heartbeat, from);
+            }
+            Ok(Datagram::ForwardedHeartbeat(origin, heartbeat)) => {
+                handle_heartbeat(&shared, *heartbeat, origin);
+            }
             Ok(Datagram::PromptSent(notice)) => {
                 shared.dispatcher().receive_notice(notice, shared.now());
             }
@@ -84,7 +136,8 @@
             id.name,
             id.incarnation
         );
-        send_heartbeat(shared, &[from], MAX_SESSION_AGE_FOR_NEW_PEER);
+        let heartbeat = self::heartbeat(shared, MAX_SESSION_AGE_FOR_NEW_PEER);
+        send(shared, &Datagram::Heartbeat(heartbeat), &[from]);
     }
     shared.newest_peer_version.send_if_modified(|known| {
         let newer = reported_version > *known;
@@ -108,18 +161,16 @@
     send(shared, &Datagram::PromptSent(notice), &receivers);
 }
 
-fn send_heartbeat(shared: &Shared, addresses: &[SocketAddr], max_session_age: Duration) {
+fn heartbeat(shared: &Shared, max_session_age: Duration) -> Box<Heartbeat> {
     let now = shared.now();
     let readiness = shared.readiness();
     let front = shared.settings.front;
-    let heartbeat = shared
-        .dispatcher()
-        .heartbeat(front, readiness, max_session_age, now);
-    let datagram = Datagram::Heartbeat(Box::new(heartbeat));
-    send(shared, &datagram, addresses);
+    let mut dispatcher = shared.dispatcher();
+    Box::new(dispatcher.heartbeat(front, readiness, max_session_age, now))
 }
 
 fn send(shared: &Shared, datagram: &Datagram, addresses: &[SocketAddr]) {
+    let kind = datagram.kind();
     let datagram = match codec::encode(datagram) {
         Ok(datagram) => datagram,
         Err(e) => {
@@ -127,6 +178,7 @@
             return;
         }
     };
+    metrics::datagrams(kind, addresses.len(), addresses.len() * datagram.len());
     for address in addresses {
         if let Err(e) = shared.peer_socket.try_send_to(&datagram, *address) {
             log::debug!("event=datagram_send_failed peer={address} error=\"{e}\"");
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -166,7 +166,7 @@
     fn has_heard_peer(&self) -> bool {
         let now = self.shared.now();
         let dispatcher = self.shared.dispatcher();
-        let is_alone = dispatcher.peers.addresses().next().is_none();
+        let is_alone = dispatcher.peers.is_empty();
         is_alone || (dispatcher.generation() > 0 && dispatcher.peers.live(now).next().is_some())
     }
 
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod cold;
 mod escalation;
+mod fanout;
 mod fleet;
 mod herd;
 mod orders;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -68,6 +68,8 @@
 pub(crate) fn heartbeat(name: &str, table: TableState) -> Heartbeat {
     Heartbeat {
         from: daemon(name),
+        sequence: 1,
+        liveness: Vec::new(),
         caller_address: address(1),
         readiness: Readiness::Ready,
         domain: "a".into(),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -86,6 +86,11 @@
     /// Starts a table, two engines, two plain upstreams and the given number of gateways, and waits
     /// until every gateway lists all of them in its directory.
     pub(crate) async fn spawn(gateways: usize) -> Self {
+        Self::spawn_in_domains(&vec!["a"; gateways]).await
+    }
+
+    /// The same, with one gateway in each of these failure domains.
+    pub(crate) async fn spawn_in_domains(domains: &[&str]) -> Self {
         let table = FakeTable::spawn().await;
         let mut upstreams = Vec::new();
         for (id, service) in [
@@ -106,20 +111,25 @@
             folder: tempfile::tempdir().expect("a folder"),
             number: NEXT_HARNESS.fetch_add(1, Ordering::Relaxed),
         };
-        for _ in 0..gateways {
-            harness.start_gateway();
+        for domain in domains {
+            harness.start_gateway_in(domain);
         }
         for gateway in &harness.gateways {
-            wait_until(|| async { gateway.directory().await.len() == gateways }).await;
+            wait_until(|| async { gateway.directory().await.len() == domains.len() }).await;
         }
         harness
     }
 
     /// Starts another gateway.
     pub(crate) fn start_gateway(&mut self) {
+        self.start_gateway_in("a");
+    }
+
+    fn start_gateway_in(&mut self, domain: &str) {
         let number = u8::try_from(self.gateways.len() + 1).expect("few gateways");
         let ip = loopback(self.number, number);
-        let settings = settings(&format!("front-{number}"), ip, self.table.address());
+        let mut settings = settings(&format!("front-{number}"), ip, self.table.address());
+        settings["domain"] = domain.into();
         let path = self.folder.path().join(format!("gateway-{number}.jsonc"));
         fs::write(&path, format!("// settings of a test\n{settings}")).expect("written");
         let log = self.folder.path().join(format!("gateway-{number}.log"));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod faults;
 mod harness;
+mod heartbeats;
 mod input;
 mod reload;
 mod serve;
