Select candidates in one place, and keep the ring of daemons

Change: CandidateSet holds what both need; the ring of daemons is updated with each tick and each new peer; why upstreams are passed over is an enum with its own module (passed_over.rs); NextRead and StartPhase replace the flags. Behaviour stays, but for the draws of the random jitter.

Measured: the tests of dispatch (90) and gateway (32) pass.

--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -2,8 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use platform::upstream::UpstreamState;
-
 use crate::coordination::dispatch::{
     Dispatcher, PeerLoad,
     assignment::PlacementRequest,
@@ -15,6 +13,20 @@
     subset::HashRing,
 };
 
+/// The upstreams that one request may be placed on.
+#[derive(Debug)]
+pub(super) struct CandidateSet<'a> {
+    /// The engines in this daemon's subset and the homes of the request's prefix, or all upstreams if
+    /// none of these can take the request.
+    pub(super) upstreams: Vec<&'a Upstream>,
+    /// All upstreams that are listed for the request.
+    pub(super) ring: HashRing,
+    /// The prefix of the prompt.
+    pub(super) blocks: Vec<PrefixBlock>,
+    /// The homes among which the requests with this prefix are now spread.
+    homes_in_use: Homes,
+}
+
 impl Dispatcher {
     /// Returns the earliest expected start of a response among the upstreams that may be selected. The
     /// backlog is at most the delay that recent prompts experienced.
@@ -23,22 +35,18 @@
         request: &PlacementRequest<'_>,
         now: Instant,
     ) -> Option<ExpectedStart> {
-        let blocks = self.blocks(request);
         let listed: Vec<&Upstream> = self
             .registry
             .of_service(request.service)
             .filter(|u| u.is_listed(now) && u.health.is_usable(now))
             .filter(|u| !self.evacuated.contains(&u.domain))
             .collect();
-        let engines = HashRing::from_hashes(listed.iter().map(|u| u.hash));
-        let homes = find_homes(&blocks, &listed);
-        let candidates = self.candidates(request, listed, &engines, &homes, now);
-        let homes = self.homes_in_use(request, &blocks, &homes, now);
+        let candidates = self.candidates(request, listed, now);
         let start = |u: &Upstream| ExpectedStart {
             backlog: self.wait(u, now),
-            prefill_time: self.prefill_time(request, u, &blocks, &homes, now),
+            prefill_time: self.prefill_time(request, u, &candidates, now),
         };
-        let starts = candidates.into_iter().map(start);
+        let starts = candidates.upstreams.iter().map(|u| start(u));
         let start = starts.min_by_key(|start| start.backlog + start.prefill_time)?;
         Some(ExpectedStart {
             backlog: start.backlog.min(self.observed_delay(request.service)),
@@ -52,40 +60,57 @@
         delay.and_then(PrefillDelay::average).unwrap_or_default()
     }
 
-    /// Returns the engines of `listed` in this daemon's subset and the homes of the request's prefix,
-    /// or all of `listed` if none of these can take the request.
+    /// Returns the upstreams of `listed` on which a request may be placed.
     pub(super) fn candidates<'a>(
         &self,
         request: &PlacementRequest<'_>,
         listed: Vec<&'a Upstream>,
-        engines: &HashRing,
+        now: Instant,
+    ) -> CandidateSet<'a> {
+        let ring = HashRing::from_hashes(listed.iter().map(|u| u.hash));
+        let blocks = self.blocks(request);
+        let homes = Homes::find(&blocks, listed.iter().map(|u| u.hash));
+        let upstreams = match request.prompt {
+            Some(_) => self.preferred(request, listed, &ring, &homes, now),
+            None => listed,
+        };
+        CandidateSet {
+            upstreams,
+            homes_in_use: self.homes_in_use(request, &blocks, &homes, now),
+            ring,
+            blocks,
+        }
+    }
+
+    /// Returns the engines in this daemon's subset and the homes of the prefix, or all of `listed` if
+    /// none of these can take the request.
+    fn preferred<'a>(
+        &self,
+        request: &PlacementRequest<'_>,
+        listed: Vec<&'a Upstream>,
+        ring: &HashRing,
         homes: &Homes,
         now: Instant,
     ) -> Vec<&'a Upstream> {
-        if request.prompt.is_none() {
-            return listed;
-        }
-        let position = self.own_position(now);
-        let used: Vec<&Upstream> = listed
+        let position = self.own_position();
+        let preferred: Vec<&Upstream> = listed
             .iter()
             .copied()
-            .filter(|u| {
-                homes.contains(u.hash) || position.uses(engines.index(u.hash), engines.count())
-            })
+            .filter(|u| homes.contains(u.hash) || position.uses(ring.index(u.hash), ring.count()))
             .collect();
         let can_take = |u: &Upstream| {
             let tried = request.tried.contains(&u.id);
             let running = u.running + self.peer_load(u).running;
             !tried && u.health.is_usable(now) && !u.is_cold(now) && running < u.slots
         };
-        match used.iter().any(|u| can_take(u)) {
-            true => used,
+        match preferred.iter().any(|u| can_take(u)) {
+            true => preferred,
             false => listed,
         }
     }
 
     /// Returns the homes among which the requests with this prefix are now spread.
-    pub(super) fn homes_in_use(
+    fn homes_in_use(
         &self,
         request: &PlacementRequest<'_>,
         blocks: &[PrefixBlock],
@@ -101,7 +126,7 @@
         })
     }
 
-    pub(super) fn blocks(&self, request: &PlacementRequest<'_>) -> Vec<PrefixBlock> {
+    fn blocks(&self, request: &PlacementRequest<'_>) -> Vec<PrefixBlock> {
         let chain = |prompt| prefix::chain(request.model.unwrap_or_default(), prompt);
         request.prompt.map(chain).unwrap_or_default()
     }
@@ -121,15 +146,16 @@
         &self,
         request: &PlacementRequest<'_>,
         upstream: &Upstream,
-        blocks: &[PrefixBlock],
-        homes_in_use: &Homes,
+        candidates: &CandidateSet<'_>,
         now: Instant,
     ) -> Duration {
         let Some(prompt) = request.prompt else {
             return Duration::ZERO;
         };
+        let blocks = &candidates.blocks;
         let cached_tokens = self.prefixes.cached_tokens(upstream.hash, blocks, now);
-        let assumed = match homes_in_use.contains(upstream.hash) {
+        // Other daemons may have sent the prefix to its homes.
+        let assumed = match candidates.homes_in_use.contains(upstream.hash) {
             true => blocks.last().map_or(0, |block| block.tokens),
             false => 0,
         };
@@ -138,10 +164,3 @@
             .prefill_time(request.model.unwrap_or_default(), uncached_tokens)
     }
 }
-
-/// Returns the home engines of a prefix; daemons assume that these have it cached, also if they have
-/// not sent it themselves.
-pub(super) fn find_homes(blocks: &[PrefixBlock], listed: &[&Upstream]) -> Homes {
-    let ready = listed.iter().filter(|u| u.state == UpstreamState::Ready);
-    Homes::find(blocks, ready.map(|u| u.hash))
-}
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -28,6 +28,7 @@
 pub mod homes;
 pub mod orders;
 pub mod pace;
+mod passed_over;
 mod peer_messages;
 pub mod peers;
 mod placement;
@@ -56,6 +57,7 @@
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
 use sessions::RecentSessions;
+use subset::HashRing;
 
 pub use assignment::{Assignment, NoSlotReason, Placement, PlacementRequest, Quality};
 pub use orders::Applied;
@@ -106,6 +108,8 @@
     prefill_delays: HashMap<ServiceName, PrefillDelay>,
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
+    /// This daemon and the others that may hold a share of fleet-wide limits.
+    daemon_ring: HashRing,
     /// Hashes of the engines whose prompts this daemon is notified of.
     own_subset: HashSet<u64>,
     rng: Xoshiro128PlusPlus,
@@ -160,6 +164,7 @@
             prefill_delays: HashMap::new(),
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
+            daemon_ring: HashRing::default(),
             own_subset: HashSet::new(),
             rng,
         }
@@ -217,6 +222,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
         self.peers.expire(now);
         self.sum_peer_loads(now);
+        self.update_daemon_ring(now);
         self.update_own_subset(now);
         self.resolve_broken_connections(now);
         let expired = self.registry.expire(now);
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -106,6 +106,9 @@
         let name = heartbeat.from.name.clone();
         self.count_loads_of(&name, LoadCount::Subtract, now);
         let new = self.peers.receive_heartbeat(heartbeat, address, now);
+        if new {
+            self.update_daemon_ring(now);
+        }
         self.count_loads_of(&name, LoadCount::Add, now);
         new
     }
@@ -121,11 +124,11 @@
 
     /// Returns the addresses of the daemons that share the engine of an assignment.
     pub fn notice_receivers(&self, assignment: &Assignment, now: Instant) -> Vec<SocketAddr> {
-        let daemons = self.daemons(now);
         self.peers
             .live(now)
             .filter(|peer| {
-                let position = daemons.position(name_hash(&peer.last_heartbeat.from.name));
+                let name = name_hash(&peer.last_heartbeat.from.name);
+                let position = self.daemon_ring.position(name);
                 position.uses(assignment.engine_index, assignment.engines)
             })
             .map(|peer| peer.address)
@@ -133,13 +136,19 @@
     }
 
     /// Returns this daemon's position on the ring of all daemons.
-    pub(super) fn own_position(&self, now: Instant) -> RingPosition {
-        self.daemons(now).position(name_hash(&self.me.name))
+    pub(super) fn own_position(&self) -> RingPosition {
+        self.daemon_ring.position(name_hash(&self.me.name))
+    }
+
+    /// Updates the ring of all daemons.
+    pub(super) fn update_daemon_ring(&mut self, now: Instant) {
+        let others = self.peers.limit_sharers(now).map(|name| name_hash(name));
+        self.daemon_ring = HashRing::from_hashes(others.chain([name_hash(&self.me.name)]));
     }
 
     /// Updates the set of engines whose prompts this daemon is notified of.
     pub(super) fn update_own_subset(&mut self, now: Instant) {
-        let position = self.own_position(now);
+        let position = self.own_position();
         let mut engines: HashMap<&str, Vec<u64>> = HashMap::new();
         for upstream in self.registry.all().filter(|u| u.is_listed(now)) {
             engines
@@ -157,11 +166,6 @@
             .collect();
     }
 
-    fn daemons(&self, now: Instant) -> HashRing {
-        let others = self.peers.limit_sharers(now).map(|name| name_hash(name));
-        HashRing::from_hashes(others.chain([name_hash(&self.me.name)]))
-    }
-
     /// Records that another daemon has sent a prompt to an engine.
     pub fn receive_notice(&mut self, notice: PrefillNotice, now: Instant) {
         if let Some(upstream) = self.registry.by_hash_mut(notice.upstream) {
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -3,29 +3,23 @@
 use std::time::{Duration, Instant};
 
 use platform::{RowVersion, configuration::Service};
-use rand::Rng;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro128PlusPlus;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::coordination::dispatch::{
     Dispatcher,
     assignment::{Assignment, NoSlotReason, Placement, PlacementRequest},
-    candidates::find_homes,
     cold::{self, RateShare},
     cost::{Candidate, cost},
     health::AttemptOutcome,
+    passed_over::{NO_UPSTREAM_RETRY_AFTER, PassedOver, Unusable},
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::PrefixBlock,
     registry::Upstream,
     rollout::Arm,
-    subset::HashRing,
 };
 
-/// Maximum time that a request waits for a cold upstream's rate limit before it is refused.
-const MAX_COLD_WAIT: Duration = Duration::from_millis(800);
-/// Retry-After if no usable upstream is known.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Retry-After if all upstreams are full.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Added to the cold time of an upstream that refused connections, as its restart is not observed.
 pub(super) const UNDETECTED_RESTART_MARGIN: Duration = Duration::from_secs(1);
 /// Time after its start during which an upstream may be slow.
@@ -136,99 +130,50 @@
         arm: Option<Arm>,
         now: Instant,
     ) -> Placement {
-        let blocks = self.blocks(request);
-        let rollout = self.rollouts.get(request.service);
-        let target = rollout.map(|rollout| rollout.target.clone());
-        let order = rollout.map_or(RowVersion::default(), |rollout| rollout.order);
-        let in_arm = |upstream: &Upstream| match (arm, &target) {
-            (Some(Arm::New), Some(target)) => upstream.version == *target,
-            (Some(Arm::Old), Some(target)) => upstream.version != *target,
-            _ => true,
-        };
-        let listed: Vec<&Upstream> = self
-            .registry
-            .of_service(request.service)
-            .filter(|u| u.is_listed(now) && in_arm(u) && !self.evacuated.contains(&u.domain))
-            .collect();
+        // Jitter is drawn while upstreams are borrowed.
+        let mut rng = Xoshiro128PlusPlus::seed_from_u64(self.rng.random());
+        let listed = self.listed_in_arm(request.service, arm, now);
         if listed.is_empty() {
             return Placement::Refuse(NoSlotReason::NoneListed, NO_UPSTREAM_RETRY_AFTER);
         }
-        let settled: Vec<&Upstream> = listed
-            .iter()
-            .copied()
-            .filter(|u| arm.is_some() || self.registry.is_settled(u, now))
-            .collect();
-        let listed = if settled.is_empty() { listed } else { settled };
-        let engines = HashRing::from_hashes(listed.iter().map(|u| u.hash));
-        let homes = find_homes(&blocks, &listed);
-        let listed = self.candidates(request, listed, &engines, &homes, now);
+        let candidates = self.candidates(request, listed, now);
         let service = self
             .routes
             .as_ref()
             .and_then(|r| r.service(request.service));
-        let homes = self.homes_in_use(request, &blocks, &homes, now);
-        let mut best: Option<(f64, &Upstream, Duration)> = None;
-        let mut cold_wait: Option<Duration> = None;
-        let mut pause_left: Option<Duration> = None;
-        let mut full = false;
-        for upstream in listed {
-            let tried = request.tried.contains(&upstream.id);
-            if tried {
-                continue;
-            }
-            if !upstream.health.is_usable(now) {
-                if upstream.health.is_paused(now) {
-                    let left = upstream.health.pause_left(now);
-                    pause_left = Some(pause_left.map_or(left, |known| known.min(left)));
-                }
+        let mut passed_over = PassedOver::default();
+        let mut best: Option<(f64, &Upstream)> = None;
+        for upstream in &candidates.upstreams {
+            if let Err(reason) = self.check_usable(request, upstream, service, now) {
+                passed_over.record(reason);
                 continue;
             }
-            let peer = self.peer_load(upstream);
-            let running = upstream.running + peer.running;
-            if running >= upstream.slots * queue_factor(service) {
-                full = true;
-                continue;
-            }
-            let cold = upstream.is_cold(now);
-            if cold && let Some(wait) = self.cold_wait(upstream, service, now) {
-                if let Some(wait) = wait {
-                    cold_wait = Some(cold_wait.map_or(wait, |known| known.min(wait)));
-                }
-                continue;
-            }
-            let prefill_time = self.prefill_time(request, upstream, &blocks, &homes, now);
             let candidate = Candidate {
                 backlog: self.wait(upstream, now),
-                prefill_time,
-                running,
+                prefill_time: self.prefill_time(request, upstream, &candidates, now),
+                running: upstream.running + self.peer_load(upstream).running,
                 slots: upstream.slots,
                 failure_rate: upstream.health.failure_rate(now),
-                cold,
+                cold: upstream.is_cold(now),
                 remote: upstream.domain != self.domain,
                 engine: request.prompt.is_some(),
             };
-            let cost = cost(&candidate, request.body_bytes, self.rng.random());
-            if best.is_none_or(|(lowest, ..)| cost < lowest) {
-                best = Some((cost, upstream, prefill_time));
+            let cost = cost(&candidate, request.body_bytes, rng.random());
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, upstream));
             }
         }
-        let Some((_, upstream, prefill_time)) = best else {
-            return match cold_wait {
-                Some(wait) if wait <= MAX_COLD_WAIT => Placement::Wait(wait),
-                Some(wait) => Placement::Refuse(NoSlotReason::AllCold, wait),
-                None if full => Placement::Refuse(NoSlotReason::AllFull, FULL_RETRY_AFTER),
-                None => match pause_left {
-                    Some(left) => Placement::Refuse(NoSlotReason::AllPaused, left),
-                    None => Placement::Refuse(NoSlotReason::NoneUsable, NO_UPSTREAM_RETRY_AFTER),
-                },
-            };
+        let Some((_, upstream)) = best else {
+            return passed_over.placement();
         };
         let backlog = self.wait(upstream, now);
+        let prefill_time = self.prefill_time(request, upstream, &candidates, now);
         let known_backlog = backlog.min(self.observed_delay(request.service));
         let excess = (known_backlog + prefill_time).saturating_sub(request.remaining);
         if !excess.is_zero() {
             return Placement::Refuse(NoSlotReason::TooLate, excess);
         }
+        let rollout = self.rollouts.get(request.service);
         let mut assignment = Assignment {
             upstream: upstream.id.clone(),
             address: upstream.address,
@@ -238,21 +183,82 @@
             route: route_hash(request.route),
             settled: upstream.age(now) >= WARM_UP_TIME,
             backlog,
-            engine_index: engines.index(upstream.hash),
-            engines: engines.count(),
+            engine_index: candidates.ring.index(upstream.hash),
+            engines: candidates.ring.count(),
             started_ms: upstream.started_ms,
             on_trial: false,
-            order,
+            order: rollout.map_or(RowVersion::default(), |rollout| rollout.order),
             expected_at: now,
             reserved_at: now,
             prefill_time,
             model: request.model.map(Into::into),
             response_started: false,
         };
+        let blocks = candidates.blocks;
         self.reserve_slot(&mut assignment, &blocks, now);
         Placement::Assigned(Box::new(assignment))
     }
 
+    /// Returns the upstreams of an arm of the rollout. Without one, upstreams of a version that no
+    /// order has named yet are left out if there are others.
+    fn listed_in_arm<'a>(
+        &'a self,
+        service: &'a str,
+        arm: Option<Arm>,
+        now: Instant,
+    ) -> Vec<&'a Upstream> {
+        let rollout = self.rollouts.get(service);
+        let is_in_arm = |upstream: &Upstream| match (arm, rollout) {
+            (Some(Arm::New), Some(rollout)) => upstream.version == rollout.target,
+            (Some(Arm::Old), Some(rollout)) => upstream.version != rollout.target,
+            _ => true,
+        };
+        let listed: Vec<&Upstream> = self
+            .registry
+            .of_service(service)
+            .filter(|u| u.is_listed(now) && is_in_arm(u) && !self.evacuated.contains(&u.domain))
+            .collect();
+        if arm.is_some() {
+            return listed;
+        }
+        let settled: Vec<&Upstream> = listed
+            .iter()
+            .copied()
+            .filter(|u| self.registry.is_settled(u, now))
+            .collect();
+        if settled.is_empty() { listed } else { settled }
+    }
+
+    /// Checks that an upstream can take a request now.
+    fn check_usable(
+        &self,
+        request: &PlacementRequest<'_>,
+        upstream: &Upstream,
+        service: Option<&Service>,
+        now: Instant,
+    ) -> Result<(), Unusable> {
+        if request.tried.contains(&upstream.id) {
+            return Err(Unusable::Tried);
+        }
+        if upstream.health.is_paused(now) {
+            return Err(Unusable::Paused(upstream.health.pause_left(now)));
+        }
+        if !upstream.health.is_usable(now) {
+            return Err(Unusable::Unhealthy);
+        }
+        let running = upstream.running + self.peer_load(upstream).running;
+        if running >= upstream.slots * queue_factor(service) {
+            return Err(Unusable::Full);
+        }
+        match upstream
+            .is_cold(now)
+            .then(|| self.cold_wait(upstream, service, now))
+        {
+            Some(Some(wait)) => Err(Unusable::Cold(wait)),
+            _ => Ok(()),
+        }
+    }
+
     fn reserve_slot(&mut self, assignment: &mut Assignment, blocks: &[PrefixBlock], now: Instant) {
         let rate = self.cold_share(&assignment.upstream, &assignment.service, now);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
--- a/src/coordination/dispatch/subset.rs
+++ b/src/coordination/dispatch/subset.rs
@@ -9,7 +9,7 @@
 const SUBSET_SIZE: u32 = 12;
 
 /// Daemons or engines in the order of their hashes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct HashRing(Vec<u64>);
 
 impl HashRing {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -62,12 +62,10 @@
         followed,
         failures: 0,
         failed_queries: 0,
-        needs_full_read: true,
-        history_gone: false,
+        next_read: NextRead::Full,
+        start: StartPhase::Started,
         settle_at: None,
         vain_generation: 0,
-        has_answered: false,
-        has_asked_peers: false,
         shared,
     };
     loop {
@@ -83,18 +81,34 @@
     failures: u32,
     /// Consecutive failed queries to peers.
     failed_queries: u32,
-    /// Whether the next call must read the whole table.
-    needs_full_read: bool,
-    /// Whether the last call failed because the requested history was gone.
-    history_gone: bool,
+    next_read: NextRead,
+    start: StartPhase,
     /// When rows that were carried over from an earlier era are dropped unless they were written again.
     settle_at: Option<Instant>,
     /// Generation of a peer's configuration that the peer did not have a row for.
     vain_generation: u64,
-    /// Whether the table has answered this daemon.
-    has_answered: bool,
-    /// Whether this daemon has waited at its start for a peer that has read the table.
-    has_asked_peers: bool,
+}
+
+/// What the next call to the table reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextRead {
+    /// The changes after the known version.
+    Changes,
+    /// The whole table.
+    Full,
+    /// The whole table, because the history of the known version was gone.
+    FullWithoutHistory,
+}
+
+/// How far this daemon has come since its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartPhase {
+    /// It has not done anything.
+    Started,
+    /// It has waited for a peer that has read the table.
+    AskedPeers,
+    /// The table has answered it.
+    Answered,
 }
 
 impl Follower {
@@ -105,10 +119,11 @@
         let role = self.shared.dispatcher().polling_role(self.shared.now());
         let version = self.followed.cache(&self.shared.dispatcher()).version();
         let initialized = version != RowVersion::default();
-        if !initialized && !std::mem::replace(&mut self.has_asked_peers, true) {
+        if !initialized && self.start == StartPhase::Started {
+            self.start = StartPhase::AskedPeers;
             self.await_peer_changes().await;
             if self.fetch_from_newer_peer().await {
-                self.needs_full_read = false;
+                self.next_read = NextRead::Changes;
                 return;
             }
         }
@@ -214,19 +229,20 @@
     }
 
     async fn call(&mut self) -> Result<Rows, TableError> {
-        if self.needs_full_read {
+        if self.next_read != NextRead::Changes {
             return self.client.read(self.followed.table(), READ_TIMEOUT).await;
         }
         let after = self.followed.cache(&self.shared.dispatcher()).version();
         let now = self.shared.now();
         let is_settled = self.settle_at.take_if(|at| *at <= now).is_some();
         if is_settled || after.era < self.shared.table_era.current() {
-            self.needs_full_read = true;
+            self.next_read = NextRead::Full;
             return self.client.read(self.followed.table(), READ_TIMEOUT).await;
         }
-        let wait = match self.failures {
-            0 if self.has_answered => POLL_WAIT,
-            _ => SHORT_POLL_WAIT,
+        let is_connected = self.failures == 0 && self.start == StartPhase::Answered;
+        let wait = match is_connected {
+            true => POLL_WAIT,
+            false => SHORT_POLL_WAIT,
         };
         let table = self.followed.table();
         self.client
@@ -244,7 +260,7 @@
             self.shared.dispatcher().table_restored(self.shared.now());
         }
         let changes = RowChanges {
-            full: self.needs_full_read,
+            full: self.next_read != NextRead::Changes,
             rows: rows.rows,
             version: rows.version,
         };
@@ -260,21 +276,20 @@
         if carried > 0 {
             self.settle_at = Some(self.shared.now() + CARRY_OVER_TIME);
         }
-        self.has_answered = true;
-        self.history_gone = false;
+        self.start = StartPhase::Answered;
+        self.next_read = NextRead::Changes;
         self.failures = 0;
         self.failed_queries = 0;
-        self.needs_full_read = false;
     }
 
     async fn handle_failure(&mut self, e: &TableError) {
         if matches!(e.cause, TableErrorCause::HistoryGone) {
             log::info!("event=history_gone table={}", self.followed.table());
-            self.needs_full_read = true;
             // A table that keeps answering so must not be called without a pause.
-            if std::mem::replace(&mut self.history_gone, true) {
+            if self.next_read == NextRead::FullWithoutHistory {
                 tokio::time::sleep(INITIAL_BACKOFF).await;
             }
+            self.next_read = NextRead::FullWithoutHistory;
             return;
         }
         if self.failures == 0 {
