Accept short requests while all daemons drain at the same time

Cause: when all daemons are stopped within about two seconds, each stopped accepting after 2.8 s and then waited for its streams up to the end of the grace period, so callers could ask nobody although all still ran.

Change (gateway/drain.rs): a daemon goes on accepting as long as no other is ready and requests that it had before keep it running anyway. It serves what ends before it exits, and refuses the rest as not run, with the time until it exits as Retry-After. It exits no later than before without such requests.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
     gateway::{
         attempt::{self, AttemptError, UpstreamResponse},
         call::Call,
+        drain::WorkGuard,
         metrics, peer_link, relay,
         reply::{self, Body, RefusalReason},
         shared::{Shared, SlotGuard},
@@ -88,6 +89,8 @@
     may_have_run: bool,
     /// An upstream's error response, forwarded if no later attempt succeeds.
     failure: Option<Response<Body>>,
+    /// Keeps the daemon running during shutdown until the response is complete.
+    _work: WorkGuard,
 }
 
 /// What to do after an attempt.
@@ -103,6 +106,7 @@
     /// Creates the state of a request before its first attempt.
     pub fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
         Self {
+            _work: shared.drain.start_work(),
             model: call.models().first().cloned(),
             shared,
             call,
@@ -117,6 +121,10 @@
     /// Makes attempts until there is a response for the caller.
     pub async fn run(mut self) -> Response<Body> {
         let now = self.shared.now();
+        let drain_time_left = self.shared.drain.time_left(now);
+        if let Some(left) = drain_time_left.filter(|left| self.call.remaining(now) > *left) {
+            return self.refuse(RefusalReason::Leaving, Some(left));
+        }
         let is_quarantined = {
             let mut dispatcher = self.shared.dispatcher();
             dispatcher.record_request(&self.call.service, now);
@@ -300,6 +308,7 @@
             unreachable: self.unreachable,
             may_have_run: true,
             failure: None,
+            _work: self._work.clone(),
         };
         let body = relay::spawn(exchange, slot, upstream_response);
         NextStep::Done(reply::stream(status, headers, body))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,12 @@
 //! One process runs on each instance. It accepts requests, selects an upstream for each with
 //! [`crate::coordination::dispatch`] and forwards the response to the caller as it arrives.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use thiserror::Error;
 use tokio::{sync::watch, task::JoinHandle};
@@ -16,6 +21,7 @@
 
 pub mod attempt;
 pub mod call;
+pub mod drain;
 pub mod events;
 pub mod follow;
 pub mod followed_table;
@@ -38,6 +44,8 @@
 ///
 /// A stream that starts later might not finish within the grace period.
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(2_800);
+/// Interval between checks whether a daemon that drains may stop accepting requests.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Part of the grace period reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
@@ -114,17 +122,33 @@
     /// completes the requests in flight within the grace period.
     pub async fn shutdown(self) {
         let grace = self.shared.settings.grace_period();
+        let deadline = self.shared.now() + grace.saturating_sub(EXIT_RESERVE);
         log::info!("event=stop grace_ms={}", grace.as_millis());
         self.shared.set_leaving();
         tokio::time::sleep(SHUTDOWN_DELAY.min(grace / 2)).await;
+        self.drain_without_successor(deadline).await;
         self.shared.stop_accepting();
         self.stop.send_replace(true);
-        let drain_timeout = grace.saturating_sub(SHUTDOWN_DELAY + EXIT_RESERVE);
-        match tokio::time::timeout(drain_timeout, self.caller_server).await {
+        let time_left = deadline.saturating_duration_since(self.shared.now());
+        match tokio::time::timeout(time_left, self.caller_server).await {
             Ok(_) => log::info!("event=stopped"),
             Err(_) => log::warn!("event=stopped requests_cut=true"),
         }
     }
+
+    /// Accepts requests that end before the deadline while no other daemon is ready and earlier
+    /// requests keep this one running.
+    async fn drain_without_successor(&self, deadline: Instant) {
+        let earlier = self.shared.drain.begin(deadline);
+        let is_needed = || {
+            let now = self.shared.now();
+            let has_successor = self.shared.dispatcher().peers.ready(now).next().is_some();
+            now < deadline && !has_successor && !earlier.has_ended()
+        };
+        while is_needed() {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    }
 }
 
 async fn tick(shared: Arc<Shared>) {
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -38,6 +38,8 @@
     BodyBroken,
     /// The gateway has not read a configuration yet.
     NoConfiguration,
+    /// The daemon is shutting down and exits before the request's deadline.
+    Leaving,
     /// No upstream can accept the request now; it has not run.
     #[display("no_place")]
     NoSlot,
@@ -59,9 +61,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoCustomer => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoConfiguration | Self::NoSlot | Self::Poison | Self::RefusedByUpstreams => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Leaving
+            | Self::NoSlot
+            | Self::Poison
+            | Self::RefusedByUpstreams => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswer => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,7 +19,7 @@
         health::AttemptOutcome,
         peers::{PeerId, Readiness},
     },
-    gateway::settings::Settings,
+    gateway::{drain::Drain, settings::Settings},
 };
 
 /// State shared by the tasks of one gateway.
@@ -36,6 +36,8 @@
     pub newest_peer_version: tokio::sync::watch::Sender<RowVersion>,
     /// The table's newest known era.
     pub table_era: EraTracker,
+    /// What is accepted and waited for during shutdown.
+    pub drain: Drain,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -64,6 +66,7 @@
             urgent_heartbeat: Notify::new(),
             newest_peer_version: tokio::sync::watch::Sender::new(RowVersion::default()),
             table_era: EraTracker::default(),
+            drain: Drain::default(),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             knows_peers: AtomicBool::new(false),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use serde_json::Value;
 use tempfile::TempDir;
 
 use stand_in::gateway::{
@@ -86,11 +87,11 @@
     /// Starts a table, two engines, two plain upstreams and the given number of gateways, and waits
     /// until every gateway lists all of them in its directory.
     pub(crate) async fn spawn(gateways: usize) -> Self {
-        Self::spawn_in_domains(&vec!["a"; gateways]).await
+        Self::spawn_with(gateways, |_, _| {}).await
     }
 
-    /// The same, with one gateway in each of these failure domains.
-    pub(crate) async fn spawn_in_domains(domains: &[&str]) -> Self {
+    /// The same, after the settings of each gateway have been changed.
+    pub(crate) async fn spawn_with(gateways: usize, change: impl Fn(usize, &mut Value)) -> Self {
         let table = FakeTable::spawn().await;
         let mut upstreams = Vec::new();
         for (id, service) in [
@@ -111,25 +112,25 @@
             folder: tempfile::tempdir().expect("a folder"),
             number: NEXT_HARNESS.fetch_add(1, Ordering::Relaxed),
         };
-        for domain in domains {
-            harness.start_gateway_in(domain);
+        for n in 0..gateways {
+            harness.start_gateway_with(|settings| change(n, settings));
         }
         for gateway in &harness.gateways {
-            wait_until(|| async { gateway.directory().await.len() == domains.len() }).await;
+            wait_until(|| async { gateway.directory().await.len() == gateways }).await;
         }
         harness
     }
 
     /// Starts another gateway.
     pub(crate) fn start_gateway(&mut self) {
-        self.start_gateway_in("a");
+        self.start_gateway_with(|_| {});
     }
 
-    fn start_gateway_in(&mut self, domain: &str) {
+    fn start_gateway_with(&mut self, change: impl FnOnce(&mut Value)) {
         let number = u8::try_from(self.gateways.len() + 1).expect("few gateways");
         let ip = loopback(self.number, number);
         let mut settings = settings(&format!("front-{number}"), ip, self.table.address());
-        settings["domain"] = domain.into();
+        change(&mut settings);
         let path = self.folder.path().join(format!("gateway-{number}.jsonc"));
         fs::write(&path, format!("// settings of a test\n{settings}")).expect("written");
         let log = self.folder.path().join(format!("gateway-{number}.log"));
@@ -148,11 +149,11 @@
     }
 
     /// Changes a value in the settings file of the first gateway.
-    pub(crate) fn change_settings(&self, key: &str, value: serde_json::Value) {
+    pub(crate) fn change_settings(&self, key: &str, value: Value) {
         let path = self.folder.path().join("gateway-1.jsonc");
         let text = fs::read_to_string(&path).expect("settings");
         let json = text.lines().last().expect("a line of JSON");
-        let mut settings: serde_json::Value = serde_json::from_str(json).expect("JSON");
+        let mut settings: Value = serde_json::from_str(json).expect("JSON");
         settings[key] = value;
         fs::write(&path, settings.to_string()).expect("written");
     }
@@ -217,11 +218,7 @@
 
     /// Sends a request and reads the response head.
     pub(crate) async fn open(&self, call: &Call) -> http::Response<Incoming> {
-        let body = call.body.clone();
-        let request = caller::request(call.method.clone(), call.path, &call.headers, body);
-        exchange(address(self.ip, Port::Front), request)
-            .await
-            .expect("a response")
+        open(self.caller_address(), call).await.expect("a response")
     }
 
     /// Whether the gateway's readiness check succeeds.
@@ -243,7 +240,7 @@
             .await
             .expect("a complete body")
             .to_bytes();
-        let Ok(reply) = serde_json::from_slice::<serde_json::Value>(&body) else {
+        let Ok(reply) = serde_json::from_slice::<Value>(&body) else {
             return Vec::new();
         };
         serde_json::from_value(reply["addresses"].clone()).expect("addresses")
@@ -313,6 +310,13 @@
     satisfied.await.expect("the condition is met in time");
 }
 
+/// Sends a request to a gateway and reads the response head; `None` if the connection breaks.
+pub(crate) async fn open(gateway: SocketAddr, call: &Call) -> Option<http::Response<Incoming>> {
+    let body = call.body.clone();
+    let request = caller::request(call.method.clone(), call.path, &call.headers, body);
+    exchange(gateway, request).await
+}
+
 async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
--- a/tests/gateway/heartbeats.rs
+++ b/tests/gateway/heartbeats.rs
@@ -21,7 +21,10 @@
 /// forwards them to the rest.
 #[tokio::test(flavor = "multi_thread")]
 async fn heartbeats_are_forwarded_within_a_domain() {
-    let mut harness = Harness::spawn_in_domains(&["b", "a", "a", "a", "a"]).await;
+    let mut harness = Harness::spawn_with(5, |n, settings| {
+        settings["domain"] = if n == 0 { "b" } else { "a" }.into();
+    })
+    .await;
     let (alone, others) = harness.gateways.split_first().expect("gateways");
     wait_until(|| async { datagrams(alone, "heartbeat_to_forward").await > 0 }).await;
     let (direct, to_forward) = (
