Keep what an upstream announces after its entry was removed

Cause: an announcement was only kept with the entry of its upstream. If a response with it arrived after the entry had been removed, and the entry came back (a restored table, a late write), the upstream got requests again although it had said to this daemon that it leaves (DRAIN).

Change: such an announcement is kept with those of removed upstreams, which move to a module of their own (departed.rs).

--- a/src/coordination/dispatch/announcements.rs
+++ b/src/coordination/dispatch/announcements.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::dispatch::{Dispatcher, assignment::Assignment};
+use crate::coordination::dispatch::{Dispatcher, assignment::Assignment, health::Health};
 
 /// Longest pause that is respected; a longer one is shortened to it.
 const MAX_PAUSE: Duration = Duration::from_secs(300);
@@ -52,23 +52,20 @@
     ) -> Vec<Announcement> {
         let spread = self.rng.random::<f64>() * RESUME_SPREAD;
         let mut new = Vec::new();
-        let upstream = self
-            .registry
-            .get_mut(&assignment.upstream)
-            .filter(|upstream| upstream.started_ms == assignment.started_ms);
-        let Some(upstream) = upstream else {
+        if !head.leaving && head.pause.is_none() {
+            return new;
+        }
+        let Some((leaving, health)) = self.announced_state(assignment, now) else {
             return new;
         };
-        if head.leaving && !std::mem::replace(&mut upstream.leaving, true) {
+        if head.leaving && !std::mem::replace(leaving, true) {
             new.push(Announcement::Leaving);
         }
         match head.pause {
             Some(PauseRequest::For(pause)) => {
                 let pause = pause.min(MAX_PAUSE);
-                let was_paused = upstream.health.is_paused(now);
-                upstream
-                    .health
-                    .pause_until(now + pause.mul_f64(1.0 + spread));
+                let was_paused = health.is_paused(now);
+                health.pause_until(now + pause.mul_f64(1.0 + spread));
                 if !was_paused {
                     new.push(Announcement::Pause(pause));
                 }
@@ -79,6 +76,22 @@
         new
     }
 
+    /// Returns whether the incarnation that an assignment was sent to leaves, and its health. Its entry
+    /// may have been removed; an entry of another incarnation is not affected.
+    fn announced_state(
+        &mut self,
+        assignment: &Assignment,
+        now: Instant,
+    ) -> Option<(&mut bool, &mut Health)> {
+        if self.registry.get(&assignment.upstream).is_none() {
+            let departed = self.registry.departed.of_assignment(assignment, now)?;
+            return Some((&mut departed.leaving, &mut departed.health));
+        }
+        let upstream = self.registry.get_mut(&assignment.upstream)?;
+        let is_same = upstream.started_ms == assignment.started_ms;
+        is_same.then_some((&mut upstream.leaving, &mut upstream.health))
+    }
+
     /// Returns the upstreams that this daemon has heard are leaving.
     pub(super) fn leaving_reports(&self) -> Vec<LeavingReport> {
         let leaving = self.registry.all().filter(|upstream| upstream.leaving);
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod candidates;
 pub mod cold;
 pub mod cost;
+mod departed;
 pub mod escalation;
 pub mod evidence;
 pub mod fanout;
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::dispatch::{
-    cold::RequestPacer, health::Health, prefill_queue::PrefillQueue,
+    cold::RequestPacer, departed::DepartedUpstreams, health::Health, prefill_queue::PrefillQueue,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -25,8 +25,6 @@
 const MASS_REMOVAL_FRACTION: f64 = 0.5;
 /// Minimum number of entries for a mass removal.
 const MASS_REMOVAL_MIN_COUNT: usize = 3;
-/// How long the announcements of a removed upstream are kept, in case that its entry reappears.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
 /// How long an upstream is held back whose version nobody has ordered; the order may arrive later.
 const UNORDERED_VERSION_HOLD: Duration = Duration::from_secs(3);
 
@@ -112,16 +110,6 @@
     None,
 }
 
-/// What a removed incarnation had announced.
-#[derive(Clone, Debug)]
-struct Departed {
-    started_ms: Option<u64>,
-    address: SocketAddr,
-    leaving: bool,
-    health: Health,
-    removed_at: Instant,
-}
-
 /// The upstreams of all services.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -129,8 +117,8 @@
     ids_by_hash: HashMap<u64, UpstreamId>,
     /// Versions in use before the first rollout was ordered.
     settled: BTreeMap<ServiceName, BTreeSet<VersionName>>,
-    /// Removed upstreams that had announced something, in case that their entries reappear.
-    departed: HashMap<UpstreamId, Departed>,
+    /// Removed upstreams that announced something.
+    pub(super) departed: DepartedUpstreams,
     /// Whether the table has been read.
     loaded: bool,
     /// Until when missing entries may return.
@@ -255,9 +243,7 @@
         for id in &expired {
             self.remove(id, now);
         }
-        self.departed.retain(|_, departed| {
-            now.saturating_duration_since(departed.removed_at) < DEPARTED_RETENTION
-        });
+        self.departed.expire(now);
         expired
     }
 
@@ -298,8 +284,9 @@
             _ => {
                 let mut upstream = Upstream::new(row.key.clone(), registration, now);
                 upstream.cold_until = cold_until;
-                if let Some(departed) = self.departed.remove(&row.key) {
-                    upstream.restore_announcements(&departed);
+                if let Some(departed) = self.departed.take(&upstream) {
+                    upstream.leaving = departed.leaving;
+                    upstream.health = departed.health;
                 }
                 self.ids_by_hash.insert(upstream.hash, row.key.clone());
                 self.upstreams.insert(row.key.clone(), upstream);
@@ -313,16 +300,7 @@
             return;
         };
         self.ids_by_hash.remove(&upstream.hash);
-        if upstream.leaving || upstream.health.is_paused(now) {
-            let departed = Departed {
-                started_ms: upstream.started_ms,
-                address: upstream.address,
-                leaving: upstream.leaving,
-                health: upstream.health,
-                removed_at: now,
-            };
-            self.departed.insert(upstream.id, departed);
-        }
+        self.departed.keep(upstream, now);
     }
 
     /// Returns until when missing entries may return, if a grace period applies.
@@ -389,14 +367,6 @@
         }
     }
 
-    /// Takes over what the same incarnation announced before its entry disappeared.
-    fn restore_announcements(&mut self, departed: &Departed) {
-        if self.started_ms == departed.started_ms && self.address == departed.address {
-            self.leaving = departed.leaving;
-            self.health = departed.health;
-        }
-    }
-
     fn is_newer_than(&self, registration: &Registration) -> bool {
         registration.sequence.is_some() && registration.sequence < self.sequence
     }
--- a/tests/dispatch/announcements.rs
+++ b/tests/dispatch/announcements.rs
@@ -74,6 +74,21 @@
     assert!(count_on(&mut dispatcher, &id, later) > 0);
 }
 
+/// A response that arrives after the entry was removed announces that the upstream leaves; an entry of
+/// a restored copy does not revive it.
+#[test]
+fn announcement_after_the_entry_was_removed_is_kept() {
+    let now = Instant::now();
+    let mut dispatcher = ready(&[upstream("u1", 1, "ready")], now);
+    let assignment = assign(&mut dispatcher, &request(1), now);
+    dispatcher.registry.apply(&[row("u1", 2, None)], now);
+    let announced = dispatcher.record_announcements(&assignment, &head(true, None), now);
+    assert_eq!(announced, [Announcement::Leaving]);
+    let entries = [upstream("u1", 1, "ready"), upstream("u2", 3, "ready")];
+    dispatcher.registry.replace(&entries, now);
+    assert_eq!(count_on(&mut dispatcher, "u1", now), 0);
+}
+
 #[test]
 fn late_response_of_an_earlier_incarnation_announces_nothing() {
     let now = Instant::now();
