Follow a rollout's order to the version under which it is written again

Cause: after a restore of the table operators write an order again under another row version. Daemons that knew it kept the old version as the rollout's id, and a daemon that started later took the new one, so they did not count each other's evidence, records did not match, and the sessions on trial differed, as their selection depended on the version.

Change: a rollout keeps all row versions of its order and is known by the newest one, under which it is recorded again; evidence and outcomes under an earlier one still count. Sessions on trial are selected by the target version, the same on all daemons.

--- a/src/coordination/dispatch/orders.rs
+++ b/src/coordination/dispatch/orders.rs
@@ -77,13 +77,17 @@
         version: RowVersion,
         now: Instant,
     ) -> Applied {
-        // After a restore of the table, operators write an order again under another version.
-        let is_known = |known: &Rollout| {
-            let written_again = known.order.era < version.era && known.target == order.target;
-            known.order >= version || written_again
-        };
-        if self.rollouts.get(&order.service).is_some_and(is_known) {
-            return Applied::Nothing;
+        if let Some(known) = self.rollouts.get_mut(&order.service) {
+            if known.order() >= version {
+                return Applied::Nothing;
+            }
+            if known.is_continued_by(&order, version) {
+                known.order_written_again(version);
+                if let Some(early) = self.early_statuses.remove(&order.service) {
+                    early.apply(known);
+                }
+                return Applied::Nothing;
+            }
         }
         let applied = Applied::RolloutOrdered(order.service.clone(), order.target.clone());
         let service = order.service.clone();
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -50,7 +50,7 @@
             .iter()
             .map(|(service, rollout)| RolloutReport {
                 service: service.clone(),
-                order: rollout.order,
+                order: rollout.order(),
                 state: rollout.state,
                 recorded: rollout.recorded,
                 elapsed: now.saturating_duration_since(rollout.started),
@@ -296,7 +296,7 @@
         };
         self.merge_rollout_status(known, now);
         if let Some(rollout) = self.rollouts.get_mut(&report.service)
-            && rollout.order == report.order
+            && rollout.is_of(report.order)
         {
             rollout.add_sticky_sessions(report.sticky_sessions.iter().copied(), now);
             rollout.merge(peer.clone(), report.evidence.clone());
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -17,7 +17,7 @@
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::PrefixBlock,
     registry::Upstream,
-    rollout::Arm,
+    rollout::{Arm, Rollout},
 };
 
 /// Added to the cold time of an upstream that refused connections, as its restart is not observed.
@@ -63,7 +63,7 @@
         }
         if let (Some(arm), Some(rollout)) =
             (assignment.arm, self.rollouts.get_mut(&assignment.service))
-            && rollout.order == assignment.order
+            && rollout.is_of(assignment.order)
             && assignment.settled
         {
             rollout.record_first_event(arm, assignment.route, assignment.prefill_time, took);
@@ -107,7 +107,7 @@
         }
         if let (Some(arm), Some(rollout)) =
             (assignment.arm, self.rollouts.get_mut(&assignment.service))
-            && rollout.order == assignment.order
+            && rollout.is_of(assignment.order)
         {
             rollout.track_running(arm, false);
             if outcome == AttemptOutcome::Abandoned
@@ -187,7 +187,7 @@
             engines: candidates.ring.count(),
             started_ms: upstream.started_ms,
             on_trial: false,
-            order: rollout.map_or(RowVersion::default(), |rollout| rollout.order),
+            order: rollout.map_or(RowVersion::default(), Rollout::order),
             expected_at: now,
             reserved_at: now,
             prefill_time,
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -75,8 +75,8 @@
 /// A rollout in progress or decided.
 #[derive(Debug)]
 pub struct Rollout {
-    /// Row version of the order; a later order starts another rollout.
-    pub order: RowVersion,
+    /// Row versions of the order, the newest last; operators write it again after the table was restored.
+    orders: Vec<RowVersion>,
     /// The version that is rolled out.
     pub target: VersionName,
     /// State of the rollout.
@@ -105,7 +105,7 @@
     /// Creates a rollout that was ordered at `started`.
     pub fn new(version: RowVersion, order: RolloutOrder, exposure: f64, started: Instant) -> Self {
         Self {
-            order: version,
+            orders: vec![version],
             target: order.target,
             state: RolloutState::Running,
             recorded: None,
@@ -121,6 +121,29 @@
         }
     }
 
+    /// Returns the newest row version of the order.
+    pub fn order(&self) -> RowVersion {
+        self.orders.last().copied().unwrap_or_default()
+    }
+
+    /// Returns whether a row version is one of this rollout's order.
+    pub fn is_of(&self, order: RowVersion) -> bool {
+        self.orders.contains(&order)
+    }
+
+    /// Returns whether an order continues this rollout: it was written again, for the same target, in an
+    /// era of the table after the first one.
+    pub fn is_continued_by(&self, order: &RolloutOrder, version: RowVersion) -> bool {
+        let first = self.orders.first().copied().unwrap_or_default();
+        first.era < version.era && self.target == order.target
+    }
+
+    /// Adds a row version under which the order was written again; it has to be recorded again.
+    pub fn order_written_again(&mut self, version: RowVersion) {
+        self.orders.push(version);
+        self.recorded = None;
+    }
+
     /// Takes over the state and the start of this rollout that the table or a peer knew at `known_at`.
     pub fn adopt(&mut self, known: &RolloutStatus, known_at: Instant) {
         let started = known_at.checked_sub(known.elapsed).unwrap_or(known_at);
@@ -165,10 +188,10 @@
     /// Keeps sessions on the old version until all sessions move. Only sessions that the trial
     /// would place on the new version need to be stored.
     pub fn add_sticky_sessions(&mut self, sessions: impl IntoIterator<Item = u64>, now: Instant) {
-        let order = self.order;
+        let target = self.target.clone();
         let selected = sessions
             .into_iter()
-            .filter(|session| session_fraction(*session, order) < TRIAL_SHARE);
+            .filter(|session| session_fraction(*session, &target) < TRIAL_SHARE);
         for session in selected {
             if self.sticky_sessions.len() < MAX_STICKY_SESSIONS {
                 self.sticky_sessions.entry(session).or_insert(now);
@@ -188,7 +211,7 @@
             {
                 Arm::Old
             }
-            (RolloutState::Running, Phase::Trial) => trial_arm(session, self.order),
+            (RolloutState::Running, Phase::Trial) => trial_arm(session, &self.target),
         };
         if arm == Arm::Old && self.state == RolloutState::Running {
             self.add_sticky_sessions([session], now);
@@ -327,18 +350,18 @@
     }
 }
 
-fn trial_arm(session: u64, order: RowVersion) -> Arm {
-    match session_fraction(session, order) < TRIAL_SHARE {
+fn trial_arm(session: u64, target: &str) -> Arm {
+    match session_fraction(session, target) < TRIAL_SHARE {
         true => Arm::New,
         false => Arm::Old,
     }
 }
 
-/// Maps a session and an order to a number from 0 to 1, the same on all daemons.
+/// Maps a session and a version to a number from 0 to 1, the same on all daemons.
 #[expect(
     clippy::cast_precision_loss,
     reason = "52 bits are enough for a fraction"
 )]
-fn session_fraction(session: u64, order: RowVersion) -> f64 {
-    xxh3_64_with_seed(&session.to_le_bytes(), order.number) as f64 / u64::MAX as f64
+fn session_fraction(session: u64, target: &str) -> f64 {
+    xxh3_64_with_seed(target.as_bytes(), session) as f64 / u64::MAX as f64
 }
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -99,7 +99,7 @@
     fn for_rollout(service: &ServiceName, rollout: &Rollout) -> Self {
         Self {
             service: service.clone(),
-            order: rollout.order,
+            order: rollout.order(),
             target: rollout.target.clone(),
             state: rollout.state,
             started: rollout.started,
--- a/tests/dispatch/table_restore.rs
+++ b/tests/dispatch/table_restore.rs
@@ -4,7 +4,9 @@
 
 use hibiscusyoke::coordination::dispatch::{
     Applied, Dispatcher, NoSlotReason, Placement,
-    peers::{RolloutReport, TableState},
+    health::AttemptOutcome,
+    peers::{Readiness, RolloutReport, TableState},
+    rollout::Arm,
 };
 use platform::{RowVersion, orders::RolloutState, table::Row};
 use serde_json::json;
@@ -81,6 +83,47 @@
     }
 }
 
+/// A daemon that starts after a restore knows the order by another version than the others; it still
+/// counts their evidence and places sessions as they do.
+#[test]
+fn rollout_order_that_is_written_again_is_the_same_for_all_daemons() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(6);
+    let versions = [
+        upstream("old", 1, "ready"),
+        upstream_with("new", 2, &[("version", json!("v2"))]),
+    ];
+    let mut known = rolling(now);
+    known.enter_era(2, now);
+    let mut started = ready(&versions, now);
+    started.enter_era(2, now);
+    for dispatcher in [&mut known, &mut started] {
+        dispatcher.registry.replace(&versions, now);
+        order(dispatcher, &written_again(rollout_order()), now);
+        // All daemons have seen the new version.
+        dispatcher.select_upstream(&request(0), now);
+    }
+    let report = known
+        .heartbeat(address(1), Readiness::Ready, Duration::ZERO, now)
+        .rollouts;
+    assert_eq!(report[0].order, RowVersion { era: 2, number: 1 });
+    let mut from_peer = heartbeat("front-2", TableState::NotPolled);
+    from_peer.table_era = 2;
+    from_peer.rollouts = report;
+    from_peer.rollouts[0].evidence.tally(Arm::New, 1).bad = 3;
+    started.receive_heartbeat(from_peer, address(2), now);
+    let (_, rollout) = started.rollouts().next().expect("a rollout");
+    assert_eq!(rollout.evidence().new[&1].bad, 3);
+    for session in 1_000..1_200 {
+        let arms = [&mut known, &mut started].map(|dispatcher| {
+            let assignment = assign(dispatcher, &request(session), later);
+            dispatcher.release(&assignment, AttemptOutcome::Served, later);
+            assignment.arm
+        });
+        assert_eq!(arms[0], arms[1], "session {session}");
+    }
+}
+
 /// Peers that have not noticed the restore still report records that are gone.
 #[test]
 fn record_of_an_earlier_era_does_not_count_as_written() {
