Register again in the era of the last registration, and test restores of any age

Cause: a starting daemon took the era at the end of its start for that of its registration. If the table was restored in between, the daemon's record was gone and never written again, so daemons that started later did not know of it. Found by a new test with a registration that is answered, and lost before the records are read.

Change: the era of the registration is that of its answer or of the read that finds it. The stand-in's table answers no call that was in progress when it was restored: it is away for a moment.

--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -69,6 +69,7 @@
         shared: shared.clone(),
         client: TableClient::open(shared.settings.table, shared.table_era.clone()),
         era: 0,
+        registered_era: 0,
         is_registered: false,
         registered_at: shared.now(),
         registration_due: None,
@@ -110,8 +111,10 @@
 struct RecordWriter {
     shared: Arc<Shared>,
     client: TableClient,
-    /// The table's era in which this daemon's records were written.
+    /// The table's era of the known records.
     era: TableEra,
+    /// The table's era in which this daemon was registered last.
+    registered_era: TableEra,
     /// Whether the last read of the records found this daemon's.
     is_registered: bool,
     registered_at: Instant,
@@ -145,9 +148,8 @@
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        self.compare_with_peers().await;
-        self.era = self.shared.table_era.current();
         self.registered_at = self.shared.now();
+        self.compare_with_peers().await;
         self.shared.set_joined();
         self.shared.urgent_heartbeat.notify_one();
     }
@@ -174,17 +176,21 @@
     /// the table was restored may be older than the last one.
     fn follow_era(&mut self) {
         let era = self.shared.table_era.current();
-        if era == self.era {
+        if self.era < era {
+            self.era = era;
+            self.recorded.clear();
+            self.pending_since.clear();
+        }
+        if self.registered_era == era || self.registration_due.is_some() {
             return;
         }
-        self.era = era;
-        self.recorded.clear();
-        self.pending_since.clear();
         let now = self.shared.now();
-        if now.saturating_duration_since(self.registered_at) <= MAX_COPY_AGE {
-            let delay = MAX_REGISTRATION_DELAY.mul_f64(rand::random());
-            self.registration_due = Some(now + delay);
+        if now.saturating_duration_since(self.registered_at) > MAX_COPY_AGE {
+            self.registered_era = era;
+            return;
         }
+        let delay = MAX_REGISTRATION_DELAY.mul_f64(rand::random());
+        self.registration_due = Some(now + delay);
     }
 
     /// Registers this daemon again if that is due.
@@ -211,7 +217,14 @@
         let write = Transaction::default().put(TABLE, &row);
         let result = self.client.transact(&write, CALL_TIMEOUT).await;
         record_call("name_daemon", &result);
-        result.is_ok()
+        match result {
+            Ok(TransactionOutcome::Written(version)) => {
+                self.registered_era = version.era;
+                self.registered_at = self.shared.now();
+                true
+            }
+            Ok(TransactionOutcome::ConditionFailed) | Err(_) => false,
+        }
     }
 
     async fn read_records(&mut self) -> bool {
@@ -227,12 +240,16 @@
     fn apply_rows(&mut self, rows: &Rows) {
         let now = self.shared.now();
         self.clock = Some((rows.now, now));
+        self.era = rows.version.era;
         for row in &rows.rows {
             if let Some(name) = row.key.strip_prefix(DAEMON_PREFIX) {
                 let record = decode::<DaemonRecord>(row);
                 if name == self.shared.me.name {
                     let own = self.shared.settings.peer_address();
                     self.is_registered = record.is_some_and(|record| record.address == own);
+                    if self.is_registered {
+                        self.registered_era = rows.version.era;
+                    }
                 } else if let Some(record) = record {
                     self.shared
                         .dispatcher()
--- a/stand-in/src/gateway/table.rs
+++ b/stand-in/src/gateway/table.rs
@@ -25,6 +25,8 @@
     Silent,
     /// Calls for changes are accepted and never answered; others are answered.
     SilentFeeds,
+    /// Full reads are accepted and never answered; others are answered.
+    SilentReads,
     /// Calls are refused with status 429.
     Busy,
     /// Calls are executed and their connection is closed without a response.
@@ -191,14 +193,16 @@
         match fault {
             Fault::Silent => std::future::pending().await,
             Fault::SilentFeeds if req.uri().path() == "/rows-feed" => std::future::pending().await,
+            Fault::SilentReads if req.uri().path() == "/rows-get" => std::future::pending().await,
             Fault::Busy => {
                 let response = reply(StatusCode::TOO_MANY_REQUESTS, &json!({}));
                 return Some(self.with_era(response));
             }
-            Fault::None | Fault::SilentFeeds | Fault::LostAnswers => {}
+            Fault::None | Fault::SilentFeeds | Fault::SilentReads | Fault::LostAnswers => {}
         }
         let query = query(req.uri().query().unwrap_or_default());
         let path = req.uri().path().to_owned();
+        let restores = self.state().restores;
         let response = match (req.method().clone(), path.as_str()) {
             (Method::GET, "/rows-get") => self.read(&query),
             (Method::GET, "/rows-feed") => self.feed(&query).await,
@@ -208,7 +212,10 @@
             }
             _ => reply(StatusCode::NOT_FOUND, &json!({})),
         };
-        (fault != Fault::LostAnswers).then_some(self.with_era(response))
+        let response = self.with_era(response);
+        // The table is away while it is restored, so calls in progress get no answer.
+        let was_restored = self.state().restores != restores;
+        (fault != Fault::LostAnswers && !was_restored).then_some(response)
     }
 
     fn with_era(&self, mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -92,7 +92,15 @@
 
     /// The same, after the settings of each gateway have been changed.
     pub(crate) async fn spawn_with(gateways: usize, change: impl Fn(usize, &mut Value)) -> Self {
-        let table = FakeTable::spawn().await;
+        Self::spawn_at(FakeTable::spawn().await, gateways, change).await
+    }
+
+    /// The same with a table that is already running.
+    pub(crate) async fn spawn_at(
+        table: FakeTable,
+        gateways: usize,
+        change: impl Fn(usize, &mut Value),
+    ) -> Self {
         let mut upstreams = Vec::new();
         for (id, service) in [
             ("e1", "pool"),
@@ -126,7 +134,8 @@
         self.start_gateway_with(|_| {});
     }
 
-    fn start_gateway_with(&mut self, change: impl FnOnce(&mut Value)) {
+    /// The same, after its settings have been changed.
+    pub(crate) fn start_gateway_with(&mut self, change: impl FnOnce(&mut Value)) {
         let number = u8::try_from(self.gateways.len() + 1).expect("few gateways");
         let ip = loopback(self.number, number);
         let mut settings = settings(&format!("front-{number}"), ip, self.table.address());
--- a/tests/gateway/table_restore.rs
+++ b/tests/gateway/table_restore.rs
@@ -3,8 +3,14 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use serde_json::json;
-use stand_in::gateway::{caller, deployment::configuration};
+use serde_json::{Value, json};
+use soak::proxy::{LinkState, Proxy};
+use stand_in::gateway::{
+    caller,
+    deployment::configuration,
+    table::{FakeTable, Fault, TableCopy},
+    upstream::FakeUpstream,
+};
 
 use crate::harness::{Call, Harness, plain, wait_until};
 
@@ -32,10 +38,11 @@
     tokio::time::sleep(SETTLE_TIME).await;
     let calls = harness.table.calls() - before;
     assert!(calls <= MAX_CALLS, "{calls} calls");
-    for daemon in daemons {
+    for (daemon, gateway) in daemons.iter().zip(&harness.gateways) {
         assert!(
             harness.table.get("hibiscusyoke", daemon).is_some(),
-            "{daemon}"
+            "{daemon}: {}",
+            gateway.log()
         );
     }
     let log = harness.gateways[0].log();
@@ -99,3 +106,122 @@
     // It is not ordered again, so it ends.
     wait_until(|| async { !is_refused().await }).await;
 }
+
+/// Whatever the age of the copy, a revoked key, an evacuation and a drain stay in force until operators
+/// and upstreams have written them again, also at a daemon that cannot reach the table.
+#[tokio::test(flavor = "multi_thread")]
+async fn restore_1_s_back_keeps_what_is_in_force() {
+    check_restore(Duration::from_secs(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restore_3_s_back_keeps_what_is_in_force() {
+    check_restore(Duration::from_secs(3)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restore_8_s_back_keeps_what_is_in_force() {
+    check_restore(Duration::from_secs(8)).await;
+}
+
+async fn check_restore(copy_age: Duration) {
+    let table = FakeTable::spawn().await;
+    let proxy = Proxy::bind(table.address()).await.expect("a free port");
+    let harness = Harness::spawn_at(table, 2, |n, settings| {
+        if n == 1 {
+            settings["table"] = json!(proxy.address());
+        }
+    })
+    .await;
+    let p2 = harness.plain_upstreams()[1];
+    harness.table.put("servers", "p2", &row_of(p2, "ready", 1));
+    let copy = harness.table.copy();
+    let write = |sequence: u64| {
+        harness
+            .table
+            .put("servers", "p2", &row_of(p2, "draining", sequence));
+        harness
+            .table
+            .put("op", "config", &configuration(2, &["k2"]));
+        harness.table.put("op", "evacuate/b", &json!({}));
+    };
+    write(2);
+    let written_at = tokio::time::Instant::now();
+    for gateway in &harness.gateways {
+        for event in ["upstream_draining", "generation=2", "evacuated domain=b"] {
+            wait_until(|| async { gateway.log().contains(event) }).await;
+        }
+    }
+    let runs = p2.runs().len();
+    tokio::time::sleep_until(written_at + copy_age).await;
+    proxy.set(LinkState::Silent);
+    let calls = harness.table.calls();
+    harness.table.restore(&copy);
+    for gateway in &harness.gateways {
+        wait_until(|| async { gateway.log().contains("event=table_restored era=2") }).await;
+    }
+    check_in_force(&harness).await;
+    write(3);
+    check_in_force(&harness).await;
+    proxy.set(LinkState::Open);
+    tokio::time::sleep(SETTLE_TIME).await;
+    check_in_force(&harness).await;
+    assert_eq!(p2.runs().len(), runs, "the drained upstream ran requests");
+    let calls = harness.table.calls() - calls;
+    assert!(calls <= MAX_CALLS, "{calls} calls");
+}
+
+/// Checks what callers see of the changes that were made after the copy.
+async fn check_in_force(harness: &Harness) {
+    for (n, gateway) in harness.gateways.iter().enumerate() {
+        for m in 0..4 {
+            for (key, status) in [("k1", StatusCode::UNAUTHORIZED), ("k2", StatusCode::OK)] {
+                let reply = gateway.call(&look(&format!("{key}-{n}-{m}"), key)).await;
+                assert_eq!(reply.status, status, "{key} at gateway {n}");
+            }
+        }
+        assert!(!gateway.log().contains("restored domain=b"), "gateway {n}");
+    }
+}
+
+fn row_of(upstream: &FakeUpstream, state: &str, sequence: u64) -> Value {
+    let mut row = upstream.row("desk", "v1");
+    row["state"] = json!(state);
+    row["sequence"] = json!(sequence);
+    row
+}
+
+/// Starts a second gateway whose registration meets a fault; returns the table's copy from before.
+async fn start_during(harness: &mut Harness, fault: Fault) -> TableCopy {
+    let copy = harness.table.copy();
+    harness.table.set_fault(fault);
+    // It registers before it reads the records.
+    harness.start_gateway_with(|settings| settings["bootstrap"] = json!(true));
+    let registered = || async {
+        harness
+            .table
+            .get("hibiscusyoke", "daemon/front-2")
+            .is_some()
+    };
+    wait_until(registered).await;
+    copy
+}
+
+/// A registration is lost with the table's state, before or after it was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn registration_that_a_restore_lost_is_written_again() {
+    for fault in [Fault::LostAnswers, Fault::SilentReads] {
+        let mut harness = Harness::spawn(1).await;
+        let copy = start_during(&mut harness, fault).await;
+        harness.table.restore(&copy);
+        harness.table.set_fault(Fault::None);
+        wait_until(|| async { harness.gateways[1].is_ready().await }).await;
+        let registered = || async {
+            harness
+                .table
+                .get("hibiscusyoke", "daemon/front-2")
+                .is_some()
+        };
+        wait_until(registered).await;
+    }
+}
