Count starting daemons that have the tables as pollers

Cause: only ready daemons counted as pollers, so while a whole fleet starts each daemon polled both tables until it heard of a ready one.

Change: a starting daemon that has both tables counts as well.

--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -229,7 +229,7 @@
         let others = self
             .peers
             .responsive(now)
-            .filter(|peer| peer.last_heartbeat.readiness == Readiness::Ready)
+            .filter(|peer| peer.last_heartbeat.can_poll())
             .map(|peer| PollingCandidate {
                 name: &peer.last_heartbeat.from.name,
                 domain: &peer.last_heartbeat.domain,
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -151,6 +151,23 @@
     pub leaving: Vec<LeavingReport>,
 }
 
+impl Heartbeat {
+    /// Returns whether its sender can follow the table for others.
+    ///
+    /// Load pattern: the whole fleet starts at once, and no daemon is ready. Those that have the tables
+    /// count, or all daemons would poll until the first are ready.
+    pub fn can_poll(&self) -> bool {
+        let unknown = RowVersion::default();
+        match self.readiness {
+            Readiness::Ready => true,
+            Readiness::Starting => {
+                self.newest_order_version != unknown && self.newest_upstream_version != unknown
+            }
+            Readiness::Leaving => false,
+        }
+    }
+}
+
 /// How often one daemon saw a request crash an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashCount {
--- a/tests/dispatch/polling.rs
+++ b/tests/dispatch/polling.rs
@@ -1,7 +1,15 @@
 //! Tests of which daemons of a large fleet poll the table.
 
+use std::time::Instant;
+
 use compact_str::CompactString;
-use hibiscusyoke::coordination::dispatch::polling::{PollingCandidate, PollingRole, polling_role};
+use hibiscusyoke::coordination::dispatch::{
+    peers::{Heartbeat, Readiness, TableState},
+    polling::{PollingCandidate, PollingRole, polling_role},
+};
+use platform::RowVersion;
+
+use crate::support::{address, dispatcher, heartbeat, version_of};
 
 struct Daemon {
     name: CompactString,
@@ -93,3 +101,33 @@
     assert_eq!(count(&polling_roles, PollingRole::Poll), 3);
     assert_eq!(count(&polling_roles, PollingRole::Retry), 82);
 }
+
+/// No daemon is ready while the whole fleet starts; each polled until others were.
+#[test]
+fn daemons_with_the_tables_poll_before_they_are_ready() {
+    let now = Instant::now();
+    for (readiness, orders, upstreams, wanted) in [
+        (Readiness::Starting, 7, 3, PollingRole::Listen),
+        (Readiness::Starting, 7, 0, PollingRole::Poll),
+        (Readiness::Starting, 0, 3, PollingRole::Poll),
+        (Readiness::Leaving, 7, 3, PollingRole::Poll),
+        (Readiness::Ready, 7, 3, PollingRole::Listen),
+    ] {
+        let mut dispatcher = dispatcher();
+        let version = |number| match number {
+            0 => RowVersion::default(),
+            number => version_of(number),
+        };
+        for n in 2..200 {
+            let report = Heartbeat {
+                readiness,
+                newest_order_version: version(orders),
+                newest_upstream_version: version(upstreams),
+                ..heartbeat(&format!("front-{n}"), TableState::NotPolled)
+            };
+            dispatcher.receive_heartbeat(report, address(2), now);
+        }
+        let role = dispatcher.polling_role(now);
+        assert_eq!(role, wanted, "{readiness:?} {orders} {upstreams}");
+    }
+}
