Let requests wait for the tables right after a daemon's start

Cause: callers connect as soon as a restarted daemon listens, and it has the tables only about 0.1 s later.

Change: a request that arrives within 0.5 s of the start waits for the tables to that moment at most, and is refused then as before.

--- a/src/gateway/followed_table.rs
+++ b/src/gateway/followed_table.rs
@@ -72,11 +72,14 @@
             }
             shared.urgent_heartbeat.notify_one();
         }
-        let mut dispatcher = shared.dispatcher();
-        match self {
-            Self::Orders => dispatcher.orders.merge(&changes),
-            Self::Upstreams => dispatcher.upstreams.merge(&changes),
+        {
+            let mut dispatcher = shared.dispatcher();
+            match self {
+                Self::Orders => dispatcher.orders.merge(&changes),
+                Self::Upstreams => dispatcher.upstreams.merge(&changes),
+            }
         }
+        shared.update_has_tables();
         count
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -49,6 +49,7 @@
 pub async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let arrived_at = shared.now();
     let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
+    shared.await_tables().await;
     let call = match Call::read(&shared, req).await {
         Ok(call) => call,
         Err(reason) => {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,7 +10,10 @@
 };
 
 use platform::{EraTracker, RowVersion};
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 use crate::{
     clock::SharedClock,
@@ -22,6 +25,10 @@
     gateway::{drain::Drain, settings::Settings},
 };
 
+/// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
+/// from a peer at once.
+const STARTUP_TIME: Duration = Duration::from_millis(500);
+
 /// State shared by the tasks of one gateway.
 pub struct Shared {
     /// The settings that the process started with.
@@ -33,7 +40,7 @@
     /// Notified when a heartbeat should be sent without waiting for the next period.
     pub urgent_heartbeat: Notify,
     /// Newest table version reported by any peer; listening followers wake when it increases.
-    pub newest_peer_version: tokio::sync::watch::Sender<RowVersion>,
+    pub newest_peer_version: watch::Sender<RowVersion>,
     /// The table's newest known era.
     pub table_era: EraTracker,
     /// What is accepted and waited for during shutdown.
@@ -41,6 +48,9 @@
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
+    started_at: Instant,
+    /// Whether this daemon has a configuration and a list of upstreams.
+    has_tables: watch::Sender<bool>,
     knows_peers: AtomicBool,
     joined: AtomicBool,
     leaving: AtomicBool,
@@ -60,11 +70,13 @@
         let dispatcher =
             Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
         Self {
+            started_at: clock.now(),
+            has_tables: watch::Sender::new(false),
             settings,
             me,
             clock,
             urgent_heartbeat: Notify::new(),
-            newest_peer_version: tokio::sync::watch::Sender::new(RowVersion::default()),
+            newest_peer_version: watch::Sender::new(RowVersion::default()),
             table_era: EraTracker::default(),
             drain: Drain::default(),
             peer_socket,
@@ -98,6 +110,29 @@
         self.clock.now()
     }
 
+    /// Records whether the rows read so far contain a configuration and a list of upstreams.
+    pub fn update_has_tables(&self) {
+        let has_tables = {
+            let dispatcher = self.dispatcher();
+            dispatcher.routes().is_some() && dispatcher.registry.is_loaded()
+        };
+        if has_tables {
+            self.has_tables.send_replace(true);
+        }
+    }
+
+    /// Waits until the tables are known if this daemon has just started.
+    ///
+    /// Load pattern: all daemons restart at once, and callers connect as soon as they listen. Waiting
+    /// for some 100 ms is better for them than a refusal.
+    pub async fn await_tables(&self) {
+        let age = self.now().saturating_duration_since(self.started_at);
+        let time_left = STARTUP_TIME.saturating_sub(age);
+        let mut has_tables = self.has_tables.subscribe();
+        // The request is refused if they are still unknown.
+        let _ = tokio::time::timeout(time_left, has_tables.wait_for(|known| *known)).await;
+    }
+
     /// Passes the table's newest known era to the dispatcher.
     pub fn enter_table_era(&self) {
         let era = self.table_era.current();
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -11,7 +11,7 @@
     upstream::{EVENTS_PER_STREAM, runs_by_id},
 };
 
-use crate::harness::{Gateway, Harness, plain, stream, wait_until};
+use crate::harness::{Gateway, Harness, open, plain, stream, wait_until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_kind_of_request_is_served_by_two_gateways() {
@@ -221,3 +221,46 @@
         after - before
     );
 }
+
+/// Callers connect as soon as a restarted gateway listens, before it has read the tables.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_to_a_gateway_that_just_started_waits_for_the_tables() {
+    let mut harness = Harness::spawn(1).await;
+    harness.gateways[0].signal("KILL");
+    assert!(!harness.gateways[0].wait_for_exit().await);
+    harness.restart_gateway(0);
+    let address = harness.gateways[0].caller_address();
+    let look = plain("l1", Method::GET, "/look/1");
+    let response = loop {
+        if let Some(response) = open(address, &look).await {
+            break response;
+        }
+    };
+    assert_eq!(response.status(), StatusCode::OK);
+}
+
+/// If the tables cannot be read, requests wait only right after the start.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_without_tables_is_refused_soon_after_the_start() {
+    const MAX_WAIT: Duration = Duration::from_secs(1);
+    const MAX_LATER_WAIT: Duration = Duration::from_millis(200);
+    let mut harness = Harness::spawn(1).await;
+    harness.table.set_fault(Fault::Silent);
+    harness.gateways[0].signal("KILL");
+    assert!(!harness.gateways[0].wait_for_exit().await);
+    harness.restart_gateway(0);
+    let address = harness.gateways[0].caller_address();
+    let look = plain("l1", Method::GET, "/look/1");
+    for max_wait in [MAX_WAIT, MAX_LATER_WAIT] {
+        let (sent_at, response) = loop {
+            let sent_at = Instant::now();
+            if let Some(response) = open(address, &look).await {
+                break (sent_at, response);
+            }
+        };
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers().contains_key("retry-after"));
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < max_wait, "{elapsed:?}");
+    }
+}
