Build no datagram without a receiver

Cause: a part of a small fleet may be empty; its heartbeat was encoded for nobody. Seen when the diff was read. No measured effect is claimed.

--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -84,10 +84,8 @@
 fn send_to_fleet(shared: &Shared, fanout: &Fanout) {
     let max_session_age = shared.dispatcher().peers.heartbeat_period() * REPORTS_OF_SESSION;
     let heartbeat = heartbeat(shared, max_session_age.max(MIN_SESSION_AGE));
-    if !fanout.forwarders.is_empty() {
-        let datagram = Datagram::HeartbeatToForward(heartbeat.clone());
-        send(shared, &datagram, &fanout.forwarders);
-    }
+    let to_forward = Datagram::HeartbeatToForward(heartbeat.clone());
+    send(shared, &to_forward, &fanout.forwarders);
     send(shared, &Datagram::Heartbeat(heartbeat), &fanout.direct);
 }
 
@@ -170,6 +168,9 @@
 }
 
 fn send(shared: &Shared, datagram: &Datagram, addresses: &[SocketAddr]) {
+    if addresses.is_empty() {
+        return;
+    }
     let kind = datagram.kind();
     let datagram = match codec::encode(datagram) {
         Ok(datagram) => datagram,
