--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -296,7 +296,7 @@
         };
         self.merge_rollout_status(known, now);
         if let Some(rollout) = self.rollouts.get_mut(&report.service)
-            && rollout.is_of(report.order)
+            && rollout.has_order(report.order)
         {
             rollout.add_sticky_sessions(report.sticky_sessions.iter().copied(), now);
             rollout.merge(peer.clone(), report.evidence.clone());
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -63,7 +63,7 @@
         }
         if let (Some(arm), Some(rollout)) =
             (assignment.arm, self.rollouts.get_mut(&assignment.service))
-            && rollout.is_of(assignment.order)
+            && rollout.has_order(assignment.order)
             && assignment.settled
         {
             rollout.record_first_event(arm, assignment.route, assignment.prefill_time, took);
@@ -107,7 +107,7 @@
         }
         if let (Some(arm), Some(rollout)) =
             (assignment.arm, self.rollouts.get_mut(&assignment.service))
-            && rollout.is_of(assignment.order)
+            && rollout.has_order(assignment.order)
         {
             rollout.track_running(arm, false);
             if outcome == AttemptOutcome::Abandoned
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns whether a row version is one of this rollout's order.
-    pub fn is_of(&self, order: RowVersion) -> bool {
+    pub fn has_order(&self, order: RowVersion) -> bool {
         self.orders.contains(&order)
     }
 
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -55,7 +55,7 @@
 impl EarlyStatus {
     /// Applies the status to the rollout if it is of the same order.
     pub(super) fn apply(&self, rollout: &mut Rollout) {
-        if rollout.is_of(self.known.order) {
+        if rollout.has_order(self.known.order) {
             rollout.adopt(&self.known, self.known_at);
         }
     }
@@ -80,7 +80,7 @@
             return;
         }
         if let Some(rollout) = self.rollouts.get_mut(&assignment.service)
-            && rollout.is_of(assignment.order)
+            && rollout.has_order(assignment.order)
         {
             rollout.record_answer(arm, assignment.route, quality == Quality::Failed);
         }
@@ -90,7 +90,7 @@
     pub fn record_pace(&mut self, assignment: &Assignment, per_event: Duration, now: Instant) {
         let Some(arm) = assignment.arm else { return };
         if let Some(rollout) = self.rollouts.get_mut(&assignment.service)
-            && rollout.is_of(assignment.order)
+            && rollout.has_order(assignment.order)
             && assignment.settled
         {
             rollout.record_pace(arm, per_event, now);
@@ -116,7 +116,7 @@
         let resolved: Vec<BrokenConnection> = resolved;
         for broken in resolved {
             if let Some(rollout) = self.rollouts.get_mut(&broken.service)
-                && rollout.is_of(broken.order)
+                && rollout.has_order(broken.order)
             {
                 rollout.record_answer(broken.arm, broken.route, true);
             }
@@ -153,7 +153,7 @@
     /// Merges the state of a rollout that the table or a peer knows of.
     pub fn merge_rollout_status(&mut self, known: RolloutStatus, now: Instant) {
         match self.rollouts.get_mut(&known.service) {
-            Some(rollout) if rollout.is_of(known.order) => rollout.adopt(&known, now),
+            Some(rollout) if rollout.has_order(known.order) => rollout.adopt(&known, now),
             Some(rollout) if rollout.order() > known.order => {}
             // The order is read later; it must not start the rollout again.
             _ => {
