Compare announcements of leaving with runs of the same incarnation in the soak

Two such faults overlapped: the end of the first restarted the upstream, which then served as another incarnation (born 2, joined at 30.82 s of the log), while the time of the second went on; the request was sent to that incarnation at 32.34 s. The daemon was right to send it.

Change: the stand-in records the number of restarts with each run, and the check is made for each incarnation by itself.

--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -1,7 +1,7 @@
 //! Invariants for callers and upstreams, checked against what these observed.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -162,8 +162,9 @@
     violations
 }
 
-/// Checks that no gateway sent requests to an upstream after it had passed on a response in which the
-/// upstream announced that it leaves. Only a restart or a pause of the gateway excuses them.
+/// Checks that no gateway sent requests to an incarnation of an upstream after it had passed on a response
+/// in which that incarnation announced that it leaves. Only a restart or a pause of the gateway excuses
+/// them. Overlapping faults may restart an upstream before the time of one of them has ended.
 fn check_left(deployment: &Deployment, records: &[RequestRecord]) -> Vec<Violation> {
     let by_id: HashMap<&str, &RequestRecord> = records
         .iter()
@@ -182,19 +183,23 @@
                 .filter_map(|run| Some((run, *by_id.get(run.id.as_str())?)))
                 .filter(|(_, record)| record.gateway == gateway)
                 .collect();
-            let told = sent
-                .iter()
-                .filter(|(run, record)| run.announced_leaving && record.outcome.is_served());
-            let Some(announced_at) = told.map(|(_, record)| record.ended_at()).min() else {
-                continue;
-            };
-            let disrupted = |until: Instant| {
+            let mut announced: BTreeMap<u64, Instant> = BTreeMap::new();
+            for (run, record) in &sent {
+                if run.announced_leaving && record.outcome.is_served() {
+                    let ended_at = record.ended_at();
+                    let at = announced.entry(run.restarts).or_insert(ended_at);
+                    *at = ended_at.min(*at);
+                }
+            }
+            let disrupted = |from: Instant, until: Instant| {
                 let mut disruptions = deployment.fleet.disruptions(gateway).iter();
-                disruptions.any(|other| other.to >= announced_at && other.from <= until)
+                disruptions.any(|other| other.to >= from && other.from <= until)
             };
-            let late = sent.iter().filter(|(_, record)| {
-                record.sent_at > announced_at + DRAIN_PROPAGATION_TIME
-                    && !disrupted(record.ended_at())
+            let late = sent.iter().filter(|(run, record)| {
+                announced.get(&run.restarts).is_some_and(|announced_at| {
+                    record.sent_at > *announced_at + DRAIN_PROPAGATION_TIME
+                        && !disrupted(*announced_at, record.ended_at())
+                })
             });
             violations.extend(
                 late.map(|(_, record)| Violation::RanOnLeaving(record.id.clone(), *index, gateway)),
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -66,6 +66,8 @@
     pub executed_at: Instant,
     /// Whether the response announced that the upstream leaves.
     pub announced_leaving: bool,
+    /// Number of restarts of the upstream before.
+    pub restarts: u64,
 }
 
 #[derive(Debug, Default)]
@@ -184,13 +186,18 @@
         }
         let body = body.collect().await.ok()?.to_bytes();
         let headers = parts.headers.clone();
-        self.state().runs.push(Run {
-            id: id.clone(),
-            headers,
-            body,
-            executed_at: Instant::now(),
-            announced_leaving: behaviour == Behaviour::Leave,
-        });
+        {
+            let mut state = self.state();
+            let restarts = state.restarts;
+            state.runs.push(Run {
+                id: id.clone(),
+                headers,
+                body,
+                executed_at: Instant::now(),
+                announced_leaving: behaviour == Behaviour::Leave,
+                restarts,
+            });
+        }
         let _in_flight = InFlightGuard::begin(&self.in_flight);
         match behaviour {
             Behaviour::Break => return None,
