Forget the records of an earlier era when a read shows a newer one

Cause, found when the diff was read: a read of the daemons' records set the era that they belong to. If a conflict led to that read right after a restore, before the era was followed, the known records of the era before stayed, and a decision that the restore had lost counted as recorded.

Change: the read forgets them as following the era does.

--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -172,15 +172,11 @@
         is_alone || (dispatcher.generation() > 0 && dispatcher.peers.live(now).next().is_some())
     }
 
-    /// Forgets the records of an earlier era, and schedules another registration if the copy from which
-    /// the table was restored may be older than the last one.
+    /// Follows the table to its newest era, and schedules another registration if the copy from which the
+    /// table was restored may be older than the last one.
     fn follow_era(&mut self) {
         let era = self.shared.table_era.current();
-        if self.era < era {
-            self.era = era;
-            self.recorded.clear();
-            self.pending_since.clear();
-        }
+        self.enter_era(era);
         if self.registered_era == era || self.registration_due.is_some() {
             return;
         }
@@ -193,6 +189,15 @@
         self.registration_due = Some(now + delay);
     }
 
+    /// Forgets the records of the eras before this one.
+    fn enter_era(&mut self, era: TableEra) {
+        if self.era < era {
+            self.era = era;
+            self.recorded.clear();
+            self.pending_since.clear();
+        }
+    }
+
     /// Registers this daemon again if that is due.
     async fn register_if_due(&mut self) {
         let now = self.shared.now();
@@ -240,7 +245,7 @@
     fn apply_rows(&mut self, rows: &Rows) {
         let now = self.shared.now();
         self.clock = Some((rows.now, now));
-        self.era = rows.version.era;
+        self.enter_era(rows.version.era);
         for row in &rows.rows {
             if let Some(name) = row.key.strip_prefix(DAEMON_PREFIX) {
                 let record = decode::<DaemonRecord>(row);
