End open polls of the stand-in's table at once when it is restored

Change: a poll ends as soon as the table is restored, as when the table is away for a moment. The check and its 5 s stay.

--- a/stand-in/src/gateway/table.rs
+++ b/stand-in/src/gateway/table.rs
@@ -253,10 +253,12 @@
         let wait = Duration::from_millis(query["wait_ms"].parse().expect("milliseconds"));
         let until = tokio::time::Instant::now() + wait;
         let mut changed = self.changed.subscribe();
+        let restores = self.state().restores;
         loop {
             {
                 let state = self.state();
-                if after < state.oldest_version || after > state.version {
+                let was_restored = state.restores != restores;
+                if was_restored || after < state.oldest_version || after > state.version {
                     return reply(StatusCode::GONE, &json!({}));
                 }
                 let rows = rows(&state, &query["table"], after);
