--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -172,12 +172,8 @@
 
     async fn answer(&self, req: Request<Incoming>) -> Option<Response<Body>> {
         let (parts, body) = req.into_parts();
-        let text = |name: &str| {
-            let value = parts.headers.get(name).and_then(|v| v.to_str().ok());
-            value.unwrap_or_default().to_owned()
-        };
-        let id = text("request-id");
-        if text("expect-instance") != self.id {
+        let id = header_text(&parts.headers, "request-id");
+        if header_text(&parts.headers, "expect-instance") != self.id {
             return Some(full_response(StatusCode::MISDIRECTED_REQUEST, &id, None));
         }
         let behaviour = self.record_arrival();
@@ -237,10 +233,6 @@
         id: &str,
         behaviour: Behaviour,
     ) -> Response<Body> {
-        let text = |name: &str| {
-            let value = parts.headers.get(name).and_then(|v| v.to_str().ok());
-            value.unwrap_or_default().to_owned()
-        };
         if !parts.uri.path().starts_with("/ask/") {
             return full_response(StatusCode::OK, id, Some("s"));
         }
@@ -248,10 +240,12 @@
             Behaviour::BreakAfter(events) => Some(events),
             _ => None,
         };
-        let after = text("last-event-id").parse().unwrap_or(0);
+        let after = header_text(&parts.headers, "last-event-id")
+            .parse()
+            .unwrap_or(0);
         self.events(
             id,
-            &text("model"),
+            &header_text(&parts.headers, "model"),
             parts.uri.path().contains("hard"),
             after,
             last,
@@ -318,6 +312,12 @@
     }
 }
 
+/// Returns the text of a header; empty if it is missing.
+fn header_text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
 /// Returns the refusal of an upstream that refuses requests, as one that did not execute the request.
 fn refusal(behaviour: Behaviour, id: &str) -> Option<Response<Body>> {
     let pause = match behaviour {
