--- a/tests/gateway/table_restore.rs
+++ b/tests/gateway/table_restore.rs
@@ -197,16 +197,15 @@
     harness.table.set_fault(fault);
     // It registers before it reads the records.
     harness.start_gateway_with(|settings| settings["bootstrap"] = json!(true));
-    let registered = || async {
-        harness
-            .table
-            .get("hibiscusyoke", "daemon/front-2")
-            .is_some()
-    };
-    wait_until(registered).await;
+    wait_until_registered(harness).await;
     copy
 }
 
+async fn wait_until_registered(harness: &Harness) {
+    let table = &harness.table;
+    wait_until(|| async { table.get("hibiscusyoke", "daemon/front-2").is_some() }).await;
+}
+
 /// A registration is lost with the table's state, before or after it was answered.
 #[tokio::test(flavor = "multi_thread")]
 async fn registration_that_a_restore_lost_is_written_again() {
@@ -216,12 +215,6 @@
         harness.table.restore(&copy);
         harness.table.set_fault(Fault::None);
         wait_until(|| async { harness.gateways[1].is_ready().await }).await;
-        let registered = || async {
-            harness
-                .table
-                .get("hibiscusyoke", "daemon/front-2")
-                .is_some()
-        };
-        wait_until(registered).await;
+        wait_until_registered(&harness).await;
     }
 }
