Keep one fact once in the follower and the records, and copy rows less

The era of the registration and whether the daemon is registered are one optional era now; a local flag of the start goes. Changes are copied only if rows are carried over, not with each change; the comparison of a full read does not sort rows of a partial one. The drain's state is locked as elsewhere in the project.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -5,7 +5,7 @@
 //! no daemon although all still run.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     time::{Duration, Instant},
 };
 
@@ -35,28 +35,26 @@
     /// Marks a request as in progress.
     pub fn start_work(&self) -> WorkGuard {
         WorkGuard {
-            _generation: self.with_state(|state| state.generation.clone()),
+            _generation: self.state().generation.clone(),
         }
     }
 
     /// Begins draining: from now on only requests that end before `deadline` are accepted.
     pub fn begin(&self, deadline: Instant) -> EarlierWork {
-        self.with_state(|state| {
-            state.deadline = Some(deadline);
-            let earlier = std::mem::take(&mut state.generation);
-            EarlierWork(Arc::downgrade(&earlier))
-        })
+        let mut state = self.state();
+        state.deadline = Some(deadline);
+        let earlier = std::mem::take(&mut state.generation);
+        EarlierWork(Arc::downgrade(&earlier))
     }
 
     /// Returns the time that a new request may take; `None` if the daemon is not draining.
     pub fn time_left(&self, now: Instant) -> Option<Duration> {
-        let deadline = self.with_state(|state| state.deadline)?;
+        let deadline = self.state().deadline?;
         Some(deadline.saturating_duration_since(now))
     }
 
-    fn with_state<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        f(&mut state)
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/gateway/followed_table.rs
+++ b/src/gateway/followed_table.rs
@@ -1,6 +1,6 @@
 //! The tables that daemons follow, and how their changes take effect.
 
-use std::collections::BTreeSet;
+use std::{borrow::Cow, collections::BTreeSet};
 
 use platform::{
     orders::{self, Order},
@@ -64,7 +64,10 @@
                 self.table()
             );
         }
-        let changes = changes.with_rows(carried);
+        let changes = match carried.is_empty() {
+            true => Cow::Borrowed(changes),
+            false => Cow::Owned(changes.with_rows(carried)),
+        };
         if changes.full || !changes.rows.is_empty() {
             match self {
                 Self::Orders => apply_orders(shared, &changes),
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -69,8 +69,7 @@
         shared: shared.clone(),
         client: TableClient::open(shared.settings.table, shared.table_era.clone()),
         era: 0,
-        registered_era: 0,
-        is_registered: false,
+        registered_in: None,
         registered_at: shared.now(),
         registration_due: None,
         recorded: HashMap::new(),
@@ -113,10 +112,8 @@
     client: TableClient,
     /// The table's era of the known records.
     era: TableEra,
-    /// The table's era in which this daemon was registered last.
-    registered_era: TableEra,
-    /// Whether the last read of the records found this daemon's.
-    is_registered: bool,
+    /// The table's era in which this daemon was last known to be registered.
+    registered_in: Option<TableEra>,
     registered_at: Instant,
     /// When this daemon must register again.
     registration_due: Option<Instant>,
@@ -133,14 +130,14 @@
     /// A daemon registers before the read that it relies on, so that of two daemons that start at the
     /// same time at least one learns of the other. A restarted daemon finds its record.
     async fn join(&mut self) {
-        let mut registered = false;
         let mut may_be_registered = !self.shared.settings.bootstrap;
         loop {
-            if !registered && !may_be_registered {
-                registered = self.register_daemon().await;
+            if self.registered_in.is_none() && !may_be_registered {
+                self.register_daemon().await;
             }
-            if (registered || may_be_registered) && self.read_records().await {
-                if registered || self.is_registered {
+            let is_registered = self.registered_in.is_some();
+            if (is_registered || may_be_registered) && self.read_records().await {
+                if self.registered_in.is_some() {
                     break;
                 }
                 may_be_registered = false;
@@ -177,12 +174,12 @@
     fn follow_era(&mut self) {
         let era = self.shared.table_era.current();
         self.enter_era(era);
-        if self.registered_era == era || self.registration_due.is_some() {
+        if self.registered_in == Some(era) || self.registration_due.is_some() {
             return;
         }
         let now = self.shared.now();
         if now.saturating_duration_since(self.registered_at) > MAX_COPY_AGE {
-            self.registered_era = era;
+            self.registered_in = Some(era);
             return;
         }
         let delay = MAX_REGISTRATION_DELAY.mul_f64(rand::random());
@@ -224,7 +221,7 @@
         record_call("name_daemon", &result);
         match result {
             Ok(TransactionOutcome::Written(version)) => {
-                self.registered_era = version.era;
+                self.registered_in = Some(version.era);
                 self.registered_at = self.shared.now();
                 true
             }
@@ -251,9 +248,8 @@
                 let record = decode::<DaemonRecord>(row);
                 if name == self.shared.me.name {
                     let own = self.shared.settings.peer_address();
-                    self.is_registered = record.is_some_and(|record| record.address == own);
-                    if self.is_registered {
-                        self.registered_era = rows.version.era;
+                    if record.is_some_and(|record| record.address == own) {
+                        self.registered_in = Some(rows.version.era);
                     }
                 } else if let Some(record) = record {
                     self.shared
--- a/src/state/rows.rs
+++ b/src/state/rows.rs
@@ -73,10 +73,13 @@
     /// full again and again. If each read counted as a change, all daemons would fetch all rows from
     /// the daemon that read last.
     pub fn shows_nothing_new(&self, changes: &RowChanges) -> bool {
+        if !changes.full || self.version == RowVersion::default() {
+            return false;
+        }
         let known = self.rows.values().filter(|row| row.value.is_some());
         let mut read: Vec<&Row> = changes.rows.iter().collect();
         read.sort_by(|a, b| a.key.cmp(&b.key));
-        changes.full && self.version != RowVersion::default() && known.eq(read)
+        known.eq(read)
     }
 
     /// Returns the rows to carry over into a full read: those for which `is_newer(known, read)` holds
