--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -35,13 +35,10 @@
         request: &PlacementRequest<'_>,
         now: Instant,
     ) -> Option<ExpectedStart> {
-        let listed: Vec<&Upstream> = self
-            .registry
-            .of_service(request.service)
-            .filter(|u| u.is_listed(now) && u.health.is_usable(now))
-            .filter(|u| !self.evacuated.contains(&u.domain))
-            .collect();
-        let candidates = self.candidates(request, listed, now);
+        let listed = self
+            .listed(request.service, now)
+            .filter(|u| u.health.is_usable(now));
+        let candidates = self.candidates(request, listed.collect(), now);
         let start = |u: &Upstream| ExpectedStart {
             backlog: self.wait(u, now),
             prefill_time: self.prefill_time(request, u, &candidates, now),
@@ -60,6 +57,17 @@
         delay.and_then(PrefillDelay::average).unwrap_or_default()
     }
 
+    /// Returns the upstreams of a service that accept new work, outside of evacuated domains.
+    pub(super) fn listed<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.registry
+            .of_service(service)
+            .filter(move |u| u.is_listed(now) && !self.evacuated.contains(&u.domain))
+    }
+
     /// Returns the upstreams of `listed` on which a request may be placed.
     pub(super) fn candidates<'a>(
         &self,
@@ -100,8 +108,7 @@
             .collect();
         let can_take = |u: &Upstream| {
             let tried = request.tried.contains(&u.id);
-            let running = u.running + self.peer_load(u).running;
-            !tried && u.health.is_usable(now) && !u.is_cold(now) && running < u.slots
+            !tried && u.health.is_usable(now) && !u.is_cold(now) && self.running(u) < u.slots
         };
         match preferred.iter().any(|u| can_take(u)) {
             true => preferred,
@@ -137,7 +144,12 @@
         upstream.queue.wait(now) + self.peer_load(upstream).overdue
     }
 
-    pub(super) fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
+    /// Returns the requests of all daemons that run on an upstream, as far as known.
+    pub(super) fn running(&self, upstream: &Upstream) -> u32 {
+        upstream.running + self.peer_load(upstream).running
+    }
+
+    fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
         let load = self.peer_loads.get(&upstream.hash);
         load.copied().unwrap_or_default()
     }
--- /dev/null
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -0,0 +1,149 @@
+//! What daemons tell each other in heartbeats.
+
+use std::{net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use platform::{DomainName, RowVersion, TableEra, orders::RolloutState};
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::dispatch::{announcements::LeavingReport, evidence::Evidence};
+
+/// Name of a daemon's instance.
+pub type DaemonName = CompactString;
+
+/// Identifies one incarnation of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PeerId {
+    /// The instance that it runs on.
+    pub name: DaemonName,
+    /// Identifies the start of the process.
+    pub incarnation: u64,
+}
+
+/// Whether a daemon accepts callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Readiness {
+    /// It has no configuration yet.
+    Starting,
+    /// It accepts callers.
+    Ready,
+    /// It is shutting down.
+    Leaving,
+}
+
+/// A daemon's connectivity to the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TableState {
+    /// It does not poll the table.
+    NotPolled,
+    /// The table answers it.
+    Reachable,
+    /// The table did not answer recently.
+    Lost,
+}
+
+/// One daemon's load on an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Hash of the upstream's id.
+    pub upstream: u64,
+    /// Outstanding requests of the daemon.
+    pub running: u32,
+    /// Prefill time of the daemon's overdue prompts in milliseconds.
+    pub overdue_ms: u32,
+    /// Time in milliseconds until all prompts are processed; 0 if the daemon does not know it.
+    pub backlog_ms: u32,
+    /// Whether the daemon could not connect to it recently.
+    pub unreachable: bool,
+}
+
+/// One daemon's view of a rollout.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// The service.
+    pub service: CompactString,
+    /// Row version of the order.
+    pub order: RowVersion,
+    /// State of the rollout.
+    pub state: RolloutState,
+    /// State recorded in the table in its current era, if known.
+    pub recorded: Option<RolloutState>,
+    /// Time since it was ordered.
+    pub elapsed: Duration,
+    /// Evidence collected by the daemon itself.
+    pub evidence: Evidence,
+    /// Sessions that stay on the old version.
+    pub sticky_sessions: Vec<u64>,
+}
+
+/// A sign of life of a daemon, passed on by another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LivenessReport {
+    /// The daemon that is alive.
+    pub peer: PeerId,
+    /// Sequence number of its newest heartbeat that is known of.
+    pub sequence: u32,
+    /// Time in milliseconds since that heartbeat was sent, without transmission delays.
+    pub age_ms: u32,
+}
+
+/// Sent by each daemon to the others several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: PeerId,
+    /// Increases with each heartbeat of the incarnation.
+    pub sequence: u32,
+    /// Some of the daemons that the sender knows to be alive.
+    pub liveness: Vec<LivenessReport>,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Whether it accepts callers.
+    pub readiness: Readiness,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its connectivity to the table.
+    pub table: TableState,
+    /// Generation of its configuration; 0 if it has none.
+    pub generation: u64,
+    /// Newest era of the table that it knows.
+    pub table_era: TableEra,
+    /// Newest row version of the operators' table that it has seen.
+    pub newest_order_version: RowVersion,
+    /// Newest row version of the upstreams' table that it has seen.
+    pub newest_upstream_version: RowVersion,
+    /// Its load on upstreams.
+    pub loads: Vec<LoadReport>,
+    /// Its view of the rollouts.
+    pub rollouts: Vec<RolloutReport>,
+    /// Fingerprints of requests that crashed upstreams, with counts.
+    pub crashes: Vec<CrashCount>,
+    /// Upstreams that have announced to it, or to a daemon that it heard, that they leave.
+    pub leaving: Vec<LeavingReport>,
+}
+
+impl Heartbeat {
+    /// Returns whether its sender can follow the table for others.
+    ///
+    /// Load pattern: the whole fleet starts at once, and no daemon is ready. Those that have the tables
+    /// count, or all daemons would poll until the first are ready.
+    pub fn can_poll(&self) -> bool {
+        let unknown = RowVersion::default();
+        match self.readiness {
+            Readiness::Ready => true,
+            Readiness::Starting => {
+                self.newest_order_version != unknown && self.newest_upstream_version != unknown
+            }
+            Readiness::Leaving => false,
+        }
+    }
+}
+
+/// How often one daemon saw a request crash an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashCount {
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// Number of crashes.
+    pub count: u32,
+}
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -26,6 +26,7 @@
 pub mod evidence;
 pub mod fanout;
 pub mod health;
+pub mod heartbeat;
 pub mod homes;
 pub mod orders;
 pub mod pace;
@@ -47,7 +48,8 @@
 pub mod sessions;
 pub mod subset;
 
-use peers::{LoadReport, PeerId, Peers, Readiness, TableState};
+use heartbeat::{LoadReport, PeerId, Readiness, TableState};
+use peers::Peers;
 use poison::PoisonTracker;
 use prefill_delay::PrefillDelay;
 use prefill_speed::PrefillSpeeds;
--- a/src/coordination/dispatch/orders.rs
+++ b/src/coordination/dispatch/orders.rs
@@ -83,9 +83,7 @@
             }
             if known.is_continued_by(&order, version) {
                 known.order_written_again(version);
-                if let Some(early) = self.early_statuses.remove(&order.service) {
-                    early.apply(known);
-                }
+                self.apply_early_status(&order.service);
                 return Applied::Nothing;
             }
         }
@@ -93,13 +91,20 @@
         let service = order.service.clone();
         let mut rollout = Rollout::new(version, order, self.limits.exposure, now);
         rollout.add_sticky_sessions(self.sessions.recent(now, self.limits.session_timeout), now);
-        if let Some(early) = self.early_statuses.remove(&service) {
-            early.apply(&mut rollout);
-        }
-        self.rollouts.insert(service, rollout);
+        self.rollouts.insert(service.clone(), rollout);
+        self.apply_early_status(&service);
         applied
     }
 
+    /// Applies what was known of a rollout before its order was read.
+    fn apply_early_status(&mut self, service: &str) {
+        if let Some(early) = self.early_statuses.remove(service)
+            && let Some(rollout) = self.rollouts.get_mut(service)
+        {
+            early.apply(rollout);
+        }
+    }
+
     pub(super) fn restore(&mut self, domain: DomainName, now: Instant) -> Applied {
         if !self.evacuated.remove(&domain) {
             return Applied::Nothing;
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -12,7 +12,7 @@
 use crate::coordination::dispatch::{
     Dispatcher, as_millis,
     assignment::Assignment,
-    peers::{Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
+    heartbeat::{Heartbeat, LoadReport, PeerId, Readiness, RolloutReport, TableState},
     placement::UNDETECTED_RESTART_MARGIN,
     polling::{self, PollingCandidate, PollingRole},
     prefill_queue::PrefillNotice,
@@ -36,14 +36,7 @@
         let loads = self
             .registry
             .all()
-            .filter(|u| u.running > 0 || u.health.is_unreachable() || self.backlog_ms(u, now) > 0)
-            .map(|u| LoadReport {
-                upstream: u.hash,
-                running: u.running,
-                overdue_ms: as_millis(u.queue.overdue(now)),
-                backlog_ms: self.backlog_ms(u, now),
-                unreachable: u.health.is_unreachable() && !u.health.is_usable(now),
-            })
+            .filter_map(|u| self.load_report(u, now))
             .collect();
         let rollouts = self
             .rollouts
@@ -266,6 +259,19 @@
         }
     }
 
+    /// Returns what to report on an upstream, if anything.
+    fn load_report(&self, upstream: &Upstream, now: Instant) -> Option<LoadReport> {
+        let backlog_ms = self.backlog_ms(upstream, now);
+        let is_unreachable = upstream.health.is_unreachable();
+        (upstream.running > 0 || is_unreachable || backlog_ms > 0).then(|| LoadReport {
+            upstream: upstream.hash,
+            running: upstream.running,
+            overdue_ms: as_millis(upstream.queue.overdue(now)),
+            backlog_ms,
+            unreachable: is_unreachable && !upstream.health.is_usable(now),
+        })
+    }
+
     /// Returns the backlog to report: only daemons that are notified of an engine's prompts know it.
     fn backlog_ms(&self, upstream: &Upstream, now: Instant) -> u32 {
         match self.own_subset.contains(&upstream.hash) {
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -142,7 +142,7 @@
             .as_ref()
             .and_then(|r| r.service(request.service));
         let mut passed_over = PassedOver::default();
-        let mut best: Option<(f64, &Upstream)> = None;
+        let mut best: Option<(f64, &Upstream, Candidate)> = None;
         for upstream in &candidates.upstreams {
             if let Err(reason) = self.check_usable(request, upstream, service, now) {
                 passed_over.record(reason);
@@ -151,7 +151,7 @@
             let candidate = Candidate {
                 backlog: self.wait(upstream, now),
                 prefill_time: self.prefill_time(request, upstream, &candidates, now),
-                running: upstream.running + self.peer_load(upstream).running,
+                running: self.running(upstream),
                 slots: upstream.slots,
                 failure_rate: upstream.health.failure_rate(now),
                 cold: upstream.is_cold(now),
@@ -159,15 +159,18 @@
                 engine: request.prompt.is_some(),
             };
             let cost = cost(&candidate, request.body_bytes, rng.random());
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, upstream));
+            if best.is_none_or(|(lowest, ..)| cost < lowest) {
+                best = Some((cost, upstream, candidate));
             }
         }
-        let Some((_, upstream)) = best else {
+        let Some((_, upstream, candidate)) = best else {
             return passed_over.placement();
         };
-        let backlog = self.wait(upstream, now);
-        let prefill_time = self.prefill_time(request, upstream, &candidates, now);
+        let Candidate {
+            backlog,
+            prefill_time,
+            ..
+        } = candidate;
         let known_backlog = backlog.min(self.observed_delay(request.service));
         let excess = (known_backlog + prefill_time).saturating_sub(request.remaining);
         if !excess.is_zero() {
@@ -213,11 +216,7 @@
             (Some(Arm::Old), Some(rollout)) => upstream.version != rollout.target,
             _ => true,
         };
-        let listed: Vec<&Upstream> = self
-            .registry
-            .of_service(service)
-            .filter(|u| u.is_listed(now) && is_in_arm(u) && !self.evacuated.contains(&u.domain))
-            .collect();
+        let listed: Vec<&Upstream> = self.listed(service, now).filter(|u| is_in_arm(u)).collect();
         if arm.is_some() {
             return listed;
         }
@@ -246,8 +245,7 @@
         if !upstream.health.is_usable(now) {
             return Err(Unusable::Unhealthy);
         }
-        let running = upstream.running + self.peer_load(upstream).running;
-        if running >= upstream.slots * queue_factor(service) {
+        if self.running(upstream) >= upstream.slots * queue_factor(service) {
             return Err(Unusable::Full);
         }
         match upstream
--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -12,7 +12,7 @@
 use platform::UpstreamId;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::coordination::dispatch::peers::{CrashCount, PeerId};
+use crate::coordination::dispatch::heartbeat::{CrashCount, PeerId};
 
 /// Number of crashes after which a request is refused.
 const CRASHES_TO_REFUSE: u32 = 3;
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -346,7 +346,7 @@
 impl Upstream {
     fn new(id: UpstreamId, registration: Registration, now: Instant) -> Self {
         Self {
-            hash: xxh3_64(id.as_bytes()),
+            hash: hash_of(&id),
             id,
             service: registration.service,
             address: registration.address,
@@ -379,6 +379,11 @@
     }
 }
 
+/// Returns the hash of an upstream's id, the same on all daemons.
+pub(super) fn hash_of(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
 #[expect(clippy::cast_precision_loss, reason = "counts of upstreams")]
 fn fraction(count: usize, all: usize) -> f64 {
     count as f64 / all.max(1) as f64
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -16,7 +16,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::coordination::dispatch::{RolloutStatus, evidence::Evidence, peers::PeerId};
+use crate::coordination::dispatch::{RolloutStatus, evidence::Evidence, heartbeat::PeerId};
 
 /// How long sessions in progress are collected before any session goes to the new version.
 const SETTLE_TIME: Duration = Duration::from_millis(1_200);
@@ -188,10 +188,9 @@
     /// Keeps sessions on the old version until all sessions move. Only sessions that the trial
     /// would place on the new version need to be stored.
     pub fn add_sticky_sessions(&mut self, sessions: impl IntoIterator<Item = u64>, now: Instant) {
-        let target = self.target.clone();
         let selected = sessions
             .into_iter()
-            .filter(|session| session_fraction(*session, &target) < TRIAL_SHARE);
+            .filter(|session| trial_arm(*session, &self.target) == Arm::New);
         for session in selected {
             if self.sticky_sessions.len() < MAX_STICKY_SESSIONS {
                 self.sticky_sessions.entry(session).or_insert(now);
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use platform::{RowVersion, ServiceName, UpstreamId, orders::RolloutState};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::dispatch::{
     Dispatcher,
     assignment::{Assignment, Quality},
+    registry,
     rollout::{Arm, Rollout},
 };
 
@@ -100,7 +100,7 @@
     /// Records that an upstream has crashed, restarted or left.
     pub fn upstream_stopped(&mut self, upstream: &str, now: Instant) {
         self.poison.upstream_stopped(upstream, now);
-        self.prefixes.remove_engine(xxh3_64(upstream.as_bytes()));
+        self.prefixes.remove_engine(registry::hash_of(upstream));
         self.broken_connections
             .retain(|broken| !broken.is_at(upstream));
     }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    coordination::dispatch::peers::Readiness,
+    coordination::dispatch::heartbeat::Readiness,
     gateway::{
         forward, metrics,
         reply::{InfallibleResult, plain},
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock::SharedClock,
-    coordination::dispatch::peers::PeerId,
+    coordination::dispatch::heartbeat::PeerId,
     gateway::{follow::follow, followed_table::FollowedTable, settings::Settings, shared::Shared},
 };
 
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     coordination::dispatch::{
-        Assignment, fanout::Fanout, peers::Heartbeat, prefill_queue::PrefillNotice,
+        Assignment, fanout::Fanout, heartbeat::Heartbeat, prefill_queue::PrefillNotice,
     },
     gateway::{metrics, shared::Shared},
     protocol::codec,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,7 +20,7 @@
     coordination::dispatch::{
         Assignment, Dispatcher,
         health::AttemptOutcome,
-        peers::{PeerId, Readiness},
+        heartbeat::{PeerId, Readiness},
     },
     gateway::{drain::Drain, settings::Settings},
 };
@@ -126,6 +126,9 @@
     /// Load pattern: all daemons restart at once, and callers connect as soon as they listen. Waiting
     /// for some 100 ms is better for them than a refusal.
     pub async fn await_tables(&self) {
+        if *self.has_tables.borrow() {
+            return;
+        }
         let age = self.now().saturating_duration_since(self.started_at);
         let time_left = STARTUP_TIME.saturating_sub(age);
         let mut has_tables = self.has_tables.subscribe();
@@ -168,9 +171,8 @@
         if self.is_leaving() {
             return Readiness::Leaving;
         }
-        let dispatcher = self.dispatcher();
-        let known = dispatcher.routes().is_some() && dispatcher.registry.is_loaded();
-        match known && self.joined.load(Ordering::Relaxed) {
+        let has_tables = *self.has_tables.borrow();
+        match has_tables && self.joined.load(Ordering::Relaxed) {
             true => Readiness::Ready,
             false => Readiness::Starting,
         }
--- a/tests/dispatch/announcements.rs
+++ b/tests/dispatch/announcements.rs
@@ -6,7 +6,7 @@
     Assignment, Dispatcher, NoSlotReason, Placement,
     announcements::Announcement,
     health::AttemptOutcome,
-    peers::{Readiness, TableState},
+    heartbeat::{Readiness, TableState},
 };
 use http::{HeaderMap, StatusCode};
 use platform::headers::{PauseRequest, ResponseHead};
--- a/tests/dispatch/cold.rs
+++ b/tests/dispatch/cold.rs
@@ -9,7 +9,7 @@
     Dispatcher, Placement,
     cold::{RateShare, rate_share},
     health::AttemptOutcome,
-    peers::{Heartbeat, TableState},
+    heartbeat::{Heartbeat, TableState},
 };
 use serde_json::json;
 
--- a/tests/dispatch/fanout.rs
+++ b/tests/dispatch/fanout.rs
@@ -8,7 +8,7 @@
 
 use hibiscusyoke::coordination::dispatch::{
     Dispatcher,
-    peers::{Heartbeat, Readiness, TableState},
+    heartbeat::{Heartbeat, Readiness, TableState},
 };
 
 use crate::{
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -10,7 +10,7 @@
 use hibiscusyoke::coordination::dispatch::{
     Assignment, Dispatcher, PlacementRequest,
     health::AttemptOutcome,
-    peers::{PeerId, Readiness},
+    heartbeat::{PeerId, Readiness},
 };
 use platform::headers::{Prompt, PromptSegment};
 use rand::{Rng, SeedableRng};
--- a/tests/dispatch/polling.rs
+++ b/tests/dispatch/polling.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use hibiscusyoke::coordination::dispatch::{
-    peers::{Heartbeat, Readiness, TableState},
+    heartbeat::{Heartbeat, Readiness, TableState},
     polling::{PollingCandidate, PollingRole, polling_role},
 };
 use platform::RowVersion;
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -6,7 +6,7 @@
     Dispatcher, Quality, RolloutStatus,
     evidence::Evidence,
     health::AttemptOutcome,
-    peers::{RolloutReport, TableState},
+    heartbeat::{RolloutReport, TableState},
     rollout::Arm,
 };
 use platform::orders::RolloutState;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -7,7 +7,7 @@
 
 use hibiscusyoke::coordination::dispatch::{
     Applied, Assignment, Dispatcher, FleetLimits, Placement, PlacementRequest,
-    peers::{Heartbeat, PeerId, Readiness, TableState},
+    heartbeat::{Heartbeat, PeerId, Readiness, TableState},
     retry_budget::RetryLimit,
 };
 use platform::{RowVersion, orders::Order, table::Row};
--- a/tests/dispatch/table_outage.rs
+++ b/tests/dispatch/table_outage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusyoke::coordination::dispatch::{Dispatcher, peers::TableState};
+use hibiscusyoke::coordination::dispatch::{Dispatcher, heartbeat::TableState};
 
 use crate::support::{dispatcher, heartbeat, receive_heartbeat, row, upstream};
 
--- a/tests/dispatch/table_restore.rs
+++ b/tests/dispatch/table_restore.rs
@@ -5,7 +5,7 @@
 use hibiscusyoke::coordination::dispatch::{
     Applied, Dispatcher, NoSlotReason, Placement,
     health::AttemptOutcome,
-    peers::{Readiness, RolloutReport, TableState},
+    heartbeat::{Readiness, RolloutReport, TableState},
     rollout::Arm,
 };
 use platform::{RowVersion, orders::RolloutState, table::Row};
