--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use http::{Request, Response};
+use http::{
+    Request, Response,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -44,6 +47,32 @@
     _connection: Connection,
 }
 
+/// How the end of a response body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "snake_case")]
+pub enum BodyFraming {
+    /// Its length is given in advance.
+    Length,
+    /// It is sent in chunks, the last one empty.
+    Chunked,
+    /// It ends when the upstream closes the connection.
+    Close,
+}
+
+impl UpstreamResponse {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> BodyFraming {
+        let headers = self.response.headers();
+        if headers.contains_key(TRANSFER_ENCODING) {
+            BodyFraming::Chunked
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            BodyFraming::Length
+        } else {
+            BodyFraming::Close
+        }
+    }
+}
+
 /// The task that drives a connection; dropping it closes the connection.
 #[derive(Debug)]
 struct Connection(JoinHandle<()>);
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -38,9 +38,9 @@
         })
     }
 
-    /// Whether the buffer holds an incomplete event.
-    pub fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+    /// Number of bytes of the incomplete event, 0 if there is none.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
     }
 
     /// Whether the incomplete event exceeds [`MAX_EVENT_BYTES`].
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,6 @@
 //! Handling of a request: selection of an upstream, attempts and the response.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -23,7 +23,8 @@
         attempt::{self, AttemptError, UpstreamResponse},
         call::Call,
         drain::WorkGuard,
-        metrics, peer_link, relay,
+        metrics, peer_link,
+        relay::{self, StreamProgress},
         reply::{self, Body, RefusalReason},
         shared::{Shared, SlotGuard},
     },
@@ -466,9 +467,18 @@
 
     /// Logs and counts how an attempt ended.
     pub fn log_attempt_end(&self, slot: &SlotGuard, outcome: &str) {
+        self.log_end(slot, outcome, format_args!(""));
+    }
+
+    /// Logs and counts how an attempt ended whose response is a stream.
+    pub fn log_stream_end(&self, slot: &SlotGuard, outcome: &str, progress: &StreamProgress) {
+        self.log_end(slot, outcome, format_args!(" {progress}"));
+    }
+
+    fn log_end(&self, slot: &SlotGuard, outcome: &str, details: fmt::Arguments<'_>) {
         metrics::attempt(outcome);
         log::info!(
-            "event=attempt_ended id={} upstream={} outcome={outcome} ms={}",
+            "event=attempt_ended id={} upstream={} outcome={outcome} ms={}{details}",
             self.call.id(),
             slot.assignment.upstream,
             slot.age().as_millis()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::mpsc;
@@ -12,7 +13,7 @@
 use crate::{
     coordination::dispatch::{PaceSampler, Quality, health::AttemptOutcome},
     gateway::{
-        attempt::{self, UpstreamResponse},
+        attempt::{self, BodyFraming, UpstreamResponse},
         events::EventBuffer,
         forward::Exchange,
         reply::{EventBody, StreamAborted},
@@ -42,6 +43,28 @@
     Timeout,
 }
 
+/// What has been received of a stream from one upstream.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("framing={framing} events={events} partial_bytes={partial_bytes}")]
+pub struct StreamProgress {
+    /// How the end of the stream is marked.
+    pub framing: BodyFraming,
+    /// Number of complete events.
+    pub events: u32,
+    /// Number of bytes after the last complete event.
+    pub partial_bytes: usize,
+}
+
+impl StreamProgress {
+    fn new(framing: BodyFraming) -> Self {
+        Self {
+            framing,
+            events: 0,
+            partial_bytes: 0,
+        }
+    }
+}
+
 /// Relays events to the caller as they arrive, in a separate task.
 pub fn spawn(
     exchange: Exchange,
@@ -70,21 +93,26 @@
 impl Relay {
     async fn run(mut self, mut slot: SlotGuard, mut upstream_response: UpstreamResponse) {
         loop {
-            let cause = match self.relay_events(&slot, upstream_response).await {
+            let mut progress = StreamProgress::new(upstream_response.framing());
+            let end = self
+                .relay_events(&slot, upstream_response, &mut progress)
+                .await;
+            let cause = match end {
                 StreamEnd::Complete => {
                     slot.set_outcome(AttemptOutcome::Served);
                     self.exchange.report_quality(&slot, Quality::Good);
-                    self.exchange.log_attempt_end(&slot, "served");
+                    self.exchange.log_stream_end(&slot, "served", &progress);
                     self.exchange.count_request("served");
                     return;
                 }
                 StreamEnd::CallerLeft => {
-                    self.exchange.log_attempt_end(&slot, "caller_left");
+                    self.exchange
+                        .log_stream_end(&slot, "caller_left", &progress);
                     self.exchange.count_request("caller_left");
                     return;
                 }
                 StreamEnd::Timeout => {
-                    self.exchange.log_attempt_end(&slot, "timeout");
+                    self.exchange.log_stream_end(&slot, "timeout", &progress);
                     return self.abort("timeout").await;
                 }
                 StreamEnd::Broken(cause) => cause,
@@ -92,7 +120,7 @@
             slot.set_outcome(AttemptOutcome::Failed);
             self.exchange.report_quality(&slot, Quality::Broken);
             self.exchange.report_broken_connection(&slot);
-            self.exchange.log_attempt_end(&slot, cause);
+            self.exchange.log_stream_end(&slot, cause, &progress);
             drop(slot);
             match self.resume().await {
                 Some((next_slot, next_response)) => {
@@ -107,6 +135,7 @@
         &mut self,
         slot: &SlotGuard,
         upstream_response: UpstreamResponse,
+        progress: &mut StreamProgress,
     ) -> StreamEnd {
         // Dropping `upstream_response` closes the connection, so it is kept until the stream ends.
         let mut body = upstream_response.response.into_body();
@@ -133,6 +162,7 @@
                 return StreamEnd::Broken("overlong_event");
             }
             while let Some(event) = events.next_event() {
+                progress.events += 1;
                 if let Some(per_event) = pace.record(self.exchange.shared.now()) {
                     self.exchange.report_pace(slot, per_event);
                 }
@@ -144,8 +174,9 @@
                     return StreamEnd::CallerLeft;
                 }
             }
+            progress.partial_bytes = events.partial_bytes();
         }
-        if events.has_partial_event() && self.send(events.take_remaining()).await.is_err() {
+        if progress.partial_bytes > 0 && self.send(events.take_remaining()).await.is_err() {
             return StreamEnd::CallerLeft;
         }
         StreamEnd::Complete
