Show streams that end inside an event and are passed on as complete

The stand-in upstream can end a stream in order inside an event, and send streams with neither a length nor chunks.

--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::{
     body::{Frame, Incoming},
@@ -43,8 +43,10 @@
     Leave,
     /// Executes requests and closes the connection without a response.
     Break,
-    /// Closes the connection after the given number of events.
+    /// Closes the connection after the given number of events, inside the next one.
     BreakAfter(u64),
+    /// Ends the stream without an error after the given number of events, inside the next one.
+    EndAfter(u64),
     /// Answers with the id of another request.
     Foreign,
     /// Answers without its signature.
@@ -53,6 +55,16 @@
     Hang,
 }
 
+/// How an upstream marks the end of its streams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// By an empty chunk.
+    #[default]
+    Chunked,
+    /// By closing the connection.
+    Close,
+}
+
 /// A request that an upstream has executed.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -73,6 +85,7 @@
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
+    framing: Framing,
     runs: Vec<Run>,
     /// Times at which requests arrived, also those that were refused.
     arrivals: Vec<Instant>,
@@ -126,6 +139,11 @@
         self.state().behaviour = behaviour;
     }
 
+    /// Sets how the upstream marks the end of its streams.
+    pub fn set_framing(&self, framing: Framing) {
+        self.state().framing = framing;
+    }
+
     /// Restarts the upstream as another incarnation that serves requests.
     pub fn restart(&self) {
         let mut state = self.state();
@@ -209,6 +227,7 @@
             Behaviour::Hang => std::future::pending::<()>().await,
             Behaviour::Serve
             | Behaviour::BreakAfter(_)
+            | Behaviour::EndAfter(_)
             | Behaviour::Refuse
             | Behaviour::RefuseWithPause(_)
             | Behaviour::Leave => {}
@@ -236,10 +255,6 @@
         if !parts.uri.path().starts_with("/ask/") {
             return full_response(StatusCode::OK, id, Some("s"));
         }
-        let last = match behaviour {
-            Behaviour::BreakAfter(events) => Some(events),
-            _ => None,
-        };
         let after = header_text(&parts.headers, "last-event-id")
             .parse()
             .unwrap_or(0);
@@ -248,7 +263,7 @@
             &header_text(&parts.headers, "model"),
             parts.uri.path().contains("hard"),
             after,
-            last,
+            behaviour,
         )
     }
 
@@ -258,19 +273,24 @@
         model: &str,
         hard: bool,
         after: u64,
-        last_event_before_break: Option<u64>,
+        behaviour: Behaviour,
     ) -> Response<Body> {
+        let last = match behaviour {
+            Behaviour::BreakAfter(last) | Behaviour::EndAfter(last) => last,
+            _ => EVENTS_PER_STREAM,
+        };
         let (tx, rx) = mpsc::channel(1);
         let line = format!("model={model} upstream={}", self.id);
         let in_flight = InFlightGuard::begin(&self.in_flight);
         tokio::spawn(async move {
             let _in_flight = in_flight;
             for event in after + 1..=EVENTS_PER_STREAM {
-                if last_event_before_break.is_some_and(|last| event > last) {
-                    // Sends an incomplete event, then breaks the connection.
+                if event > last {
                     let part = Frame::data(Bytes::from(format!("id: {event}\ndata: ")));
                     let _ = tx.send(Ok(part)).await;
-                    let _ = tx.send(Err(std::io::Error::other("broken"))).await;
+                    if matches!(behaviour, Behaviour::BreakAfter(_)) {
+                        let _ = tx.send(Err(std::io::Error::other("broken"))).await;
+                    }
                     return;
                 }
                 let frame = Frame::data(Bytes::from(format!("id: {event}\ndata: {line}\n\n")));
@@ -282,6 +302,10 @@
         });
         let confidence = if hard && model == "small" { "10" } else { "90" };
         let mut response = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(rx))));
+        if self.state().framing == Framing::Close {
+            // Without a length, hyper sends an HTTP/1.1 body in chunks.
+            *response.version_mut() = Version::HTTP_10;
+        }
         sign(&mut response, id, Some("s"));
         let headers = response.headers_mut();
         headers.insert(
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -5,41 +5,102 @@
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 
-use stand_in::gateway::upstream::{Behaviour, runs_by_id};
+use stand_in::gateway::upstream::{Behaviour, FakeUpstream, Framing, runs_by_id};
 
 use crate::harness::{Harness, plain, stream, wait_until};
 
 /// Maximum number of streams until one is sent to a given engine; the choice is partly random.
 const MAX_STREAMS: usize = 64;
+/// Ids of the events of a complete stream.
+const ALL_EVENTS: [&str; 6] = ["1", "2", "3", "4", "5", "6"];
 
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_stream_resumes_on_another_upstream() {
     let harness = Harness::spawn(1).await;
     for breaking in harness.engines() {
+        assert_resumed(&harness, breaking, Behaviour::BreakAfter(2)).await;
+    }
+}
+
+/// An orderly end of the body is no proof that the stream is complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_inside_an_event_resumes_on_another_upstream() {
+    let harness = Harness::spawn(1).await;
+    for framing in [Framing::Close, Framing::Chunked] {
+        set_framing(&harness, framing);
+        assert_resumed(&harness, harness.engines()[0], Behaviour::EndAfter(2)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_before_its_first_event_resumes_on_another_upstream() {
+    let harness = Harness::spawn(1).await;
+    set_framing(&harness, Framing::Close);
+    assert_resumed(&harness, harness.engines()[0], Behaviour::EndAfter(0)).await;
+}
+
+/// A caller must not take a stream for complete that no upstream has completed.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_inside_an_event_everywhere_is_broken_off() {
+    let harness = Harness::spawn(1).await;
+    for framing in [Framing::Close, Framing::Chunked] {
+        set_framing(&harness, framing);
         for engine in harness.engines() {
-            engine.set_behaviour(Behaviour::Serve);
+            engine.set_behaviour(Behaviour::EndAfter(2));
         }
-        breaking.set_behaviour(Behaviour::BreakAfter(2));
-        let runs_before = breaking.runs().len();
-        let mut broken = None;
-        for n in 0..MAX_STREAMS {
-            let id = format!("{}-{n}", breaking.id);
-            let reply = harness.call(&stream(&id, "/ask/easy")).await;
-            let ids: Vec<&str> = reply
-                .body
-                .lines()
-                .filter_map(|line| line.strip_prefix("id: "))
-                .collect();
-            assert_eq!(ids, ["1", "2", "3", "4", "5", "6"], "{}", reply.body);
-            if breaking.runs().len() > runs_before {
-                broken = Some(id);
-                break;
-            }
+        let id = format!("s-{framing:?}");
+        let response = harness.gateways[0].open(&stream(&id, "/ask/easy")).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        let body = response.into_body().collect().await;
+        body.expect_err("the connection is closed before the end of the body");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn complete_stream_without_length_or_chunks_is_served() {
+    let harness = Harness::spawn(1).await;
+    set_framing(&harness, Framing::Close);
+    let reply = harness.call(&stream("s1", "/ask/easy")).await;
+    assert_eq!(event_ids(&reply.body), ALL_EVENTS);
+    let log = harness.gateways[0].log();
+    assert!(
+        log.contains("framing=close events=6 partial_bytes=0"),
+        "{log}"
+    );
+}
+
+fn set_framing(harness: &Harness, framing: Framing) {
+    for engine in harness.engines() {
+        engine.set_framing(framing);
+    }
+}
+
+/// Asserts that a stream which one engine breaks off is completed by another.
+async fn assert_resumed(harness: &Harness, breaking: &FakeUpstream, behaviour: Behaviour) {
+    for engine in harness.engines() {
+        engine.set_behaviour(Behaviour::Serve);
+    }
+    breaking.set_behaviour(behaviour);
+    let runs_before = breaking.runs().len();
+    let mut broken = None;
+    for n in 0..MAX_STREAMS {
+        let id = format!("{}-{runs_before}-{n}", breaking.id);
+        let reply = harness.call(&stream(&id, "/ask/easy")).await;
+        assert_eq!(event_ids(&reply.body), ALL_EVENTS, "{}", reply.body);
+        if breaking.runs().len() > runs_before {
+            broken = Some(id);
+            break;
         }
-        let id = broken.expect("a stream is sent to the engine that breaks");
-        let log = harness.gateways[0].log();
-        assert!(log.contains(&format!("event=resumed id={id} ")), "{log}");
     }
+    let id = broken.expect("a stream is sent to the engine that breaks");
+    let log = harness.gateways[0].log();
+    assert!(log.contains(&format!("event=resumed id={id} ")), "{log}");
+}
+
+fn event_ids(body: &str) -> Vec<&str> {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect()
 }
 
 #[tokio::test(flavor = "multi_thread")]
