Take a stream without events for broken off

Now it is resumed elsewhere, unless the caller itself resumes after an event: then nothing may be left to send. The test failed on the parent (no events instead of six) and passes; the resume after the last event is covered by a test that passed before, too.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -36,8 +36,8 @@
     Complete,
     /// The caller disconnected.
     CallerLeft,
-    /// The connection broke, the body ended inside an event, the upstream was silent for too long or
-    /// sent an event that is too large; holds the outcome for the log.
+    /// The connection broke, the body ended inside an event or without any, the upstream was silent for
+    /// too long or sent an event that is too large; holds the outcome for the log.
     Broken(&'static str),
     /// The request's deadline passed.
     Timeout,
@@ -181,6 +181,9 @@
         if events.is_inside_event() {
             return StreamEnd::Broken("ended_inside_event");
         }
+        if progress.events == 0 && self.last_event.is_none() {
+            return StreamEnd::Broken("ended_without_events");
+        }
         if progress.partial_bytes > 0 && self.send(events.take_remaining()).await.is_err() {
             return StreamEnd::CallerLeft;
         }
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -47,6 +47,8 @@
     BreakAfter(u64),
     /// Ends the stream without an error after the given number of events, inside the next one.
     EndAfter(u64),
+    /// Ends the stream without an error before its first event.
+    EndEmpty,
     /// Answers with the id of another request.
     Foreign,
     /// Answers without its signature.
@@ -228,6 +230,7 @@
             Behaviour::Serve
             | Behaviour::BreakAfter(_)
             | Behaviour::EndAfter(_)
+            | Behaviour::EndEmpty
             | Behaviour::Refuse
             | Behaviour::RefuseWithPause(_)
             | Behaviour::Leave => {}
@@ -284,6 +287,9 @@
         let in_flight = InFlightGuard::begin(&self.in_flight);
         tokio::spawn(async move {
             let _in_flight = in_flight;
+            if behaviour == Behaviour::EndEmpty {
+                return;
+            }
             for event in after + 1..=EVENTS_PER_STREAM {
                 if event > last {
                     let part = Frame::data(Bytes::from(format!("id: {event}\ndata: ")));
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -39,6 +39,26 @@
     assert_resumed(&harness, harness.engines()[0], Behaviour::EndAfter(0)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_events_resumes_on_another_upstream() {
+    let harness = Harness::spawn(1).await;
+    set_framing(&harness, Framing::Close);
+    assert_resumed(&harness, harness.engines()[0], Behaviour::EndEmpty).await;
+}
+
+/// An upstream has nothing to add to a stream of which the caller has all events.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_resumed_by_the_caller_after_its_last_event_is_complete() {
+    let harness = Harness::spawn(1).await;
+    set_framing(&harness, Framing::Close);
+    let mut call = stream("s1", "/ask/easy");
+    call.headers.push(("last-event-id", "6".into()));
+    let reply = harness.call(&call).await;
+    assert_eq!((reply.status, reply.body.as_str()), (StatusCode::OK, ""));
+    let runs = runs_by_id(&harness.engines());
+    assert_eq!(runs.get("s1"), Some(&1));
+}
+
 /// A caller must not take a stream for complete that no upstream has completed.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_ends_inside_an_event_everywhere_is_broken_off() {
