--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -36,8 +36,9 @@
     Complete,
     /// The caller disconnected.
     CallerLeft,
-    /// The connection broke, the body ended inside an event or without any, the upstream was silent for
-    /// too long or sent an event that is too large; holds the outcome for the log.
+    /// The connection broke, the body ended inside an event or without an event that must follow, or
+    /// the upstream was silent for too long or sent an event that is too large; holds the outcome for
+    /// the log.
     Broken(&'static str),
     /// The request's deadline passed.
     Timeout,
@@ -73,8 +74,10 @@
 ) -> EventBody {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     tokio::spawn(async move {
+        let last_event = exchange.call.head.last_event_id;
         let relay = Relay {
-            last_event: exchange.call.head.last_event_id,
+            last_event,
+            expects_event: last_event.is_none(),
             exchange,
             tx,
         };
@@ -88,6 +91,8 @@
     tx: Sender,
     /// Number of the last event that was forwarded.
     last_event: Option<u64>,
+    /// Whether at least one more event must follow: the first one, or one in which an upstream stopped.
+    expects_event: bool,
 }
 
 impl Relay {
@@ -122,6 +127,7 @@
             self.exchange.report_broken_connection(&slot);
             self.exchange.log_stream_end(&slot, cause, &progress);
             drop(slot);
+            self.expects_event |= progress.partial_bytes > 0;
             match self.resume().await {
                 Some((next_slot, next_response)) => {
                     (slot, upstream_response) = (next_slot, next_response);
@@ -170,6 +176,7 @@
                     continue;
                 }
                 self.last_event = event.id.or(self.last_event);
+                self.expects_event = false;
                 if self.send(event.bytes).await.is_err() {
                     return StreamEnd::CallerLeft;
                 }
@@ -181,8 +188,8 @@
         if events.is_inside_event() {
             return StreamEnd::Broken("ended_inside_event");
         }
-        if progress.events == 0 && self.last_event.is_none() {
-            return StreamEnd::Broken("ended_without_events");
+        if self.expects_event {
+            return StreamEnd::Broken("ended_without_event");
         }
         if progress.partial_bytes > 0 && self.send(events.take_remaining()).await.is_err() {
             return StreamEnd::CallerLeft;
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -46,6 +46,20 @@
     assert_resumed(&harness, harness.engines()[0], Behaviour::EndEmpty).await;
 }
 
+/// The caller misses at least the event in which the first upstream stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_stream_without_the_interrupted_event_is_broken_off() {
+    let harness = Harness::spawn(1).await;
+    set_framing(&harness, Framing::Close);
+    let [e1, e2] = harness.engines();
+    e1.set_behaviour(Behaviour::EndAfter(2));
+    e2.set_behaviour(Behaviour::EndEmpty);
+    let response = harness.gateways[0].open(&stream("s1", "/ask/easy")).await;
+    let body = response.into_body().collect().await;
+    body.expect_err("the connection is closed before the end of the body");
+    assert!(!e1.runs().is_empty() && !e2.runs().is_empty());
+}
+
 /// An upstream has nothing to add to a stream of which the caller has all events.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_resumed_by_the_caller_after_its_last_event_is_complete() {
