Refuse streams to HTTP/1.0 callers

There is no way to mark its end, so it is refused at once with 505; other answers have a length and are served as before. The test failed on the parent (200) and passes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,10 +7,14 @@
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use http::{HeaderMap, Method, Request, uri::PathAndQuery};
+use http::{HeaderMap, Method, Request, Version, uri::PathAndQuery};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use platform::{CustomerName, ServiceName, configuration::Route, headers::RequestHead};
+use platform::{
+    CustomerName, ServiceName,
+    configuration::{Route, RouteKind},
+    headers::RequestHead,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -83,6 +87,9 @@
                 RouteError::NoRoute => RefusalReason::NoRoute,
                 RouteError::NoCustomer => RefusalReason::NoCustomer,
             })?;
+        if matched.route.kind == RouteKind::Streaming && parts.version < Version::HTTP_11 {
+            return Err(RefusalReason::HttpVersion);
+        }
         let limit = routes.configuration().limits.body_bytes;
         let body = read_body(body, limit).await?;
         let route = matched.route;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -32,6 +32,8 @@
     NoRoute,
     /// The API key is missing or not valid.
     NoCustomer,
+    /// The request is for a stream, whose end HTTP/1.0 can't mark.
+    HttpVersion,
     /// The request body exceeds the limit.
     BodyTooLarge,
     /// The request body is incomplete or arrived too slowly.
@@ -58,6 +60,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::BadRequest | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::HttpVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoCustomer => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/tests/gateway/input.rs
+++ b/tests/gateway/input.rs
@@ -2,8 +2,13 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use stand_in::gateway::upstream::runs_by_id;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
-use crate::harness::{Harness, plain, stream};
+use crate::harness::{Call, Harness, plain, stream};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn invalid_requests_get_their_status() {
@@ -44,6 +49,34 @@
     }
 }
 
+/// HTTP/1.0 has no chunks: a caller could not tell a stream that breaks off from a complete one.
+#[tokio::test(flavor = "multi_thread")]
+async fn http_1_0_stream_is_refused() {
+    let harness = Harness::spawn(1).await;
+    let stream_reply = exchange_http_1_0(&harness, &stream("s1", "/ask/easy")).await;
+    assert!(stream_reply.starts_with("HTTP/1.0 505 "), "{stream_reply}");
+    assert_eq!(runs_by_id(&harness.engines()).get("s1"), None);
+    let plain_reply = exchange_http_1_0(&harness, &plain("l1", Method::GET, "/look/1")).await;
+    assert!(plain_reply.starts_with("HTTP/1.0 200 "), "{plain_reply}");
+    assert!(plain_reply.ends_with("answer to l1"), "{plain_reply}");
+}
+
+/// Sends a request as HTTP/1.0 and reads until the gateway closes the connection.
+async fn exchange_http_1_0(harness: &Harness, call: &Call) -> String {
+    let mut request = format!("{} {} HTTP/1.0\r\n", call.method, call.path);
+    for (name, value) in &call.headers {
+        request.push_str(&format!("{name}: {value}\r\n"));
+    }
+    request.push_str(&format!("content-length: {}\r\n\r\n", call.body.len()));
+    let address = harness.gateways[0].caller_address();
+    let mut connection = TcpStream::connect(address).await.expect("connected");
+    let bytes = [request.as_bytes(), &call.body].concat();
+    connection.write_all(&bytes).await.expect("sent");
+    let mut reply = String::new();
+    connection.read_to_string(&mut reply).await.expect("text");
+    reply
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn forged_headers_do_not_reach_an_upstream() {
     let harness = Harness::spawn(1).await;
