Soak streams that have no length and upstreams that end streams early

Every second upstream of the soak marks the end of its streams only by closing the connection, and upstreams may end a stream in order inside an event or without one.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -5,7 +5,7 @@
 use stand_in::gateway::{
     deployment,
     table::{FakeTable, TableCopy},
-    upstream::FakeUpstream,
+    upstream::{FakeUpstream, Framing},
 };
 
 use crate::{Options, fleet::Fleet, proxy::Proxy, records::Span};
@@ -77,8 +77,10 @@
     pub async fn start(number: u8, options: &Options) -> io::Result<Self> {
         let table = FakeTable::spawn().await;
         let mut upstreams = Vec::new();
-        for Upstream { id, service } in UPSTREAMS {
+        let framings = [Framing::Chunked, Framing::Close].into_iter().cycle();
+        for (Upstream { id, service }, framing) in UPSTREAMS.into_iter().zip(framings) {
             let upstream = FakeUpstream::spawn(id).await;
+            upstream.set_framing(framing);
             let proxy = Proxy::bind(upstream.address()).await?;
             let proxied = ProxiedUpstream {
                 upstream,
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -6,7 +6,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
     task::JoinHandle,
@@ -99,20 +99,19 @@
 
 /// Forwards one connection until either side closes it.
 async fn forward_connection(
-    caller: TcpStream,
+    mut caller: TcpStream,
     target: SocketAddr,
     link_state: watch::Receiver<LinkState>,
 ) {
     if *link_state.borrow() == LinkState::Reset {
-        // An error means that the connection is already closed and needs no reset.
-        let _ = caller.set_zero_linger();
+        reset_on_close(&caller);
         return;
     }
-    let Ok(callee) = TcpStream::connect(target).await else {
+    let Ok(mut callee) = TcpStream::connect(target).await else {
         return;
     };
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_callee, to_callee) = callee.into_split();
+    let (from_caller, to_caller) = caller.split();
+    let (from_callee, to_callee) = callee.split();
     let requests = copy_direction(
         from_caller,
         to_callee,
@@ -120,13 +119,15 @@
         link_state.clone(),
     );
     let answers = copy_direction(from_callee, to_caller, Direction::Response, link_state);
-    // When one direction fails, both halves are dropped and the connections are closed.
-    let _ = futures::future::try_join(requests, answers).await;
+    if futures::future::try_join(requests, answers).await.is_err() {
+        reset_on_close(&caller);
+        reset_on_close(&callee);
+    }
 }
 
 async fn copy_direction(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     direction: Direction,
     mut link_state: watch::Receiver<LinkState>,
 ) -> io::Result<()> {
@@ -134,12 +135,12 @@
     loop {
         let read = tokio::select! {
             read = from.read(&mut chunk) => read?,
-            () = wait_for_reset(&mut link_state) => return reset_connection(&from, &to),
+            () = wait_for_reset(&mut link_state) => return Err(io::ErrorKind::ConnectionReset.into()),
         };
         loop {
             let now = *link_state.borrow_and_update();
             match now {
-                LinkState::Reset => return reset_connection(&from, &to),
+                LinkState::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
                 LinkState::Delayed(delay) => break tokio::time::sleep(delay).await,
                 _ if !now.blocks(direction) => break,
                 _ => link_state.changed().await.map_err(io::Error::other)?,
@@ -163,8 +164,8 @@
     }
 }
 
-fn reset_connection(from: &OwnedReadHalf, to: &OwnedWriteHalf) -> io::Result<()> {
-    from.as_ref().set_zero_linger()?;
-    to.as_ref().set_zero_linger()?;
-    Err(io::ErrorKind::ConnectionReset.into())
+/// Makes the peer see a reset instead of an orderly end when the connection is dropped.
+fn reset_on_close(connection: &TcpStream) {
+    // An error means that the connection is already closed and needs no reset.
+    let _ = connection.set_zero_linger();
 }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -132,7 +132,7 @@
         0 => Behaviour::Fail,
         1 => Behaviour::Refuse,
         2 => Behaviour::Break,
-        3 => Behaviour::BreakAfter(rng.random_range(0..5)),
+        3 => draw_interruption(rng),
         4 => Behaviour::Foreign,
         5 => Behaviour::Unsigned,
         6 => Behaviour::RefuseWithPause(rng.random_range(1..4)),
@@ -140,6 +140,14 @@
     }
 }
 
+fn draw_interruption(rng: &mut impl Rng) -> Behaviour {
+    match rng.random_range(0..10) {
+        events @ 0..5 => Behaviour::BreakAfter(events),
+        5 => Behaviour::EndEmpty,
+        events => Behaviour::EndAfter(events - 5),
+    }
+}
+
 fn draw_table_fault(rng: &mut impl Rng) -> TableFault {
     match rng.random_range(0..3) {
         0 => TableFault::Silent,
