--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
 use platform::UpstreamId;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -53,9 +54,22 @@
     last: Instant,
 }
 
+/// What was counted when an upstream stopped.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("upstream={upstream} suspects={suspects} most_crashes={most_crashes}")]
+pub struct CrashFinding {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Number of requests whose connections had broken.
+    pub suspects: usize,
+    /// Largest number of crashes that this daemon has counted for one of them.
+    pub most_crashes: u32,
+}
+
 /// Crashes seen by this daemon and its peers.
 #[derive(Debug, Default)]
 pub struct PoisonTracker {
+    findings: Vec<CrashFinding>,
     broken: Vec<BrokenRequest>,
     own: HashMap<Fingerprint, CrashRecord>,
     peers: HashMap<(PeerId, Fingerprint), u32>,
@@ -81,6 +95,11 @@
     /// Records that an upstream has crashed, restarted or left.
     pub fn upstream_stopped(&mut self, upstream: &str, now: Instant) {
         let own = &mut self.own;
+        let mut finding = CrashFinding {
+            upstream: upstream.into(),
+            suspects: 0,
+            most_crashes: 0,
+        };
         self.broken.retain(|broken| {
             let crashed = broken.upstream == upstream;
             if crashed && now.saturating_duration_since(broken.at) < CRASH_CORRELATION_TIME {
@@ -90,12 +109,22 @@
                 });
                 seen.count += 1;
                 seen.last = now;
+                finding.suspects += 1;
+                finding.most_crashes = finding.most_crashes.max(seen.count);
             }
             !crashed
         });
+        if finding.suspects > 0 {
+            self.findings.push(finding);
+        }
         own.retain(|_, seen| now.saturating_duration_since(seen.last) < CRASH_RETENTION);
     }
 
+    /// Removes and returns what was counted since the last call.
+    pub fn take_findings(&mut self) -> Vec<CrashFinding> {
+        std::mem::take(&mut self.findings)
+    }
+
     /// Merges the crash counts of a peer.
     pub fn merge(&mut self, peer: &PeerId, crashes: &[CrashCount]) {
         for crash in crashes {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,9 @@
 use platform::{
     UpstreamId,
     configuration::RouteKind,
-    headers::{ResponseHead, UpstreamHead, headers_for_caller, headers_for_upstream, request_id},
+    headers::{
+        Prompt, ResponseHead, UpstreamHead, headers_for_caller, headers_for_upstream, request_id,
+    },
 };
 
 use crate::{
@@ -401,6 +403,16 @@
     pub fn report_broken_connection(&self, slot: &SlotGuard) {
         let now = self.shared.now();
         let upstream = slot.assignment.upstream.clone();
+        log::info!(
+            "event=run_interrupted id={} upstream={upstream} request={:016x} prompt={}",
+            self.call.id(),
+            self.call.fingerprint,
+            self.call
+                .head
+                .prompt
+                .as_ref()
+                .map_or("-".into(), Prompt::segment_ids)
+        );
         let mut dispatcher = self.shared.dispatcher();
         dispatcher
             .poison
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -155,6 +155,10 @@
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = shared.now();
+        let findings = shared.dispatcher().poison.take_findings();
+        for finding in findings {
+            log::warn!("event=upstream_crashed {finding}");
+        }
         for id in shared.dispatcher().tick(now) {
             log::info!("event=upstream_left upstream={id} why=lapsed");
         }
