Show requests that share a crashing part of their prompts and go on crashing upstreams

The stand-in upstream crashes 60 ms after it begins a stream whose prompt has a given segment, also if the run was cut, and is back 0.5 s later as another incarnation. Two gateways, five engines, pairs of a sound request and a crashing one of which no two are alike.

--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -19,13 +19,21 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, mpsc},
+    task::JoinSet,
+};
 use tokio_stream::wrappers::ReceiverStream;
 
 /// Number of events of a complete stream.
 pub const EVENTS_PER_STREAM: u64 = 6;
 /// Interval between events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the start of a run that crashes the upstream to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+/// Time from a crash to the restart.
+const DOWN_TIME: Duration = Duration::from_millis(500);
 
 /// How an upstream responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -93,6 +101,12 @@
     arrivals: Vec<Instant>,
     /// Number of restarts so far.
     restarts: u64,
+    /// Whether it has crashed and not restarted yet.
+    is_down: bool,
+    /// Id of the prompt segment that crashes the upstream.
+    crashing_segment: Option<String>,
+    /// Times of the crashes.
+    crashes: Vec<Instant>,
 }
 
 /// Running fake of an upstream.
@@ -103,6 +117,7 @@
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     in_flight: Arc<AtomicUsize>,
+    crashed: Arc<Notify>,
 }
 
 type Body = Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
@@ -116,24 +131,80 @@
             address: listener.local_addr().expect("local address"),
             state: Arc::default(),
             in_flight: Arc::default(),
+            crashed: Arc::default(),
         };
-        let serving = upstream.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let upstream = serving.clone();
-                let service = service_fn(move |req| {
-                    let upstream = upstream.clone();
-                    async move {
-                        upstream
-                            .answer(req)
-                            .await
-                            .ok_or(std::io::Error::other("broken"))
-                    }
-                });
-                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        tokio::spawn(upstream.clone().run(listener));
+        upstream
+    }
+
+    async fn run(self, mut listener: TcpListener) {
+        loop {
+            self.serve_until_crash(listener).await;
+            tokio::time::sleep(DOWN_TIME).await;
+            let bound = TcpListener::bind(self.address).await;
+            listener = bound.expect("the port is free after a crash");
+            let mut state = self.state();
+            state.is_down = false;
+            state.restarts += 1;
+        }
+    }
+
+    /// Serves connections; closes all of them at a crash.
+    async fn serve_until_crash(&self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => { connections.spawn(self.clone().serve(stream)); }
+                    Err(_) => return,
+                },
+                Some(_) = connections.join_next() => {}
+                () = self.crashed.notified() => return,
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let service = service_fn(|req| {
+            let upstream = self.clone();
+            async move {
+                let response = upstream.answer(req).await;
+                response.ok_or(std::io::Error::other("broken"))
             }
         });
-        upstream
+        // The caller reports errors of its connection.
+        let _ = http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+    }
+
+    /// Makes each run whose prompt has a segment crash the upstream, which then restarts.
+    pub fn crash_on(&self, segment: &str) {
+        self.state().crashing_segment = Some(segment.into());
+    }
+
+    /// Returns the times of the crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state().crashes.clone()
+    }
+
+    /// Returns the number of restarts.
+    pub fn restarts(&self) -> u64 {
+        self.state().restarts
+    }
+
+    /// Crashes the upstream, unless it has already crashed since `restarts`.
+    async fn crash(self, restarts: u64) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        {
+            let mut state = self.state();
+            if state.is_down || state.restarts != restarts {
+                return;
+            }
+            state.is_down = true;
+            state.crashes.push(Instant::now());
+        }
+        self.crashed.notify_one();
     }
 
     /// Sets how the upstream responds to requests.
@@ -243,6 +314,15 @@
         Some(response)
     }
 
+    fn crashes_on(&self, prompt: &str) -> bool {
+        let state = self.state();
+        let crashing = state.crashing_segment.as_deref();
+        prompt
+            .split(',')
+            .filter_map(|segment| segment.split(':').next())
+            .any(|id| Some(id) == crashing)
+    }
+
     fn record_arrival(&self) -> Behaviour {
         let mut state = self.state();
         state.arrivals.push(Instant::now());
@@ -258,6 +338,9 @@
         if !parts.uri.path().starts_with("/ask/") {
             return full_response(StatusCode::OK, id, Some("s"));
         }
+        if self.crashes_on(&header_text(&parts.headers, "prompt-prefix")) {
+            tokio::spawn(self.clone().crash(self.restarts()));
+        }
         let after = header_text(&parts.headers, "last-event-id")
             .parse()
             .unwrap_or(0);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod heartbeats;
 mod input;
+mod poison;
 mod reload;
 mod serve;
 mod shutdown;
--- /dev/null
+++ b/tests/gateway/poison.rs
@@ -0,0 +1,160 @@
+//! Requests that crash the upstreams that run them.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use http_body_util::BodyExt;
+use stand_in::gateway::{
+    table::FakeTable,
+    upstream::{EVENTS_PER_STREAM, FakeUpstream},
+};
+use tokio::{task::JoinSet, time::sleep};
+
+use crate::harness::{Call, Harness, open, stream};
+
+/// Segment of prompts that crashes the upstreams.
+const CRASHING: &str = "bad5";
+/// Number of crashes after which the fleet must act.
+const CRASHES: usize = 5;
+/// Time in which it must act.
+const REACTION_TIME: Duration = Duration::from_secs(3);
+/// Time until the upstreams must have crashed often enough.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval between two pairs of requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of pairs of requests after the reaction time.
+const LATE_PAIRS: usize = 40;
+/// Number of requests with the segment that may still reach upstreams then.
+const MAX_LATE_RUNS: usize = 3;
+
+/// No two requests are alike: only one segment of their prompts is the same, and sound requests share
+/// their other segments.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_with_a_prompt_segment_that_crashes_upstreams_are_refused() {
+    let mut harness = Harness::spawn(2).await;
+    for id in ["e3", "e4", "e5"] {
+        let engine = FakeUpstream::spawn(id).await;
+        harness.table.put("servers", id, &engine.row("pool", "v1"));
+        harness.upstreams.push(engine);
+    }
+    let engines: Vec<FakeUpstream> = harness
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.id.starts_with('e'))
+        .cloned()
+        .collect();
+    for engine in &engines {
+        engine.crash_on(CRASHING);
+    }
+    let rows = tokio::spawn(rewrite_rows(harness.table.clone(), engines.clone()));
+    let gateways: Vec<SocketAddr> = harness
+        .gateways
+        .iter()
+        .map(|g| g.caller_address())
+        .collect();
+    let mut load = Load::new(gateways);
+    let started = Instant::now();
+    while count_crashes(&engines) < CRASHES {
+        assert!(started.elapsed() < CRASH_TIMEOUT, "too few crashes");
+        load.send_pair().await;
+    }
+    let reaction_started = Instant::now();
+    while reaction_started.elapsed() < REACTION_TIME {
+        load.send_pair().await;
+    }
+    load.sound.abort_all();
+    load.sound = JoinSet::new();
+    let reaction_ended = Instant::now();
+    for _ in 0..LATE_PAIRS {
+        load.send_pair().await;
+    }
+    let served = load.sound.join_all().await;
+    load.crashing.join_all().await;
+    rows.abort();
+    let late_runs = engines
+        .iter()
+        .flat_map(FakeUpstream::runs)
+        .filter(|run| run.executed_at > reaction_ended)
+        .filter(|run| {
+            let prompt = run.headers["prompt-prefix"].to_str().expect("text");
+            prompt.contains(CRASHING)
+        })
+        .count();
+    assert!(late_runs <= MAX_LATE_RUNS, "{late_runs} late runs");
+    let served = served.into_iter().filter(|served| *served).count();
+    assert!(served * 2 > LATE_PAIRS, "{served} of {LATE_PAIRS} served");
+}
+
+/// Requests that are sent in pairs, one of which crashes upstreams.
+struct Load {
+    gateways: Vec<SocketAddr>,
+    sent: usize,
+    sound: JoinSet<bool>,
+    crashing: JoinSet<bool>,
+}
+
+impl Load {
+    fn new(gateways: Vec<SocketAddr>) -> Self {
+        Self {
+            gateways,
+            sent: 0,
+            sound: JoinSet::new(),
+            crashing: JoinSet::new(),
+        }
+    }
+
+    /// Sends a sound request and one that crashes upstreams to the same gateway.
+    async fn send_pair(&mut self) {
+        let n = self.sent;
+        self.sent += 1;
+        let gateway = self.gateways[n % self.gateways.len()];
+        let sound = with_prompt(&format!("s{n}"), &format!("a:500,c:200,{n:x}:20"));
+        let crashing = with_prompt(&format!("x{n}"), &format!("a:500,{CRASHING}:100,{n:x}:20"));
+        self.sound.spawn(is_served(gateway, sound));
+        self.crashing.spawn(is_served(gateway, crashing));
+        sleep(REQUEST_INTERVAL).await;
+    }
+}
+
+fn with_prompt(id: &str, prompt: &str) -> Call {
+    let mut call = stream(id, "/ask/easy");
+    call.headers.retain(|(name, _)| *name != "prompt-prefix");
+    call.headers.push(("prompt-prefix", prompt.into()));
+    call.body = id.to_owned().into();
+    call
+}
+
+/// Whether the caller receives a complete stream.
+async fn is_served(gateway: SocketAddr, call: Call) -> bool {
+    let Some(response) = open(gateway, &call).await else {
+        return false;
+    };
+    if !response.status().is_success() {
+        return false;
+    }
+    let Ok(body) = response.into_body().collect().await else {
+        return false;
+    };
+    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    text.contains(&format!("id: {EVENTS_PER_STREAM}\n"))
+}
+
+fn count_crashes(engines: &[FakeUpstream]) -> usize {
+    engines.iter().map(|engine| engine.crashes().len()).sum()
+}
+
+/// Writes the rows of upstreams that have restarted, as these do.
+async fn rewrite_rows(table: FakeTable, engines: Vec<FakeUpstream>) {
+    let mut restarts = vec![0; engines.len()];
+    loop {
+        for (engine, known) in engines.iter().zip(&mut restarts) {
+            if engine.restarts() != *known {
+                *known = engine.restarts();
+                table.put("servers", &engine.id, &engine.row("pool", "v1"));
+            }
+        }
+        sleep(REQUEST_INTERVAL).await;
+    }
+}
