Break off streams that bring no new event, however much they send

Bytes that are no answer may come without end. Events without a number or with one that was forwarded before were passed on or skipped for ever: the deadline was only looked at when nothing came. Now unnumbered events wait for the next numbered one, 256 KiB without a new event break the stream off, so that it is resumed elsewhere, and events are forwarded for at most 0.25 s after the deadline. Each byte is searched once for the end of an event; before, all that was buffered was searched for each part.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -4,22 +4,29 @@
 
 /// The blank line that terminates an event.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
-/// Maximum size of an event in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size in bytes of an event, and of what may precede the next new one.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
-/// A complete event as the upstream sent it.
+/// A complete event as the upstream sent it, with any unnumbered ones before it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
-    /// The number in its `id` field, if present.
-    pub id: Option<u64>,
+    /// The number in its `id` field.
+    pub id: u64,
     /// The event's bytes including the terminating blank line.
     pub bytes: Bytes,
 }
 
 /// Buffers the bytes of a stream until they form complete events.
+///
+/// Events without a number are kept until a numbered one follows or the stream ends: bytes that are no
+/// part of an answer may hold blank lines, too.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
+    /// Length of the unnumbered events at the start of `pending`.
+    unnumbered: usize,
+    /// Length of the part of `pending` that holds no delimiter after the unnumbered events.
+    searched: usize,
 }
 
 impl EventBuffer {
@@ -28,37 +35,59 @@
         self.pending.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event.
+    /// Removes and returns the next numbered event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = find(&self.pending, EVENT_DELIMITER)? + EVENT_DELIMITER.len();
-        let bytes = self.pending.split_to(end).freeze();
-        Some(Event {
-            id: event_id(&bytes),
-            bytes,
-        })
+        while let Some(end) = self.find_delimiter() {
+            let id = event_id(&self.pending[self.unnumbered..end]);
+            self.searched = end;
+            self.unnumbered = end;
+            if let Some(id) = id {
+                let bytes = self.pending.split_to(end).freeze();
+                self.searched = 0;
+                self.unnumbered = 0;
+                return Some(Event { id, bytes });
+            }
+        }
+        None
     }
 
-    /// Whether the buffer holds a part of an event, and not only blank lines between events.
+    /// Whether the buffer ends with a part of an event, and not only with blank lines.
     pub fn is_inside_event(&self) -> bool {
-        self.pending
+        self.pending[self.unnumbered..]
             .iter()
             .any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
-    /// Number of bytes after the last complete event.
+    /// Number of bytes after the last numbered event.
     pub fn partial_bytes(&self) -> usize {
         self.pending.len()
     }
 
-    /// Whether the incomplete event exceeds [`MAX_EVENT_BYTES`].
+    /// Whether more than [`MAX_EVENT_BYTES`] follow the last numbered event.
     pub fn is_overlong(&self) -> bool {
         self.pending.len() > MAX_EVENT_BYTES
     }
 
     /// Removes and returns all remaining bytes.
     pub fn take_remaining(&mut self) -> Bytes {
+        self.searched = 0;
+        self.unnumbered = 0;
         self.pending.split().freeze()
     }
+
+    /// Returns the end of the next event.
+    fn find_delimiter(&mut self) -> Option<usize> {
+        let found = find(&self.pending[self.searched..], EVENT_DELIMITER);
+        let overlap = EVENT_DELIMITER.len() - 1;
+        match found {
+            Some(at) => Some(self.searched + at + EVENT_DELIMITER.len()),
+            None => {
+                let searched = self.pending.len().saturating_sub(overlap);
+                self.searched = self.searched.max(searched);
+                None
+            }
+        }
+    }
 }
 
 fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
     coordination::dispatch::{PaceSampler, Quality, health::AttemptOutcome},
     gateway::{
         attempt::{self, BodyFraming, UpstreamResponse},
-        events::EventBuffer,
+        events::{EventBuffer, MAX_EVENT_BYTES},
         forward::Exchange,
         reply::{EventBody, StreamAborted},
         shared::SlotGuard,
@@ -28,6 +28,9 @@
 /// Timeout for another upstream to resume a stream.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after the deadline in which events that are ready are still forwarded.
+const LATE_EVENTS_TIME: Duration = Duration::from_millis(250);
+
 type Sender = mpsc::Sender<Result<Frame<Bytes>, StreamAborted>>;
 
 /// How the stream from one upstream ended.
@@ -37,8 +40,8 @@
     /// The caller disconnected.
     CallerLeft,
     /// The connection broke, the body ended inside an event or without an event that must follow, or
-    /// the upstream was silent for too long or sent an event that is too large; holds the outcome for
-    /// the log.
+    /// the upstream was silent for too long or sent much without a new event; holds the outcome for the
+    /// log.
     Broken(&'static str),
     /// The request's deadline passed.
     Timeout,
@@ -147,7 +150,11 @@
         let mut body = upstream_response.response.into_body();
         let mut events = EventBuffer::default();
         let mut pace = PaceSampler::default();
+        let mut repeated_bytes = 0;
         loop {
+            if self.is_overdue() {
+                return StreamEnd::Timeout;
+            }
             let remaining = self.remaining();
             let frame = tokio::select! {
                 frame = tokio::time::timeout(SILENCE_TIMEOUT.min(remaining), body.frame()) => frame,
@@ -164,24 +171,25 @@
                 Err(_) => continue,
             };
             events.push(&data);
-            if events.is_overlong() {
-                return StreamEnd::Broken("overlong_event");
-            }
             while let Some(event) = events.next_event() {
                 progress.events += 1;
                 if let Some(per_event) = pace.record(self.exchange.shared.now()) {
                     self.exchange.report_pace(slot, per_event);
                 }
-                if event.id.is_some() && event.id <= self.last_event {
+                if Some(event.id) <= self.last_event {
+                    repeated_bytes += event.bytes.len();
                     continue;
                 }
-                self.last_event = event.id.or(self.last_event);
+                self.last_event = Some(event.id);
                 self.expects_event = false;
                 if self.send(event.bytes).await.is_err() {
                     return StreamEnd::CallerLeft;
                 }
             }
             progress.partial_bytes = events.partial_bytes();
+            if events.is_overlong() || repeated_bytes > MAX_EVENT_BYTES {
+                return StreamEnd::Broken("no_new_event");
+            }
         }
         // The upstream may mark the end of the body only by closing the connection, as it does when
         // it stops midway.
@@ -197,6 +205,12 @@
         StreamEnd::Complete
     }
 
+    /// Whether even events that are ready come too late.
+    fn is_overdue(&self) -> bool {
+        let now = self.exchange.shared.now();
+        now.saturating_duration_since(self.exchange.call.deadline) >= LATE_EVENTS_TIME
+    }
+
     /// Resumes the stream on another upstream after the last forwarded event.
     async fn resume(&mut self) -> Option<(SlotGuard, UpstreamResponse)> {
         if !self.exchange.call.route.is_retryable() {
--- /dev/null
+++ b/tests/gateway/endless.rs
@@ -0,0 +1,164 @@
+//! Upstreams that send bytes without end.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::{Method, StatusCode};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::harness::{Call, Harness, plain, stream, wait_until};
+
+/// Size of one write.
+const CHUNK_BYTES: usize = 64 << 10;
+/// Maximum number of bytes of a response that a gateway may take before it gives up.
+const MAX_RESPONSE_BYTES: usize = 20 << 20;
+/// Time in which a request must be answered by another upstream.
+const ANSWER_TIME: Duration = Duration::from_millis(2_500);
+
+/// Head of a response to a request, without its end.
+const OPEN_HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-seal: s\r\nx-filler: ";
+/// Head of a response without length or chunks.
+const CLOSE_HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-seal: s\r\nrequest-id: ";
+
+/// An upstream that answers each request with bytes without end.
+#[derive(Clone, Debug)]
+struct EndlessUpstream {
+    address: SocketAddr,
+    /// Number of requests received.
+    requests: Arc<AtomicUsize>,
+    /// Number of connections that are still open.
+    open: Arc<AtomicUsize>,
+    /// Largest number of bytes sent on one connection.
+    most_sent: Arc<AtomicUsize>,
+}
+
+impl EndlessUpstream {
+    async fn spawn(head: &'static str, filler: &'static [u8]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let upstream = Self {
+            address: listener.local_addr().expect("local address"),
+            requests: Arc::default(),
+            open: Arc::default(),
+            most_sent: Arc::default(),
+        };
+        let serving = upstream.clone();
+        tokio::spawn(async move {
+            while let Ok((connection, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().respond(connection, head, filler));
+            }
+        });
+        upstream
+    }
+
+    async fn respond(self, mut connection: TcpStream, head: &str, filler: &'static [u8]) {
+        let mut request = [0; 4_096];
+        let read = connection.read(&mut request).await.expect("a request");
+        let request = String::from_utf8_lossy(&request[..read]).into_owned();
+        let id = request
+            .lines()
+            .find_map(|line| line.strip_prefix("request-id: "))
+            .expect("an id");
+        self.requests.fetch_add(1, Ordering::SeqCst);
+        self.open.fetch_add(1, Ordering::SeqCst);
+        let id = match head == CLOSE_HEAD {
+            true => format!("{id}\r\n\r\n"),
+            false => String::new(),
+        };
+        let start = format!("{head}{id}");
+        let chunk: Vec<u8> = filler.iter().copied().cycle().take(CHUNK_BYTES).collect();
+        let mut sent = 0;
+        let mut result = connection.write_all(start.as_bytes()).await;
+        while result.is_ok() {
+            sent += CHUNK_BYTES;
+            self.most_sent.fetch_max(sent, Ordering::SeqCst);
+            result = connection.write_all(&chunk).await;
+        }
+        self.open.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    fn row(&self, service: &str) -> serde_json::Value {
+        json!({
+            "service": service, "address": self.address, "zone": "a", "version": "v1",
+            "slots": 64, "state": "ready", "cold_remaining_ms": 0, "born": 1,
+        })
+    }
+}
+
+/// Starts a gateway whose service has an endless upstream beside the good ones.
+async fn harness_with(service: &str, upstream: &EndlessUpstream) -> Harness {
+    let harness = Harness::spawn(1).await;
+    harness.table.put("servers", "x1", &upstream.row(service));
+    let joined = "event=upstream_joined upstream=x1";
+    wait_until(|| async { harness.gateways[0].log().contains(joined) }).await;
+    harness
+}
+
+/// Sends requests until the endless upstream has received one; each must be answered whole and in time.
+async fn assert_answered_elsewhere(
+    head: &'static str,
+    filler: &'static [u8],
+    call: impl Fn(usize) -> Call,
+) {
+    let upstream = EndlessUpstream::spawn(head, filler).await;
+    let is_stream = call(0).path.starts_with("/ask/");
+    let harness = harness_with(if is_stream { "pool" } else { "desk" }, &upstream).await;
+    let mut n = 0;
+    while upstream.requests.load(Ordering::SeqCst) == 0 {
+        n += 1;
+        assert!(n < 200, "no request reaches the endless upstream");
+        let started = Instant::now();
+        let reply = harness.call(&call(n)).await;
+        assert_eq!(reply.status, StatusCode::OK);
+        assert!(reply.body.len() < CHUNK_BYTES, "{} bytes", reply.body.len());
+        assert!(started.elapsed() < ANSWER_TIME, "{:?}", started.elapsed());
+    }
+    wait_until(|| async { upstream.open.load(Ordering::SeqCst) == 0 }).await;
+    let sent = upstream.most_sent.load(Ordering::SeqCst);
+    assert!(sent < MAX_RESPONSE_BYTES, "{sent} bytes");
+}
+
+fn look(n: usize) -> Call {
+    plain(&format!("l{n}"), Method::GET, "/look/1")
+}
+
+fn ask(n: usize) -> Call {
+    stream(&format!("s{n}"), "/ask/easy")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_head_is_given_up() {
+    assert_answered_elsewhere(OPEN_HEAD, b"x", look).await;
+    assert_answered_elsewhere(OPEN_HEAD, b"x", ask).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bytes_that_are_no_head_are_given_up() {
+    assert_answered_elsewhere("", b"x", look).await;
+    assert_answered_elsewhere("", b"\r\n", look).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_event_is_given_up() {
+    assert_answered_elsewhere(CLOSE_HEAD, b"x", ask).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_events_without_number_are_given_up() {
+    assert_answered_elsewhere(CLOSE_HEAD, b"data: x\n\n", ask).await;
+    assert_answered_elsewhere(CLOSE_HEAD, b"\n", ask).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_repetition_of_an_event_is_given_up() {
+    assert_answered_elsewhere(CLOSE_HEAD, b"id: 1\ndata: x\n\n", ask).await;
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateway processes with stand-ins for the platform.
 
 mod announcements;
+mod endless;
 mod faults;
 mod harness;
 mod heartbeats;
