Bound the memory for response bodies that are read as a whole

Each endless body could take 16 MiB, any number of them at a time, of an instance with 260 MB: 48 requests at a time took the process to 812 MB in the new test, and an upstream could send 21.4 MB for one answer (20 MiB allowed). Now all bodies that are being read share 48 MiB, and those under 64 KiB always find room. Heads of responses may have 64 KiB.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,6 +23,9 @@
 /// How long the upstream's host may be silent before the connection is closed.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size in bytes of a response head, and of what is read ahead of a body.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why an attempt got no response.
 #[derive(Debug, Error)]
 pub enum AttemptError {
@@ -93,7 +96,9 @@
     let stream = net::connect(address, connect_timeout, SILENCE_TIMEOUT)
         .await
         .map_err(AttemptError::Unreachable)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(AttemptError::Broken)?;
     let connection = Connection(tokio::spawn(async move {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{Request, Response, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::{
     UpstreamId,
@@ -35,8 +35,6 @@
 
 /// Maximum number of upstreams that may be unreachable before a request is refused.
 const MAX_UNREACHABLE_UPSTREAMS: u32 = 4;
-/// Maximum size of a buffered response in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Fraction of the latency objective that is added to the expected wait when the response timeout is
 /// computed.
 const SILENCE_FRACTION: f64 = 0.8;
@@ -332,10 +330,10 @@
         let remaining = self.call.remaining(self.shared.now());
         let headers = headers_for_caller(upstream_response.response.headers());
         // Dropping `upstream_response` closes the connection, so it is kept until the body is read.
-        let body =
-            Limited::new(upstream_response.response.into_body(), MAX_RESPONSE_BYTES).collect();
+        let body = upstream_response.response.into_body();
+        let body = self.shared.body_memory.read(body);
         let body = match tokio::time::timeout(remaining, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(e)) => {
                 slot.set_outcome(AttemptOutcome::Failed);
                 self.report_quality(&slot, Quality::Broken);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 };
 
 pub mod attempt;
+pub mod body_memory;
 pub mod call;
 pub mod drain;
 pub mod events;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,7 +22,7 @@
         health::AttemptOutcome,
         heartbeat::{PeerId, Readiness},
     },
-    gateway::{drain::Drain, settings::Settings},
+    gateway::{body_memory::BodyMemory, drain::Drain, settings::Settings},
 };
 
 /// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
@@ -45,6 +45,8 @@
     pub table_era: EraTracker,
     /// What is accepted and waited for during shutdown.
     pub drain: Drain,
+    /// Memory for response bodies that are read as a whole.
+    pub body_memory: Arc<BodyMemory>,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -79,6 +81,7 @@
             newest_peer_version: watch::Sender::new(RowVersion::default()),
             table_era: EraTracker::default(),
             drain: Drain::default(),
+            body_memory: Arc::default(),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             knows_peers: AtomicBool::new(false),
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -14,14 +14,17 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::JoinSet,
 };
 
-use crate::harness::{Call, Harness, plain, stream, wait_until};
+use crate::harness::{Call, Harness, open, plain, stream, wait_until};
 
 /// Size of one write.
 const CHUNK_BYTES: usize = 64 << 10;
 /// Maximum number of bytes of a response that a gateway may take before it gives up.
 const MAX_RESPONSE_BYTES: usize = 20 << 20;
+/// Memory that a gateway may use.
+const MEMORY_LIMIT_KB: u64 = 200 << 10;
 /// Time in which a request must be answered by another upstream.
 const ANSWER_TIME: Duration = Duration::from_millis(2_500);
 
@@ -147,6 +150,11 @@
     assert_answered_elsewhere("", b"\r\n", look).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_body_is_given_up() {
+    assert_answered_elsewhere(CLOSE_HEAD, b"x", look).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_event_is_given_up() {
     assert_answered_elsewhere(CLOSE_HEAD, b"x", ask).await;
@@ -162,3 +170,23 @@
 async fn endless_repetition_of_an_event_is_given_up() {
     assert_answered_elsewhere(CLOSE_HEAD, b"id: 1\ndata: x\n\n", ask).await;
 }
+
+/// Many endless bodies at a time must not use up the memory of the instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_for_endless_bodies_is_bounded() {
+    let upstream = EndlessUpstream::spawn(CLOSE_HEAD, b"x").await;
+    let harness = harness_with("desk", &upstream).await;
+    harness.remove_plain_upstreams().await;
+    let gateway = harness.gateways[0].caller_address();
+    let mut calls = JoinSet::new();
+    for n in 0..48 {
+        calls.spawn(async move { open(gateway, &look(n)).await.map(|r| r.status()) });
+    }
+    for status in calls.join_all().await {
+        let status = status.expect("a response");
+        assert!(status.is_server_error(), "{status}");
+    }
+    assert!(upstream.requests.load(Ordering::SeqCst) > 0);
+    let peak_kb = harness.gateways[0].peak_memory_kb();
+    assert!(peak_kb < MEMORY_LIMIT_KB, "{peak_kb} kB");
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -272,6 +272,15 @@
         fs::read_to_string(&self.log).expect("a log")
     }
 
+    /// Returns the largest resident memory of the process so far in kB.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.expect("a peak").trim().trim_end_matches(" kB");
+        peak.parse().expect("a number")
+    }
+
     /// Returns the address for callers.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         address(self.ip, Port::Front)
