--- a/src/transport/engine/stream.rs
+++ b/src/transport/engine/stream.rs
@@ -22,6 +22,9 @@
 /// Data of the event that ends a stream.
 pub const DONE: &str = "[DONE]";
 
+/// Maximum size of a line in bytes; one without end would use up the memory.
+const MAX_LINE_BYTES: usize = 256 << 10;
+
 type EventStream = Pin<Box<dyn Stream<Item = Result<Event, EventStreamError<HttpError>>> + Send>>;
 
 /// An item of a stream.
@@ -147,12 +150,24 @@
     }
 }
 
+/// Returns the parts of a body, up to a line that is longer than [`MAX_LINE_BYTES`]; what follows is
+/// missing like the end of a truncated body.
 fn body_stream(
     exchange: Exchange,
     limit: Duration,
 ) -> impl Stream<Item = Result<Bytes, HttpError>> + Send {
-    stream::unfold(exchange, move |mut exchange| async move {
+    let state = (exchange, 0);
+    stream::unfold(state, move |(mut exchange, line_bytes)| async move {
         let part = exchange.chunk_within(limit).await.transpose()?;
-        Some((part, exchange))
+        let line_bytes = part.as_ref().map_or(0, |part| open_line(line_bytes, part));
+        (line_bytes <= MAX_LINE_BYTES).then_some((part, (exchange, line_bytes)))
     })
 }
+
+/// Returns the length of the last line so far, which may have begun before a part.
+fn open_line(line_bytes: usize, part: &[u8]) -> usize {
+    match part.iter().rposition(|byte| *byte == b'\n') {
+        Some(end) => part.len() - end - 1,
+        None => line_bytes + part.len(),
+    }
+}
--- a/tests/engine_client.rs
+++ b/tests/engine_client.rs
@@ -9,7 +9,10 @@
 };
 
 use hibiscusyoke::transport::{
-    engine::{EngineClient, EngineRequest, error::FailureCause},
+    engine::{
+        EngineClient, EngineRequest,
+        error::{EngineError, FailureCause},
+    },
     http_client::Reuse,
 };
 use platform_api::engine::{ChatMessage, ChatRequest};
@@ -18,8 +21,14 @@
     server::RoleHandle,
     stats::RoleStats,
 };
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 const VERSION: &str = "draft-1";
+/// Size of an event that does not end.
+const EVENT_BYTES: usize = 64 << 20;
 
 fn engine_request(attempt: &str) -> EngineRequest {
     EngineRequest {
@@ -75,3 +84,29 @@
     }
     assert_eq!(attempts(&engine), 1);
 }
+
+/// Sends the start of an event and then more of it, and keeps the connection open.
+async fn send_event_without_end(mut connection: TcpStream) -> std::io::Result<()> {
+    let mut request = [0; 4_096];
+    let _ = connection.read(&mut request).await?;
+    let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ";
+    connection.write_all(head).await?;
+    connection.write_all(&vec![b'x'; EVENT_BYTES]).await?;
+    std::future::pending().await
+}
+
+/// The bytes must not be kept until the memory is used up.
+#[tokio::test]
+async fn stream_of_one_event_without_end_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = EngineClient::new(listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            tokio::spawn(send_event_without_end(connection));
+        }
+    });
+    let request = engine_request("one");
+    let mut stream = client.stream(&request, Reuse::Fresh).await.unwrap();
+    let error = stream.next().await.unwrap_err();
+    assert!(matches!(error, EngineError::Truncated { .. }), "{error}");
+}
