--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod cold;
+mod crash_storm;
 mod escalation;
 mod fanout;
 mod fleet;
