--- a/tests/dispatch/poison.rs
+++ b/tests/dispatch/poison.rs
@@ -131,6 +131,20 @@
     assert_eq!(request(1, &[]).len(), 1);
 }
 
+/// A prompt may have any number of segments.
+#[test]
+fn prompt_of_very_many_segments_is_accepted() {
+    let segments: Vec<u64> = (1..1_000).collect();
+    let suspects = request(1, &segments);
+    assert!(suspects.len() > 200);
+    crash(
+        &mut PoisonTracker::default(),
+        "u1",
+        &[&suspects],
+        Instant::now(),
+    );
+}
+
 /// All prompts of a route begin with the same segment, and sound requests run beside the others.
 #[test]
 fn segments_of_requests_that_upstreams_survive_are_not_poison() {
