--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -54,10 +54,13 @@
     };
     let segments = prompt.map_or(&[][..], |prompt| &prompt.segments);
     let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
-    let segments = shared.iter().zip(0..).map(|(segment, depth)| SuspectAt {
-        suspect: Suspect::Segment(segment.id),
-        depth,
-    });
+    let segments = shared
+        .iter()
+        .zip(0..=u8::MAX)
+        .map(|(segment, depth)| SuspectAt {
+            suspect: Suspect::Segment(segment.id),
+            depth,
+        });
     std::iter::once(request).chain(segments).collect()
 }
 
