--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -58,6 +58,8 @@
     pub upstreams: Vec<ProxiedUpstream>,
     /// Gateway processes.
     pub fleet: Fleet,
+    /// Number of overlapping drains of an upstream, by index.
+    draining: BTreeMap<usize, u32>,
     /// Time spans in which an upstream was draining, by index.
     pub drained: BTreeMap<usize, Vec<Span>>,
     /// Time spans in which an upstream announced that it leaves, by index.
@@ -97,6 +99,7 @@
             table,
             upstreams,
             fleet,
+            draining: BTreeMap::new(),
             drained: BTreeMap::new(),
             left: BTreeMap::new(),
             unstable: Vec::new(),
@@ -104,8 +107,27 @@
         })
     }
 
-    /// Sets the state in an upstream's row, such as `ready` or `draining`.
-    pub fn set_state(&mut self, upstream: usize, state: &'static str) {
+    /// Begins to drain an upstream.
+    pub fn drain(&mut self, upstream: usize) {
+        *self.draining.entry(upstream).or_default() += 1;
+        self.set_state(upstream, "draining");
+    }
+
+    /// Ends a drain that began at `from`; the upstream accepts requests again after the last one.
+    pub fn end_drain(&mut self, upstream: usize, from: Instant) {
+        let span = Span {
+            from,
+            to: Instant::now(),
+        };
+        self.drained.entry(upstream).or_default().push(span);
+        let drains = self.draining.entry(upstream).or_default();
+        *drains = drains.saturating_sub(1);
+        if *drains == 0 {
+            self.set_state(upstream, "ready");
+        }
+    }
+
+    fn set_state(&mut self, upstream: usize, state: &'static str) {
         self.upstreams[upstream].state = state;
         self.write_row(upstream);
     }
@@ -150,15 +172,6 @@
         self.table.put("op", "config", &configuration);
     }
 
-    /// Records that an upstream was draining from `from` until now.
-    pub fn record_drained(&mut self, upstream: usize, from: Instant) {
-        let span = Span {
-            from,
-            to: Instant::now(),
-        };
-        self.drained.entry(upstream).or_default().push(span);
-    }
-
     /// Records that the table or a connection failed from `from` until now.
     pub fn record_unstable(&mut self, from: Instant) {
         let to = Instant::now();
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -92,7 +92,7 @@
             .set_behaviour(behaviour),
         Fault::Table(fault) => deployment.table.set_fault(fault),
         Fault::Compact => deployment.table.compact(),
-        Fault::Drain(upstream) => deployment.set_state(upstream, "draining"),
+        Fault::Drain(upstream) => deployment.drain(upstream),
         Fault::Leave(upstream) => deployment.upstreams[upstream]
             .upstream
             .set_behaviour(Behaviour::Leave),
@@ -141,10 +141,7 @@
             deployment.table.set_fault(TableFault::None);
             deployment.record_unstable(from);
         }
-        Fault::Drain(upstream) => {
-            deployment.record_drained(upstream, from);
-            deployment.set_state(upstream, "ready");
-        }
+        Fault::Drain(upstream) => deployment.end_drain(upstream, from),
         Fault::Leave(upstream) => deployment.restart_left_upstream(upstream, from),
         Fault::Reload(_) | Fault::Compact | Fault::Restore | Fault::Configure => {}
     }
