Log how far the transfer of a failed call to the table or a peer had come

Errors of the body now give the bytes received and the time since the last ones; changes_told gives bytes and milliseconds. The limits in time are as they were.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -311,6 +311,7 @@
     peer: SocketAddr,
     after: RowVersion,
 ) -> bool {
+    let asked_at = shared.now();
     let reply = match table_link::fetch_changes(peer, followed, after).await {
         Ok(reply) => reply,
         Err(e) => {
@@ -319,11 +320,13 @@
         }
     };
     log::info!(
-        "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={}",
+        "event=changes_told table={} peer={peer} after={after} version={} rows={} whole={} bytes={} ms={}",
         followed.table(),
         reply.changes.version,
         reply.changes.rows.len(),
-        reply.changes.full
+        reply.changes.full,
+        reply.changes.value_bytes(),
+        (shared.now() - asked_at).as_millis()
     );
     if let Some(remaining) = reply.grace_remaining {
         let until = shared.now() + remaining;
--- a/src/gateway/table_link.rs
+++ b/src/gateway/table_link.rs
@@ -4,13 +4,16 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http2 as client, server::conn::http2 as server};
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use platform::{RowVersion, net};
+use platform::{RowVersion, net, transfer::read_body};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     gateway::{
@@ -64,9 +67,16 @@
     after: RowVersion,
 ) -> Result<ChangesReply, FetchError> {
     let query = ChangesQuery { table, after };
-    tokio::time::timeout(CALL_TIMEOUT, exchange(peer, query))
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let response = timeout_at(deadline, exchange(peer, query))
+        .await
+        .unwrap_or_else(|e| Err(fetch_error("call", peer, e)))?;
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let body = read_body(response.into_body(), MAX_MESSAGE_BYTES, time_left)
         .await
-        .unwrap_or_else(|e| Err(fetch_error("answer", peer, e)))
+        .map_err(|e| fetch_error("answer", peer, e))?;
+    codec::decode_within::<ChangesReply, MAX_MESSAGE_BYTES>(&body)
+        .map_err(|e| fetch_error("decode", peer, e))
 }
 
 /// Serves the queries of peers until the process exits.
@@ -88,7 +98,8 @@
     }
 }
 
-async fn exchange(peer: SocketAddr, query: ChangesQuery) -> Result<ChangesReply, FetchError> {
+/// Sends a query and waits for the head of the reply.
+async fn exchange(peer: SocketAddr, query: ChangesQuery) -> Result<Response<Incoming>, FetchError> {
     let stream = net::connect(peer, CONNECT_TIMEOUT, SILENCE_TIMEOUT)
         .await
         .map_err(|e| fetch_error("connect", peer, e))?;
@@ -104,25 +115,16 @@
     let request = Request::post(format!("http://{peer}/changes"))
         .body(Full::new(Bytes::from(body)))
         .map_err(|e| fetch_error("encode", peer, e))?;
-    let response = sender
+    sender
         .send_request(request)
         .await
-        .map_err(|e| fetch_error("call", peer, e))?;
-    let body = read_body(response.into_body())
-        .await
-        .map_err(|cause| FetchError {
-            step: "answer",
-            peer,
-            cause,
-        })?;
-    codec::decode_within::<ChangesReply, MAX_MESSAGE_BYTES>(&body)
-        .map_err(|e| fetch_error("decode", peer, e))
+        .map_err(|e| fetch_error("call", peer, e))
 }
 
 async fn handle_query(shared: &Shared, req: Request<Incoming>) -> Response<Full<Bytes>> {
     const BINARY: &str = "application/octet-stream";
     let refuse = || plain(StatusCode::BAD_REQUEST, BINARY, Bytes::new());
-    let query = match read_body(req.into_body()).await {
+    let query = match read_body(req.into_body(), MAX_MESSAGE_BYTES, CALL_TIMEOUT).await {
         Ok(body) => match codec::decode_within::<ChangesQuery, MAX_MESSAGE_BYTES>(&body) {
             Ok(query) => query,
             Err(e) => {
@@ -151,11 +153,6 @@
     }
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
-    let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await?;
-    Ok(body.to_bytes())
-}
-
 fn fetch_error<E>(step: &'static str, peer: SocketAddr, cause: E) -> FetchError
 where
     E: Into<Box<dyn std::error::Error + Send + Sync>>,
--- a/src/state/rows.rs
+++ b/src/state/rows.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Returns the length of all values in bytes.
+    pub fn value_bytes(&self) -> usize {
+        let values = self.rows.iter().filter_map(|row| row.value.as_ref());
+        values.map(Vec::len).sum()
+    }
+
     /// Returns these changes with `rows` in place of the rows with the same keys.
     pub fn with_rows(&self, rows: Vec<Row>) -> Self {
         let replaced = |row: &&Row| rows.iter().any(|other| other.key == row.key);
