Show large configurations that never arrive over narrow links

Three tests with a link of 10 Mbit/s to the table or to a peer, and a configuration of 4,200 routes: a poll after an outage, a change at the end of a poll, a query to a peer. A fourth, of a silent peer, passes and has to go on doing so. The soak's proxy can limit a link's rate.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -22,6 +22,8 @@
     Open,
     /// Each chunk is delayed.
     Delayed(Duration),
+    /// Each connection carries at most this many bytes a second in each direction.
+    Limited(u32),
     /// Open and new connections are reset.
     Reset,
     /// No data is forwarded, and connections stay open.
@@ -42,7 +44,7 @@
 impl LinkState {
     fn blocks(self, direction: Direction) -> bool {
         match self {
-            Self::Open | Self::Delayed(_) | Self::Reset => false,
+            Self::Open | Self::Delayed(_) | Self::Limited(_) | Self::Reset => false,
             Self::Silent => true,
             Self::RequestsLost => direction == Direction::Request,
             Self::AnswersLost => direction == Direction::Response,
@@ -142,6 +144,9 @@
             match now {
                 LinkState::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
                 LinkState::Delayed(delay) => break tokio::time::sleep(delay).await,
+                LinkState::Limited(rate) => {
+                    break tokio::time::sleep(sending_time(read, rate)).await;
+                }
                 _ if !now.blocks(direction) => break,
                 _ => link_state.changed().await.map_err(io::Error::other)?,
             }
@@ -153,6 +158,12 @@
     }
 }
 
+/// Returns how long a link of `rate` bytes a second takes to carry `length` bytes.
+fn sending_time(length: usize, rate: u32) -> Duration {
+    let length = u32::try_from(length).unwrap_or(u32::MAX);
+    Duration::from_secs_f64(f64::from(length) / f64::from(rate))
+}
+
 async fn wait_for_reset(link_state: &mut watch::Receiver<LinkState>) {
     let ended = link_state
         .wait_for(|link_state| *link_state == LinkState::Reset)
--- a/stand-in/src/gateway/deployment.rs
+++ b/stand-in/src/gateway/deployment.rs
@@ -8,6 +8,9 @@
 
 use serde_json::{Value, json};
 
+/// Port of a gateway for the queries of other gateways.
+pub const PEER_PORT: u16 = 7_340;
+
 /// Ports of a gateway.
 #[derive(Clone, Copy, Debug)]
 pub enum Port {
@@ -38,7 +41,7 @@
         "name": name, "domain": "a", "ip": ip,
         "front": address(ip, Port::Front), "ready": address(ip, Port::Ready),
         "directory": address(ip, Port::Directory), "metrics": address(ip, Port::Metrics),
-        "table": table, "peer_ports": [7_340, 7_355],
+        "table": table, "peer_ports": [PEER_PORT, 7_355],
         "directory_ttl_max_s": 5, "grace_period_s": 8, "session_s": 5, "exposure": 0.15,
         "repeat_ratio": 0.9, "repeat_slack": 56, "repeat_window_s": 10,
     })
@@ -71,6 +74,20 @@
     })
 }
 
+/// Returns the same configuration with this many routes more.
+pub fn configuration_with_routes(generation: u64, keys: &[&str], count: usize) -> Value {
+    let mut configuration = configuration(generation, keys);
+    let routes = configuration["routes"].as_array_mut().expect("a list");
+    let model = routes[0].clone();
+    routes.extend((0..count).map(|n| {
+        let mut route = model.clone();
+        route["name"] = format!("added-{n}").into();
+        route["prefix"] = format!("/added-{n}/").into();
+        route
+    }));
+    configuration
+}
+
 /// Sends a signal such as `TERM` to a process that the caller started.
 pub fn signal(process: u32, name: &str) -> io::Result<()> {
     let status = Command::new("kill")
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -18,7 +18,7 @@
 
 use stand_in::gateway::{
     caller::{self, DIRECTORY_PATH, Headers, PROMPT},
-    deployment::{Port, address, configuration, loopback, settings, signal},
+    deployment::{PEER_PORT, Port, address, configuration, loopback, settings, signal},
     table::FakeTable,
     upstream::{Behaviour, FakeUpstream},
 };
@@ -286,6 +286,11 @@
         address(self.ip, Port::Front)
     }
 
+    /// Returns the address for queries of peers.
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER_PORT)
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal("TERM");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod heartbeats;
 mod input;
+mod narrow_links;
 mod poison;
 mod reload;
 mod serve;
--- /dev/null
+++ b/tests/gateway/narrow_links.rs
@@ -0,0 +1,111 @@
+//! Configurations that take longer to transfer than a call without one.
+
+use std::time::Duration;
+
+use hibiscusyoke::gateway::{followed_table::FollowedTable, table_link::fetch_changes};
+use platform::RowVersion;
+use soak::proxy::{LinkState, Proxy};
+use stand_in::gateway::{
+    deployment::{configuration, configuration_with_routes},
+    table::FakeTable,
+};
+use tokio::time::{Instant, timeout};
+
+use crate::harness::{Gateway, Harness, wait_until};
+
+/// A link of 10 Mbit/s, in bytes a second.
+const NARROW_LINK: LinkState = LinkState::Limited(1_250_000);
+/// Number of routes of a configuration of about 1 MB.
+const MANY_ROUTES: usize = 4_200;
+/// Time in which a confirmed configuration must be in force.
+const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time in which a peer that sends nothing is given up.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
+
+async fn wait_for_generation(gateway: &Gateway, generation: u64) {
+    let applied = format!("configuration generation={generation}");
+    wait_until(|| async { gateway.log().contains(&applied) }).await;
+}
+
+/// A daemon that had lost the table gave up each poll while the answer was still arriving, and never
+/// got the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_configuration_arrives_over_narrow_link_after_outage() {
+    let table = FakeTable::spawn().await;
+    let link = Proxy::bind(table.address()).await.expect("a free port");
+    let harness = Harness::spawn_at(table, 1, |_, settings| {
+        settings["table"] = link.address().to_string().into();
+    })
+    .await;
+    let gateway = &harness.gateways[0];
+    link.set(LinkState::Silent);
+    wait_until(|| async { gateway.log().contains("event=table_lost table=op") }).await;
+    let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
+    harness.table.put("op", "config", &configuration);
+    link.set(NARROW_LINK);
+    let restored_at = Instant::now();
+    wait_for_generation(gateway, 2).await;
+    assert!(
+        restored_at.elapsed() < APPLY_TIME,
+        "{:?}",
+        restored_at.elapsed()
+    );
+}
+
+/// A change that comes when a poll is about to end is not lost with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_configuration_arrives_at_the_end_of_a_poll() {
+    let table = FakeTable::spawn().await;
+    let link = Proxy::bind(table.address()).await.expect("a free port");
+    let harness = Harness::spawn_at(table, 1, |_, settings| {
+        settings["table"] = link.address().to_string().into();
+    })
+    .await;
+    let gateway = &harness.gateways[0];
+    link.set(NARROW_LINK);
+    // The answer to this change ends a poll, and the next one begins.
+    harness
+        .table
+        .put("op", "config", &configuration(2, &["k1"]));
+    wait_for_generation(gateway, 2).await;
+    tokio::time::sleep(Duration::from_millis(2_700)).await;
+    let configuration = configuration_with_routes(3, &["k1"], MANY_ROUTES);
+    harness.table.put("op", "config", &configuration);
+    let written_at = Instant::now();
+    wait_for_generation(gateway, 3).await;
+    assert!(
+        written_at.elapsed() < APPLY_TIME,
+        "{:?}",
+        written_at.elapsed()
+    );
+}
+
+/// Queries to peers were given up after 600 ms, however much had arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_configuration_arrives_from_a_peer_over_narrow_link() {
+    let harness = Harness::spawn(1).await;
+    let gateway = &harness.gateways[0];
+    let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
+    harness.table.put("op", "config", &configuration);
+    wait_for_generation(gateway, 2).await;
+    let link = Proxy::bind(gateway.peer_address())
+        .await
+        .expect("a free port");
+    link.set(NARROW_LINK);
+    let query = fetch_changes(link.address(), FollowedTable::Orders, RowVersion::default());
+    let reply = timeout(APPLY_TIME, query).await.expect("in time");
+    assert_eq!(reply.expect("a reply").changes.rows.len(), 1);
+}
+
+/// A peer that is silent is given up early, so that another one can be asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_peer_is_given_up() {
+    let harness = Harness::spawn(1).await;
+    let link = Proxy::bind(harness.gateways[0].peer_address())
+        .await
+        .expect("a free port");
+    link.set(LinkState::AnswersLost);
+    let query = fetch_changes(link.address(), FollowedTable::Orders, RowVersion::default());
+    let reply = timeout(MAX_SILENCE, query).await.expect("given up in time");
+    assert!(reply.is_err(), "{reply:?}");
+}
