Show a daemon whose link many peers share for a large configuration

The test: 24 queries at once over a shared link of 10 Mbit/s; none ends in 0.5 s. The soak's proxy limits all connections together.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,6 +1,11 @@
 //! Loopback proxy whose connections can be delayed, reset, or blocked in one or both directions.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -10,6 +15,7 @@
     },
     sync::watch,
     task::JoinHandle,
+    time::Instant,
 };
 
 /// Maximum number of bytes forwarded at once.
@@ -22,7 +28,7 @@
     Open,
     /// Each chunk is delayed.
     Delayed(Duration),
-    /// Each connection carries at most this many bytes a second in each direction.
+    /// All connections together carry at most this many bytes a second in each direction.
     Limited(u32),
     /// Open and new connections are reset.
     Reset,
@@ -71,8 +77,14 @@
         let address = listener.local_addr()?;
         let (link_state, link_states) = watch::channel(LinkState::Open);
         let accepting = tokio::spawn(async move {
+            let [requests, answers] = [Line::new(), Line::new()].map(Arc::new);
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(stream, target, link_states.clone()));
+                let link = Link {
+                    state: link_states.clone(),
+                    requests: requests.clone(),
+                    answers: answers.clone(),
+                };
+                tokio::spawn(forward_connection(stream, target, link));
             }
         });
         Ok(Self {
@@ -99,13 +111,41 @@
     }
 }
 
+/// What all connections through a proxy share.
+#[derive(Clone, Debug)]
+struct Link {
+    state: watch::Receiver<LinkState>,
+    requests: Arc<Line>,
+    answers: Arc<Line>,
+}
+
+/// One direction of a link, which carries one chunk after the other.
+#[derive(Debug)]
+struct Line {
+    free_at: Mutex<Instant>,
+}
+
+impl Line {
+    fn new() -> Self {
+        Self {
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until `length` bytes are carried, at `rate` bytes a second.
+    async fn carry(&self, length: usize, rate: u32) {
+        let carried_at = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+            *free_at = Instant::now().max(*free_at) + sending_time(length, rate);
+            *free_at
+        };
+        tokio::time::sleep_until(carried_at).await;
+    }
+}
+
 /// Forwards one connection until either side closes it.
-async fn forward_connection(
-    mut caller: TcpStream,
-    target: SocketAddr,
-    link_state: watch::Receiver<LinkState>,
-) {
-    if *link_state.borrow() == LinkState::Reset {
+async fn forward_connection(mut caller: TcpStream, target: SocketAddr, link: Link) {
+    if *link.state.borrow() == LinkState::Reset {
         reset_on_close(&caller);
         return;
     }
@@ -114,13 +154,8 @@
     };
     let (from_caller, to_caller) = caller.split();
     let (from_callee, to_callee) = callee.split();
-    let requests = copy_direction(
-        from_caller,
-        to_callee,
-        Direction::Request,
-        link_state.clone(),
-    );
-    let answers = copy_direction(from_callee, to_caller, Direction::Response, link_state);
+    let requests = copy_direction(from_caller, to_callee, Direction::Request, link.clone());
+    let answers = copy_direction(from_callee, to_caller, Direction::Response, link);
     if futures::future::try_join(requests, answers).await.is_err() {
         reset_on_close(&caller);
         reset_on_close(&callee);
@@ -131,8 +166,13 @@
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     direction: Direction,
-    mut link_state: watch::Receiver<LinkState>,
+    link: Link,
 ) -> io::Result<()> {
+    let line = match direction {
+        Direction::Request => link.requests,
+        Direction::Response => link.answers,
+    };
+    let mut link_state = link.state;
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let read = tokio::select! {
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -19,6 +19,11 @@
 const MANY_ROUTES: usize = 4_200;
 /// Time in which a confirmed configuration must be in force.
 const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Number of daemons that ask one daemon at the same time.
+const ASKING_PEERS: usize = 24;
+/// Time in which some of them must have the configuration: it reaches 85 daemons in time if their
+/// number doubles six times.
+const RELAY_TIME: Duration = Duration::from_millis(500);
 /// Time in which a peer that sends nothing is given up.
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 
@@ -97,6 +102,27 @@
     assert_eq!(reply.expect("a reply").changes.rows.len(), 1);
 }
 
+/// All daemons ask the few that have a new configuration. Its transfers shared the link until all of
+/// them were given up, and no daemon got it that could have passed it on.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_of_many_peers_get_a_large_configuration_at_once() {
+    let harness = Harness::spawn(1).await;
+    let gateway = &harness.gateways[0];
+    let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
+    harness.table.put("op", "config", &configuration);
+    wait_for_generation(gateway, 2).await;
+    let link = Proxy::bind(gateway.peer_address())
+        .await
+        .expect("a free port");
+    link.set(NARROW_LINK);
+    let query = || fetch_changes(link.address(), FollowedTable::Orders, RowVersion::default());
+    let queries = (0..ASKING_PEERS).map(|_| query());
+    let replies = timeout(RELAY_TIME, futures::future::join_all(queries)).await;
+    let replies = replies.expect("each peer has the configuration or may ask another one");
+    let complete = replies.iter().filter(|reply| reply.is_ok()).count();
+    assert!(complete >= 2, "{complete} of {ASKING_PEERS}");
+}
+
 /// A peer that is silent is given up early, so that another one can be asked.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_peer_is_given_up() {
