Serve a large configuration to few peers at a time, and compressed

Class: work that is shared so thin that none of it ends in time, and is then done again (congestion collapse). Now a daemon serves as many large replies at a time as its link carries (5 Mbit/s each, 2 to 32; new setting link_mbps), refuses the others at once, and they find more daemons that have it; who was only told 'busy' for 1 s polls the table. Changes are compressed (lz4), and packed once for all who ask the same. The test failed before (none of 24 queries in 0.5 s) and passes with the link shared by all connections, which the proxy now does (before, each had its own rate).

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -184,9 +184,7 @@
             match now {
                 LinkState::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
                 LinkState::Delayed(delay) => break tokio::time::sleep(delay).await,
-                LinkState::Limited(rate) => {
-                    break tokio::time::sleep(sending_time(read, rate)).await;
-                }
+                LinkState::Limited(rate) => break line.carry(read, rate).await,
                 _ if !now.blocks(direction) => break,
                 _ => link_state.changed().await.map_err(io::Error::other)?,
             }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,7 +14,12 @@
 
 use crate::{
     coordination::dispatch::{peers::Peer, polling::PollingRole},
-    gateway::{followed_table::FollowedTable, metrics, shared::Shared, table_link},
+    gateway::{
+        followed_table::FollowedTable,
+        metrics,
+        shared::Shared,
+        table_link::{self, FetchError},
+    },
     state::rows::RowChanges,
 };
 
@@ -52,6 +57,10 @@
 /// Delay between polls of the upstreams after a change; they change several times a second while a
 /// service is replaced.
 const UPSTREAM_POLL_DELAY: Duration = Duration::from_millis(250);
+/// Delay before a daemon that has a change is asked again after it was busy.
+const BUSY_DELAY: Duration = Duration::from_millis(50);
+/// How long a daemon knows of a change that no peer has time to send before it polls the table itself.
+const MAX_BUSY_TIME: Duration = Duration::from_secs(1);
 /// Number of consecutive failed queries to peers after which a daemon polls the table itself.
 const MAX_FAILED_QUERIES: u32 = 2;
 
@@ -62,6 +71,7 @@
         followed,
         failures: 0,
         failed_queries: 0,
+        busy_since: None,
         next_read: NextRead::Full,
         start: StartPhase::Started,
         settle_at: None,
@@ -81,6 +91,8 @@
     failures: u32,
     /// Consecutive failed queries to peers.
     failed_queries: u32,
+    /// When a peer was first busy, if none has answered since.
+    busy_since: Option<Instant>,
     next_read: NextRead,
     start: StartPhase,
     /// When rows that were carried over from an earlier era are dropped unless they were written again.
@@ -128,7 +140,7 @@
             }
         }
         match role {
-            PollingRole::Listen if initialized && self.failed_queries < MAX_FAILED_QUERIES => {
+            PollingRole::Listen if initialized && self.can_rely_on_peers() => {
                 self.listen().await;
             }
             PollingRole::Listen | PollingRole::Poll => self.poll().await,
@@ -140,6 +152,13 @@
         }
     }
 
+    /// Returns whether peers have sent their changes when they were asked.
+    fn can_rely_on_peers(&self) -> bool {
+        let now = self.shared.now();
+        let is_waiting = |since: Instant| now.saturating_duration_since(since) >= MAX_BUSY_TIME;
+        self.failed_queries < MAX_FAILED_QUERIES && !self.busy_since.is_some_and(is_waiting)
+    }
+
     /// Waits at the start of this daemon until a peer has read the table, for a random time at most.
     ///
     /// Load pattern: many daemons start at once. If each read the table, the calls would grow with the
@@ -178,11 +197,20 @@
         let Some((peer, after)) = self.newer_peer() else {
             return false;
         };
-        if !fetch_from(&self.shared, self.followed, peer, after).await {
-            self.failed_queries += 1;
-            return false;
+        match fetch_from(&self.shared, self.followed, peer, after).await {
+            Fetched::Answered => {}
+            Fetched::Busy => {
+                self.busy_since.get_or_insert(self.shared.now());
+                tokio::time::sleep(BUSY_DELAY.mul_f64(rand::random())).await;
+                return false;
+            }
+            Fetched::Failed => {
+                self.failed_queries += 1;
+                return false;
+            }
         }
         self.failed_queries = 0;
+        self.busy_since = None;
         let cache_version = self
             .followed
             .cache(&self.shared.dispatcher())
@@ -280,6 +308,7 @@
         self.next_read = NextRead::Changes;
         self.failures = 0;
         self.failed_queries = 0;
+        self.busy_since = None;
     }
 
     async fn handle_failure(&mut self, e: &TableError) {
@@ -304,19 +333,34 @@
     }
 }
 
-/// Fetches and applies a peer's changes after a version; returns whether the peer answered.
+/// How a peer reacted to a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fetched {
+    /// It sent its changes, which have been applied.
+    Answered,
+    /// It serves other daemons and may be asked again.
+    Busy,
+    /// It did not answer in time, or not as expected.
+    Failed,
+}
+
+/// Fetches and applies a peer's changes after a version.
 async fn fetch_from(
     shared: &Shared,
     followed: FollowedTable,
     peer: SocketAddr,
     after: RowVersion,
-) -> bool {
+) -> Fetched {
     let asked_at = shared.now();
     let reply = match table_link::fetch_changes(peer, followed, after).await {
         Ok(reply) => reply,
-        Err(e) => {
+        Err(e @ FetchError::Busy(_)) => {
+            log::debug!("event=changes_untold table={} {e}", followed.table());
+            return Fetched::Busy;
+        }
+        Err(e @ FetchError::Failed { .. }) => {
             log::warn!("event=changes_untold table={} {e}", followed.table());
-            return false;
+            return Fetched::Failed;
         }
     };
     log::info!(
@@ -333,7 +377,7 @@
         shared.dispatcher().registry.set_grace_until(until);
     }
     followed.apply_changes(shared, &reply.changes);
-    true
+    Fetched::Answered
 }
 
 /// Fetches the orders of a peer whose configuration is newer than this daemon's and than the `vain`
@@ -356,8 +400,8 @@
     if own == 0 || generation <= own.max(vain) {
         return vain;
     }
-    let answered = fetch_from(shared, FollowedTable::Orders, peer, RowVersion::default()).await;
-    match answered && shared.dispatcher().generation() < generation {
+    let fetched = fetch_from(shared, FollowedTable::Orders, peer, RowVersion::default()).await;
+    match fetched == Fetched::Answered && shared.dispatcher().generation() < generation {
         true => generation,
         false => vain,
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod listener;
 pub mod logging;
 pub mod metrics;
+pub mod packing;
 pub mod peer_link;
 pub mod records;
 pub mod relay;
@@ -37,6 +38,7 @@
 pub mod settings;
 pub mod shared;
 pub mod table_link;
+pub mod table_service;
 
 /// Interval between removals of expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -91,7 +93,7 @@
         for address in control.into_iter().flatten() {
             tokio::spawn(listener::serve_control(shared.clone(), listen(address)?));
         }
-        tokio::spawn(table_link::serve(shared.clone(), listen(address)?));
+        tokio::spawn(table_service::serve(shared.clone(), listen(address)?));
         tokio::spawn(peer_link::receive(shared.clone()));
         tokio::spawn(peer_link::send_heartbeats(shared.clone()));
         tokio::spawn(follow(shared.clone(), FollowedTable::Orders));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -39,6 +39,9 @@
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub bootstrap: bool,
+    /// Rate of the instance's link in Mbit/s.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// First and last port for traffic between daemons.
     pub peer_ports: (u16, u16),
     /// Maximum time in seconds that callers may cache a directory response.
@@ -102,6 +105,9 @@
         if let Some((key, _)) = invalid_time {
             return OutOfRange::for_key(key, "must be between 1 ms and 1e6 s");
         }
+        if !(0.01..1e7).contains(&self.link_mbps) {
+            return OutOfRange::for_key("link_mbps", "must be between 0.01 and 1e7");
+        }
         if !(0.0..1e6).contains(&self.repeat_ratio) {
             return OutOfRange::for_key("repeat_ratio", "must be between 0 and 1e6");
         }
@@ -118,6 +124,10 @@
     }
 }
 
+fn default_link_mbps() -> f64 {
+    100.0
+}
+
 /// A setting outside its allowed range.
 struct OutOfRange {
     key: &'static str,
--- a/src/gateway/table_link.rs
+++ b/src/gateway/table_link.rs
@@ -1,24 +1,18 @@
-//! Exchanges table changes between daemons over HTTP/2.
+//! Queries other daemons for changes of the tables over HTTP/2.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http2 as client, server::conn::http2 as server};
+use hyper::{body::Incoming, client::conn::http2 as client};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use platform::{RowVersion, net, transfer::read_body};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::net::TcpListener;
 
 use crate::{
-    gateway::{
-        followed_table::FollowedTable,
-        listener::accept,
-        reply::{InfallibleResult, plain},
-        shared::Shared,
-    },
+    gateway::{followed_table::FollowedTable, packing},
     protocol::codec,
     state::rows::RowChanges,
 };
@@ -28,21 +22,32 @@
 /// Timeout for connecting, the query and the head of the reply.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long nothing of a query or reply may arrive.
-const MAX_IDLE: Duration = Duration::from_millis(600);
+pub(super) const MAX_IDLE: Duration = Duration::from_millis(600);
 /// How long a peer's host may be silent before the connection is closed.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a query or reply in bytes.
-const MAX_MESSAGE_BYTES: usize = 4 << 20;
+pub(super) const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
 /// A query for the changes of a table after a version.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct ChangesQuery {
-    table: FollowedTable,
-    after: RowVersion,
+pub(super) struct ChangesQuery {
+    /// The table.
+    pub(super) table: FollowedTable,
+    /// The version whose changes the sender knows.
+    pub(super) after: RowVersion,
 }
 
-/// A peer's reply to a changes query.
+/// A reply as it is sent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct PackedReply {
+    /// The encoded changes, compressed.
+    pub(super) changes: Bytes,
+    /// See [`ChangesReply::grace_remaining`].
+    pub(super) grace_remaining: Option<Duration>,
+}
+
+/// A peer's reply to a changes query.
+#[derive(Clone, Debug)]
 pub struct ChangesReply {
     /// The changes.
     pub changes: RowChanges,
@@ -52,11 +57,20 @@
 
 /// Error of a query to a peer.
 #[derive(Debug, Error)]
-#[error("step={step} peer={peer}: {cause}")]
-pub struct FetchError {
-    step: &'static str,
-    peer: SocketAddr,
-    cause: Box<dyn std::error::Error + Send + Sync>,
+pub enum FetchError {
+    /// The peer already serves as many peers as its link carries; another one may be asked.
+    #[error("peer={0}: busy")]
+    Busy(SocketAddr),
+    /// The query failed.
+    #[error("step={step} peer={peer}: {cause}")]
+    Failed {
+        /// The step that failed.
+        step: &'static str,
+        /// The peer's address.
+        peer: SocketAddr,
+        /// The cause of the failure.
+        cause: Box<dyn std::error::Error + Send + Sync>,
+    },
 }
 
 /// Fetches a peer's changes of a table after a version.
@@ -69,30 +83,18 @@
     let response = tokio::time::timeout(CALL_TIMEOUT, exchange(peer, query))
         .await
         .unwrap_or_else(|e| Err(fetch_error("call", peer, e)))?;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(FetchError::Busy(peer));
+    }
     let body = read_body(response.into_body(), MAX_MESSAGE_BYTES, MAX_IDLE)
         .await
         .map_err(|e| fetch_error("answer", peer, e))?;
-    codec::decode_within::<ChangesReply, MAX_MESSAGE_BYTES>(&body)
-        .map_err(|e| fetch_error("decode", peer, e))
-}
-
-/// Serves the queries of peers until the process exits.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    loop {
-        let stream = accept(&listener).await;
-        let shared = shared.clone();
-        let service = hyper::service::service_fn(move |req| {
-            let shared = shared.clone();
-            async move { InfallibleResult::Ok(handle_query(&shared, req).await) }
-        });
-        tokio::spawn(async move {
-            let served = server::Builder::new(TokioExecutor::new())
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = served.await {
-                log::debug!("event=peer_connection_ended error=\"{e}\"");
-            }
-        });
-    }
+    let reply = codec::decode_within::<PackedReply, MAX_MESSAGE_BYTES>(&body)
+        .map_err(|e| fetch_error("decode", peer, e))?;
+    Ok(ChangesReply {
+        changes: packing::unpack(&reply.changes).map_err(|e| fetch_error("unpack", peer, e))?,
+        grace_remaining: reply.grace_remaining,
+    })
 }
 
 /// Sends a query and waits for the head of the reply.
@@ -118,43 +120,11 @@
         .map_err(|e| fetch_error("call", peer, e))
 }
 
-async fn handle_query(shared: &Shared, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    const BINARY: &str = "application/octet-stream";
-    let refuse = || plain(StatusCode::BAD_REQUEST, BINARY, Bytes::new());
-    let query = match read_body(req.into_body(), MAX_MESSAGE_BYTES, MAX_IDLE).await {
-        Ok(body) => match codec::decode_within::<ChangesQuery, MAX_MESSAGE_BYTES>(&body) {
-            Ok(query) => query,
-            Err(e) => {
-                log::warn!("event=question_unreadable error=\"{e}\"");
-                return refuse();
-            }
-        },
-        Err(e) => {
-            log::debug!("event=question_broken error=\"{e}\"");
-            return refuse();
-        }
-    };
-    let change_reply = {
-        let dispatcher = shared.dispatcher();
-        ChangesReply {
-            changes: query.table.cache(&dispatcher).changes_after(query.after),
-            grace_remaining: dispatcher.registry.grace_left(shared.now()),
-        }
-    };
-    match codec::encode(&change_reply) {
-        Ok(body) => plain(StatusCode::OK, BINARY, body.into()),
-        Err(e) => {
-            log::error!("event=answer_not_encoded error=\"{e}\"");
-            refuse()
-        }
-    }
-}
-
 fn fetch_error<E>(step: &'static str, peer: SocketAddr, cause: E) -> FetchError
 where
     E: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    FetchError {
+    FetchError::Failed {
         step,
         peer,
         cause: cause.into(),
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -29,8 +29,13 @@
 
 /// Encodes a value.
 pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, CodecError> {
+    encode_within::<T, MAX_MESSAGE_BYTES>(value)
+}
+
+/// Encodes a value to at most `LIMIT` bytes.
+pub fn encode_within<T: Serialize, const LIMIT: usize>(value: &T) -> Result<Vec<u8>, CodecError> {
     let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard())?;
-    check_length(bytes.len(), MAX_MESSAGE_BYTES)?;
+    check_length(bytes.len(), LIMIT)?;
     Ok(bytes)
 }
 
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -106,7 +106,7 @@
 /// them were given up, and no daemon got it that could have passed it on.
 #[tokio::test(flavor = "multi_thread")]
 async fn few_of_many_peers_get_a_large_configuration_at_once() {
-    let harness = Harness::spawn(1).await;
+    let harness = Harness::spawn_with(1, |_, settings| settings["link_mbps"] = 10.0.into()).await;
     let gateway = &harness.gateways[0];
     let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
     harness.table.put("op", "config", &configuration);
