Let the daemons with the widest links poll the table

Now the widest link in a failure domain comes first, then the hash; heartbeats tell it. The new test fails without the sort key (pollers by hash).

--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -104,6 +104,8 @@
     pub readiness: Readiness,
     /// Its failure domain.
     pub domain: DomainName,
+    /// Rate of its link in Mbit/s.
+    pub link_mbps: u32,
     /// Its connectivity to the table.
     pub table: TableState,
     /// Generation of its configuration; 0 if it has none.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -91,6 +91,8 @@
     pub poison: PoisonTracker,
     me: PeerId,
     domain: DomainName,
+    /// Rate of this instance's link in Mbit/s, if known.
+    link_mbps: u32,
     /// Number of heartbeats that this incarnation has sent.
     heartbeats_sent: u32,
     /// The part of the fleet that receives the next periodic heartbeat.
@@ -150,6 +152,7 @@
             poison: PoisonTracker::default(),
             me,
             domain,
+            link_mbps: 0,
             heartbeats_sent: 0,
             // Daemons that start together must not all send to the same ones at a time.
             fanout_part: rng.random::<u16>().into(),
@@ -192,6 +195,11 @@
         self.rollouts.iter()
     }
 
+    /// Sets the rate of this instance's link in Mbit/s.
+    pub fn set_link_mbps(&mut self, link_mbps: u32) {
+        self.link_mbps = link_mbps;
+    }
+
     /// Replaces the operators' limits.
     pub fn set_limits(&mut self, limits: FleetLimits) {
         self.limits = limits;
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -60,6 +60,7 @@
             caller_address,
             readiness,
             domain: self.domain.clone(),
+            link_mbps: self.link_mbps,
             table: self.table_state(now),
             generation: self.generation(),
             table_era: self.table_era,
@@ -218,6 +219,7 @@
         let me = PollingCandidate {
             name: &self.me.name,
             domain: &self.domain,
+            link_mbps: self.link_mbps,
             lost: self.has_lost_table(now),
         };
         let others = self
@@ -227,6 +229,7 @@
             .map(|peer| PollingCandidate {
                 name: &peer.last_heartbeat.from.name,
                 domain: &peer.last_heartbeat.domain,
+                link_mbps: peer.last_heartbeat.link_mbps,
                 lost: peer.last_heartbeat.table == TableState::Lost,
             });
         let candidates: Vec<PollingCandidate<'_>> = std::iter::once(me).chain(others).collect();
--- a/src/coordination/dispatch/polling.rs
+++ b/src/coordination/dispatch/polling.rs
@@ -1,10 +1,12 @@
 //! Selects the daemons that poll the table, because calls to the table are paid for.
 //!
 //! One daemon polls in each of a few failure domains, and the others receive the changes from them.
+//! It is the one with the widest link there: a large change has to cross it, then again to each of
+//! the others that ask first.
 //! A daemon that loses connectivity to the table is replaced by another, and a daemon that receives
 //! no heartbeats polls itself.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use platform::DomainName;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,6 +23,8 @@
     pub name: &'a str,
     /// Its failure domain.
     pub domain: &'a DomainName,
+    /// Rate of its link in Mbit/s.
+    pub link_mbps: u32,
     /// Whether it recently lost connectivity to the table.
     pub lost: bool,
 }
@@ -56,7 +60,12 @@
 }
 
 fn select_pollers(mut candidates: Vec<PollingCandidate<'_>>) -> Vec<&str> {
-    candidates.sort_by_key(|candidate| xxh3_64(candidate.name.as_bytes()));
+    candidates.sort_by_key(|candidate| {
+        (
+            Reverse(candidate.link_mbps),
+            xxh3_64(candidate.name.as_bytes()),
+        )
+    });
     let mut first: BTreeMap<&DomainName, &str> = BTreeMap::new();
     let mut polling = Vec::new();
     for candidate in &candidates {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -84,6 +84,16 @@
         }
     }
 
+    /// Returns the rate of the link in whole Mbit/s.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the setting is checked"
+    )]
+    pub fn whole_link_mbps(&self) -> u32 {
+        self.link_mbps as u32
+    }
+
     /// Returns the time between a shutdown request and the end of the process.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.grace_period_s)
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -69,8 +69,9 @@
         seed: u64,
         peer_socket: UdpSocket,
     ) -> Self {
-        let dispatcher =
+        let mut dispatcher =
             Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
+        dispatcher.set_link_mbps(settings.whole_link_mbps());
         Self {
             started_at: clock.now(),
             has_tables: watch::Sender::new(false),
--- a/tests/dispatch/polling.rs
+++ b/tests/dispatch/polling.rs
@@ -14,6 +14,7 @@
 struct Daemon {
     name: CompactString,
     domain: CompactString,
+    link_mbps: u32,
     lost: bool,
 }
 
@@ -22,6 +23,7 @@
         .map(|i| Daemon {
             name: format!("front-{i}").into(),
             domain: format!("domain-{}", i % domains).into(),
+            link_mbps: 10,
             lost: false,
         })
         .collect()
@@ -33,6 +35,7 @@
         .map(|d| PollingCandidate {
             name: &d.name,
             domain: &d.domain,
+            link_mbps: d.link_mbps,
             lost: d.lost,
         })
         .collect();
@@ -92,6 +95,20 @@
     );
 }
 
+/// A change had to cross the narrow link of each poller before anyone could pass it on.
+#[test]
+fn daemons_with_the_widest_links_poll() {
+    let mut fleet = fleet(74, 4);
+    let wide = [3, 21, 34, 40, 61, 72];
+    for n in wide {
+        fleet[n].link_mbps = 200;
+    }
+    let roles = polling_roles(&fleet);
+    let pollers: Vec<usize> = (0..74).filter(|n| roles[*n] == PollingRole::Poll).collect();
+    assert_eq!(pollers.len(), 3);
+    assert!(pollers.iter().all(|n| wide.contains(n)), "{pollers:?}");
+}
+
 /// If no daemon can reach the table, only a few poll it at the normal rate.
 #[test]
 fn unreachable_table_is_not_polled_by_all_daemons() {
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -73,6 +73,7 @@
         caller_address: address(1),
         readiness: Readiness::Ready,
         domain: "a".into(),
+        link_mbps: 0,
         table,
         generation: 0,
         table_era: 0,
