Show daemons that keep on using a version which the others have rolled back

A daemon that was cut off or frozen completes a rollout by the clock; neither the rollback by the others nor the decision in the table changes that.

--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -16,6 +16,7 @@
 mod prefix_homes;
 mod retry_budget;
 mod rollout;
+mod rollout_conflict;
 mod routes;
 mod support;
 mod table_outage;
