Let daemons agree on a rollout's decision

Class: a decision that is made in several places and never reconciled. Now a rollback outweighs a completion until one of them is recorded, the recorded one is final for all, and a daemon that did not run for 1 s hears from the others (0.75 s) before it completes anything. New log event rollout_overruled.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -32,6 +32,7 @@
 pub mod orders;
 pub mod pace;
 mod passed_over;
+mod pauses;
 mod peer_messages;
 pub mod peers;
 mod placement;
@@ -51,6 +52,7 @@
 
 use crash_evidence::CrashId;
 use heartbeat::{LoadReport, PeerId, Readiness, TableState};
+use pauses::Pauses;
 use peers::Peers;
 use poison::{PoisonTracker, Suspects};
 use prefill_delay::PrefillDelay;
@@ -117,6 +119,7 @@
     peer_loads: HashMap<u64, PeerLoad>,
     /// This daemon and the others that may hold a share of fleet-wide limits.
     daemon_ring: HashRing,
+    pauses: Pauses,
     /// Hashes of the engines whose prompts this daemon is notified of.
     own_subset: HashSet<u64>,
     rng: Xoshiro128PlusPlus,
@@ -173,6 +176,7 @@
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
             daemon_ring: HashRing::default(),
+            pauses: Pauses::default(),
             own_subset: HashSet::new(),
             rng,
         }
@@ -233,6 +237,7 @@
 
     /// Expires stale state; returns the upstreams that were removed.
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
+        self.pauses.tick(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
         self.update_daemon_ring(now);
--- /dev/null
+++ b/src/coordination/dispatch/pauses.rs
@@ -0,0 +1,36 @@
+//! Detects that this process did not run for a while, so that what it knows of the others is old.
+
+use std::time::{Duration, Instant};
+
+/// Time between two ticks after which the process was paused; it ticks several times a second.
+const MIN_PAUSE: Duration = Duration::from_secs(1);
+/// Time after a pause in which the other daemons are heard again, several heartbeats long.
+const CATCH_UP_TIME: Duration = Duration::from_millis(750);
+
+/// The pauses of this process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pauses {
+    ticked_at: Option<Instant>,
+    resumed_at: Option<Instant>,
+}
+
+impl Pauses {
+    /// Records that the process runs.
+    pub fn tick(&mut self, now: Instant) {
+        if self.is_paused(now) {
+            self.resumed_at = Some(now);
+        }
+        self.ticked_at = Some(now);
+    }
+
+    /// Returns whether the process has run long enough since its last pause to know of the others.
+    pub fn is_over(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < CATCH_UP_TIME;
+        !self.is_paused(now) && !self.resumed_at.is_some_and(is_recent)
+    }
+
+    fn is_paused(&self, now: Instant) -> bool {
+        self.ticked_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= MIN_PAUSE)
+    }
+}
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -148,8 +148,31 @@
     pub fn adopt(&mut self, known: &RolloutStatus, known_at: Instant) {
         let started = known_at.checked_sub(known.elapsed).unwrap_or(known_at);
         self.started = self.started.min(started);
-        if self.state == RolloutState::Running {
-            self.state = known.state;
+        self.merge_state(known.state);
+    }
+
+    /// Merges another daemon's state until a decision is recorded: a rollback outweighs a completion,
+    /// which needs no evidence.
+    fn merge_state(&mut self, state: RolloutState) {
+        if self.recorded.is_some_and(RolloutState::is_decided) {
+            return;
+        }
+        match (self.state, state) {
+            (RolloutState::Running, _) | (RolloutState::Completed, RolloutState::RolledBack) => {
+                self.state = state;
+            }
+            (RolloutState::Completed | RolloutState::RolledBack, _) => {}
+        }
+    }
+
+    /// Records the state that the table holds. Operators act on it, so a decision there is final.
+    pub fn record(&mut self, state: RolloutState) {
+        if self.recorded.is_some_and(RolloutState::is_decided) {
+            return;
+        }
+        self.recorded = Some(state);
+        if state.is_decided() {
+            self.state = state;
         }
     }
 
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -125,8 +125,11 @@
     }
 
     /// Decides the rollouts that are ready; returns them with their new states.
+    ///
+    /// A daemon that was frozen does not complete one before it has heard from the others again.
     pub fn decide_rollouts(&mut self, now: Instant) -> Vec<(ServiceName, RolloutState)> {
         let session_timeout = self.limits.session_timeout;
+        let is_up_to_date = self.pauses.is_over(now);
         let mut decided = Vec::new();
         for (service, rollout) in &mut self.rollouts {
             if rollout.state != RolloutState::Running {
@@ -135,7 +138,9 @@
             let evidence = rollout.evidence();
             if evidence.is_new_version_faulty() {
                 rollout.state = RolloutState::RolledBack;
-            } else if rollout.may_complete(evidence.running_old, session_timeout, now) {
+            } else if rollout.may_complete(evidence.running_old, session_timeout, now)
+                && is_up_to_date
+            {
                 rollout.state = RolloutState::Completed;
             } else {
                 continue;
@@ -170,11 +175,8 @@
     pub fn set_recorded_state(&mut self, service: &str, order: RowVersion, state: RolloutState) {
         if let Some(rollout) = self.rollouts.get_mut(service)
             && rollout.order() == order
-            && rollout
-                .recorded
-                .is_none_or(|known| known == RolloutState::Running)
         {
-            rollout.recorded = Some(state);
+            rollout.record(state);
         }
     }
 
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -305,8 +305,8 @@
         let is_desired = |service: &ServiceName| desired.iter().any(|w| w.service == *service);
         self.pending_since.retain(|service, _| is_desired(service));
         for desired in &desired {
-            if self.is_recorded(desired) {
-                self.mark_recorded(desired);
+            if let Some(state) = self.recorded_state(desired) {
+                self.mark_recorded(desired, state);
                 continue;
             }
             let since = *self
@@ -324,27 +324,31 @@
         }
     }
 
-    /// Marks a state as recorded and notifies the other daemons that they need not write it.
-    fn mark_recorded(&self, desired: &DesiredRecord) {
-        let DesiredRecord {
-            service,
-            order,
-            state,
-            ..
-        } = desired;
+    /// Marks a state as recorded, which makes a decision final, and notifies the other daemons that
+    /// they need not write it.
+    fn mark_recorded(&self, desired: &DesiredRecord, state: RolloutState) {
+        let service = &desired.service;
+        if state != desired.state {
+            log::warn!(
+                "event=rollout_overruled service={service} decided={} recorded={state}",
+                desired.state
+            );
+        }
         self.shared
             .dispatcher()
-            .set_recorded_state(service, *order, *state);
+            .set_recorded_state(service, desired.order, state);
         self.shared.urgent_heartbeat.notify_one();
     }
 
-    fn is_recorded(&self, desired: &DesiredRecord) -> bool {
-        self.recorded.get(&desired.service).is_some_and(|recorded| {
-            let record = &recorded.record;
-            let decided = record.state != RolloutState::Running;
-            record.order > desired.order
-                || (record.order == desired.order && (decided || record.state == desired.state))
-        })
+    /// Returns the state in the table if nothing is to be written over it.
+    fn recorded_state(&self, desired: &DesiredRecord) -> Option<RolloutState> {
+        let record = &self.recorded.get(&desired.service)?.record;
+        // A later order has replaced this one.
+        if record.order > desired.order {
+            return Some(desired.state);
+        }
+        let is_final = record.state.is_decided() || record.state == desired.state;
+        (record.order == desired.order && is_final).then_some(record.state)
     }
 
     async fn write(&mut self, desired: &DesiredRecord) {
@@ -388,7 +392,7 @@
                 );
                 self.recorded
                     .insert(service.clone(), StoredRollout { record, version });
-                self.mark_recorded(desired);
+                self.mark_recorded(desired, state);
             }
             // Another daemon wrote first, or the response to an earlier write was lost: re-read the
             // table.
--- a/tests/dispatch/rollout_conflict.rs
+++ b/tests/dispatch/rollout_conflict.rs
@@ -36,11 +36,12 @@
     dispatcher
 }
 
-/// Checks for decisions until `until` without hearing from any peer.
+/// Runs until `until` without hearing from any peer.
 fn run_alone(dispatcher: &mut Dispatcher, start: Instant, until: Instant) {
     let mut now = start;
     while now < until {
         now += TICK;
+        dispatcher.tick(now);
         dispatcher.decide_rollouts(now);
     }
 }
