Do not use a version before the order that names it is read

Heartbeats told the state of the rollout, but not of which version. They do now, and until the order is read the version is used only if the rollout is completed. The new test fails without the filter (v2 instead of v1) and passes.

--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use compact_str::CompactString;
-use platform::{DomainName, RowVersion, TableEra, orders::RolloutState};
+use platform::{DomainName, RowVersion, TableEra, VersionName, orders::RolloutState};
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
@@ -66,6 +66,8 @@
     pub service: CompactString,
     /// Row version of the order.
     pub order: RowVersion,
+    /// The version that is rolled out.
+    pub target: VersionName,
     /// State of the rollout.
     pub state: RolloutState,
     /// State recorded in the table in its current era, if known.
--- a/src/coordination/dispatch/pauses.rs
+++ b/src/coordination/dispatch/pauses.rs
@@ -9,14 +9,14 @@
 
 /// The pauses of this process.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Pauses {
+pub(super) struct Pauses {
     ticked_at: Option<Instant>,
     resumed_at: Option<Instant>,
 }
 
 impl Pauses {
     /// Records that the process runs.
-    pub fn tick(&mut self, now: Instant) {
+    pub(super) fn tick(&mut self, now: Instant) {
         if self.is_paused(now) {
             self.resumed_at = Some(now);
         }
@@ -24,7 +24,7 @@
     }
 
     /// Returns whether the process has run long enough since its last pause to know of the others.
-    pub fn is_over(&self, now: Instant) -> bool {
+    pub(super) fn is_over(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < CATCH_UP_TIME;
         !self.is_paused(now) && !self.resumed_at.is_some_and(is_recent)
     }
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -45,6 +45,7 @@
             .map(|(service, rollout)| RolloutReport {
                 service: service.clone(),
                 order: rollout.order(),
+                target: rollout.target.clone(),
                 state: rollout.state,
                 recorded: rollout.recorded,
                 elapsed: now.saturating_duration_since(rollout.started),
@@ -303,6 +304,7 @@
         let known = RolloutStatus {
             service: report.service.clone(),
             order: report.order,
+            target: Some(report.target.clone()),
             state: report.state,
             elapsed: report.elapsed,
         };
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -220,10 +220,13 @@
         if arm.is_some() {
             return listed;
         }
+        // Other daemons know of an order that this one has not read.
+        let early = self.early_statuses.get(service);
         let settled: Vec<&Upstream> = listed
             .iter()
             .copied()
             .filter(|u| self.registry.is_settled(u, now))
+            .filter(|u| early.is_none_or(|early| early.may_use(&u.version)))
             .collect();
         if settled.is_empty() { listed } else { settled }
     }
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::{RowVersion, ServiceName, UpstreamId, orders::RolloutState};
+use platform::{RowVersion, ServiceName, UpstreamId, VersionName, orders::RolloutState};
 
 use crate::coordination::dispatch::{
     Dispatcher,
@@ -40,6 +40,8 @@
     pub service: ServiceName,
     /// Row version of the order.
     pub order: RowVersion,
+    /// The version that is rolled out, if known.
+    pub target: Option<VersionName>,
     /// State of the rollout.
     pub state: RolloutState,
     /// Time since it was ordered.
@@ -54,6 +56,13 @@
 }
 
 impl EarlyStatus {
+    /// Returns whether a version may be used before the order has been read: the new one only if it has
+    /// replaced the old one.
+    pub(super) fn may_use(&self, version: &str) -> bool {
+        let is_target = self.known.target.as_deref() == Some(version);
+        !is_target || self.known.state == RolloutState::Completed
+    }
+
     /// Applies the status to the rollout if it is of the same order.
     pub(super) fn apply(&self, rollout: &mut Rollout) {
         if rollout.has_order(self.known.order) {
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -275,6 +275,7 @@
         let known = RolloutStatus {
             service: service.clone(),
             order: record.order,
+            target: None,
             state: record.state,
             elapsed: clock.saturating_sub(Duration::from_millis(record.ordered_ms)),
         };
--- a/tests/dispatch/rollout.rs
+++ b/tests/dispatch/rollout.rs
@@ -303,6 +303,7 @@
         message.rollouts = vec![RolloutReport {
             service: "pool".into(),
             order: version_of(2),
+            target: "v2".into(),
             state: RolloutState::Running,
             recorded: None,
             elapsed: Duration::from_secs_f64(MOVED + 0.5),
@@ -390,6 +391,7 @@
         let known = RolloutStatus {
             service: "pool".into(),
             order: version_of(order_read),
+            target: None,
             state: RolloutState::Completed,
             elapsed: WITHIN,
         };
--- a/tests/dispatch/rollout_conflict.rs
+++ b/tests/dispatch/rollout_conflict.rs
@@ -55,6 +55,7 @@
     RolloutReport {
         service: "pool".into(),
         order: version_of(ORDER),
+        target: "v2".into(),
         state,
         recorded,
         elapsed: WITHIN,
@@ -133,3 +134,36 @@
     run_alone(&mut dispatcher, awake_at, awake_at + 5 * TICK);
     assert_eq!(state(&dispatcher), RolloutState::Completed);
 }
+
+/// Orders and upstreams come in tables of their own. A daemon that got the upstreams of the new version,
+/// but not the order, sent them requests after 3 s.
+#[test]
+fn new_version_is_not_used_before_its_order_is_read() {
+    let start = Instant::now();
+    let many = ("slots", json!(100_000));
+    let old = upstream_with("old", 1, std::slice::from_ref(&many));
+    let new = upstream_with("new", 3, &[many, ("version", json!("v2"))]);
+    for (known, version) in [
+        (RolloutState::Running, "v1"),
+        (RolloutState::RolledBack, "v1"),
+    ] {
+        let mut dispatcher = ready(std::slice::from_ref(&old), start);
+        let later = start + WITHIN;
+        dispatcher.registry.apply(std::slice::from_ref(&new), start);
+        hear(&mut dispatcher, report(known, None), start);
+        for session in 0..100 {
+            let assignment = assign(&mut dispatcher, &request(session), later);
+            assert_eq!(assignment.version, version, "{known:?}");
+        }
+    }
+    // The old upstreams leave after a completion, and nothing else is left.
+    let mut dispatcher = ready(&[old], start);
+    dispatcher.registry.apply(&[new], start);
+    hear(
+        &mut dispatcher,
+        report(RolloutState::Completed, None),
+        start,
+    );
+    dispatcher.registry.apply(&[row("old", 4, None)], start);
+    assign(&mut dispatcher, &request(1), start);
+}
--- a/tests/dispatch/table_restore.rs
+++ b/tests/dispatch/table_restore.rs
@@ -68,6 +68,7 @@
         report.rollouts = vec![RolloutReport {
             service: "pool".into(),
             order: version_of(7),
+            target: "v2".into(),
             state,
             recorded: Some(state),
             elapsed: Duration::from_secs(10),
@@ -134,6 +135,7 @@
     report.rollouts = vec![RolloutReport {
         service: "pool".into(),
         order: version_of(7),
+        target: "v2".into(),
         state: RolloutState::Running,
         recorded: Some(RolloutState::Running),
         elapsed: Duration::ZERO,
