Read the limits that upstreams name, and log them

It is decoded now, kept for the incarnation (the newest answer decides; one without a limit ends it if its request was sent after it was named) and logged as upstream_announced ... limit per_s=, limit_ended, invalid_limit. Placement does not use it yet.

--- a/src/coordination/dispatch/announcements.rs
+++ b/src/coordination/dispatch/announcements.rs
@@ -1,4 +1,5 @@
-//! What upstreams announce in their responses: that they leave, or that they want a pause.
+//! What upstreams announce in their responses: that they leave, want a pause, or can take only so many
+//! requests.
 //!
 //! Load pattern: upstreams that are emptied or overloaded say so to each daemon that reaches them. A
 //! daemon must act on its own knowledge at once and keep it until another incarnation registers,
@@ -8,11 +9,17 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
+use http::StatusCode;
 use platform::headers::{PauseRequest, ResponseHead};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::dispatch::{Dispatcher, assignment::Assignment, health::Health};
+use crate::coordination::dispatch::{
+    Dispatcher,
+    assignment::Assignment,
+    health::Health,
+    rate_limit::{AnnouncedLimit, LimitChange},
+};
 
 /// Longest pause that is respected; a longer one is shortened to it.
 const MAX_PAUSE: Duration = Duration::from_secs(300);
@@ -40,6 +47,22 @@
     /// It asked for a pause of an invalid length, which is ignored.
     #[display("invalid_pause")]
     InvalidPause,
+    /// It takes this many requests in 1,000 seconds from all daemons together.
+    #[display("limit per_s={}", f64::from(*_0) / 1e3)]
+    Limit(u32),
+    /// It no longer names a limit.
+    #[display("limit_ended")]
+    LimitEnded,
+    /// It named an invalid limit, which is ignored.
+    #[display("invalid_limit")]
+    InvalidLimit,
+}
+
+/// What this daemon keeps of an incarnation's announcements.
+struct Announced<'a> {
+    leaving: &'a mut bool,
+    health: &'a mut Health,
+    limit: &'a mut AnnouncedLimit,
 }
 
 impl Dispatcher {
@@ -52,15 +75,29 @@
     ) -> Vec<Announcement> {
         let spread = self.rng.random::<f64>() * RESUME_SPREAD;
         let mut new = Vec::new();
-        if !head.leaving && head.pause.is_none() {
+        let names_any = head.leaving || head.pause.is_some() || head.rate_limit.is_some();
+        let may_end_limit = head.matches_request && self.names_limit(assignment, now);
+        if !names_any && !may_end_limit {
             return new;
         }
-        let Some((leaving, health)) = self.announced_state(assignment, now) else {
+        let Some(announced) = self.announced_state(assignment, now) else {
             return new;
         };
-        if head.leaving && !std::mem::replace(leaving, true) {
+        let health = announced.health;
+        if head.leaving && !std::mem::replace(announced.leaving, true) {
             new.push(Announcement::Leaving);
         }
+        // Another incarnation may have refused a request that was not for it.
+        let is_from_it = head.status != StatusCode::MISDIRECTED_REQUEST;
+        if is_from_it && (head.rate_limit.is_some() || head.matches_request) {
+            let sent_at = assignment.reserved_at;
+            match announced.limit.record(head.rate_limit, sent_at, now) {
+                LimitChange::Named(rate) => new.push(Announcement::Limit(rate)),
+                LimitChange::Ended => new.push(Announcement::LimitEnded),
+                LimitChange::Invalid => new.push(Announcement::InvalidLimit),
+                LimitChange::None => {}
+            }
+        }
         match head.pause {
             Some(PauseRequest::For(pause)) => {
                 let pause = pause.min(MAX_PAUSE);
@@ -78,18 +115,28 @@
 
     /// Returns whether the incarnation that an assignment was sent to leaves, and its health. Its entry
     /// may have been removed; an entry of another incarnation is not affected.
-    fn announced_state(
-        &mut self,
-        assignment: &Assignment,
-        now: Instant,
-    ) -> Option<(&mut bool, &mut Health)> {
+    fn announced_state(&mut self, assignment: &Assignment, now: Instant) -> Option<Announced<'_>> {
         if self.registry.get(&assignment.upstream).is_none() {
             let departed = self.registry.departed.of_assignment(assignment, now)?;
-            return Some((&mut departed.leaving, &mut departed.health));
+            return Some(Announced {
+                leaving: &mut departed.leaving,
+                health: &mut departed.health,
+                limit: &mut departed.limit,
+            });
         }
         let upstream = self.registry.get_mut(&assignment.upstream)?;
         let is_same = upstream.started_ms == assignment.started_ms;
-        is_same.then_some((&mut upstream.leaving, &mut upstream.health))
+        is_same.then_some(Announced {
+            leaving: &mut upstream.leaving,
+            health: &mut upstream.health,
+            limit: &mut upstream.limit,
+        })
+    }
+
+    /// Returns whether the upstream of an assignment is known to have a limit.
+    fn names_limit(&self, assignment: &Assignment, now: Instant) -> bool {
+        let upstream = self.registry.get(&assignment.upstream);
+        upstream.is_some_and(|upstream| upstream.limit.per_second(now).is_some())
     }
 
     /// Returns the upstreams that this daemon has heard are leaving.
--- a/src/coordination/dispatch/departed.rs
+++ b/src/coordination/dispatch/departed.rs
@@ -8,7 +8,9 @@
 
 use platform::UpstreamId;
 
-use crate::coordination::dispatch::{assignment::Assignment, health::Health, registry::Upstream};
+use crate::coordination::dispatch::{
+    assignment::Assignment, health::Health, rate_limit::AnnouncedLimit, registry::Upstream,
+};
 
 /// How long the announcements of a removed upstream are kept.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -20,6 +22,7 @@
     address: SocketAddr,
     pub(super) leaving: bool,
     pub(super) health: Health,
+    pub(super) limit: AnnouncedLimit,
     removed_at: Instant,
 }
 
@@ -30,7 +33,8 @@
 impl DepartedUpstreams {
     /// Keeps what an upstream announced before its entry is removed.
     pub(super) fn keep(&mut self, upstream: Upstream, now: Instant) {
-        if !upstream.leaving && !upstream.health.is_paused(now) {
+        let is_paused = upstream.health.is_paused(now);
+        if !upstream.leaving && !is_paused && !upstream.limit.is_recent(now) {
             return;
         }
         let departed = Departed {
@@ -38,6 +42,7 @@
             address: upstream.address,
             leaving: upstream.leaving,
             health: upstream.health,
+            limit: upstream.limit,
             removed_at: now,
         };
         self.0.insert(upstream.id, departed);
@@ -58,6 +63,7 @@
                 address: assignment.address,
                 leaving: false,
                 health: Health::default(),
+                limit: AnnouncedLimit::default(),
                 removed_at: now,
             });
         (departed.started_ms == assignment.started_ms).then_some(departed)
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -42,6 +42,7 @@
 pub mod prefill_queue;
 pub mod prefill_speed;
 pub mod prefix;
+pub mod rate_limit;
 pub mod registry;
 pub mod retry_budget;
 pub mod rollout;
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -15,6 +15,7 @@
 
 use crate::coordination::dispatch::{
     cold::RequestPacer, departed::DepartedUpstreams, health::Health, prefill_queue::PrefillQueue,
+    rate_limit::AnnouncedLimit,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -66,6 +67,8 @@
     pub started_ms: Option<u64>,
     /// Whether the incarnation has announced in a response that it leaves.
     pub leaving: bool,
+    /// The limit that the incarnation has named in a response.
+    pub limit: AnnouncedLimit,
 }
 
 impl Upstream {
@@ -287,6 +290,7 @@
                 if let Some(departed) = self.departed.take(&upstream) {
                     upstream.leaving = departed.leaving;
                     upstream.health = departed.health;
+                    upstream.limit = departed.limit;
                 }
                 self.ids_by_hash.insert(upstream.hash, row.key.clone());
                 self.upstreams.insert(row.key.clone(), upstream);
@@ -364,6 +368,7 @@
             sequence: registration.sequence,
             started_ms: registration.started_ms,
             leaving: false,
+            limit: AnnouncedLimit::default(),
         }
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -96,6 +96,9 @@
         Announcement::Leaving => "leaving",
         Announcement::Pause(_) => "pause",
         Announcement::InvalidPause => "invalid_pause",
+        Announcement::Limit(_) => "limit",
+        Announcement::LimitEnded => "limit_ended",
+        Announcement::InvalidLimit => "invalid_limit",
     };
     ANNOUNCEMENTS.with_label_values(&[what]).inc();
 }
--- a/tests/platform/headers.rs
+++ b/tests/platform/headers.rs
@@ -4,8 +4,8 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use platform::headers::{
-    PauseRequest, PromptSegment, RequestHead, ResponseHead, UpstreamHead, headers_for_caller,
-    headers_for_upstream,
+    PauseRequest, PromptSegment, RateLimit, RequestHead, ResponseHead, UpstreamHead,
+    headers_for_caller, headers_for_upstream,
 };
 
 fn headers(lines: &[(&str, &str)]) -> HeaderMap {
@@ -163,6 +163,28 @@
     assert_eq!(names, ["response-seal"]);
 }
 
+#[test]
+fn response_head_names_a_limit() {
+    let limit = |value| {
+        ResponseHead::decode(StatusCode::OK, &headers(&[("server-limit", value)]), None).rate_limit
+    };
+    for (value, expected) in [
+        ("2.3", 2_300),
+        ("1.5", 1_500),
+        (" 2 ", 2_000),
+        ("0", 0),
+        ("1e9", u32::MAX),
+    ] {
+        let expected = Some(RateLimit::PerKilosecond(expected));
+        assert_eq!(limit(value), expected, "{value:?}");
+    }
+    for invalid in ["-1", "few", "", "NaN", "inf", "1,5"] {
+        assert_eq!(limit(invalid), Some(RateLimit::Invalid), "{invalid:?}");
+    }
+    let none = ResponseHead::decode(StatusCode::OK, &headers(&[]), None);
+    assert_eq!(none.rate_limit, None);
+}
+
 #[test]
 fn response_head_announces_leaving_and_pauses() {
     let decode =
