--- a/src/coordination/dispatch/announcements.rs
+++ b/src/coordination/dispatch/announcements.rs
@@ -18,7 +18,8 @@
     Dispatcher,
     assignment::Assignment,
     health::Health,
-    rate_limit::{AnnouncedLimit, LimitChange},
+    rate_limit::{AnnouncedLimit, LimitChange, LimitReport},
+    registry::Upstream,
 };
 
 /// Longest pause that is respected; a longer one is shortened to it.
@@ -160,4 +161,21 @@
             }
         }
     }
+
+    /// Returns what this daemon knows of the limits that upstreams have named.
+    pub(super) fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
+        let report = |u: &Upstream| u.limit.report(u.hash, u.started_ms, now);
+        self.registry.all().filter_map(report).collect()
+    }
+
+    /// Merges what another daemon knows of limits.
+    pub(super) fn merge_limits(&mut self, reports: &[LimitReport], now: Instant) {
+        for report in reports {
+            if let Some(upstream) = self.registry.by_hash_mut(report.upstream)
+                && upstream.started_ms == report.started_ms
+            {
+                upstream.limit.merge(report, now);
+            }
+        }
+    }
 }
--- a/src/coordination/dispatch/assignment.rs
+++ b/src/coordination/dispatch/assignment.rs
@@ -106,6 +106,8 @@
     TooLate,
     /// All usable upstreams have asked for a pause.
     AllPaused,
+    /// All usable upstreams have named limits, and this daemon's shares of them are used up.
+    AllLimited,
 }
 
 /// Result of placing a request.
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -8,6 +8,7 @@
 
 use crate::coordination::dispatch::{
     announcements::LeavingReport, crash_evidence::SuspectReport, evidence::Evidence,
+    rate_limit::LimitReport,
 };
 
 /// Name of a daemon's instance.
@@ -126,6 +127,8 @@
     pub suspects: Vec<SuspectReport>,
     /// Upstreams that have announced to it, or to a daemon that it heard, that they leave.
     pub leaving: Vec<LeavingReport>,
+    /// Limits that upstreams have named or ended, to it or to a daemon that it heard.
+    pub limits: Vec<LimitReport>,
 }
 
 impl Heartbeat {
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -49,6 +49,8 @@
     RefuseWithPause(u64),
     /// Executes and answers requests, and announces that it leaves.
     Leave,
+    /// Executes and answers requests, and names this limit of an upstream in requests per 1,000 seconds.
+    Limit(u32),
     /// Executes requests and closes the connection without a response.
     Break,
     /// Closes the connection after the given number of events, inside the next one.
@@ -304,13 +306,19 @@
             | Behaviour::EndEmpty
             | Behaviour::Refuse
             | Behaviour::RefuseWithPause(_)
-            | Behaviour::Leave => {}
+            | Behaviour::Leave
+            | Behaviour::Limit(_) => {}
         }
         let mut response = self.successful_response(&parts, &id, behaviour);
         if behaviour == Behaviour::Leave {
             let value = "1".parse().expect("valid header value");
             response.headers_mut().insert("server-leaving", value);
         }
+        if let Behaviour::Limit(per_kilosecond) = behaviour {
+            let per_second = f64::from(per_kilosecond) / 1e3;
+            let value = per_second.to_string().parse().expect("valid header value");
+            response.headers_mut().insert("server-limit", value);
+        }
         Some(response)
     }
 
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod prefill_queue;
 mod prefill_speed;
 mod prefix_homes;
+mod rate_limit;
 mod retry_budget;
 mod rollout;
 mod rollout_conflict;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -83,6 +83,7 @@
         rollouts: Vec::new(),
         suspects: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod input;
 mod narrow_links;
 mod poison;
+mod rate_limit;
 mod reload;
 mod serve;
 mod shutdown;
