Keep to the limits that upstreams name, over the whole fleet

Class: a limit of all daemons together that each of them hears of by itself; the cold rate is the other one, and is shared alike. Now some daemons (2, and 2 more for each request a second) have equal shares of nine tenths of the rate and space their requests evenly; the others leave the upstream out. Where nothing else is left the request is refused at once with the time to come back (all_limited). One request in 4 s goes on at least, since only an answer tells that the limit has ended; escalations leave limited engines out.

--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -37,7 +37,7 @@
     ) -> Option<ExpectedStart> {
         let listed = self
             .listed(request.service, now)
-            .filter(|u| u.health.is_usable(now));
+            .filter(|u| u.health.is_usable(now) && u.limit.per_second(now).is_none());
         let candidates = self.candidates(request, listed.collect(), now);
         let start = |u: &Upstream| ExpectedStart {
             backlog: self.wait(u, now),
@@ -108,7 +108,8 @@
             .collect();
         let can_take = |u: &Upstream| {
             let tried = request.tried.contains(&u.id);
-            !tried && u.health.is_usable(now) && !u.is_cold(now) && self.running(u) < u.slots
+            let is_free = u.limit.per_second(now).is_none() && self.running(u) < u.slots;
+            !tried && u.health.is_usable(now) && !u.is_cold(now) && is_free
         };
         match preferred.iter().any(|u| can_take(u)) {
             true => preferred,
--- a/src/coordination/dispatch/cold.rs
+++ b/src/coordination/dispatch/cold.rs
@@ -61,6 +61,6 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "a count of daemons")]
-fn count(n: usize) -> f64 {
+pub(super) fn count(n: usize) -> f64 {
     n as f64
 }
--- a/src/coordination/dispatch/passed_over.rs
+++ b/src/coordination/dispatch/passed_over.rs
@@ -11,6 +11,9 @@
 /// Retry-After if all upstreams are full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Retry-After if other daemons may send to a limited upstream, as the caller may reach one of them.
+const OTHER_DAEMON_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Why an upstream cannot take a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Unusable {
@@ -24,6 +27,8 @@
     Full,
     /// It is cold and may get a request after this time, if any from this daemon.
     Cold(Option<Duration>),
+    /// It has named a limit and may get a request after this time, if any from this daemon.
+    Limited(Option<Duration>),
 }
 
 /// Why all upstreams of a request were passed over.
@@ -31,6 +36,7 @@
 pub(super) struct PassedOver {
     cold_wait: Option<Duration>,
     pause_left: Option<Duration>,
+    limit_wait: Option<Duration>,
     full: bool,
 }
 
@@ -42,6 +48,10 @@
         };
         match reason {
             Unusable::Tried | Unusable::Unhealthy | Unusable::Cold(None) => {}
+            Unusable::Limited(wait) => {
+                let wait = wait.unwrap_or(OTHER_DAEMON_RETRY_AFTER);
+                self.limit_wait = earlier(self.limit_wait, wait);
+            }
             Unusable::Paused(left) => self.pause_left = earlier(self.pause_left, left),
             Unusable::Full => self.full = true,
             Unusable::Cold(Some(wait)) => self.cold_wait = earlier(self.cold_wait, wait),
@@ -59,6 +69,9 @@
         if self.full {
             return Placement::Refuse(NoSlotReason::AllFull, FULL_RETRY_AFTER);
         }
+        if let Some(wait) = self.limit_wait {
+            return Placement::Refuse(NoSlotReason::AllLimited, wait);
+        }
         match self.pause_left {
             Some(left) => Placement::Refuse(NoSlotReason::AllPaused, left),
             None => Placement::Refuse(NoSlotReason::NoneUsable, NO_UPSTREAM_RETRY_AFTER),
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -125,8 +125,7 @@
         self.peers
             .live(now)
             .filter(|peer| {
-                let name = name_hash(&peer.last_heartbeat.from.name);
-                let position = self.daemon_ring.position(name);
+                let position = self.position_of(&peer.last_heartbeat.from.name);
                 position.uses(assignment.engine_index, assignment.engines)
             })
             .map(|peer| peer.address)
@@ -135,7 +134,12 @@
 
     /// Returns this daemon's position on the ring of all daemons.
     pub(super) fn own_position(&self) -> RingPosition {
-        self.daemon_ring.position(name_hash(&self.me.name))
+        self.position_of(&self.me.name)
+    }
+
+    /// Returns a daemon's position on the ring of all daemons.
+    pub(super) fn position_of(&self, name: &str) -> RingPosition {
+        self.daemon_ring.position(name_hash(name))
     }
 
     /// Updates the ring of all daemons.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -13,11 +13,14 @@
     cold::{self, RateShare},
     cost::{Candidate, cost},
     health::AttemptOutcome,
+    heartbeat::DaemonName,
     passed_over::{NO_UPSTREAM_RETRY_AFTER, PassedOver, Unusable},
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::PrefixBlock,
+    rate_limit,
     registry::Upstream,
     rollout::{Arm, Rollout},
+    subset::HashRing,
 };
 
 /// Added to the cold time of an upstream that refused connections, as its restart is not observed.
@@ -144,7 +147,10 @@
         let mut passed_over = PassedOver::default();
         let mut best: Option<(f64, &Upstream, Candidate)> = None;
         for upstream in &candidates.upstreams {
-            if let Err(reason) = self.check_usable(request, upstream, service, now) {
+            let usable = self
+                .check_usable(request, upstream, service, now)
+                .and_then(|()| self.check_limit(upstream, &candidates.ring, now));
+            if let Err(reason) = usable {
                 passed_over.record(reason);
                 continue;
             }
@@ -260,10 +266,34 @@
         }
     }
 
+    /// Checks that a limit that the upstream has named allows a request from this daemon now.
+    fn check_limit(
+        &self,
+        upstream: &Upstream,
+        ring: &HashRing,
+        now: Instant,
+    ) -> Result<(), Unusable> {
+        let Some(limit) = upstream.limit.per_second(now) else {
+            return Ok(());
+        };
+        let RateShare::Rate(rate) = self.limit_share(limit, upstream, ring, now) else {
+            return Err(Unusable::Limited(None));
+        };
+        let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX);
+        let since_last = upstream
+            .sent_at
+            .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        match interval.saturating_sub(since_last) {
+            Duration::ZERO => Ok(()),
+            wait => Err(Unusable::Limited(Some(wait))),
+        }
+    }
+
     fn reserve_slot(&mut self, assignment: &mut Assignment, blocks: &[PrefixBlock], now: Instant) {
         let rate = self.cold_share(&assignment.upstream, &assignment.service, now);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running += 1;
+            upstream.sent_at = Some(now);
             assignment.on_trial = upstream.health.request_sent();
             assignment.expected_at = upstream.queue.enqueue(assignment.prefill_time, now);
             if upstream.is_cold(now)
@@ -305,18 +335,56 @@
     }
 
     fn share_of(&self, upstream: &Upstream, service: &Service, now: Instant) -> RateShare {
+        let rank = self.sharer_rank(upstream, self.peers.limit_sharers(now));
+        cold::rate_share(service.cold_rate, rank.rank, rank.sharers)
+    }
+
+    /// Returns this daemon's share of a limit among the daemons that use the upstream.
+    fn limit_share(
+        &self,
+        limit: f64,
+        upstream: &Upstream,
+        ring: &HashRing,
+        now: Instant,
+    ) -> RateShare {
+        let (index, engines) = (ring.index(upstream.hash), ring.count());
+        if !self.own_position().uses(index, engines) {
+            return RateShare::None;
+        }
+        let users = self
+            .peers
+            .limit_sharers(now)
+            .filter(|name| self.position_of(name).uses(index, engines));
+        let rank = self.sharer_rank(upstream, users);
+        rate_limit::limit_share(limit, rank.rank, rank.sharers)
+    }
+
+    /// Returns this daemon's rank among the others with which it shares an upstream's rate.
+    fn sharer_rank<'a>(
+        &self,
+        upstream: &Upstream,
+        others: impl Iterator<Item = &'a DaemonName>,
+    ) -> SharerRank {
         let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), upstream.hash);
         let own_weight = weight(&self.me.name);
-        let mut rank = 0;
-        let mut daemons = 1;
-        for name in self.peers.limit_sharers(now) {
-            daemons += 1;
-            rank += usize::from(weight(name) > own_weight);
+        let mut rank = SharerRank {
+            rank: 0,
+            sharers: 1,
+        };
+        for name in others {
+            rank.sharers += 1;
+            rank.rank += usize::from(weight(name) > own_weight);
         }
-        cold::rate_share(service.cold_rate, rank, daemons)
+        rank
     }
 }
 
+/// The rank of this daemon, starting at 0, among those that share an upstream's rate.
+struct SharerRank {
+    rank: usize,
+    sharers: usize,
+}
+
 /// Returns how many requests an upstream accepts per slot; plain upstreams also queue requests.
 fn queue_factor(service: Option<&Service>) -> u32 {
     match service {
--- a/src/coordination/dispatch/rate_limit.rs
+++ b/src/coordination/dispatch/rate_limit.rs
@@ -1,15 +1,28 @@
 //! The request rates that upstreams in need name in their answers, for all daemons together.
 //!
 //! Load pattern: an upstream in need answers one daemon after the other, and all of them go on
-//! sending. What one daemon hears holds for all; the newest answer of the upstream decides.
+//! sending. What one daemon hears holds for all; the newest answer of the upstream decides. Each of
+//! some daemons has an equal share of the rate and spaces its requests evenly; so many that their
+//! first requests together stay a small part of what the upstream takes in some seconds.
 
 use std::time::{Duration, Instant};
 
 use platform::headers::RateLimit;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::dispatch::as_millis;
+use crate::coordination::dispatch::{
+    as_millis,
+    cold::{RateShare, count},
+};
 
+/// Fraction of the limit that is shared among the daemons.
+const USED_RATE_FRACTION: f64 = 0.9;
+/// Minimum rate in requests per second, as only an answer tells that a limit has ended.
+const MIN_RATE: f64 = 0.25;
+/// Number of daemons that share a limit of less than one request in two seconds.
+const MIN_SHARERS: usize = 2;
+/// Number of further daemons for each request per second.
+const SHARERS_PER_RATE: f64 = 2.0;
 /// How long a limit is respected that no answer has confirmed or ended.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -35,6 +48,16 @@
     pub age_ms: u32,
 }
 
+/// Returns the share of the daemon with `rank` (starting at 0) among `daemons` in a limit of `limit`
+/// requests per second.
+pub fn limit_share(limit: f64, rank: usize, daemons: usize) -> RateShare {
+    let sharers = max_sharers(limit).clamp(1, daemons.max(1));
+    if rank >= sharers {
+        return RateShare::None;
+    }
+    RateShare::Rate((limit * USED_RATE_FRACTION).max(MIN_RATE) / count(sharers))
+}
+
 /// How an answer changed what is known of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitChange {
@@ -117,3 +140,12 @@
         })
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "positive and at most a few millions"
+)]
+fn max_sharers(limit: f64) -> usize {
+    (limit * SHARERS_PER_RATE) as usize + MIN_SHARERS
+}
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -69,6 +69,8 @@
     pub leaving: bool,
     /// The limit that the incarnation has named in a response.
     pub limit: AnnouncedLimit,
+    /// When this daemon last sent it a request.
+    pub sent_at: Option<Instant>,
 }
 
 impl Upstream {
@@ -369,6 +371,7 @@
             started_ms: registration.started_ms,
             leaving: false,
             limit: AnnouncedLimit::default(),
+            sent_at: None,
         }
     }
 
