Soak limits of upstreams, narrow links to the table and large configurations

Checked: upstreams execute no more than their limit allows from 3 s after they name it, in times without failures; all gateways apply the newest configuration in the end (as before).

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -19,6 +19,8 @@
     Upstream::new("p2", "desk"),
     Upstream::new("p3", "desk"),
 ];
+/// Number of routes by which the configuration grows.
+const MANY_ROUTES: usize = 2_000;
 /// API key of all callers.
 pub const KEY: &str = "k1";
 
@@ -68,6 +70,8 @@
     unstable: Vec<Span>,
     /// Generation of the current configuration.
     pub generation: u64,
+    /// Whether the current configuration has many routes.
+    has_many_routes: bool,
 }
 
 impl Deployment {
@@ -104,6 +108,7 @@
             left: BTreeMap::new(),
             unstable: Vec::new(),
             generation: 1,
+            has_many_routes: false,
         })
     }
 
@@ -166,9 +171,17 @@
         self.write_configuration();
     }
 
+    /// Publishes a configuration with many routes more, or without them again.
+    pub fn change_routes(&mut self) {
+        self.has_many_routes = !self.has_many_routes;
+        self.publish_configuration();
+    }
+
     fn write_configuration(&self) {
         let newest = self.newest_key();
-        let configuration = deployment::configuration(self.generation, &[KEY, &newest]);
+        let routes = if self.has_many_routes { MANY_ROUTES } else { 0 };
+        let configuration =
+            deployment::configuration_with_routes(self.generation, &[KEY, &newest], routes);
         self.table.put("op", "config", &configuration);
     }
 
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -99,6 +99,7 @@
         // The copy is taken now and restored at the end.
         Fault::Restore => {}
         Fault::Configure => deployment.publish_configuration(),
+        Fault::ConfigureRoutes => deployment.change_routes(),
     }
     Ok(())
 }
@@ -143,6 +144,7 @@
         }
         Fault::Drain(upstream) => deployment.end_drain(upstream, from),
         Fault::Leave(upstream) => deployment.restart_left_upstream(upstream, from),
+        Fault::ConfigureRoutes => deployment.change_routes(),
         Fault::Reload(_) | Fault::Compact | Fault::Restore | Fault::Configure => {}
     }
     Ok(true)
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -17,6 +17,10 @@
 
 /// Time after which a draining upstream must not receive any more requests.
 const DRAIN_PROPAGATION_TIME: Duration = Duration::from_secs(2);
+/// Time after which all gateways must keep to a limit that an upstream has named.
+const LIMIT_PROPAGATION_TIME: Duration = Duration::from_secs(3);
+/// Span in which the requests within a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Time at the end of a run in which every request must be served.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
 /// Customer of all callers.
@@ -55,6 +59,9 @@
     /// A gateway sent a request to an upstream that had announced to it that it leaves.
     #[display("gateway {_2} sent {_0} to upstream {_1}, which had announced that it leaves")]
     RanOnLeaving(String, usize, usize),
+    /// An upstream executed more requests than its limit allows.
+    #[display("upstream {_0} executed {_1} requests within its limit's window, {_2} are allowed")]
+    OverLimit(usize, usize, usize),
     /// An upstream received a caller's key, or another customer.
     #[display("{_0} reached its upstream with a caller's key or for another customer")]
     WrongCustomer(String),
@@ -84,6 +91,7 @@
     violations.extend(check_recovery(records));
     violations.extend(check_drained(deployment));
     violations.extend(check_left(deployment, records));
+    violations.extend(check_limits(deployment));
     violations.extend(check_customers(deployment));
     violations
 }
@@ -209,6 +217,40 @@
     violations
 }
 
+/// Checks that upstreams executed no more requests than they had named, from some time after they named
+/// it. Only times without failures are checked, as gateways may be out of touch in others.
+fn check_limits(deployment: &Deployment) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (index, proxied) in deployment.upstreams.iter().enumerate() {
+        let runs = proxied.upstream.runs();
+        for limited in runs.chunk_by(|a, b| a.named_limit == b.named_limit) {
+            let Some(limit) = limited[0].named_limit else {
+                continue;
+            };
+            let named_at = limited[0].executed_at;
+            let allowed = allowed_in_window(limit);
+            let late = limited.iter().map(|run| run.executed_at);
+            for from in late.filter(|at| *at > named_at + LIMIT_PROPAGATION_TIME) {
+                let to = from + LIMIT_WINDOW;
+                let in_window = |run: &&Run| run.executed_at >= from && run.executed_at < to;
+                let count = limited.iter().filter(in_window).count();
+                let span = Span { from: named_at, to };
+                let is_steady = !deployment.unstable().any(|other| overlap(&span, &other));
+                if count > allowed && is_steady {
+                    violations.push(Violation::OverLimit(index, count, allowed));
+                }
+            }
+        }
+    }
+    violations
+}
+
+/// Returns how many requests a limit in requests per 1,000 seconds allows in a window.
+fn allowed_in_window(per_kilosecond: u32) -> usize {
+    let named = u64::from(per_kilosecond) * LIMIT_WINDOW.as_secs();
+    usize::try_from(named * 3 / 2_000 + 5).unwrap_or(usize::MAX)
+}
+
 fn check_customers(deployment: &Deployment) -> Vec<Violation> {
     let mut seen = HashSet::new();
     let mut violations = Vec::new();
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -13,6 +13,15 @@
 /// Duration of a fault in milliseconds.
 const FAULT_DURATIONS_MS: std::ops::RangeInclusive<u64> = 200..=4_000;
 
+/// Separates the generator of the extra faults from that of the others.
+const EXTRA_FAULTS_SEED: u64 = 0x4c49_4d49_5453;
+/// Duration of an extra fault in milliseconds.
+const EXTRA_DURATIONS_MS: std::ops::RangeInclusive<u64> = 1_000..=9_000;
+/// Limits of upstreams in requests per 1,000 seconds.
+const LIMITS_PER_KILOSECOND: std::ops::RangeInclusive<u32> = 500..=6_000;
+/// Rates of narrow links in bytes per second.
+const LINK_RATES: std::ops::RangeInclusive<u32> = 400_000..=2_000_000;
+
 /// A fault or a change that is injected into the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -45,6 +54,8 @@
     Drain(usize),
     /// The configuration is changed by operators.
     Configure,
+    /// The configuration grows by many routes, or shrinks again.
+    ConfigureRoutes,
 }
 
 /// A fault with its start time and duration.
@@ -92,10 +103,44 @@
             }
         })
         .collect();
+    schedule.extend(extra_faults(seed, gateways, upstreams, injection_time));
     schedule.sort_by_key(|step| step.at);
     schedule
 }
 
+/// Draws upstreams with limits, narrow links and large configurations from a generator of their own, so
+/// that the other faults of a seed stay as they were.
+fn extra_faults(
+    seed: u64,
+    gateways: usize,
+    upstreams: usize,
+    injection_time: Duration,
+) -> Schedule {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ EXTRA_FAULTS_SEED);
+    let mut schedule = Schedule::new();
+    for fault in [
+        Fault::Upstream(
+            rng.random_range(0..upstreams),
+            Behaviour::Limit(rng.random_range(LIMITS_PER_KILOSECOND)),
+        ),
+        Fault::TableLink(
+            rng.random_range(0..gateways),
+            LinkState::Limited(rng.random_range(LINK_RATES)),
+        ),
+        Fault::ConfigureRoutes,
+    ] {
+        let scheduled = ScheduledFault {
+            at: injection_time.mul_f64(rng.random()),
+            duration: Duration::from_millis(rng.random_range(EXTRA_DURATIONS_MS)),
+            fault,
+        };
+        if rng.random_bool(0.5) {
+            schedule.push(scheduled);
+        }
+    }
+    schedule
+}
+
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
     match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -90,6 +90,8 @@
     pub executed_at: Instant,
     /// Whether the response announced that the upstream leaves.
     pub announced_leaving: bool,
+    /// The limit that the response named, in requests per 1,000 seconds.
+    pub named_limit: Option<u32>,
     /// Number of restarts of the upstream before.
     pub restarts: u64,
 }
@@ -284,6 +286,10 @@
                 body,
                 executed_at: Instant::now(),
                 announced_leaving: behaviour == Behaviour::Leave,
+                named_limit: match behaviour {
+                    Behaviour::Limit(limit) => Some(limit),
+                    _ => None,
+                },
                 restarts,
             });
         }
