--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -17,6 +17,8 @@
 const NARROW_LINK: LinkState = LinkState::Limited(1_250_000);
 /// Number of routes of a configuration of about 1 MB.
 const MANY_ROUTES: usize = 4_200;
+/// Number of routes of a configuration of about 4.5 MB, 6 MB in the table's answer.
+const VERY_MANY_ROUTES: usize = 20_000;
 /// Time in which a confirmed configuration must be in force.
 const APPLY_TIME: Duration = Duration::from_secs(3);
 /// Number of daemons that ask one daemon at the same time.
@@ -85,6 +87,15 @@
     );
 }
 
+/// An answer of the table of more than 4 MiB was never read.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_of_several_megabytes_is_applied() {
+    let harness = Harness::spawn(1).await;
+    let configuration = configuration_with_routes(2, &["k1"], VERY_MANY_ROUTES);
+    harness.table.put("op", "config", &configuration);
+    wait_for_generation(&harness.gateways[0], 2).await;
+}
+
 /// Queries to peers were given up after 600 ms, however much had arrived.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_configuration_arrives_from_a_peer_over_narrow_link() {
