Split what is recorded of an attempt and what is fetched from peers off the long modules

Code is moved, one field is visible to the sibling module; no change of behaviour. tests/gateway: all pass.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,6 @@
 //! Handling of a request: selection of an upstream, attempts and the response.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -10,14 +10,12 @@
 use platform::{
     UpstreamId,
     configuration::RouteKind,
-    headers::{
-        Prompt, ResponseHead, UpstreamHead, headers_for_caller, headers_for_upstream, request_id,
-    },
+    headers::{ResponseHead, UpstreamHead, headers_for_caller, headers_for_upstream, request_id},
 };
 
 use crate::{
     coordination::dispatch::{
-        Assignment, NoSlotReason, Placement, PlacementRequest, Quality,
+        NoSlotReason, Placement, PlacementRequest, Quality,
         crash_evidence::Suspect,
         escalation::{EscalationDecision, StartedResponse, decide_escalation},
         health::AttemptOutcome,
@@ -26,8 +24,7 @@
         attempt::{self, AttemptError, UpstreamResponse},
         call::Call,
         drain::WorkGuard,
-        metrics, peer_link,
-        relay::{self, StreamProgress},
+        metrics, peer_link, relay,
         reply::{self, Body, RefusalReason},
         shared::{Shared, SlotGuard},
     },
@@ -86,7 +83,8 @@
     /// The model to use; absent if the caller named one.
     pub model: Option<CompactString>,
     tried: Vec<UpstreamId>,
-    attempts: u32,
+    /// Number of attempts so far.
+    pub(super) attempts: u32,
     unreachable: u32,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
@@ -402,49 +400,6 @@
         NextStep::Retry
     }
 
-    /// Records that an upstream has begun to respond to this request.
-    pub fn record_run_start(&self, slot: &mut SlotGuard) {
-        slot.record_response_start();
-        let now = self.shared.now();
-        self.shared
-            .dispatcher()
-            .run_began(&slot.assignment, &self.call.suspects, now);
-    }
-
-    /// Records that the connection to an upstream broke during this request.
-    pub fn report_broken_connection(&self, slot: &SlotGuard) {
-        let now = self.shared.now();
-        log::info!(
-            "event=run_interrupted id={} upstream={} {} prompt={}",
-            self.call.id(),
-            slot.assignment.upstream,
-            self.call.suspects[0].suspect,
-            self.call
-                .head
-                .prompt
-                .as_ref()
-                .map_or("-".into(), Prompt::segment_ids)
-        );
-        self.shared
-            .dispatcher()
-            .connection_broken(&slot.assignment, &self.call.suspects, now);
-    }
-
-    /// Records the quality of a response as evidence for a rollout.
-    pub fn report_quality(&self, slot: &SlotGuard, quality: Quality) {
-        let now = self.shared.now();
-        let mut dispatcher = self.shared.dispatcher();
-        dispatcher.record_quality(&slot.assignment, quality, now);
-    }
-
-    /// Records the pace of a stream's events as evidence for a rollout.
-    pub fn report_pace(&self, slot: &SlotGuard, per_event: Duration) {
-        let now = self.shared.now();
-        self.shared
-            .dispatcher()
-            .record_pace(&slot.assignment, per_event, now);
-    }
-
     /// Records an attempt to resume a stream on another upstream.
     pub fn record_resume_attempt(&mut self, slot: &SlotGuard) {
         self.attempts += 1;
@@ -464,50 +419,6 @@
         )
     }
 
-    /// Records what the upstream of a slot announces in the head of its response.
-    pub fn record_announcements(&self, slot: &SlotGuard, head: &ResponseHead) {
-        let now = self.shared.now();
-        let mut dispatcher = self.shared.dispatcher();
-        let announcements = dispatcher.record_announcements(&slot.assignment, head, now);
-        drop(dispatcher);
-        for announcement in &announcements {
-            log::info!(
-                "event=upstream_announced upstream={} id={} {announcement}",
-                slot.assignment.upstream,
-                self.call.id()
-            );
-            metrics::announcement(announcement);
-        }
-        if !announcements.is_empty() {
-            self.shared.urgent_heartbeat.notify_one();
-        }
-    }
-
-    /// Records the outcome and the duration of the request.
-    pub fn count_request(&self, outcome: &str) {
-        metrics::request(outcome, self.call.age(self.shared.now()));
-    }
-
-    /// Logs and counts how an attempt ended.
-    pub fn log_attempt_end(&self, slot: &SlotGuard, outcome: &str) {
-        self.log_end(slot, outcome, format_args!(""));
-    }
-
-    /// Logs and counts how an attempt ended whose response is a stream.
-    pub fn log_stream_end(&self, slot: &SlotGuard, outcome: &str, progress: &StreamProgress) {
-        self.log_end(slot, outcome, format_args!(" {progress}"));
-    }
-
-    fn log_end(&self, slot: &SlotGuard, outcome: &str, details: fmt::Arguments<'_>) {
-        metrics::attempt(outcome);
-        log::info!(
-            "event=attempt_ended id={} upstream={} outcome={outcome} ms={}{details}",
-            self.call.id(),
-            slot.assignment.upstream,
-            slot.age().as_millis()
-        );
-    }
-
     /// Returns the larger model to use if the response of the current one is not trusted.
     fn escalation_model(&self, head: &ResponseHead) -> Option<CompactString> {
         let largest = self.call.models().last()?;
@@ -570,20 +481,4 @@
         self.count_request(&reason.to_string());
         reply::refuse(reason, wait)
     }
-
-    fn log_placement(&self, assignment: &Assignment) {
-        log::info!(
-            "event=chosen id={} session={:016x} route={} upstream={} version={} arm={} model={} attempt={} expected_ms={} generation={}",
-            self.call.id(),
-            self.call.session,
-            self.call.route.name,
-            assignment.upstream,
-            assignment.version,
-            assignment.arm.map_or("none", |arm| arm.name()),
-            self.model.as_deref().unwrap_or("-"),
-            self.attempts + 1,
-            assignment.expected_first_event().as_millis(),
-            self.call.generation
-        );
-    }
 }
--- /dev/null
+++ b/src/gateway/recording.rs
@@ -0,0 +1,116 @@
+//! What is recorded, logged and counted of a request and its attempts.
+
+use std::{fmt, time::Duration};
+
+use platform::headers::{Prompt, ResponseHead};
+
+use crate::{
+    coordination::dispatch::{Assignment, Quality},
+    gateway::{forward::Exchange, metrics, relay::StreamProgress, shared::SlotGuard},
+};
+
+impl Exchange {
+    /// Records that an upstream has begun to respond to this request.
+    pub fn record_run_start(&self, slot: &mut SlotGuard) {
+        slot.record_response_start();
+        let now = self.shared.now();
+        self.shared
+            .dispatcher()
+            .run_began(&slot.assignment, &self.call.suspects, now);
+    }
+
+    /// Records that the connection to an upstream broke during this request.
+    pub fn report_broken_connection(&self, slot: &SlotGuard) {
+        let now = self.shared.now();
+        log::info!(
+            "event=run_interrupted id={} upstream={} {} prompt={}",
+            self.call.id(),
+            slot.assignment.upstream,
+            self.call.suspects[0].suspect,
+            self.call
+                .head
+                .prompt
+                .as_ref()
+                .map_or("-".into(), Prompt::segment_ids)
+        );
+        self.shared
+            .dispatcher()
+            .connection_broken(&slot.assignment, &self.call.suspects, now);
+    }
+
+    /// Records the quality of a response as evidence for a rollout.
+    pub fn report_quality(&self, slot: &SlotGuard, quality: Quality) {
+        let now = self.shared.now();
+        let mut dispatcher = self.shared.dispatcher();
+        dispatcher.record_quality(&slot.assignment, quality, now);
+    }
+
+    /// Records the pace of a stream's events as evidence for a rollout.
+    pub fn report_pace(&self, slot: &SlotGuard, per_event: Duration) {
+        let now = self.shared.now();
+        self.shared
+            .dispatcher()
+            .record_pace(&slot.assignment, per_event, now);
+    }
+
+    /// Records what the upstream of a slot announces in the head of its response.
+    pub fn record_announcements(&self, slot: &SlotGuard, head: &ResponseHead) {
+        let now = self.shared.now();
+        let mut dispatcher = self.shared.dispatcher();
+        let announcements = dispatcher.record_announcements(&slot.assignment, head, now);
+        drop(dispatcher);
+        for announcement in &announcements {
+            log::info!(
+                "event=upstream_announced upstream={} id={} {announcement}",
+                slot.assignment.upstream,
+                self.call.id()
+            );
+            metrics::announcement(announcement);
+        }
+        if !announcements.is_empty() {
+            self.shared.urgent_heartbeat.notify_one();
+        }
+    }
+
+    /// Records the outcome and the duration of the request.
+    pub fn count_request(&self, outcome: &str) {
+        metrics::request(outcome, self.call.age(self.shared.now()));
+    }
+
+    /// Logs and counts how an attempt ended.
+    pub fn log_attempt_end(&self, slot: &SlotGuard, outcome: &str) {
+        self.log_end(slot, outcome, format_args!(""));
+    }
+
+    /// Logs and counts how an attempt ended whose response is a stream.
+    pub fn log_stream_end(&self, slot: &SlotGuard, outcome: &str, progress: &StreamProgress) {
+        self.log_end(slot, outcome, format_args!(" {progress}"));
+    }
+
+    fn log_end(&self, slot: &SlotGuard, outcome: &str, details: fmt::Arguments<'_>) {
+        metrics::attempt(outcome);
+        log::info!(
+            "event=attempt_ended id={} upstream={} outcome={outcome} ms={}{details}",
+            self.call.id(),
+            slot.assignment.upstream,
+            slot.age().as_millis()
+        );
+    }
+
+    /// Logs on which upstream a request was placed.
+    pub(super) fn log_placement(&self, assignment: &Assignment) {
+        log::info!(
+            "event=chosen id={} session={:016x} route={} upstream={} version={} arm={} model={} attempt={} expected_ms={} generation={}",
+            self.call.id(),
+            self.call.session,
+            self.call.route.name,
+            assignment.upstream,
+            assignment.version,
+            assignment.arm.map_or("none", |arm| arm.name()),
+            self.model.as_deref().unwrap_or("-"),
+            self.attempts + 1,
+            assignment.expected_first_event().as_millis(),
+            self.call.generation
+        );
+    }
+}
--- a/src/gateway/records.rs
+++ b/src/gateway/records.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     coordination::dispatch::{RolloutStatus, rollout::Rollout},
-    gateway::{follow, metrics, shared::Shared},
+    gateway::{fetch, metrics, shared::Shared},
 };
 
 /// Name of the daemons' own table.
@@ -158,7 +158,7 @@
         while !self.has_heard_peer() && self.shared.now() < wait_until {
             tokio::time::sleep(PEER_CHECK_INTERVAL).await;
         }
-        follow::fetch_newer_generation(&self.shared, 0).await;
+        fetch::fetch_newer_generation(&self.shared, 0).await;
     }
 
     /// Returns whether a peer has sent a heartbeat, or whether there are none.
