--- a/tests/dispatch/crash_storm.rs
+++ b/tests/dispatch/crash_storm.rs
@@ -72,6 +72,10 @@
     requests: u64,
     /// Position of the crashing segment in its prompts.
     depth: usize,
+    /// When crashes begin.
+    onset: Duration,
+    /// Number of routes, each with a first segment of its own.
+    routes: u64,
     crashes: Vec<Instant>,
     crashing_arrivals: Vec<Instant>,
     /// Sound requests of the route with crashing ones, by whether they were refused.
@@ -97,6 +101,8 @@
             runs: Vec::new(),
             requests: 0,
             depth,
+            onset: ONSET,
+            routes: 3,
             crashes: Vec::new(),
             crashing_arrivals: Vec::new(),
             sound: BTreeMap::new(),
@@ -113,7 +119,7 @@
         let route = if crashing {
             0
         } else {
-            self.rng.random_range(0..3)
+            self.rng.random_range(0..self.routes)
         };
         let subject = 100 + 100 * route + self.rng.random_range(0..10);
         let group = 10_000 + 100 * subject + self.rng.random_range(0..5);
@@ -282,7 +288,7 @@
                 let request = self.draw_request(false);
                 self.send(request);
             }
-            if self.elapsed() > ONSET {
+            if self.elapsed() > self.onset {
                 disturb(self);
             }
             if self.now >= next_heartbeat {
@@ -342,6 +348,23 @@
     }
 }
 
+/// All requests share their first segment, and the daemons have just started: nothing is known to be
+/// sound. Requests with that segment were refused for good.
+#[test]
+fn first_segment_of_all_requests_stays_in_use_from_the_start() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.depth = 1 + fleet.depth % 2;
+        fleet.onset = Duration::ZERO;
+        fleet.routes = 1;
+        fleet.play(send_crashing);
+        let last = fleet.crashes[fleet.crashes.len().min(CRASHES) - 1];
+        let refused = fleet.refused_share(last + REACTION_TIME * 2);
+        assert!(refused <= 0.05, "seed {seed}: {refused} refused");
+        assert_contained(&fleet, seed);
+    }
+}
+
 /// What a daemon knows is lost at its restart; the others tell it.
 #[test]
 fn crashing_segment_is_contained_while_daemons_restart() {
