--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -17,7 +17,7 @@
 const EXTRA_FAULTS_SEED: u64 = 0x4c49_4d49_5453;
 /// Duration of an extra fault in milliseconds.
 const EXTRA_DURATIONS_MS: std::ops::RangeInclusive<u64> = 1_000..=9_000;
-/// Limits of upstreams in requests per 1,000 seconds.
+/// Limit of an upstream in requests per 1,000 seconds.
 const LIMITS_PER_KILOSECOND: std::ops::RangeInclusive<u32> = 500..=6_000;
 /// Rates of narrow links in bytes per second.
 const LINK_RATES: std::ops::RangeInclusive<u32> = 400_000..=2_000_000;
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use hibiscusyoke::gateway::{followed_table::FollowedTable, table_link::fetch_changes};
+use hibiscusyoke::gateway::{
+    followed_table::FollowedTable,
+    table_link::{ChangesReply, FetchError, fetch_changes},
+};
 use platform::RowVersion;
 use soak::proxy::{LinkState, Proxy};
 use stand_in::gateway::{
@@ -29,6 +32,29 @@
 /// Time in which a peer that sends nothing is given up.
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 
+/// Starts a gateway that reaches the table through a link.
+async fn harness_behind_link() -> (Harness, Proxy) {
+    let table = FakeTable::spawn().await;
+    let link = Proxy::bind(table.address()).await.expect("a free port");
+    let harness = Harness::spawn_at(table, 1, |_, settings| {
+        settings["table"] = link.address().to_string().into();
+    });
+    (harness.await, link)
+}
+
+/// Returns a link to a gateway's port for peers.
+async fn link_to_peer(gateway: &Gateway) -> Proxy {
+    Proxy::bind(gateway.peer_address())
+        .await
+        .expect("a free port")
+}
+
+/// Queries a gateway for its whole configuration, as a peer does.
+async fn fetch_configuration(link: &Proxy) -> Result<ChangesReply, FetchError> {
+    let nothing = RowVersion::default();
+    fetch_changes(link.address(), FollowedTable::Orders, nothing).await
+}
+
 async fn wait_for_generation(gateway: &Gateway, generation: u64) {
     let applied = format!("configuration generation={generation}");
     wait_until(|| async { gateway.log().contains(&applied) }).await;
@@ -38,12 +64,7 @@
 /// got the configuration.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_configuration_arrives_over_narrow_link_after_outage() {
-    let table = FakeTable::spawn().await;
-    let link = Proxy::bind(table.address()).await.expect("a free port");
-    let harness = Harness::spawn_at(table, 1, |_, settings| {
-        settings["table"] = link.address().to_string().into();
-    })
-    .await;
+    let (harness, link) = harness_behind_link().await;
     let gateway = &harness.gateways[0];
     link.set(LinkState::Silent);
     wait_until(|| async { gateway.log().contains("event=table_lost table=op") }).await;
@@ -62,12 +83,7 @@
 /// A change that comes when a poll is about to end is not lost with it.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_configuration_arrives_at_the_end_of_a_poll() {
-    let table = FakeTable::spawn().await;
-    let link = Proxy::bind(table.address()).await.expect("a free port");
-    let harness = Harness::spawn_at(table, 1, |_, settings| {
-        settings["table"] = link.address().to_string().into();
-    })
-    .await;
+    let (harness, link) = harness_behind_link().await;
     let gateway = &harness.gateways[0];
     link.set(NARROW_LINK);
     // The answer to this change ends a poll, and the next one begins.
@@ -104,11 +120,9 @@
     let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
     harness.table.put("op", "config", &configuration);
     wait_for_generation(gateway, 2).await;
-    let link = Proxy::bind(gateway.peer_address())
-        .await
-        .expect("a free port");
+    let link = link_to_peer(gateway).await;
     link.set(NARROW_LINK);
-    let query = fetch_changes(link.address(), FollowedTable::Orders, RowVersion::default());
+    let query = fetch_configuration(&link);
     let reply = timeout(APPLY_TIME, query).await.expect("in time");
     assert_eq!(reply.expect("a reply").changes.rows.len(), 1);
 }
@@ -122,12 +136,9 @@
     let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
     harness.table.put("op", "config", &configuration);
     wait_for_generation(gateway, 2).await;
-    let link = Proxy::bind(gateway.peer_address())
-        .await
-        .expect("a free port");
+    let link = link_to_peer(gateway).await;
     link.set(NARROW_LINK);
-    let query = || fetch_changes(link.address(), FollowedTable::Orders, RowVersion::default());
-    let queries = (0..ASKING_PEERS).map(|_| query());
+    let queries = (0..ASKING_PEERS).map(|_| fetch_configuration(&link));
     let replies = timeout(RELAY_TIME, futures::future::join_all(queries)).await;
     let replies = replies.expect("each peer has the configuration or may ask another one");
     let complete = replies.iter().filter(|reply| reply.is_ok()).count();
@@ -138,11 +149,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_peer_is_given_up() {
     let harness = Harness::spawn(1).await;
-    let link = Proxy::bind(harness.gateways[0].peer_address())
-        .await
-        .expect("a free port");
+    let link = link_to_peer(&harness.gateways[0]).await;
     link.set(LinkState::AnswersLost);
-    let query = fetch_changes(link.address(), FollowedTable::Orders, RowVersion::default());
+    let query = fetch_configuration(&link);
     let reply = timeout(MAX_SILENCE, query).await.expect("given up in time");
     assert!(reply.is_err(), "{reply:?}");
 }
