--- a/src/gateway/table_service.rs
+++ b/src/gateway/table_service.rs
@@ -104,18 +104,8 @@
         transfer: &TransferSlot,
     ) -> Response<Full<Bytes>> {
         let refuse = |status| plain(status, BINARY, Bytes::new());
-        let query = match read_body(req.into_body(), MAX_MESSAGE_BYTES, MAX_IDLE).await {
-            Ok(body) => match codec::decode_within::<ChangesQuery, MAX_MESSAGE_BYTES>(&body) {
-                Ok(query) => query,
-                Err(e) => {
-                    log::warn!("event=question_unreadable error=\"{e}\"");
-                    return refuse(StatusCode::BAD_REQUEST);
-                }
-            },
-            Err(e) => {
-                log::debug!("event=question_broken error=\"{e}\"");
-                return refuse(StatusCode::BAD_REQUEST);
-            }
+        let Some(query) = read_query(req).await else {
+            return refuse(StatusCode::BAD_REQUEST);
         };
         match self.reply(query) {
             Ok(body) if body.len() <= SMALL_REPLY_BYTES => plain(StatusCode::OK, BINARY, body),
@@ -172,6 +162,17 @@
     }
 }
 
+/// Reads a peer's query; absent if it is not complete or not valid.
+async fn read_query(req: Request<Incoming>) -> Option<ChangesQuery> {
+    let body = read_body(req.into_body(), MAX_MESSAGE_BYTES, MAX_IDLE)
+        .await
+        .inspect_err(|e| log::debug!("event=question_broken error=\"{e}\""))
+        .ok()?;
+    codec::decode_within::<ChangesQuery, MAX_MESSAGE_BYTES>(&body)
+        .inspect_err(|e| log::warn!("event=question_unreadable error=\"{e}\""))
+        .ok()
+}
+
 /// Returns how many transfers a link carries well at a time.
 #[expect(
     clippy::cast_possible_truncation,
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -24,6 +24,8 @@
 const VERY_MANY_ROUTES: usize = 20_000;
 /// Time in which a confirmed configuration must be in force.
 const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time after the start of a poll, shortly before the table ends it without changes.
+const LATE_IN_POLL: Duration = Duration::from_millis(2_700);
 /// Number of daemons that ask one daemon at the same time.
 const ASKING_PEERS: usize = 24;
 /// Time in which some of them must have the configuration: it reaches 85 daemons in time if their
@@ -60,6 +62,13 @@
     wait_until(|| async { gateway.log().contains(&applied) }).await;
 }
 
+/// Waits until a gateway has applied a configuration, which must be in the time allowed from now on.
+async fn assert_applied_in_time(gateway: &Gateway, generation: u64) {
+    let from = Instant::now();
+    wait_for_generation(gateway, generation).await;
+    assert!(from.elapsed() < APPLY_TIME, "{:?}", from.elapsed());
+}
+
 /// A daemon that had lost the table gave up each poll while the answer was still arriving, and never
 /// got the configuration.
 #[tokio::test(flavor = "multi_thread")]
@@ -71,13 +80,7 @@
     let configuration = configuration_with_routes(2, &["k1"], MANY_ROUTES);
     harness.table.put("op", "config", &configuration);
     link.set(NARROW_LINK);
-    let restored_at = Instant::now();
-    wait_for_generation(gateway, 2).await;
-    assert!(
-        restored_at.elapsed() < APPLY_TIME,
-        "{:?}",
-        restored_at.elapsed()
-    );
+    assert_applied_in_time(gateway, 2).await;
 }
 
 /// A change that comes when a poll is about to end is not lost with it.
@@ -91,16 +94,10 @@
         .table
         .put("op", "config", &configuration(2, &["k1"]));
     wait_for_generation(gateway, 2).await;
-    tokio::time::sleep(Duration::from_millis(2_700)).await;
+    tokio::time::sleep(LATE_IN_POLL).await;
     let configuration = configuration_with_routes(3, &["k1"], MANY_ROUTES);
     harness.table.put("op", "config", &configuration);
-    let written_at = Instant::now();
-    wait_for_generation(gateway, 3).await;
-    assert!(
-        written_at.elapsed() < APPLY_TIME,
-        "{:?}",
-        written_at.elapsed()
-    );
+    assert_applied_in_time(gateway, 3).await;
 }
 
 /// An answer of the table of more than 4 MiB was never read.
