Log upstreams that are presumed to be cold, and who could not connect to them

Logged once for each presumption, with its source; a metric counts the unreachable upstreams. No decision changes.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -42,6 +42,7 @@
 pub mod prefill_queue;
 pub mod prefill_speed;
 pub mod prefix;
+pub mod presumed_cold;
 pub mod rate_limit;
 pub mod registry;
 pub mod retry_budget;
@@ -59,6 +60,7 @@
 use prefill_delay::PrefillDelay;
 use prefill_speed::PrefillSpeeds;
 use prefix::PrefixIndex;
+use presumed_cold::ColdPresumption;
 use registry::Registry;
 use retry_budget::{RetryBudget, RetryLimit};
 use rollout::Rollout;
@@ -113,6 +115,7 @@
     early_statuses: HashMap<ServiceName, EarlyStatus>,
     budgets: HashMap<ServiceName, RetryBudget>,
     broken_connections: Vec<BrokenConnection>,
+    presumed_cold: Vec<ColdPresumption>,
     prefixes: PrefixIndex,
     prefill_speeds: PrefillSpeeds,
     prefill_delays: HashMap<ServiceName, PrefillDelay>,
@@ -171,6 +174,7 @@
             early_statuses: HashMap::new(),
             budgets: HashMap::new(),
             broken_connections: Vec::new(),
+            presumed_cold: Vec::new(),
             prefixes: PrefixIndex::default(),
             prefill_speeds: PrefillSpeeds::default(),
             prefill_delays: HashMap::new(),
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -17,6 +17,7 @@
     poison::StopSource,
     polling::{self, PollingCandidate, PollingRole},
     prefill_queue::PrefillNotice,
+    presumed_cold::ColdPresumption,
     registry::Upstream,
     rollout_decision::RolloutStatus,
     subset::{HashRing, RingPosition},
@@ -267,7 +268,12 @@
             self.poison
                 .upstream_stopped(&upstream.id, StopSource::Peer, now);
             if let Some(cold) = cold_times.get(&upstream.service) {
+                let is_new = !upstream.is_cold(now);
                 upstream.mark_cold_until(now + *cold + UNDETECTED_RESTART_MARGIN);
+                if is_new {
+                    let presumed = ColdPresumption::new(upstream, StopSource::Peer);
+                    self.presumed_cold.push(presumed);
+                }
             }
         }
     }
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -15,8 +15,10 @@
     health::AttemptOutcome,
     heartbeat::DaemonName,
     passed_over::{NO_UPSTREAM_RETRY_AFTER, PassedOver, Unusable},
+    poison::StopSource,
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::PrefixBlock,
+    presumed_cold::ColdPresumption,
     rate_limit,
     registry::Upstream,
     rollout::{Arm, Rollout},
@@ -102,7 +104,12 @@
                 upstream.health.trial_ended(false, now);
             }
             if let (AttemptOutcome::Unreachable, Some(cold)) = (outcome, cold_time) {
+                let is_new = !upstream.is_cold(now);
                 upstream.mark_cold_until(now + cold + UNDETECTED_RESTART_MARGIN);
+                if is_new {
+                    let presumed = ColdPresumption::new(upstream, StopSource::Own);
+                    self.presumed_cold.push(presumed);
+                }
             }
         }
         if outcome == AttemptOutcome::Unreachable {
--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -65,7 +65,8 @@
 }
 
 /// Who found that an upstream has stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
 pub enum StopSource {
     /// This daemon: the upstream refused a connection, or its row changed.
     Own,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,7 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
-    coordination::dispatch::announcements::Announcement,
+    coordination::dispatch::{announcements::Announcement, registry::Upstream},
     gateway::shared::Shared,
     metrics::{counter, gauge, histogram},
 };
@@ -72,7 +72,8 @@
 static STATE: LazyLock<IntGaugeVec> = LazyLock::new(|| {
     gauge(
         "hibiscusyoke_gateway_state",
-        "What the daemon believes: generation in force, upstreams listed, daemons that live.",
+        "What the daemon believes: generation in force, upstreams listed, those it could not connect to, \
+         daemons that live.",
         &["what"],
     )
 });
@@ -128,6 +129,11 @@
             usize::try_from(generation).unwrap_or(usize::MAX),
         );
         set("upstreams", dispatcher.registry.all().count());
+        let unreachable = |u: &&Upstream| u.health.is_unreachable();
+        set(
+            "upstreams_unreachable",
+            dispatcher.registry.all().filter(unreachable).count(),
+        );
         set("daemons", dispatcher.peers.live(now).count() + 1);
     }
     crate::metrics::render()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -161,6 +161,9 @@
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = shared.now();
         report_crashes(&shared);
+        for presumed in shared.dispatcher().take_presumed_cold() {
+            log::info!("event=upstream_presumed_cold {presumed}");
+        }
         for id in shared.dispatcher().tick(now) {
             log::info!("event=upstream_left upstream={id} why=lapsed");
         }
