Show callers of a daemon that lost all upstreams being refused, and the others misled by it

A stand-in upstream can now reset all connections of one host, and gateways connect to upstreams from their own instance's address (the setting `ip`), so that a single gateway process can be cut off.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,11 @@
 //! Each connection carries a single request, so that a late, mixed-up or duplicate response cannot
 //! reach another request, and no request is sent on a connection that the upstream has just closed.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -86,14 +90,15 @@
     }
 }
 
-/// Sends a request and waits up to `response_timeout` for the response head.
+/// Sends a request from the address `local` and waits up to `response_timeout` for the response head.
 pub async fn send(
+    local: IpAddr,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     response_timeout: Duration,
 ) -> Result<UpstreamResponse, AttemptError> {
     let connect_timeout = CONNECT_TIMEOUT.min(response_timeout);
-    let stream = net::connect(address, connect_timeout, SILENCE_TIMEOUT)
+    let stream = net::connect_from(local, address, connect_timeout, SILENCE_TIMEOUT)
         .await
         .map_err(AttemptError::Unreachable)?;
     let (mut sender, connection) = http1::Builder::new()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -257,7 +257,9 @@
         let request = self.request(&slot, None);
         self.attempts += 1;
         let address = slot.assignment.address;
-        let upstream_response = match attempt::send(address, request, response_timeout).await {
+        let local = self.shared.settings.ip;
+        let sent = attempt::send(local, address, request, response_timeout).await;
+        let upstream_response = match sent {
             Ok(upstream_response) => upstream_response,
             Err(e) => return self.handle_failure(&mut slot, &e),
         };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -221,7 +221,8 @@
             let request = self.exchange.request(&slot, self.last_event);
             self.exchange.record_resume_attempt(&slot);
             let response_timeout = RESUME_TIMEOUT.min(self.remaining());
-            let sent = attempt::send(slot.assignment.address, request, response_timeout);
+            let local = self.exchange.shared.settings.ip;
+            let sent = attempt::send(local, slot.assignment.address, request, response_timeout);
             let upstream_response = tokio::select! {
                 upstream_response = sent => upstream_response,
                 () = self.tx.closed() => return None,
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -1,8 +1,8 @@
 //! Fake of an upstream: a model engine or a plain service, with fault injection.
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
+    collections::{BTreeMap, BTreeSet},
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -21,7 +21,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     task::JoinSet,
 };
 use tokio_stream::wrappers::ReceiverStream;
@@ -122,6 +122,8 @@
     state: Arc<Mutex<State>>,
     in_flight: Arc<AtomicUsize>,
     crashed: Arc<Notify>,
+    /// Hosts whose connections are reset.
+    cut_off: watch::Sender<BTreeSet<IpAddr>>,
 }
 
 type Body = Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
@@ -136,6 +138,7 @@
             state: Arc::default(),
             in_flight: Arc::default(),
             crashed: Arc::default(),
+            cut_off: watch::Sender::default(),
         };
         tokio::spawn(upstream.clone().run(listener));
         upstream
@@ -159,7 +162,7 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => { connections.spawn(self.clone().serve(stream)); }
+                    Ok((stream, from)) => { connections.spawn(self.clone().serve(stream, from.ip())); }
                     Err(_) => return,
                 },
                 Some(_) = connections.join_next() => {}
@@ -168,7 +171,21 @@
         }
     }
 
-    async fn serve(self, stream: TcpStream) {
+    /// Serves a connection until it ends or its host is cut off.
+    async fn serve(self, stream: TcpStream, from: IpAddr) {
+        let mut cut_off = self.cut_off.subscribe();
+        if cut_off.borrow_and_update().contains(&from) {
+            // Closing the connection resets it.
+            let _ = stream.set_zero_linger();
+            return;
+        }
+        tokio::select! {
+            () = self.serve_open(stream) => {}
+            _ = cut_off.wait_for(|hosts| hosts.contains(&from)) => {}
+        }
+    }
+
+    async fn serve_open(&self, stream: TcpStream) {
         let service = service_fn(|req| {
             let upstream = self.clone();
             async move {
@@ -182,6 +199,20 @@
             .await;
     }
 
+    /// Resets all connections of a host, also new ones.
+    pub fn cut_off(&self, host: IpAddr) {
+        self.cut_off.send_modify(|hosts| {
+            hosts.insert(host);
+        });
+    }
+
+    /// Accepts the connections of a host again.
+    pub fn reconnect(&self, host: IpAddr) {
+        self.cut_off.send_modify(|hosts| {
+            hosts.remove(&host);
+        });
+    }
+
     /// Makes each run whose prompt has a segment crash the upstream, which then restarts.
     pub fn crash_on(&self, segment: &str) {
         self.state().crashing_segment = Some(segment.into());
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -188,6 +188,20 @@
         wait_until(|| async { self.gateways[0].log().contains(last) }).await;
     }
 
+    /// Cuts a gateway off from all upstreams.
+    pub(crate) fn cut_off(&self, gateway: usize) {
+        for upstream in &self.upstreams {
+            upstream.cut_off(self.gateways[gateway].ip);
+        }
+    }
+
+    /// Lets a gateway reach the upstreams again.
+    pub(crate) fn reconnect(&self, gateway: usize) {
+        for upstream in &self.upstreams {
+            upstream.reconnect(self.gateways[gateway].ip);
+        }
+    }
+
     /// The engines.
     pub(crate) fn engines(&self) -> [&FakeUpstream; 2] {
         [&self.upstreams[0], &self.upstreams[1]]
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod heartbeats;
 mod input;
+mod lost_upstreams;
 mod narrow_links;
 mod poison;
 mod rate_limit;
