--- a/src/coordination/dispatch/assignment.rs
+++ b/src/coordination/dispatch/assignment.rs
@@ -98,6 +98,8 @@
     NoneListed,
     /// All listed upstreams are out of use.
     NoneUsable,
+    /// All usable upstreams are out of this daemon's reach.
+    Unreachable,
     /// All upstreams have reached their concurrency limit.
     AllFull,
     /// All upstreams are cold and have used up their rate share.
--- a/src/coordination/dispatch/health.rs
+++ b/src/coordination/dispatch/health.rs
@@ -5,6 +5,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::coordination::dispatch::reachability::Loss;
+
 /// Weight of the latest attempt in the failure rate.
 const SAMPLE_WEIGHT: f64 = 0.15;
 /// Half-life of the failure rate without new attempts.
@@ -23,12 +25,29 @@
     Failed,
     /// No connection could be opened.
     Unreachable,
+    /// A connection was not answered in time.
+    Unanswered,
     /// It refused the request without running it.
     Refused,
     /// The attempt gives no information about the upstream.
     Abandoned,
 }
 
+impl AttemptOutcome {
+    /// Returns the outcome of an attempt whose connection could not be opened.
+    pub fn not_connected(loss: Loss) -> Self {
+        match loss {
+            Loss::Unanswered => Self::Unanswered,
+            Loss::Refused | Loss::Broken => Self::Unreachable,
+        }
+    }
+
+    /// Returns whether no connection could be opened.
+    pub fn is_lost_connection(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Unanswered)
+    }
+}
+
 /// The health of one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -58,7 +77,7 @@
         match outcome {
             AttemptOutcome::Served => self.record_answer(0.0, now),
             AttemptOutcome::Failed => self.record_answer(1.0, now),
-            AttemptOutcome::Unreachable => self.unreachable(now),
+            AttemptOutcome::Unreachable | AttemptOutcome::Unanswered => self.unreachable(now),
             AttemptOutcome::Refused => self.backoff_until = Some(now + INITIAL_BACKOFF),
             AttemptOutcome::Abandoned => {}
         }
@@ -104,6 +123,13 @@
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Forgets failed connections, which this daemon's own links caused.
+    pub fn forget_unreachable(&mut self) {
+        if std::mem::take(&mut self.unreachable) > 0 {
+            self.backoff_until = None;
+        }
+    }
+
     /// Returns whether the last connection attempt failed.
     pub fn is_unreachable(&self) -> bool {
         self.unreachable > 0
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -105,6 +105,8 @@
     pub caller_address: SocketAddr,
     /// Whether it accepts callers.
     pub readiness: Readiness,
+    /// Whether it has lost its links to all upstreams.
+    pub cut_off: bool,
     /// Its failure domain.
     pub domain: DomainName,
     /// Rate of its link in Mbit/s.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -44,6 +44,7 @@
 pub mod prefix;
 pub mod presumed_cold;
 pub mod rate_limit;
+pub mod reachability;
 pub mod registry;
 pub mod retry_budget;
 pub mod rollout;
@@ -61,6 +62,7 @@
 use prefill_speed::PrefillSpeeds;
 use prefix::PrefixIndex;
 use presumed_cold::ColdPresumption;
+use reachability::Reachability;
 use registry::Registry;
 use retry_budget::{RetryBudget, RetryLimit};
 use rollout::Rollout;
@@ -94,6 +96,8 @@
     pub peers: Peers,
     /// Tracks requests that crash upstreams.
     pub poison: PoisonTracker,
+    /// Whether this daemon's links to upstreams work.
+    pub reachability: Reachability,
     me: PeerId,
     domain: DomainName,
     /// Rate of this instance's link in Mbit/s, if known.
@@ -157,6 +161,7 @@
             registry: Registry::default(),
             peers: Peers::default(),
             poison: PoisonTracker::default(),
+            reachability: Reachability::default(),
             me,
             domain,
             link_mbps: 0,
@@ -243,6 +248,7 @@
     /// Expires stale state; returns the upstreams that were removed.
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
         self.pauses.tick(now);
+        self.expire_unverified(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
         self.update_daemon_ring(now);
@@ -293,6 +299,16 @@
             .fold(0, |before, _| before + 1)
     }
 
+    /// Takes back a counted request that another daemon counts.
+    pub fn withdraw_request(&mut self, service: &str) {
+        self.budget(service).withdraw_request();
+    }
+
+    /// Draws an index below `len`; `None` if that is 0.
+    fn draw_index(&mut self, len: usize) -> Option<usize> {
+        (len > 0).then(|| self.rng.random_range(0..len))
+    }
+
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         self.budgets.entry(service.into()).or_default()
     }
--- a/src/coordination/dispatch/passed_over.rs
+++ b/src/coordination/dispatch/passed_over.rs
@@ -19,8 +19,10 @@
 pub(super) enum Unusable {
     /// The request has already been sent there.
     Tried,
-    /// It fails or cannot be reached.
+    /// It refuses requests or fails.
     Unhealthy,
+    /// This daemon cannot connect to it.
+    Unreachable,
     /// It has asked for a pause that ends after this time.
     Paused(Duration),
     /// All its slots are in use.
@@ -38,6 +40,7 @@
     pause_left: Option<Duration>,
     limit_wait: Option<Duration>,
     full: bool,
+    unreachable: bool,
 }
 
 impl PassedOver {
@@ -54,6 +57,7 @@
             }
             Unusable::Paused(left) => self.pause_left = earlier(self.pause_left, left),
             Unusable::Full => self.full = true,
+            Unusable::Unreachable => self.unreachable = true,
             Unusable::Cold(Some(wait)) => self.cold_wait = earlier(self.cold_wait, wait),
         }
     }
@@ -74,6 +78,9 @@
         }
         match self.pause_left {
             Some(left) => Placement::Refuse(NoSlotReason::AllPaused, left),
+            None if self.unreachable => {
+                Placement::Refuse(NoSlotReason::Unreachable, NO_UPSTREAM_RETRY_AFTER)
+            }
             None => Placement::Refuse(NoSlotReason::NoneUsable, NO_UPSTREAM_RETRY_AFTER),
         }
     }
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -18,7 +18,7 @@
     polling::{self, PollingCandidate, PollingRole},
     prefill_queue::PrefillNotice,
     presumed_cold::ColdPresumption,
-    registry::Upstream,
+    registry::{MIN_RESTART_TIME, Upstream},
     rollout_decision::RolloutStatus,
     subset::{HashRing, RingPosition},
 };
@@ -61,6 +61,7 @@
             liveness: self.peers.liveness_reports(now),
             caller_address,
             readiness,
+            cut_off: self.reachability.is_cut_off(),
             domain: self.domain.clone(),
             link_mbps: self.link_mbps,
             table: self.table_state(now),
@@ -263,13 +264,17 @@
             let Some(upstream) = self.registry.by_hash_mut(load.upstream) else {
                 continue;
             };
+            if upstream.was_reached_within(MIN_RESTART_TIME, now) {
+                // The other daemon's link has failed.
+                continue;
+            }
             self.broken_connections
                 .retain(|broken| !broken.is_at(&upstream.id));
             self.poison
                 .upstream_stopped(&upstream.id, StopSource::Peer, now);
             if let Some(cold) = cold_times.get(&upstream.service) {
                 let is_new = !upstream.is_cold(now);
-                upstream.mark_cold_until(now + *cold + UNDETECTED_RESTART_MARGIN);
+                upstream.presume_cold(now, now + *cold + UNDETECTED_RESTART_MARGIN, now);
                 if is_new {
                     let presumed = ColdPresumption::new(upstream, StopSource::Peer);
                     self.presumed_cold.push(presumed);
@@ -281,7 +286,8 @@
     /// Returns what to report on an upstream, if anything.
     fn load_report(&self, upstream: &Upstream, now: Instant) -> Option<LoadReport> {
         let backlog_ms = self.backlog_ms(upstream, now);
-        let is_unreachable = upstream.health.is_unreachable();
+        let is_unreachable =
+            upstream.health.is_unreachable() && !self.reachability.is_unverified(&upstream.id);
         (upstream.running > 0 || is_unreachable || backlog_ms > 0).then(|| LoadReport {
             upstream: upstream.hash,
             running: upstream.running,
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -15,11 +15,10 @@
     health::AttemptOutcome,
     heartbeat::DaemonName,
     passed_over::{NO_UPSTREAM_RETRY_AFTER, PassedOver, Unusable},
-    poison::StopSource,
     prefill_speed::FIRST_EVENT_OVERHEAD,
     prefix::PrefixBlock,
-    presumed_cold::ColdPresumption,
     rate_limit,
+    reachability::Loss,
     registry::Upstream,
     rollout::{Arm, Rollout},
     subset::HashRing,
@@ -93,7 +92,6 @@
 
     /// Releases the slot of an assignment and records the outcome of the attempt.
     pub fn release(&mut self, assignment: &Assignment, outcome: AttemptOutcome, now: Instant) {
-        let cold_time = self.cold_time(&assignment.service);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running = upstream.running.saturating_sub(1);
             if !assignment.response_started {
@@ -103,17 +101,15 @@
             if assignment.on_trial {
                 upstream.health.trial_ended(false, now);
             }
-            if let (AttemptOutcome::Unreachable, Some(cold)) = (outcome, cold_time) {
-                let is_new = !upstream.is_cold(now);
-                upstream.mark_cold_until(now + cold + UNDETECTED_RESTART_MARGIN);
-                if is_new {
-                    let presumed = ColdPresumption::new(upstream, StopSource::Own);
-                    self.presumed_cold.push(presumed);
-                }
-            }
         }
-        if outcome == AttemptOutcome::Unreachable {
-            self.upstream_stopped(&assignment.upstream, now);
+        match outcome {
+            AttemptOutcome::Unreachable => {
+                self.connection_lost(&assignment.upstream, Loss::Refused, now);
+            }
+            AttemptOutcome::Unanswered => {
+                self.connection_lost(&assignment.upstream, Loss::Unanswered, now);
+            }
+            _ => {}
         }
         if let (Some(arm), Some(rollout)) =
             (assignment.arm, self.rollouts.get_mut(&assignment.service))
@@ -252,6 +248,12 @@
         service: Option<&Service>,
         now: Instant,
     ) -> Result<(), Unusable> {
+        let is_lost = self.reachability.is_cut_off()
+            && self.reachability.is_unverified(&upstream.id)
+            || upstream.health.is_unreachable() && !upstream.health.is_usable(now);
+        if is_lost {
+            return Err(Unusable::Unreachable);
+        }
         if request.tried.contains(&upstream.id) {
             return Err(Unusable::Tried);
         }
--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -22,6 +22,8 @@
 const CRASH_CORRELATION_TIME: Duration = Duration::from_millis(2_500);
 /// Time from the start of a run after which a new connection to its upstream clears the run's prompt.
 const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+/// How long runs are kept, as it may take a moment until it is known that an upstream has stopped.
+const RUN_RETENTION: Duration = Duration::from_millis(3_500);
 /// Maximum number of runs of one upstream that are neither cleared nor dropped.
 const MAX_RUNS: usize = 256;
 /// How long a segment that an upstream has survived is remembered at least.
@@ -245,7 +247,7 @@
     /// Forgets runs that are too old to matter.
     pub fn expire(&mut self, now: Instant) {
         self.runs.retain(|_, runs| {
-            runs.retain(|run| now.saturating_duration_since(run.began) < CRASH_CORRELATION_TIME);
+            runs.retain(|run| now.saturating_duration_since(run.began) < RUN_RETENTION);
             !runs.is_empty()
         });
         self.decide(now);
--- a/src/coordination/dispatch/retry_budget.rs
+++ b/src/coordination/dispatch/retry_budget.rs
@@ -45,6 +45,13 @@
         self.bucket(limit, now).requests += 1;
     }
 
+    /// Takes back a request that was counted just now.
+    pub fn withdraw_request(&mut self) {
+        if let Some(bucket) = self.buckets.back_mut() {
+            bucket.requests = bucket.requests.saturating_sub(1);
+        }
+    }
+
     /// Takes a retry from the budget and returns whether one was left; the slack is shared among
     /// `daemons`.
     pub fn try_take(&mut self, limit: &RetryLimit, daemons: usize, now: Instant) -> bool {
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -109,6 +109,7 @@
 
     /// Records that an upstream has crashed, restarted or left.
     pub fn upstream_stopped(&mut self, upstream: &str, now: Instant) {
+        self.reachability.forget(upstream);
         self.poison.upstream_stopped(upstream, StopSource::Own, now);
         self.prefixes.remove_engine(registry::hash_of(upstream));
         self.broken_connections
--- /dev/null
+++ b/src/gateway/delegate.rs
@@ -0,0 +1,183 @@
+//! Delegates requests to other daemons while this one cannot reach the upstreams.
+//!
+//! The other daemon serves the request like one of its own callers, but does not delegate it again.
+//! What it answers is passed on as it is, unless it refuses the request as not run.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use derive_more::Display;
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use platform::{
+    configuration::RouteKind,
+    headers::{headers_for_caller, headers_for_daemon},
+};
+
+use crate::{
+    coordination::dispatch::heartbeat::DaemonName,
+    gateway::{
+        attempt::{self, AttemptError, UpstreamResponse},
+        forward::{Exchange, NextStep},
+        metrics,
+        reply::{self, Body, RefusalReason},
+        settings::Settings,
+        target::Target,
+    },
+};
+
+/// Header with the number of upstreams that a delegated request may have reached.
+const ATTEMPTS: HeaderName = HeaderName::from_static("hibiscusyoke-attempts");
+
+/// A request's way to another daemon.
+#[derive(Clone, Debug, Display)]
+#[display("peer={peer}")]
+pub struct Delegation {
+    peer: DaemonName,
+    address: SocketAddr,
+    started_at: Instant,
+}
+
+impl Delegation {
+    /// Creates one to a daemon whose datagrams come from `address`; `None` if daemons take no
+    /// delegated requests. All daemons use the same ports.
+    pub(super) fn to(
+        peer: DaemonName,
+        address: SocketAddr,
+        settings: &Settings,
+        now: Instant,
+    ) -> Option<Self> {
+        let port = settings.delegation_address()?.port();
+        Some(Self {
+            peer,
+            address: SocketAddr::new(address.ip(), port),
+            started_at: now,
+        })
+    }
+
+    /// Returns the time since the request was delegated.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
+    }
+}
+
+/// Returns how many upstreams a delegated request may have reached before.
+pub(super) fn earlier_attempts(headers: &HeaderMap) -> u32 {
+    let attempts = headers.get(ATTEMPTS).and_then(|v| v.to_str().ok());
+    attempts.and_then(|v| v.parse().ok()).unwrap_or_default()
+}
+
+impl Exchange {
+    /// Sends the request to another daemon; `after` resumes a stream after that event.
+    pub(super) async fn send_to_peer(
+        &self,
+        delegation: &Delegation,
+        after: Option<u64>,
+    ) -> Result<UpstreamResponse, AttemptError> {
+        let remaining = self.call.remaining(self.shared.now());
+        // A daemon that hangs must leave time for another one.
+        let response_timeout = match self.call.route.is_retryable() {
+            true => remaining / 2,
+            false => remaining,
+        };
+        log::info!(
+            "event=delegated id={} {delegation} attempts={}",
+            self.call.id(),
+            self.attempts
+        );
+        let mut headers = headers_for_daemon(&self.call.headers, remaining, after);
+        headers.insert(ATTEMPTS, self.attempts.into());
+        let mut request = Request::new(Full::new(self.call.body.clone()));
+        *request.method_mut() = self.call.method.clone();
+        *request.uri_mut() = Uri::from(self.call.path.clone());
+        *request.headers_mut() = headers;
+        let local = self.shared.settings.ip;
+        attempt::send(local, delegation.address, request, response_timeout).await
+    }
+
+    /// Has another daemon serve the request.
+    pub(super) async fn delegate(&mut self, delegation: Delegation) -> NextStep {
+        let response = match self.send_to_peer(&delegation, None).await {
+            Ok(response) => response,
+            Err(e) => return self.handle_delegation_failure(&delegation, &e),
+        };
+        if !std::mem::replace(&mut self.is_delegated, true) {
+            // The other daemon has counted it.
+            self.shared
+                .dispatcher()
+                .withdraw_request(&self.call.service);
+        }
+        let head = self.response_head(&response);
+        let is_stream = self.call.route.kind == RouteKind::Streaming && head.status.is_success();
+        if is_stream && head.signed && head.matches_request {
+            self.attempts += 1;
+            return self.relay(Target::Peer(delegation), response);
+        }
+        self.pass_on(delegation, response, head.signed).await
+    }
+
+    /// Passes on what another daemon answered, unless it refused the request as not run.
+    async fn pass_on(
+        &mut self,
+        delegation: Delegation,
+        response: UpstreamResponse,
+        is_signed: bool,
+    ) -> NextStep {
+        let remaining = self.call.remaining(self.shared.now());
+        let status = response.response.status();
+        let headers = headers_for_caller(response.response.headers());
+        let body = self.shared.body_memory.read(response.response.into_body());
+        let body = match tokio::time::timeout(remaining, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) => {
+                self.attempts += 1;
+                self.may_have_run = true;
+                log::info!("event=answer_broken id={} error=\"{e}\"", self.call.id());
+                self.log_delegation_end(&delegation, "broken");
+                return NextStep::Retry;
+            }
+            Err(_) => return NextStep::GiveUp(RefusalReason::Timeout),
+        };
+        let response = reply::buffered(status, headers, body);
+        if !is_signed && status == StatusCode::SERVICE_UNAVAILABLE {
+            self.log_delegation_end(&delegation, "refused_by_peer");
+            self.peer_refusal = Some(response);
+            return NextStep::Retry;
+        }
+        let outcome = match status.is_success() {
+            true => "served",
+            false => "failed",
+        };
+        self.log_delegation_end(&delegation, outcome);
+        self.count_request(outcome);
+        NextStep::Done(response)
+    }
+
+    fn handle_delegation_failure(&mut self, delegation: &Delegation, e: &AttemptError) -> NextStep {
+        log::info!(
+            "event=attempt_failed id={} {delegation} {e}",
+            self.call.id()
+        );
+        metrics::attempt("delegation_failed");
+        if !matches!(e, AttemptError::Unreachable(_)) {
+            self.attempts += 1;
+            self.may_have_run = true;
+        }
+        if self.call.remaining(self.shared.now()).is_zero() {
+            return NextStep::GiveUp(RefusalReason::Timeout);
+        }
+        NextStep::Retry
+    }
+
+    /// Returns the refusal of another daemon, if the request has not run.
+    pub(super) fn take_peer_refusal(&mut self) -> Option<Response<Body>> {
+        let refusal = self.peer_refusal.take()?;
+        if self.may_have_run {
+            return None;
+        }
+        self.count_request("refused_by_peer");
+        Some(refusal)
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use derive_more::Display;
 use http::{Request, Response, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -15,18 +16,21 @@
 
 use crate::{
     coordination::dispatch::{
-        NoSlotReason, Placement, PlacementRequest, Quality,
+        Quality,
         crash_evidence::Suspect,
         escalation::{EscalationDecision, StartedResponse, decide_escalation},
         health::AttemptOutcome,
+        heartbeat::DaemonName,
     },
     gateway::{
         attempt::{self, AttemptError, UpstreamResponse},
         call::Call,
+        delegate,
         drain::WorkGuard,
-        metrics, peer_link, relay,
+        metrics, probe, relay,
         reply::{self, Body, RefusalReason},
         shared::{Shared, SlotGuard},
+        target::Target,
     },
 };
 
@@ -44,8 +48,18 @@
 /// Retry-After for a request that has crashed upstreams.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(30);
 
-/// Serves a caller's request.
-pub async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+pub enum Origin {
+    /// From a caller.
+    Caller,
+    /// From another daemon that cannot reach the upstreams; it is not delegated again.
+    Peer,
+}
+
+/// Serves a request.
+pub async fn serve(shared: Arc<Shared>, origin: Origin, req: Request<Incoming>) -> Response<Body> {
     let arrived_at = shared.now();
     let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
     shared.await_tables().await;
@@ -61,7 +75,11 @@
             return add_connection_close(&shared, reply::refuse(reason, wait));
         }
     };
-    let response = Exchange::new(shared.clone(), Arc::new(call)).run().await;
+    let exchange = match origin {
+        Origin::Caller => Exchange::new(shared.clone(), Arc::new(call)),
+        Origin::Peer => Exchange::for_peer(shared.clone(), Arc::new(call)),
+    };
+    let response = exchange.run().await;
     add_connection_close(&shared, response)
 }
 
@@ -82,20 +100,30 @@
     pub call: Arc<Call>,
     /// The model to use; absent if the caller named one.
     pub model: Option<CompactString>,
-    tried: Vec<UpstreamId>,
+    /// Where the request comes from.
+    pub(super) origin: Origin,
+    /// The upstreams that were tried.
+    pub(super) tried: Vec<UpstreamId>,
+    /// The daemons that it was delegated to.
+    pub(super) delegates: Vec<DaemonName>,
+    /// Whether another daemon has received it.
+    pub(super) is_delegated: bool,
     /// Number of attempts so far.
     pub(super) attempts: u32,
-    unreachable: u32,
+    /// Number of upstreams that could not be reached.
+    pub(super) unreachable: u32,
     /// Whether an upstream may have run the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// An upstream's error response, forwarded if no later attempt succeeds.
     failure: Option<Response<Body>>,
+    /// Another daemon's refusal, forwarded if nothing else can serve the request.
+    pub(super) peer_refusal: Option<Response<Body>>,
     /// Keeps the daemon running during shutdown until the response is complete.
     _work: WorkGuard,
 }
 
 /// What to do after an attempt.
-enum NextStep {
+pub(super) enum NextStep {
     Done(Response<Body>),
     /// Repeat the request with a larger model; the retry budget has already been charged.
     Escalated,
@@ -111,11 +139,25 @@
             model: call.models().first().cloned(),
             shared,
             call,
+            origin: Origin::Caller,
             tried: Vec::new(),
+            delegates: Vec::new(),
+            is_delegated: false,
             attempts: 0,
             unreachable: 0,
             may_have_run: false,
             failure: None,
+            peer_refusal: None,
+        }
+    }
+
+    /// Creates the state of a request that another daemon delegated to this one.
+    fn for_peer(shared: Arc<Shared>, call: Arc<Call>) -> Self {
+        let attempts = delegate::earlier_attempts(&call.headers);
+        Self {
+            origin: Origin::Peer,
+            attempts,
+            ..Self::new(shared, call)
         }
     }
 
@@ -134,19 +176,23 @@
             return self.refuse(RefusalReason::Poison, Some(POISON_RETRY_AFTER));
         }
         loop {
-            let slot = match self.reserve_slot().await {
-                Ok(slot) => slot,
-                Err((reason, wait)) => return self.refuse(reason, wait),
+            let next_step = match self.choose_target().await {
+                Ok(Target::Upstream(slot)) => self.attempt(slot).await,
+                Ok(Target::Peer(delegation)) => self.delegate(delegation).await,
+                Err((reason, wait)) => {
+                    let refusal = self.take_peer_refusal();
+                    return refusal.unwrap_or_else(|| self.refuse(reason, wait));
+                }
             };
-            let response_timeout = self.response_timeout(&slot);
-            let refusal_reason = match self.attempt(slot, response_timeout).await {
+            let refusal_reason = match next_step {
                 NextStep::Done(response) => return response,
                 NextStep::Escalated => continue,
                 NextStep::Retry if self.may_retry() => continue,
                 NextStep::Retry => self.failure_reason(),
                 NextStep::GiveUp(reason) => reason,
             };
-            if let Some(failure) = self.failure.take() {
+            let failure = self.failure.take().or_else(|| self.take_peer_refusal());
+            if let Some(failure) = failure {
                 return failure;
             }
             let wait = (refusal_reason == RefusalReason::RefusedByUpstreams)
@@ -155,56 +201,6 @@
         }
     }
 
-    /// Reserves a slot on an upstream; waits only while the rate limit of cold upstreams requires it.
-    pub async fn reserve_slot(&mut self) -> Result<SlotGuard, (RefusalReason, Option<Duration>)> {
-        loop {
-            let now = self.shared.now();
-            let remaining = self.call.remaining(now);
-            if remaining.is_zero() {
-                return Err((RefusalReason::Timeout, None));
-            }
-            let placement_request = self.placement_request(self.model.as_ref());
-            let placement = self
-                .shared
-                .dispatcher()
-                .select_upstream(&placement_request, now);
-            match placement {
-                Placement::Assigned(assignment) => {
-                    self.log_placement(&assignment);
-                    peer_link::send_prefill_notice(&self.shared, &assignment);
-                    return Ok(SlotGuard::for_assignment(self.shared.clone(), *assignment));
-                }
-                Placement::Wait(wait) if wait < remaining => tokio::time::sleep(wait).await,
-                Placement::Wait(wait) => return Err((RefusalReason::NoSlot, Some(wait))),
-                Placement::Refuse(NoSlotReason::NoneUsable, _) if !self.tried.is_empty() => {
-                    // Every upstream has been tried once; a second try is better than a failure.
-                    self.tried.clear();
-                    if self.attempts == 0 {
-                        return Err((RefusalReason::NoSlot, Some(STARTUP_RETRY_AFTER)));
-                    }
-                    self.attempts = self.attempts.max(self.call.route.max_attempts - 1);
-                }
-                Placement::Refuse(why, wait) => {
-                    log::info!("event=no_place id={} why={why}", self.call.id());
-                    return Err((self.no_slot_reason(), Some(wait)));
-                }
-            }
-        }
-    }
-
-    fn placement_request<'a>(&'a self, model: Option<&'a CompactString>) -> PlacementRequest<'a> {
-        PlacementRequest {
-            service: &self.call.service,
-            route: &self.call.route.name,
-            session: self.call.session,
-            model: model.map(CompactString::as_str),
-            prompt: self.call.head.prompt.as_ref(),
-            body_bytes: self.call.body.len(),
-            tried: &self.tried,
-            remaining: self.call.remaining(self.shared.now()),
-        }
-    }
-
     /// Builds the request for the upstream of a slot; `after` resumes a stream after that event.
     pub fn request(&self, slot: &SlotGuard, after: Option<u64>) -> Request<Full<Bytes>> {
         let remaining = self.call.remaining(self.shared.now());
@@ -253,7 +249,8 @@
         self.shared.dispatcher().poison.poison(&self.call.suspects)
     }
 
-    async fn attempt(&mut self, mut slot: SlotGuard, response_timeout: Duration) -> NextStep {
+    async fn attempt(&mut self, mut slot: SlotGuard) -> NextStep {
+        let response_timeout = self.response_timeout(&slot);
         let request = self.request(&slot, None);
         self.attempts += 1;
         let address = slot.assignment.address;
@@ -263,6 +260,7 @@
             Ok(upstream_response) => upstream_response,
             Err(e) => return self.handle_failure(&mut slot, &e),
         };
+        self.record_reached(&slot);
         let head = self.response_head(&upstream_response);
         self.record_announcements(&slot, &head);
         self.record_tried(&slot);
@@ -304,20 +302,29 @@
             self.tried.clear();
             return NextStep::Escalated;
         }
-        let headers = headers_for_caller(upstream_response.response.headers());
-        let status = upstream_response.response.status();
+        self.relay(Target::Upstream(slot), upstream_response)
+    }
+
+    /// Relays a stream from an upstream or from another daemon to the caller.
+    pub(super) fn relay(&mut self, source: Target, response: UpstreamResponse) -> NextStep {
+        let headers = headers_for_caller(response.response.headers());
+        let status = response.response.status();
         let exchange = Self {
             shared: self.shared.clone(),
             call: self.call.clone(),
             model: self.model.clone(),
+            origin: self.origin,
             tried: std::mem::take(&mut self.tried),
+            delegates: std::mem::take(&mut self.delegates),
+            is_delegated: self.is_delegated,
             attempts: self.attempts,
             unreachable: self.unreachable,
             may_have_run: true,
             failure: None,
+            peer_refusal: None,
             _work: self._work.clone(),
         };
-        let body = relay::spawn(exchange, slot, upstream_response);
+        let body = relay::spawn(exchange, source, response);
         NextStep::Done(reply::stream(status, headers, body))
     }
 
@@ -368,10 +375,10 @@
     fn handle_failure(&mut self, slot: &mut SlotGuard, e: &AttemptError) -> NextStep {
         self.record_tried(slot);
         match e {
-            AttemptError::Unreachable(_) => {
+            AttemptError::Unreachable(e) => {
                 self.attempts -= 1;
                 self.unreachable += 1;
-                slot.set_outcome(AttemptOutcome::Unreachable);
+                slot.set_outcome(AttemptOutcome::not_connected(probe::loss(e)));
                 self.shared.urgent_heartbeat.notify_one();
             }
             AttemptError::Broken(_) => {
@@ -379,6 +386,7 @@
                 slot.set_outcome(AttemptOutcome::Failed);
                 self.report_quality(slot, Quality::Broken);
                 self.report_broken_connection(slot);
+                self.record_lost(slot);
             }
             AttemptError::TimedOut(_) => {
                 self.may_have_run = true;
@@ -402,13 +410,7 @@
         NextStep::Retry
     }
 
-    /// Records an attempt to resume a stream on another upstream.
-    pub fn record_resume_attempt(&mut self, slot: &SlotGuard) {
-        self.attempts += 1;
-        self.record_tried(slot);
-    }
-
-    fn record_tried(&mut self, slot: &SlotGuard) {
+    pub(super) fn record_tried(&mut self, slot: &SlotGuard) {
         self.tried.push(slot.assignment.upstream.clone());
     }
 
@@ -462,7 +464,7 @@
         }
     }
 
-    fn no_slot_reason(&self) -> RefusalReason {
+    pub(super) fn no_slot_reason(&self) -> RefusalReason {
         match self.may_have_run {
             true => RefusalReason::NoAnswer,
             false => RefusalReason::NoSlot,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -20,7 +20,8 @@
 use crate::{
     coordination::dispatch::heartbeat::Readiness,
     gateway::{
-        forward, metrics,
+        forward::{self, Origin},
+        metrics,
         reply::{InfallibleResult, plain},
         shared::Shared,
     },
@@ -52,18 +53,20 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers until `stop` is set, then completes the requests in flight.
-pub async fn serve_callers(
+/// Accepts requests until `stop` is set, then completes those in flight.
+pub async fn serve_requests(
     shared: Arc<Shared>,
+    origin: Origin,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
-    let caller_stop = stop.clone();
+    let connection_stop = stop.clone();
     loop {
         tokio::select! {
             stream = accept(&listener) => {
-                connections.spawn(serve_caller(shared.clone(), stream, caller_stop.clone()));
+                let stop = connection_stop.clone();
+                connections.spawn(serve_connection(shared.clone(), origin, stream, stop));
             }
             Some(_) = connections.join_next() => {}
             _ = stop.wait_for(|stop| *stop) => break,
@@ -73,7 +76,12 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+async fn serve_connection(
+    shared: Arc<Shared>,
+    origin: Origin,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
     if let Err(e) = net::set_silence_timeout(&stream, SILENCE_TIMEOUT) {
         log::debug!("event=socket_options error=\"{e}\"");
     }
@@ -87,7 +95,7 @@
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
     let service = service_fn(move |req| {
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(forward::serve(shared, req).await) }
+        async move { Ok::<_, Infallible>(forward::serve(shared, origin, req).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -112,7 +120,7 @@
         }
     };
     if let Err(e) = result {
-        log::debug!("event=caller_connection_ended error=\"{e}\"");
+        log::debug!("event=caller_connection_ended origin={origin} error=\"{e}\"");
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,14 @@
     )
 });
 
+static DELEGATED_REQUESTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_delegated_requests_total",
+        "Requests that other daemons delegated to this one, by outcome.",
+        &["outcome"],
+    )
+});
+
 static REQUEST_SECONDS: LazyLock<HistogramVec> = LazyLock::new(|| {
     histogram(
         "hibiscusyoke_gateway_request_duration_seconds",
@@ -73,7 +81,7 @@
     gauge(
         "hibiscusyoke_gateway_state",
         "What the daemon believes: generation in force, upstreams listed, those it could not connect to, \
-         daemons that live.",
+         whether it has lost all of them, daemons that live.",
         &["what"],
     )
 });
@@ -86,6 +94,11 @@
         .observe(elapsed.as_secs_f64());
 }
 
+/// Counts a request that another daemon delegated to this one.
+pub fn delegated_request(outcome: &str) {
+    DELEGATED_REQUESTS.with_label_values(&[outcome]).inc();
+}
+
 /// Counts a finished attempt by outcome.
 pub fn attempt(outcome: &str) {
     ATTEMPTS.with_label_values(&[outcome]).inc();
@@ -134,6 +147,7 @@
             "upstreams_unreachable",
             dispatcher.registry.all().filter(unreachable).count(),
         );
+        set("cut_off", usize::from(dispatcher.reachability.is_cut_off()));
         set("daemons", dispatcher.peers.live(now).count() + 1);
     }
     crate::metrics::render()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,18 +10,23 @@
     time::{Duration, Instant},
 };
 
+use futures::future::OptionFuture;
 use thiserror::Error;
 use tokio::{sync::watch, task::JoinHandle};
 
 use crate::{
     clock::SharedClock,
     coordination::dispatch::heartbeat::PeerId,
-    gateway::{follow::follow, followed_table::FollowedTable, settings::Settings, shared::Shared},
+    gateway::{
+        follow::follow, followed_table::FollowedTable, forward::Origin, settings::Settings,
+        shared::Shared,
+    },
 };
 
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
+pub mod delegate;
 pub mod drain;
 pub mod events;
 pub mod fetch;
@@ -33,14 +38,17 @@
 pub mod metrics;
 pub mod packing;
 pub mod peer_link;
+pub mod probe;
 mod recording;
 pub mod records;
 pub mod relay;
 pub mod reply;
+mod resume;
 pub mod settings;
 pub mod shared;
 pub mod table_link;
 pub mod table_service;
+pub mod target;
 
 /// Interval between removals of expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -66,7 +74,8 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
-    caller_server: JoinHandle<()>,
+    /// Serves the requests of callers and of other daemons.
+    request_servers: JoinHandle<()>,
 }
 
 impl Gateway {
@@ -101,11 +110,25 @@
         tokio::spawn(follow(shared.clone(), FollowedTable::Orders));
         tokio::spawn(follow(shared.clone(), FollowedTable::Upstreams));
         tokio::spawn(records::run(shared.clone()));
+        tokio::spawn(probe::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         let stop = watch::Sender::new(false);
-        let caller_server = listener::serve_callers(shared.clone(), front, stop.subscribe());
+        let delegation = shared
+            .settings
+            .delegation_address()
+            .map(listen)
+            .transpose()?;
+        let serve = |origin, listener| {
+            let stop = stop.subscribe();
+            listener::serve_requests(shared.clone(), origin, listener, stop)
+        };
+        let callers = serve(Origin::Caller, front);
+        let peers = OptionFuture::from(delegation.map(|listener| serve(Origin::Peer, listener)));
+        let request_servers = async move {
+            futures::join!(callers, peers);
+        };
         Ok(Self {
-            caller_server: tokio::spawn(caller_server),
+            request_servers: tokio::spawn(request_servers),
             shared,
             stop,
         })
@@ -135,7 +158,7 @@
         self.shared.stop_accepting();
         self.stop.send_replace(true);
         let time_left = deadline.saturating_duration_since(self.shared.now());
-        match tokio::time::timeout(time_left, self.caller_server).await {
+        match tokio::time::timeout(time_left, self.request_servers).await {
             Ok(_) => log::info!("event=stopped"),
             Err(_) => log::warn!("event=stopped requests_cut=true"),
         }
@@ -161,6 +184,7 @@
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = shared.now();
         report_crashes(&shared);
+        probe::report_changes(&shared);
         for presumed in shared.dispatcher().take_presumed_cold() {
             log::info!("event=upstream_presumed_cold {presumed}");
         }
--- a/src/gateway/recording.rs
+++ b/src/gateway/recording.rs
@@ -5,8 +5,15 @@
 use platform::headers::{Prompt, ResponseHead};
 
 use crate::{
-    coordination::dispatch::{Assignment, Quality},
-    gateway::{forward::Exchange, metrics, relay::StreamProgress, shared::SlotGuard},
+    coordination::dispatch::{Assignment, Quality, health::AttemptOutcome, reachability::Loss},
+    gateway::{
+        delegate::Delegation,
+        forward::{Exchange, Origin},
+        metrics, probe,
+        relay::{BreakCause, StreamProgress},
+        shared::SlotGuard,
+        target::Target,
+    },
 };
 
 impl Exchange {
@@ -38,6 +45,54 @@
             .connection_broken(&slot.assignment, &self.call.suspects, now);
     }
 
+    /// Records that the upstream of a slot has answered.
+    pub(super) fn record_reached(&self, slot: &SlotGuard) {
+        let now = self.shared.now();
+        let sent_at = now.checked_sub(slot.age()).unwrap_or(now);
+        self.shared
+            .dispatcher()
+            .upstream_reached(&slot.assignment.upstream, sent_at, now);
+        probe::report_changes(&self.shared);
+    }
+
+    /// Records that the connection to the upstream of a slot was lost, which may be due to the links of
+    /// this instance.
+    pub(super) fn record_lost(&self, slot: &SlotGuard) {
+        let now = self.shared.now();
+        self.shared
+            .dispatcher()
+            .connection_lost(&slot.assignment.upstream, Loss::Broken, now);
+        self.shared.connection_lost.notify_one();
+    }
+
+    /// Records that a stream was completed by its source.
+    pub(super) fn record_complete_stream(&self, source: &mut Target, progress: &StreamProgress) {
+        if let Target::Upstream(slot) = source {
+            slot.set_outcome(AttemptOutcome::Served);
+            self.report_quality(slot, Quality::Good);
+        }
+        self.log_stream_end(source, "served", progress);
+        self.count_request("served");
+    }
+
+    /// Records that a stream was not completed by its source.
+    pub(super) fn record_broken_stream(
+        &self,
+        source: &mut Target,
+        cause: BreakCause,
+        progress: &StreamProgress,
+    ) {
+        if let Target::Upstream(slot) = source {
+            slot.set_outcome(AttemptOutcome::Failed);
+            self.report_quality(slot, Quality::Broken);
+            self.report_broken_connection(slot);
+            if cause.is_lost_connection() {
+                self.record_lost(slot);
+            }
+        }
+        self.log_stream_end(source, &cause.to_string(), progress);
+    }
+
     /// Records the quality of a response as evidence for a rollout.
     pub fn report_quality(&self, slot: &SlotGuard, quality: Quality) {
         let now = self.shared.now();
@@ -74,26 +129,51 @@
 
     /// Records the outcome and the duration of the request.
     pub fn count_request(&self, outcome: &str) {
-        metrics::request(outcome, self.call.age(self.shared.now()));
+        match self.origin {
+            Origin::Caller => metrics::request(outcome, self.call.age(self.shared.now())),
+            Origin::Peer => metrics::delegated_request(outcome),
+        }
     }
 
     /// Logs and counts how an attempt ended.
     pub fn log_attempt_end(&self, slot: &SlotGuard, outcome: &str) {
-        self.log_end(slot, outcome, format_args!(""));
+        let upstream = format_args!("upstream={}", slot.assignment.upstream);
+        self.log_end(upstream, outcome, slot.age(), format_args!(""));
+    }
+
+    /// Logs and counts how a request ended that was delegated to another daemon.
+    pub(super) fn log_delegation_end(&self, delegation: &Delegation, outcome: &str) {
+        let age = delegation.age(self.shared.now());
+        self.log_end(format_args!("{delegation}"), outcome, age, format_args!(""));
     }
 
     /// Logs and counts how an attempt ended whose response is a stream.
-    pub fn log_stream_end(&self, slot: &SlotGuard, outcome: &str, progress: &StreamProgress) {
-        self.log_end(slot, outcome, format_args!(" {progress}"));
+    pub fn log_stream_end(&self, source: &Target, outcome: &str, progress: &StreamProgress) {
+        let progress = format_args!(" {progress}");
+        match source {
+            Target::Upstream(slot) => {
+                let upstream = format_args!("upstream={}", slot.assignment.upstream);
+                self.log_end(upstream, outcome, slot.age(), progress);
+            }
+            Target::Peer(delegation) => {
+                let age = delegation.age(self.shared.now());
+                self.log_end(format_args!("{delegation}"), outcome, age, progress);
+            }
+        }
     }
 
-    fn log_end(&self, slot: &SlotGuard, outcome: &str, details: fmt::Arguments<'_>) {
+    fn log_end(
+        &self,
+        source: fmt::Arguments<'_>,
+        outcome: &str,
+        age: Duration,
+        details: fmt::Arguments<'_>,
+    ) {
         metrics::attempt(outcome);
         log::info!(
-            "event=attempt_ended id={} upstream={} outcome={outcome} ms={}{details}",
+            "event=attempt_ended id={} {source} outcome={outcome} ms={}{details}",
             self.call.id(),
-            slot.assignment.upstream,
-            slot.age().as_millis()
+            age.as_millis()
         );
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,13 +11,13 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
-    coordination::dispatch::{PaceSampler, Quality, health::AttemptOutcome},
+    coordination::dispatch::PaceSampler,
     gateway::{
-        attempt::{self, BodyFraming, UpstreamResponse},
+        attempt::{BodyFraming, UpstreamResponse},
         events::{EventBuffer, MAX_EVENT_BYTES},
         forward::Exchange,
         reply::{EventBody, StreamAborted},
-        shared::SlotGuard,
+        target::Target,
     },
 };
 
@@ -25,9 +25,6 @@
 const MAX_QUEUED_EVENTS: usize = 8;
 /// Pause between events after which a stream is resumed on another upstream.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Timeout for another upstream to resume a stream.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Time after the deadline in which events that are ready are still forwarded.
 const LATE_EVENTS_TIME: Duration = Duration::from_millis(250);
 
@@ -39,14 +36,35 @@
     Complete,
     /// The caller disconnected.
     CallerLeft,
-    /// The connection broke, the body ended inside an event or without an event that must follow, or
-    /// the upstream was silent for too long or sent much without a new event; holds the outcome for the
-    /// log.
-    Broken(&'static str),
+    /// The stream is not complete.
+    Broken(BreakCause),
     /// The request's deadline passed.
     Timeout,
 }
 
+/// Why a stream is not complete.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+pub enum BreakCause {
+    /// The connection broke.
+    Broken,
+    /// Nothing was received for too long.
+    Silent,
+    /// Much was received without a new event.
+    NoNewEvent,
+    /// The body ended inside an event.
+    EndedInsideEvent,
+    /// The body ended without an event that must follow.
+    EndedWithoutEvent,
+}
+
+impl BreakCause {
+    /// Returns whether the connection itself failed.
+    pub(super) fn is_lost_connection(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent)
+    }
+}
+
 /// What has been received of a stream from one upstream.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display("framing={framing} events={events} partial_bytes={partial_bytes}")]
@@ -70,11 +88,7 @@
 }
 
 /// Relays events to the caller as they arrive, in a separate task.
-pub fn spawn(
-    exchange: Exchange,
-    slot: SlotGuard,
-    upstream_response: UpstreamResponse,
-) -> EventBody {
+pub fn spawn(exchange: Exchange, source: Target, response: UpstreamResponse) -> EventBody {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     tokio::spawn(async move {
         let last_event = exchange.call.head.last_event_id;
@@ -84,7 +98,7 @@
             exchange,
             tx,
         };
-        relay.run(slot, upstream_response).await;
+        relay.run(source, response).await;
     });
     StreamBody::new(ReceiverStream::new(rx))
 }
@@ -99,41 +113,33 @@
 }
 
 impl Relay {
-    async fn run(mut self, mut slot: SlotGuard, mut upstream_response: UpstreamResponse) {
+    async fn run(mut self, mut source: Target, mut response: UpstreamResponse) {
         loop {
-            let mut progress = StreamProgress::new(upstream_response.framing());
-            let end = self
-                .relay_events(&slot, upstream_response, &mut progress)
-                .await;
+            let mut progress = StreamProgress::new(response.framing());
+            let end = self.relay_events(&source, response, &mut progress).await;
             let cause = match end {
                 StreamEnd::Complete => {
-                    slot.set_outcome(AttemptOutcome::Served);
-                    self.exchange.report_quality(&slot, Quality::Good);
-                    self.exchange.log_stream_end(&slot, "served", &progress);
-                    self.exchange.count_request("served");
-                    return;
+                    return self.exchange.record_complete_stream(&mut source, &progress);
                 }
                 StreamEnd::CallerLeft => {
                     self.exchange
-                        .log_stream_end(&slot, "caller_left", &progress);
+                        .log_stream_end(&source, "caller_left", &progress);
                     self.exchange.count_request("caller_left");
                     return;
                 }
                 StreamEnd::Timeout => {
-                    self.exchange.log_stream_end(&slot, "timeout", &progress);
+                    self.exchange.log_stream_end(&source, "timeout", &progress);
                     return self.abort("timeout").await;
                 }
                 StreamEnd::Broken(cause) => cause,
             };
-            slot.set_outcome(AttemptOutcome::Failed);
-            self.exchange.report_quality(&slot, Quality::Broken);
-            self.exchange.report_broken_connection(&slot);
-            self.exchange.log_stream_end(&slot, cause, &progress);
-            drop(slot);
+            self.exchange
+                .record_broken_stream(&mut source, cause, &progress);
+            drop(source);
             self.expects_event |= progress.partial_bytes > 0;
             match self.resume().await {
-                Some((next_slot, next_response)) => {
-                    (slot, upstream_response) = (next_slot, next_response);
+                Some((next_source, next_response)) => {
+                    (source, response) = (next_source, next_response);
                 }
                 None => return self.abort("broken_off").await,
             }
@@ -142,12 +148,12 @@
 
     async fn relay_events(
         &mut self,
-        slot: &SlotGuard,
-        upstream_response: UpstreamResponse,
+        source: &Target,
+        response: UpstreamResponse,
         progress: &mut StreamProgress,
     ) -> StreamEnd {
-        // Dropping `upstream_response` closes the connection, so it is kept until the stream ends.
-        let mut body = upstream_response.response.into_body();
+        // Dropping `response` closes the connection, so it is kept until the stream ends.
+        let mut body = response.response.into_body();
         let mut events = EventBuffer::default();
         let mut pace = PaceSampler::default();
         let mut repeated_bytes = 0;
@@ -162,18 +168,20 @@
             };
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_))) => return StreamEnd::Broken("broken"),
+                Ok(Some(Err(_))) => return StreamEnd::Broken(BreakCause::Broken),
                 Ok(None) => break,
                 Err(_) if self.remaining().is_zero() => return StreamEnd::Timeout,
                 Err(_) if self.exchange.call.route.is_retryable() => {
-                    return StreamEnd::Broken("silent");
+                    return StreamEnd::Broken(BreakCause::Silent);
                 }
                 Err(_) => continue,
             };
             events.push(&data);
             while let Some(event) = events.next_event() {
                 progress.events += 1;
-                if let Some(per_event) = pace.record(self.exchange.shared.now()) {
+                if let Target::Upstream(slot) = source
+                    && let Some(per_event) = pace.record(self.exchange.shared.now())
+                {
                     self.exchange.report_pace(slot, per_event);
                 }
                 if Some(event.id) <= self.last_event {
@@ -188,16 +196,16 @@
             }
             progress.partial_bytes = events.partial_bytes();
             if events.is_overlong() || repeated_bytes > MAX_EVENT_BYTES {
-                return StreamEnd::Broken("no_new_event");
+                return StreamEnd::Broken(BreakCause::NoNewEvent);
             }
         }
         // The upstream may mark the end of the body only by closing the connection, as it does when
         // it stops midway.
         if events.is_inside_event() {
-            return StreamEnd::Broken("ended_inside_event");
+            return StreamEnd::Broken(BreakCause::EndedInsideEvent);
         }
         if self.expects_event {
-            return StreamEnd::Broken("ended_without_event");
+            return StreamEnd::Broken(BreakCause::EndedWithoutEvent);
         }
         if progress.partial_bytes > 0 && self.send(events.take_remaining()).await.is_err() {
             return StreamEnd::CallerLeft;
@@ -211,56 +219,30 @@
         now.saturating_duration_since(self.exchange.call.deadline) >= LATE_EVENTS_TIME
     }
 
-    /// Resumes the stream on another upstream after the last forwarded event.
-    async fn resume(&mut self) -> Option<(SlotGuard, UpstreamResponse)> {
+    /// Resumes the stream after the last forwarded event, on another upstream or through another daemon.
+    async fn resume(&mut self) -> Option<(Target, UpstreamResponse)> {
         if !self.exchange.call.route.is_retryable() {
             return None;
         }
         while self.exchange.may_retry() && !self.tx.is_closed() {
-            let mut slot = self.exchange.reserve_slot().await.ok()?;
-            let request = self.exchange.request(&slot, self.last_event);
-            self.exchange.record_resume_attempt(&slot);
-            let response_timeout = RESUME_TIMEOUT.min(self.remaining());
-            let local = self.exchange.shared.settings.ip;
-            let sent = attempt::send(local, slot.assignment.address, request, response_timeout);
-            let upstream_response = tokio::select! {
-                upstream_response = sent => upstream_response,
+            let mut target = self.exchange.choose_target().await.ok()?;
+            let sent = tokio::select! {
+                sent = self.exchange.send_resumption(&target, self.last_event) => sent,
                 () = self.tx.closed() => return None,
             };
-            let upstream_response = match upstream_response {
-                Ok(upstream_response) => upstream_response,
-                Err(e) => {
-                    log::info!(
-                        "event=resume_failed id={} upstream={} {e}",
-                        self.exchange.call.id(),
-                        slot.assignment.upstream
-                    );
-                    slot.set_outcome(match e {
-                        attempt::AttemptError::Unreachable(_) => AttemptOutcome::Unreachable,
-                        _ => AttemptOutcome::Failed,
-                    });
-                    continue;
+            match sent {
+                Ok(response) => {
+                    if self.exchange.accept_resumption(&mut target, &response) {
+                        log::info!(
+                            "event=resumed id={} {target} after_event={}",
+                            self.exchange.call.id(),
+                            self.last_event.unwrap_or_default()
+                        );
+                        return Some((target, response));
+                    }
                 }
-            };
-            let head = self.exchange.response_head(&upstream_response);
-            self.exchange.record_announcements(&slot, &head);
-            if !head.not_run {
-                self.exchange.record_run_start(&mut slot);
-            }
-            if head.matches_request && head.signed && head.status.is_success() {
-                log::info!(
-                    "event=resumed id={} upstream={} after_event={}",
-                    self.exchange.call.id(),
-                    slot.assignment.upstream,
-                    self.last_event.unwrap_or_default()
-                );
-                return Some((slot, upstream_response));
+                Err(e) => self.exchange.record_failed_resumption(&mut target, &e),
             }
-            slot.set_outcome(if head.not_run {
-                AttemptOutcome::Refused
-            } else {
-                AttemptOutcome::Failed
-            });
         }
         None
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -104,6 +104,13 @@
         SocketAddr::new(self.ip, self.peer_ports.0)
     }
 
+    /// Returns the address that receives requests which other daemons delegate; absent if the range of
+    /// ports has room for one only.
+    pub fn delegation_address(&self) -> Option<SocketAddr> {
+        let port = self.peer_ports.0.checked_add(1)?;
+        (port <= self.peer_ports.1).then(|| SocketAddr::new(self.ip, port))
+    }
+
     fn out_of_range(&self) -> Option<OutOfRange> {
         let times = [
             ("directory_ttl_max_s", self.directory_ttl_max_s),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -39,6 +39,8 @@
     pub clock: SharedClock,
     /// Notified when a heartbeat should be sent without waiting for the next period.
     pub urgent_heartbeat: Notify,
+    /// Notified when a connection to an upstream was lost.
+    pub connection_lost: Notify,
     /// Newest table version reported by any peer; listening followers wake when it increases.
     pub newest_peer_version: watch::Sender<RowVersion>,
     /// The table's newest known era.
@@ -79,6 +81,7 @@
             me,
             clock,
             urgent_heartbeat: Notify::new(),
+            connection_lost: Notify::new(),
             newest_peer_version: watch::Sender::new(RowVersion::default()),
             table_era: EraTracker::default(),
             drain: Drain::default(),
@@ -245,5 +248,8 @@
         self.shared
             .dispatcher()
             .release(&self.assignment, self.outcome, now);
+        if self.outcome.is_lost_connection() {
+            self.shared.connection_lost.notify_one();
+        }
     }
 }
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -134,7 +134,7 @@
     dispatcher.release(&assignment, AttemptOutcome::Unreachable, now);
     assert!(matches!(
         dispatcher.select_upstream(&request(2), now),
-        Placement::Refuse(NoSlotReason::NoneUsable, _)
+        Placement::Refuse(NoSlotReason::Unreachable, _)
     ));
     let later = now + Duration::from_secs(1);
     assign(&mut dispatcher, &request(2), later);
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -72,6 +72,7 @@
         liveness: Vec::new(),
         caller_address: address(1),
         readiness: Readiness::Ready,
+        cut_off: false,
         domain: "a".into(),
         link_mbps: 0,
         table,
