--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,8 +24,9 @@
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long the upstream's host may be silent before the connection is closed.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long the upstream's host may be silent before the connection is closed; a sound one may be silent
+/// for more than a second.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Maximum size in bytes of a response head, and of what is read ahead of a body.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the `platform` crate.
 
 mod headers;
+mod net;
 mod samples;
 mod table;
