Test in virtual time what a daemon makes of lost connections

Refused and unanswered ones of a daemon that is cut off, of a crashed upstream and of one that is silent for a moment; what others are told and believe; which daemons are delegated to.

--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -15,6 +15,7 @@
 mod prefill_speed;
 mod prefix_homes;
 mod rate_limit;
+mod reachability;
 mod retry_budget;
 mod rollout;
 mod rollout_conflict;
