Spare brittle upstreams, which fail if they must refuse too many requests in a second

No code knew the header, and under overload all daemons filled the same free slot and were refused together.

The header is decoded, logged and told in heartbeats like a limit. Upstreams of a brittle service are not queued at; once one is crowded, each daemon keeps to its share of the slots. A refusal keeps a daemon away for so long that the refusals of all stay below half of the number, then one request tries first.

A stand-in upstream can be brittle, or silent for a while.

--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -131,6 +131,8 @@
     pub leaving: Vec<LeavingReport>,
     /// Limits that upstreams have named or ended, to it or to a daemon that it heard.
     pub limits: Vec<LimitReport>,
+    /// What it, or a daemon that it heard, knows of the refusals that brittle upstreams have named.
+    pub brittle: Vec<LimitReport>,
 }
 
 impl Heartbeat {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -18,6 +18,7 @@
 
 pub mod announcements;
 pub mod assignment;
+pub mod brittle;
 mod candidates;
 pub mod cold;
 pub mod cost;
@@ -251,6 +252,7 @@
         self.expire_unverified(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
+        self.update_crowded(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
         self.resolve_broken_connections(now);
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -74,6 +74,7 @@
             suspects: self.poison.reports(now),
             leaving: self.leaving_reports(),
             limits: self.limit_reports(now),
+            brittle: self.brittle_reports(now),
         }
     }
 
@@ -102,7 +103,7 @@
         self.mark_unreachable_cold(&heartbeat.loads, now);
         self.record_reported_backlogs(&heartbeat.loads, now);
         self.record_leaving(&heartbeat.leaving);
-        self.merge_limits(&heartbeat.limits, now);
+        self.merge_numbers(&heartbeat.limits, &heartbeat.brittle, now);
         let name = heartbeat.from.name.clone();
         self.count_loads_of(&name, LoadCount::Subtract, now);
         let new = self.peers.receive_heartbeat(heartbeat, address, now);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -10,6 +10,7 @@
 use crate::coordination::dispatch::{
     Dispatcher,
     assignment::{Assignment, NoSlotReason, Placement, PlacementRequest},
+    brittle::SharerRank,
     cold::{self, RateShare},
     cost::{Candidate, cost},
     health::AttemptOutcome,
@@ -109,6 +110,11 @@
             AttemptOutcome::Unanswered => {
                 self.connection_lost(&assignment.upstream, Loss::Unanswered, now);
             }
+            AttemptOutcome::Refused => {
+                if let Some(max_refusals) = self.max_refusals(&assignment.service, now) {
+                    self.pause_brittle(&assignment.upstream, max_refusals, now);
+                }
+            }
             _ => {}
         }
         if let (Some(arm), Some(rollout)) =
@@ -147,12 +153,19 @@
             .routes
             .as_ref()
             .and_then(|r| r.service(request.service));
+        let is_brittle = self.max_refusals(request.service, now).is_some();
         let mut passed_over = PassedOver::default();
         let mut best: Option<(f64, &Upstream, Candidate)> = None;
         for upstream in &candidates.upstreams {
             let usable = self
                 .check_usable(request, upstream, service, now)
-                .and_then(|()| self.check_limit(upstream, &candidates.ring, now));
+                .and_then(|()| self.check_limit(upstream, &candidates.ring, now))
+                .and_then(|()| match is_brittle {
+                    true if !self.has_brittle_room(upstream, &candidates.ring, now) => {
+                        Err(Unusable::Full)
+                    }
+                    _ => Ok(()),
+                });
             if let Err(reason) = usable {
                 passed_over.record(reason);
                 continue;
@@ -360,12 +373,18 @@
         if !self.own_position().uses(index, engines) {
             return RateShare::None;
         }
+        let SharerRank { rank, sharers } = self.sharers(upstream, ring, now);
+        rate_limit::limit_share(limit, rank, sharers)
+    }
+
+    /// Returns this daemon's rank among those that use the upstream.
+    pub(super) fn sharers(&self, upstream: &Upstream, ring: &HashRing, now: Instant) -> SharerRank {
+        let (index, engines) = (ring.index(upstream.hash), ring.count());
         let users = self
             .peers
             .limit_sharers(now)
             .filter(|name| self.position_of(name).uses(index, engines));
-        let rank = self.sharer_rank(upstream, users);
-        rate_limit::limit_share(limit, rank.rank, rank.sharers)
+        self.sharer_rank(upstream, users)
     }
 
     /// Returns this daemon's rank among the others with which it shares an upstream's rate.
@@ -388,12 +407,6 @@
     }
 }
 
-/// The rank of this daemon, starting at 0, among those that share an upstream's rate.
-struct SharerRank {
-    rank: usize,
-    sharers: usize,
-}
-
 /// Returns how many requests an upstream accepts per slot; plain upstreams also queue requests.
 fn queue_factor(service: Option<&Service>) -> u32 {
     match service {
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -75,6 +75,10 @@
     pub leaving: bool,
     /// The limit that the incarnation has named in a response.
     pub limit: AnnouncedLimit,
+    /// The number of refusals a second that the incarnation, which is brittle, has named in a response.
+    pub max_refusals: AnnouncedLimit,
+    /// Until when it counts as crowded, if it is brittle.
+    pub(super) crowded_until: Option<Instant>,
     /// When this daemon last sent it a request.
     pub sent_at: Option<Instant>,
 }
@@ -99,6 +103,11 @@
             .is_some_and(|until| now < until)
     }
 
+    /// Counts it as crowded until a time, unless it does for longer already.
+    pub(super) fn mark_crowded_until(&mut self, until: Instant) {
+        self.crowded_until = self.crowded_until.max(Some(until));
+    }
+
     /// Treats it as cold, as it may have restarted since a connection to it was lost.
     pub(super) fn presume_cold(&mut self, lost_at: Instant, until: Instant, now: Instant) {
         let known = self.presumed_cold.filter(|known| now < known.until);
@@ -334,6 +343,7 @@
                     upstream.leaving = departed.leaving;
                     upstream.health = departed.health;
                     upstream.limit = departed.limit;
+                    upstream.max_refusals = departed.max_refusals;
                 }
                 self.ids_by_hash.insert(upstream.hash, row.key.clone());
                 self.upstreams.insert(row.key.clone(), upstream);
@@ -414,6 +424,8 @@
             started_ms: registration.started_ms,
             leaving: false,
             limit: AnnouncedLimit::default(),
+            max_refusals: AnnouncedLimit::default(),
+            crowded_until: None,
             sent_at: None,
         }
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -48,7 +48,7 @@
 static ANNOUNCEMENTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter(
         "hibiscusyoke_gateway_upstream_announcements_total",
-        "Upstreams that announced that they leave or want a pause.",
+        "Upstreams that announced that they leave, want a pause, have a limit or are brittle.",
         &["what"],
     )
 });
@@ -113,6 +113,9 @@
         Announcement::Limit(_) => "limit",
         Announcement::LimitEnded => "limit_ended",
         Announcement::InvalidLimit => "invalid_limit",
+        Announcement::Brittle(_) => "brittle",
+        Announcement::BrittleEnded => "brittle_ended",
+        Announcement::InvalidBrittle => "invalid_brittle",
     };
     ANNOUNCEMENTS.with_label_values(&[what]).inc();
 }
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -32,6 +32,12 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the start of a run that crashes the upstream to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
+/// Number of slots of an upstream unless another one is set.
+const DEFAULT_SLOTS: usize = 16;
+/// Time that a brittle upstream takes for a plain request.
+const BRITTLE_RUN_TIME: Duration = Duration::from_millis(60);
+/// Span in which a brittle upstream counts its refusals.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 /// Time from a crash to the restart.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
@@ -51,6 +57,11 @@
     Leave,
     /// Executes and answers requests, and names this limit of an upstream in requests per 1,000 seconds.
     Limit(u32),
+    /// Runs requests as its slots allow, refuses the others, and says that it is brittle: it crashes if it
+    /// refuses more than this many in a second.
+    Brittle(u32),
+    /// Is silent for this many milliseconds before it executes and answers a request.
+    SilentFor(u64),
     /// Executes requests and closes the connection without a response.
     Break,
     /// Closes the connection after the given number of events, inside the next one.
@@ -111,6 +122,10 @@
     crashing_segment: Option<String>,
     /// Times of the crashes.
     crashes: Vec<Instant>,
+    /// Number of slots, if it is not the default.
+    slots: Option<usize>,
+    /// Times at which it refused requests while it was brittle.
+    brittle_refusals: Vec<Instant>,
 }
 
 /// Running fake of an upstream.
@@ -252,6 +267,12 @@
         self.state().framing = framing;
     }
 
+    /// Sets the number of requests that the upstream runs at a time; its row tells it from the next
+    /// incarnation on.
+    pub fn set_slots(&self, slots: usize) {
+        self.state().slots = Some(slots);
+    }
+
     /// Restarts the upstream as another incarnation that serves requests.
     pub fn restart(&self) {
         let mut state = self.state();
@@ -286,9 +307,11 @@
 
     /// Returns the upstream's row in the table, with another address at which gateways reach it.
     pub fn row_at(&self, address: SocketAddr, service: &str, version: &str) -> serde_json::Value {
+        let state = self.state();
         serde_json::json!({
             "service": service, "address": address, "zone": "a", "version": version,
-            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "born": self.state().restarts + 1,
+            "slots": state.slots.unwrap_or(DEFAULT_SLOTS), "state": "ready", "cold_remaining_ms": 0,
+            "born": state.restarts + 1,
         })
     }
 
@@ -306,6 +329,13 @@
         if let Some(response) = refusal(behaviour, &id) {
             return Some(response);
         }
+        if let Behaviour::Brittle(max_refusals) = behaviour
+            && self.refuses_for_want_of_room(max_refusals)
+        {
+            let mut response = refusal(Behaviour::Refuse, &id)?;
+            name_brittle(&mut response, max_refusals);
+            return Some(response);
+        }
         let body = body.collect().await.ok()?.to_bytes();
         let headers = parts.headers.clone();
         {
@@ -337,6 +367,8 @@
             Behaviour::Foreign => return Some(full_response(StatusCode::OK, "another", Some("s"))),
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
+            Behaviour::SilentFor(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Behaviour::Brittle(_) => tokio::time::sleep(BRITTLE_RUN_TIME).await,
             Behaviour::Serve
             | Behaviour::BreakAfter(_)
             | Behaviour::EndAfter(_)
@@ -356,9 +388,32 @@
             let value = per_second.to_string().parse().expect("valid header value");
             response.headers_mut().insert("server-limit", value);
         }
+        if let Behaviour::Brittle(max_refusals) = behaviour {
+            name_brittle(&mut response, max_refusals);
+        }
         Some(response)
     }
 
+    /// Returns whether all slots are in use; crashes if there are too many refusals in a second.
+    fn refuses_for_want_of_room(&self, max_refusals: u32) -> bool {
+        let mut state = self.state();
+        if self.in_flight() < state.slots.unwrap_or(DEFAULT_SLOTS) {
+            return false;
+        }
+        let now = Instant::now();
+        state.brittle_refusals.push(now);
+        state
+            .brittle_refusals
+            .retain(|at| now - *at < REFUSAL_WINDOW);
+        if state.brittle_refusals.len() > max_refusals as usize && !state.is_down {
+            state.is_down = true;
+            state.crashes.push(now);
+            state.brittle_refusals.clear();
+            self.crashed.notify_one();
+        }
+        true
+    }
+
     fn crashes_on(&self, prompt: &str) -> bool {
         let state = self.state();
         let crashing = state.crashing_segment.as_deref();
@@ -492,6 +547,12 @@
     Some(response)
 }
 
+/// Adds that the upstream is brittle.
+fn name_brittle(response: &mut Response<Body>, max_refusals: u32) {
+    let headers = response.headers_mut();
+    headers.insert("server-brittle", max_refusals.into());
+}
+
 fn full_response(status: StatusCode, id: &str, seal: Option<&str>) -> Response<Body> {
     let body = Bytes::from(format!("answer to {id}"));
     let mut response = Response::new(Either::Left(Full::new(body)));
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions in virtual time.
 
 mod announcements;
+mod brittle;
 mod cold;
 mod crash_storm;
 mod escalation;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -85,6 +85,7 @@
         suspects: Vec::new(),
         leaving: Vec::new(),
         limits: Vec::new(),
+        brittle: Vec::new(),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateway processes with stand-ins for the platform.
 
 mod announcements;
+mod brittle;
 mod endless;
 mod faults;
 mod harness;
@@ -12,6 +13,7 @@
 mod rate_limit;
 mod reload;
 mod serve;
+mod short_silence;
 mod shutdown;
 mod table_restore;
 mod trace;
