Soak gateways that lose all upstreams, and brittle or silent upstreams

Proxies before the upstreams can disturb the connections of one gateway alone, reset or silent, and plain upstreams have four slots. Checked while nothing else fails: callers of a cut gateway are served two thirds as often as the others from 3 s after the cut on, unless few fail; a brittle upstream crashes twice at most.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -8,7 +8,12 @@
     upstream::{FakeUpstream, Framing},
 };
 
-use crate::{Options, fleet::Fleet, proxy::Proxy, records::Span};
+use crate::{
+    Options,
+    fleet::Fleet,
+    proxy::{LinkState, Proxy},
+    records::Span,
+};
 
 /// Ids and services of the upstreams.
 pub const UPSTREAMS: [Upstream; 6] = [
@@ -19,6 +24,8 @@
     Upstream::new("p2", "desk"),
     Upstream::new("p3", "desk"),
 ];
+/// Number of slots of a plain upstream.
+const PLAIN_SLOTS: usize = 4;
 /// Number of routes by which the configuration grows.
 const MANY_ROUTES: usize = 2_000;
 /// API key of all callers.
@@ -66,6 +73,10 @@
     pub drained: BTreeMap<usize, Vec<Span>>,
     /// Time spans in which an upstream announced that it leaves, by index.
     pub left: BTreeMap<usize, Vec<Span>>,
+    /// Time spans in which a gateway was cut off from all upstreams, by index.
+    pub cut_off: BTreeMap<usize, Vec<Span>>,
+    /// Time spans in which an upstream was brittle, by index.
+    pub brittle: BTreeMap<usize, Vec<Span>>,
     /// Time spans in which the table or a connection failed.
     unstable: Vec<Span>,
     /// Generation of the current configuration.
@@ -87,6 +98,9 @@
         for (Upstream { id, service }, framing) in UPSTREAMS.into_iter().zip(framings) {
             let upstream = FakeUpstream::spawn(id).await;
             upstream.set_framing(framing);
+            if service == "desk" {
+                upstream.set_slots(PLAIN_SLOTS);
+            }
             let proxy = Proxy::bind(upstream.address()).await?;
             let proxied = ProxiedUpstream {
                 upstream,
@@ -106,6 +120,8 @@
             draining: BTreeMap::new(),
             drained: BTreeMap::new(),
             left: BTreeMap::new(),
+            cut_off: BTreeMap::new(),
+            brittle: BTreeMap::new(),
             unstable: Vec::new(),
             generation: 1,
             has_many_routes: false,
@@ -165,6 +181,28 @@
         self.write_row(upstream);
     }
 
+    /// Sets the state of all connections between a gateway and the upstreams.
+    pub fn set_upstream_links(&self, gateway: usize, link: LinkState) {
+        let host = self.fleet.caller_address(gateway).ip();
+        for proxied in &self.upstreams {
+            proxied.proxy.set_for(host, link);
+        }
+    }
+
+    /// Records that a gateway was cut off from all upstreams from `from` until now.
+    pub fn record_cut_off(&mut self, gateway: usize, from: Instant) {
+        let to = Instant::now();
+        let spans = self.cut_off.entry(gateway).or_default();
+        spans.push(Span { from, to });
+    }
+
+    /// Records that an upstream was brittle from `from` until now.
+    pub fn record_brittle(&mut self, upstream: usize, from: Instant) {
+        let to = Instant::now();
+        let spans = self.brittle.entry(upstream).or_default();
+        spans.push(Span { from, to });
+    }
+
     /// Publishes a new configuration, which still allows the callers' key.
     pub fn publish_configuration(&mut self) {
         self.generation += 1;
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -87,6 +87,7 @@
         Fault::Reload(gateway) => deployment.fleet.signal(gateway, "HUP")?,
         Fault::TableLink(gateway, link) => deployment.fleet.table_proxy(gateway).set(link),
         Fault::UpstreamLink(upstream, link) => deployment.upstreams[upstream].proxy.set(link),
+        Fault::CutOff(gateway, link) => deployment.set_upstream_links(gateway, link),
         Fault::Upstream(upstream, behaviour) => deployment.upstreams[upstream]
             .upstream
             .set_behaviour(behaviour),
@@ -135,9 +136,18 @@
             deployment.upstreams[upstream].proxy.set(LinkState::Open);
             deployment.record_unstable(from);
         }
-        Fault::Upstream(upstream, _) => deployment.upstreams[upstream]
-            .upstream
-            .set_behaviour(Behaviour::Serve),
+        Fault::CutOff(gateway, _) => {
+            deployment.set_upstream_links(gateway, LinkState::Open);
+            deployment.record_cut_off(gateway, from);
+        }
+        Fault::Upstream(upstream, behaviour) => {
+            deployment.upstreams[upstream]
+                .upstream
+                .set_behaviour(Behaviour::Serve);
+            if matches!(behaviour, Behaviour::Brittle(_)) {
+                deployment.record_brittle(upstream, from);
+            }
+        }
         Fault::Table(_) => {
             deployment.table.set_fault(TableFault::None);
             deployment.record_unstable(from);
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -21,6 +21,15 @@
 const LIMIT_PROPAGATION_TIME: Duration = Duration::from_secs(3);
 /// Span in which the requests within a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after which callers of a gateway that lost all upstreams must be served, and after which a
+/// brittle upstream must be spared.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of crashes of a brittle upstream that are allowed.
+const MAX_BRITTLE_CRASHES: usize = 2;
+/// Number of requests that may fail at a gateway that lost all upstreams, beside one in `CUT_OFF_RATIO`.
+const MAX_CUT_OFF_FAILURES: usize = 10;
+/// See [`MAX_CUT_OFF_FAILURES`].
+const CUT_OFF_RATIO: usize = 50;
 /// Time at the end of a run in which every request must be served.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
 /// Customer of all callers.
@@ -62,6 +71,14 @@
     /// An upstream executed more requests than its limit allows.
     #[display("upstream {_0} executed {_1} requests within its limit's window, {_2} are allowed")]
     OverLimit(usize, usize, usize),
+    /// Callers of a gateway that had lost all upstreams were served much worse than the others.
+    #[display(
+        "gateway {_0}, cut off from all upstreams, served {_1} of {_2}, the others {_3} of {_4}"
+    )]
+    CutOffUnserved(usize, usize, usize, usize, usize),
+    /// A brittle upstream crashed again and again as it had to refuse too many requests.
+    #[display("brittle upstream {_0} crashed {_1} times")]
+    BrittleCrashes(usize, usize),
     /// An upstream received a caller's key, or another customer.
     #[display("{_0} reached its upstream with a caller's key or for another customer")]
     WrongCustomer(String),
@@ -92,6 +109,8 @@
     violations.extend(check_drained(deployment));
     violations.extend(check_left(deployment, records));
     violations.extend(check_limits(deployment));
+    violations.extend(check_cut_off(deployment, records));
+    violations.extend(check_brittle(deployment));
     violations.extend(check_customers(deployment));
     violations
 }
@@ -251,6 +270,59 @@
     usize::try_from(named * 3 / 2_000 + 5).unwrap_or(usize::MAX)
 }
 
+/// Checks that callers of a gateway that lost all upstreams were served two thirds as often as the others,
+/// unless only a few requests failed. Only times without other failures are checked.
+fn check_cut_off(deployment: &Deployment, records: &[RequestRecord]) -> Vec<Violation> {
+    let all = deployment.cut_off.iter();
+    let spans = all.flat_map(|(gateway, spans)| spans.iter().map(|span| (*gateway, *span)));
+    let mut violations = Vec::new();
+    for (gateway, span) in spans.clone() {
+        let others_cut = spans
+            .clone()
+            .any(|(g, other)| g != gateway && overlap(&span, &other));
+        if others_cut || deployment.unstable().any(|other| overlap(&span, &other)) {
+            continue;
+        }
+        let from = span.from + CONTACT_TIME;
+        let in_time = |r: &&RequestRecord| r.sent_at >= from && r.ended_at() <= span.to;
+        let (cut, others): (Vec<&RequestRecord>, Vec<_>) = records
+            .iter()
+            .filter(in_time)
+            .partition(|r| r.gateway == gateway);
+        let served = |of: &[&RequestRecord]| of.iter().filter(|r| r.outcome.is_served()).count();
+        let (cut_served, others_served) = (served(&cut), served(&others));
+        let is_worse = 3 * cut_served * others.len() < 2 * others_served * cut.len();
+        let allowed = MAX_CUT_OFF_FAILURES + (cut.len() + others.len()) / CUT_OFF_RATIO;
+        if is_worse && cut.len() - cut_served > allowed {
+            violations.push(Violation::CutOffUnserved(
+                gateway,
+                cut_served,
+                cut.len(),
+                others_served,
+                others.len(),
+            ));
+        }
+    }
+    violations
+}
+
+/// Checks that brittle upstreams were spared. Only times without other failures are checked.
+fn check_brittle(deployment: &Deployment) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (index, spans) in &deployment.brittle {
+        let steady = |span: &&Span| !deployment.unstable().any(|other| overlap(span, &other));
+        let crashes = deployment.upstreams[*index].upstream.crashes();
+        for span in spans.iter().filter(steady) {
+            let late = |at: &&Instant| **at > span.from + CONTACT_TIME && **at < span.to;
+            let count = crashes.iter().filter(late).count();
+            if count > MAX_BRITTLE_CRASHES {
+                violations.push(Violation::BrittleCrashes(*index, count));
+            }
+        }
+    }
+    violations
+}
+
 fn check_customers(deployment: &Deployment) -> Vec<Violation> {
     let mut seen = HashSet::new();
     let mut violations = Vec::new();
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,8 +1,9 @@
 //! Loopback proxy whose connections can be delayed, reset, or blocked in one or both directions.
 
 use std::{
+    collections::BTreeMap,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -58,11 +59,24 @@
     }
 }
 
+/// The state of all connections through a proxy, and that of single hosts.
+#[derive(Clone, Debug)]
+struct LinkStates {
+    general: LinkState,
+    of_hosts: BTreeMap<IpAddr, LinkState>,
+}
+
+impl LinkStates {
+    fn of(&self, host: IpAddr) -> LinkState {
+        self.of_hosts.get(&host).copied().unwrap_or(self.general)
+    }
+}
+
 /// Running proxy, which stops accepting connections when it is dropped.
 #[derive(Debug)]
 pub struct Proxy {
     address: SocketAddr,
-    link_state: watch::Sender<LinkState>,
+    link_states: watch::Sender<LinkStates>,
     accepting: JoinHandle<()>,
 }
 
@@ -75,12 +89,17 @@
     pub async fn bind(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (link_state, link_states) = watch::channel(LinkState::Open);
+        let link_states = watch::Sender::new(LinkStates {
+            general: LinkState::Open,
+            of_hosts: BTreeMap::new(),
+        });
+        let states = link_states.subscribe();
         let accepting = tokio::spawn(async move {
             let [requests, answers] = [Line::new(), Line::new()].map(Arc::new);
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, from)) = listener.accept().await {
                 let link = Link {
-                    state: link_states.clone(),
+                    host: from.ip(),
+                    states: states.clone(),
                     requests: requests.clone(),
                     answers: answers.clone(),
                 };
@@ -89,7 +108,7 @@
         });
         Ok(Self {
             address,
-            link_state,
+            link_states,
             accepting,
         })
     }
@@ -101,7 +120,20 @@
 
     /// Sets the state of all connections, including open ones.
     pub fn set(&self, link_state: LinkState) {
-        self.link_state.send_replace(link_state);
+        self.link_states
+            .send_modify(|states| states.general = link_state);
+    }
+
+    /// Sets the state of all connections of one host; `Open` ends what was set for it.
+    pub fn set_for(&self, host: IpAddr, link_state: LinkState) {
+        self.link_states.send_modify(|states| match link_state {
+            LinkState::Open => {
+                states.of_hosts.remove(&host);
+            }
+            _ => {
+                states.of_hosts.insert(host, link_state);
+            }
+        });
     }
 }
 
@@ -114,7 +146,9 @@
 /// What all connections through a proxy share.
 #[derive(Clone, Debug)]
 struct Link {
-    state: watch::Receiver<LinkState>,
+    /// The host that opened the connection.
+    host: IpAddr,
+    states: watch::Receiver<LinkStates>,
     requests: Arc<Line>,
     answers: Arc<Line>,
 }
@@ -145,7 +179,7 @@
 
 /// Forwards one connection until either side closes it.
 async fn forward_connection(mut caller: TcpStream, target: SocketAddr, link: Link) {
-    if *link.state.borrow() == LinkState::Reset {
+    if link.states.borrow().of(link.host) == LinkState::Reset {
         reset_on_close(&caller);
         return;
     }
@@ -172,21 +206,21 @@
         Direction::Request => link.requests,
         Direction::Response => link.answers,
     };
-    let mut link_state = link.state;
+    let (host, mut states) = (link.host, link.states);
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let read = tokio::select! {
             read = from.read(&mut chunk) => read?,
-            () = wait_for_reset(&mut link_state) => return Err(io::ErrorKind::ConnectionReset.into()),
+            () = wait_for_reset(&mut states, host) => return Err(io::ErrorKind::ConnectionReset.into()),
         };
         loop {
-            let now = *link_state.borrow_and_update();
+            let now = states.borrow_and_update().of(host);
             match now {
                 LinkState::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
                 LinkState::Delayed(delay) => break tokio::time::sleep(delay).await,
                 LinkState::Limited(rate) => break line.carry(read, rate).await,
                 _ if !now.blocks(direction) => break,
-                _ => link_state.changed().await.map_err(io::Error::other)?,
+                _ => states.changed().await.map_err(io::Error::other)?,
             }
         }
         if read == 0 {
@@ -202,9 +236,9 @@
     Duration::from_secs_f64(f64::from(length) / f64::from(rate))
 }
 
-async fn wait_for_reset(link_state: &mut watch::Receiver<LinkState>) {
-    let ended = link_state
-        .wait_for(|link_state| *link_state == LinkState::Reset)
+async fn wait_for_reset(states: &mut watch::Receiver<LinkStates>, host: IpAddr) {
+    let ended = states
+        .wait_for(|states| states.of(host) == LinkState::Reset)
         .await
         .is_err();
     if ended {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -19,6 +19,12 @@
 const EXTRA_DURATIONS_MS: std::ops::RangeInclusive<u64> = 1_000..=9_000;
 /// Limit of an upstream in requests per 1,000 seconds.
 const LIMITS_PER_KILOSECOND: std::ops::RangeInclusive<u32> = 500..=6_000;
+/// Separates the generator of partitions and of brittle or silent upstreams from the others.
+const PARTITION_FAULTS_SEED: u64 = 0x4355_545f_4f46_4600;
+/// Refusals a second that a brittle upstream bears.
+const MAX_REFUSALS: std::ops::RangeInclusive<u32> = 2..=6;
+/// Time for which an upstream is silent in milliseconds.
+const SILENCES_MS: std::ops::RangeInclusive<u64> = 700..=1_500;
 /// Rates of narrow links in bytes per second.
 const LINK_RATES: std::ops::RangeInclusive<u32> = 400_000..=2_000_000;
 
@@ -39,6 +45,8 @@
     TableLink(usize, LinkState),
     /// The connections to an upstream are disturbed.
     UpstreamLink(usize, LinkState),
+    /// The connections between a gateway and all upstreams are disturbed.
+    CutOff(usize, LinkState),
     /// An upstream misbehaves.
     Upstream(usize, Behaviour),
     /// The table misbehaves.
@@ -104,6 +112,7 @@
         })
         .collect();
     schedule.extend(extra_faults(seed, gateways, upstreams, injection_time));
+    schedule.extend(partition_faults(seed, gateways, upstreams, injection_time));
     schedule.sort_by_key(|step| step.at);
     schedule
 }
@@ -141,6 +150,36 @@
     schedule
 }
 
+/// Draws gateways that lose all upstreams, and brittle or silent upstreams, from a generator of their own.
+fn partition_faults(
+    seed: u64,
+    gateways: usize,
+    upstreams: usize,
+    injection_time: Duration,
+) -> Schedule {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ PARTITION_FAULTS_SEED);
+    let link = match rng.random_bool(0.5) {
+        true => LinkState::Reset,
+        false => LinkState::Silent,
+    };
+    let brittle = Behaviour::Brittle(rng.random_range(MAX_REFUSALS));
+    let silent = Behaviour::SilentFor(rng.random_range(SILENCES_MS));
+    let faults = [
+        Fault::CutOff(rng.random_range(0..gateways), link),
+        Fault::Upstream(rng.random_range(0..upstreams), brittle),
+        Fault::Upstream(rng.random_range(0..upstreams), silent),
+    ];
+    let drawn = faults.map(|fault| {
+        let scheduled = ScheduledFault {
+            at: injection_time.mul_f64(rng.random()),
+            duration: Duration::from_millis(rng.random_range(EXTRA_DURATIONS_MS)),
+            fault,
+        };
+        rng.random_bool(0.5).then_some(scheduled)
+    });
+    drawn.into_iter().flatten().collect()
+}
+
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
     match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
