Show a removed upstream kept in use by a daemon that had lost its connections to the table

Its connections to the table had gone silent, as had those of others, so it took the entry for one that lapsed in an outage; a daemon that had polled all the time had applied the removal.

--- a/tests/dispatch/table_outage.rs
+++ b/tests/dispatch/table_outage.rs
@@ -4,7 +4,7 @@
 
 use hibiscusyoke::coordination::dispatch::{Dispatcher, heartbeat::TableState};
 
-use crate::support::{dispatcher, heartbeat, receive_heartbeat, row, upstream};
+use crate::support::{dispatcher, heartbeat, receive_heartbeat, row, upstream, version_of};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -101,3 +101,23 @@
     dispatcher.registry.apply(&[row("u2", 5, None)], start);
     assert_eq!(listed(&dispatcher, start), ["u1", "u3", "u4"]);
 }
+
+/// Some daemons had lost their connections to the table, but one that kept them has applied the removal
+/// (day unanswered, seed 772).
+#[test]
+fn removal_that_a_connected_daemon_has_applied_takes_effect_at_once() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher();
+    let rows = [upstream("u1", 1, "ready"), upstream("u2", 2, "ready")];
+    dispatcher.registry.replace(&rows, start);
+    let lost = heartbeat("front-2", TableState::Lost);
+    let mut connected = heartbeat("front-3", TableState::Reachable);
+    connected.newest_upstream_version = version_of(3);
+    receive_heartbeat(&mut dispatcher, &[lost, connected], start);
+    dispatcher.table_lost(start);
+    dispatcher.table_restored(start + SECOND);
+    dispatcher
+        .registry
+        .apply(&[row("u1", 3, None)], start + SECOND);
+    assert_eq!(listed(&dispatcher, start + SECOND), ["u2"]);
+}
