Let removals apply at once that a daemon which kept the table has applied

Cause: a daemon whose connections to the table had gone silent asked how many others had lost theirs within 4 s; as most had, it took the removal for an entry that lapsed in an outage and kept the upstream for 2.2 s more.

Change: no grace period if a daemon that kept its connections has applied newer changes of the upstreams' table and awaits none of them back, which heartbeats tell.

--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -121,6 +121,8 @@
     pub newest_order_version: RowVersion,
     /// Newest row version of the upstreams' table that it has seen.
     pub newest_upstream_version: RowVersion,
+    /// Whether it keeps removed upstreams that may return after an outage of the table.
+    pub awaits_upstreams: bool,
     /// Its load on upstreams.
     pub loads: Vec<LoadReport>,
     /// Its view of the rollouts.
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -69,6 +69,7 @@
             table_era: self.table_era,
             newest_order_version: self.orders.newest_change(),
             newest_upstream_version: self.upstreams.newest_change(),
+            awaits_upstreams: self.registry.awaits_entries(now),
             loads,
             rollouts,
             suspects: self.poison.reports(now),
@@ -186,8 +187,12 @@
     /// Records that the table answers again.
     ///
     /// Missing entries may return only if other daemons had also lost connectivity. If the table
-    /// refused only this daemon, the entries were really removed.
+    /// refused only this daemon, or a daemon that kept its connections has applied newer changes, the
+    /// entries were really removed.
     pub fn table_restored(&mut self, now: Instant) {
+        if self.was_followed_by_others(now) {
+            return;
+        }
         let count = |state| {
             let reporting = self.peers.reporting(now);
             reporting
@@ -199,6 +204,17 @@
         }
     }
 
+    /// Returns whether another daemon follows the table and has applied changes that this one lacks.
+    fn was_followed_by_others(&self, now: Instant) -> bool {
+        let known = self.upstreams.newest_change();
+        self.peers.reporting(now).any(|peer| {
+            let peer = &peer.last_heartbeat;
+            peer.table == TableState::Reachable
+                && !peer.awaits_upstreams
+                && peer.newest_upstream_version > known
+        })
+    }
+
     /// Returns the newest era of the table that this daemon knows.
     pub fn table_era(&self) -> TableEra {
         self.table_era
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -249,6 +249,12 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns whether removed entries may still return.
+    pub(super) fn awaits_entries(&self, now: Instant) -> bool {
+        let is_missing = |u: &Upstream| u.missing_until.is_some();
+        self.grace_left(now).is_some() || self.upstreams.values().any(is_missing)
+    }
+
     /// Replaces the entries with a full read of the table.
     pub fn replace(&mut self, rows: &[Row], now: Instant) -> Vec<Change> {
         let first = !std::mem::replace(&mut self.loaded, true);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -141,12 +141,14 @@
         }
         match role {
             PollingRole::Listen if initialized && self.can_rely_on_peers() => {
+                self.failures = 0;
                 self.listen().await;
             }
             PollingRole::Listen | PollingRole::Poll => self.poll().await,
             PollingRole::Retry => {
-                self.fetch_from_newer_peer().await;
-                tokio::time::sleep(RETRY_POLL_INTERVAL).await;
+                // Other daemons may have changes meanwhile.
+                let listening = self.listen_forever();
+                let _ = tokio::time::timeout(RETRY_POLL_INTERVAL, listening).await;
                 self.poll().await;
             }
         }
@@ -178,9 +180,15 @@
         }
     }
 
+    /// Fetches the changes that peers report.
+    async fn listen_forever(&mut self) {
+        loop {
+            self.listen().await;
+        }
+    }
+
     /// Queries a peer that has newer changes, or waits until a peer reports some.
     async fn listen(&mut self) {
-        self.failures = 0;
         let mut peer_version = self.shared.newest_peer_version.subscribe();
         if self.newer_peer().is_some() {
             let spread = self.shared.dispatcher().peers.spread_over_fleet();
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -80,6 +80,7 @@
         table_era: 0,
         newest_order_version: RowVersion::default(),
         newest_upstream_version: RowVersion::default(),
+        awaits_upstreams: false,
         loads: Vec::new(),
         rollouts: Vec::new(),
         suspects: Vec::new(),
