--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -33,6 +33,11 @@
     Limited(u32),
     /// Open and new connections are reset.
     Reset,
+    /// New connections are reset; open ones carry no data, or go on.
+    RefusesNew {
+        /// Whether open ones carry no data.
+        silences_open: bool,
+    },
     /// No data is forwarded, and connections stay open.
     Silent,
     /// Data from callers is not forwarded.
@@ -52,6 +57,7 @@
     fn blocks(self, direction: Direction) -> bool {
         match self {
             Self::Open | Self::Delayed(_) | Self::Limited(_) | Self::Reset => false,
+            Self::RefusesNew { silences_open } => silences_open,
             Self::Silent => true,
             Self::RequestsLost => direction == Direction::Request,
             Self::AnswersLost => direction == Direction::Response,
@@ -179,7 +185,8 @@
 
 /// Forwards one connection until either side closes it.
 async fn forward_connection(mut caller: TcpStream, target: SocketAddr, link: Link) {
-    if link.states.borrow().of(link.host) == LinkState::Reset {
+    let state = link.states.borrow().of(link.host);
+    if matches!(state, LinkState::Reset | LinkState::RefusesNew { .. }) {
         reset_on_close(&caller);
         return;
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -158,9 +158,14 @@
     injection_time: Duration,
 ) -> Schedule {
     let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ PARTITION_FAULTS_SEED);
-    let link = match rng.random_bool(0.5) {
-        true => LinkState::Reset,
-        false => LinkState::Silent,
+    let link = match rng.random_range(0..3) {
+        0 => LinkState::Reset,
+        1 => LinkState::RefusesNew {
+            silences_open: true,
+        },
+        _ => LinkState::RefusesNew {
+            silences_open: false,
+        },
     };
     let brittle = Behaviour::Brittle(rng.random_range(MAX_REFUSALS));
     let silent = Behaviour::SilentFor(rng.random_range(SILENCES_MS));
--- a/src/commands/trace.rs
+++ b/src/commands/trace.rs
@@ -12,8 +12,9 @@
 const MAX_CHANGES_BEFORE: usize = 20;
 
 /// Events that concern a single request and are not changes of the gateway's state.
-const REQUEST_EVENTS: [&str; 12] = [
+const REQUEST_EVENTS: [&str; 13] = [
     "chosen",
+    "delegated",
     "attempt_ended",
     "attempt_failed",
     "refused",
