Keep probing while cut off, and keep a header of the daemons from upstreams

Two faults of the delegation, found by reading. If all upstreams that a cut daemon had lost were replaced meanwhile, it had nothing left to probe, and would have delegated requests for good; the header with the count of attempts went on to upstreams. Tests: daemon_that_is_cut_off_probes_upstreams_that_are_new and the check in callers_of_a_daemon_that_lost_all_upstreams_are_served failed before.

--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -87,6 +87,8 @@
 pub struct Reachability {
     /// Upstreams that were lost since one was reached.
     lost: BTreeMap<UpstreamId, LostUpstream>,
+    /// When a connection was last lost.
+    newest_loss: Option<Instant>,
     is_cut_off: bool,
     changes: Vec<LinkChange>,
 }
@@ -97,6 +99,11 @@
         self.is_cut_off
     }
 
+    /// Returns whether it is not known if this daemon reaches any upstream.
+    pub fn is_suspected(&self) -> bool {
+        self.is_cut_off || !self.lost.is_empty()
+    }
+
     /// Returns whether it is not known yet if the upstream or this daemon's link has failed.
     pub(super) fn is_unverified(&self, upstream: &str) -> bool {
         self.lost.contains_key(upstream)
@@ -125,10 +132,7 @@
         lost.loss = lost.loss.max(loss);
         lost.newest = now;
         lost.by_probe |= by_probe;
-    }
-
-    fn newest_loss(&self) -> Option<Instant> {
-        self.lost.values().map(|lost| lost.newest).max()
+        self.newest_loss = Some(now);
     }
 
     fn set_cut_off(&mut self) {
@@ -165,11 +169,8 @@
             upstream.record_reached(sent_at);
         }
         // The connection may have been opened before the links failed.
-        if self
-            .reachability
-            .newest_loss()
-            .is_none_or(|lost_at| sent_at < lost_at)
-        {
+        let is_older = Some(sent_at) < self.reachability.newest_loss;
+        if is_older || !self.reachability.is_suspected() {
             return;
         }
         let lost = std::mem::take(&mut self.reachability.lost);
@@ -189,7 +190,7 @@
 
     /// Returns the upstreams to probe now; none if no connection was lost since an upstream was reached.
     pub fn probe_targets(&self, now: Instant) -> Vec<ProbeTarget> {
-        if self.reachability.lost.is_empty() {
+        if !self.reachability.is_suspected() {
             return Vec::new();
         }
         let last_loss = |u: &Upstream| self.reachability.lost.get(&u.id).map(|lost| lost.newest);
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -63,10 +63,11 @@
     }
 }
 
-/// Returns how many upstreams a delegated request may have reached before.
-pub(super) fn earlier_attempts(headers: &HeaderMap) -> u32 {
-    let attempts = headers.get(ATTEMPTS).and_then(|v| v.to_str().ok());
-    attempts.and_then(|v| v.parse().ok()).unwrap_or_default()
+/// Removes and returns how many upstreams a delegated request may have reached before.
+pub(super) fn take_earlier_attempts(headers: &mut HeaderMap) -> u32 {
+    let attempts = headers.remove(ATTEMPTS);
+    let attempts = attempts.and_then(|v| v.to_str().ok()?.parse().ok());
+    attempts.unwrap_or_default()
 }
 
 impl Exchange {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -59,10 +59,18 @@
 }
 
 /// Serves a request.
-pub async fn serve(shared: Arc<Shared>, origin: Origin, req: Request<Incoming>) -> Response<Body> {
+pub async fn serve(
+    shared: Arc<Shared>,
+    origin: Origin,
+    mut req: Request<Incoming>,
+) -> Response<Body> {
     let arrived_at = shared.now();
     let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
     shared.await_tables().await;
+    let earlier_attempts = match origin {
+        Origin::Caller => 0,
+        Origin::Peer => delegate::take_earlier_attempts(req.headers_mut()),
+    };
     let call = match Call::read(&shared, req).await {
         Ok(call) => call,
         Err(reason) => {
@@ -75,9 +83,10 @@
             return add_connection_close(&shared, reply::refuse(reason, wait));
         }
     };
-    let exchange = match origin {
-        Origin::Caller => Exchange::new(shared.clone(), Arc::new(call)),
-        Origin::Peer => Exchange::for_peer(shared.clone(), Arc::new(call)),
+    let exchange = Exchange {
+        origin,
+        attempts: earlier_attempts,
+        ..Exchange::new(shared.clone(), Arc::new(call))
     };
     let response = exchange.run().await;
     add_connection_close(&shared, response)
@@ -151,16 +160,6 @@
         }
     }
 
-    /// Creates the state of a request that another daemon delegated to this one.
-    fn for_peer(shared: Arc<Shared>, call: Arc<Call>) -> Self {
-        let attempts = delegate::earlier_attempts(&call.headers);
-        Self {
-            origin: Origin::Peer,
-            attempts,
-            ..Self::new(shared, call)
-        }
-    }
-
     /// Makes attempts until there is a response for the caller.
     pub async fn run(mut self) -> Response<Body> {
         let now = self.shared.now();
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -29,7 +29,7 @@
     }
 }
 
-/// Probes some upstreams; returns whether there were any to probe.
+/// Probes some upstreams; returns whether more probes are needed.
 async fn probe_round(shared: &Shared) -> bool {
     let sent_at = shared.now();
     let targets = shared.dispatcher().probe_targets(sent_at);
@@ -42,7 +42,7 @@
             .probe_ended(&target.upstream, result, sent_at, now);
     }
     report_changes(shared);
-    !targets.is_empty()
+    shared.dispatcher().reachability.is_suspected()
 }
 
 /// Logs that the links to upstreams were lost or work again, and tells the other daemons at once.
--- a/tests/dispatch/reachability.rs
+++ b/tests/dispatch/reachability.rs
@@ -204,3 +204,27 @@
         Placement::Refuse(NoSlotReason::Unreachable, _)
     ));
 }
+
+/// All upstreams are replaced while the daemon is cut off, so that none of those that it lost is left.
+#[test]
+fn daemon_that_is_cut_off_probes_upstreams_that_are_new() {
+    let now = Instant::now();
+    let mut dispatcher = ready(&rows(), now);
+    lose_one(&mut dispatcher, AttemptOutcome::Unreachable, now);
+    while !dispatcher.reachability.is_cut_off() {
+        fail_probes(&mut dispatcher, Loss::Refused, now);
+    }
+    dispatcher.registry.replace(&[], now);
+    let gone = now + Duration::from_secs(3);
+    dispatcher.tick(gone);
+    assert!(dispatcher.probe_targets(gone).is_empty());
+    dispatcher
+        .registry
+        .apply(&[upstream("u9", 9, "ready")], gone);
+    let later = gone + Duration::from_secs(1);
+    let targets = dispatcher.probe_targets(later);
+    assert_eq!(targets.len(), 1, "the new one is probed");
+    dispatcher.probe_ended(&"u9".into(), Ok(()), later, later);
+    assert!(!dispatcher.reachability.is_cut_off());
+    assert!(dispatcher.probe_targets(later).is_empty());
+}
--- a/tests/gateway/lost_upstreams.rs
+++ b/tests/gateway/lost_upstreams.rs
@@ -71,6 +71,12 @@
     assert!(failed.is_empty(), "{} of {sent}: {failed:?}", failed.len());
     let upstreams: Vec<_> = harness.upstreams.iter().collect();
     let runs = runs_by_id(&upstreams);
+    let all_runs = upstreams.iter().flat_map(|upstream| upstream.runs());
+    let names = all_runs.flat_map(|run| run.headers.into_iter().filter_map(|(name, _)| name));
+    let own: Vec<_> = names
+        .filter(|name| name.as_str().starts_with("hibiscusyoke"))
+        .collect();
+    assert!(own.is_empty(), "{own:?}");
     let repeated = runs.iter().find(|(id, n)| id.ends_with("-book") && **n > 1);
     assert_eq!(repeated, None);
 }
