Keep what brittle upstreams say by service

All upstreams of a service are brittle together. Told by upstream, 1,800 of them would make heartbeats larger than the 16 KiB of a datagram, and none would be read (found by reading; worked out). The newest answer of any upstream of the service decides; a heartbeat has one report a service.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -5,7 +5,7 @@
 use stand_in::gateway::{
     deployment,
     table::{FakeTable, TableCopy},
-    upstream::{FakeUpstream, Framing},
+    upstream::{Behaviour, FakeUpstream, Framing},
 };
 
 use crate::{
@@ -196,11 +196,21 @@
         spans.push(Span { from, to });
     }
 
-    /// Records that an upstream was brittle from `from` until now.
-    pub fn record_brittle(&mut self, upstream: usize, from: Instant) {
+    /// Sets how all upstreams of a service respond.
+    pub fn set_service_behaviour(&self, service: &str, behaviour: Behaviour) {
+        for proxied in self.upstreams.iter().filter(|p| p.service == service) {
+            proxied.upstream.set_behaviour(behaviour);
+        }
+    }
+
+    /// Records that the upstreams of a service were brittle from `from` until now.
+    pub fn record_brittle(&mut self, service: &str, from: Instant) {
         let to = Instant::now();
-        let spans = self.brittle.entry(upstream).or_default();
-        spans.push(Span { from, to });
+        let all = self.upstreams.iter().enumerate();
+        for (upstream, _) in all.filter(|(_, proxied)| proxied.service == service) {
+            let spans = self.brittle.entry(upstream).or_default();
+            spans.push(Span { from, to });
+        }
     }
 
     /// Publishes a new configuration, which still allows the callers' key.
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -88,6 +88,9 @@
         Fault::TableLink(gateway, link) => deployment.fleet.table_proxy(gateway).set(link),
         Fault::UpstreamLink(upstream, link) => deployment.upstreams[upstream].proxy.set(link),
         Fault::CutOff(gateway, link) => deployment.set_upstream_links(gateway, link),
+        Fault::Brittle(service, max_refusals) => {
+            deployment.set_service_behaviour(service, Behaviour::Brittle(max_refusals));
+        }
         Fault::Upstream(upstream, behaviour) => deployment.upstreams[upstream]
             .upstream
             .set_behaviour(behaviour),
@@ -140,14 +143,13 @@
             deployment.set_upstream_links(gateway, LinkState::Open);
             deployment.record_cut_off(gateway, from);
         }
-        Fault::Upstream(upstream, behaviour) => {
-            deployment.upstreams[upstream]
-                .upstream
-                .set_behaviour(Behaviour::Serve);
-            if matches!(behaviour, Behaviour::Brittle(_)) {
-                deployment.record_brittle(upstream, from);
-            }
+        Fault::Brittle(service, _) => {
+            deployment.set_service_behaviour(service, Behaviour::Serve);
+            deployment.record_brittle(service, from);
         }
+        Fault::Upstream(upstream, _) => deployment.upstreams[upstream]
+            .upstream
+            .set_behaviour(Behaviour::Serve),
         Fault::Table(_) => {
             deployment.table.set_fault(TableFault::None);
             deployment.record_unstable(from);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -6,7 +6,7 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use stand_in::gateway::{table::Fault as TableFault, upstream::Behaviour};
 
-use crate::proxy::LinkState;
+use crate::{deployment::UPSTREAMS, proxy::LinkState};
 
 /// Minimum and maximum number of faults in a schedule.
 const FAULTS_PER_SCHEDULE: std::ops::RangeInclusive<usize> = 4..=12;
@@ -47,6 +47,8 @@
     UpstreamLink(usize, LinkState),
     /// The connections between a gateway and all upstreams are disturbed.
     CutOff(usize, LinkState),
+    /// All upstreams of a service say that they are brittle, and bear this many refusals a second.
+    Brittle(&'static str, u32),
     /// An upstream misbehaves.
     Upstream(usize, Behaviour),
     /// The table misbehaves.
@@ -167,11 +169,11 @@
             silences_open: false,
         },
     };
-    let brittle = Behaviour::Brittle(rng.random_range(MAX_REFUSALS));
+    let service = UPSTREAMS[rng.random_range(0..upstreams)].service;
     let silent = Behaviour::SilentFor(rng.random_range(SILENCES_MS));
     let faults = [
         Fault::CutOff(rng.random_range(0..gateways), link),
-        Fault::Upstream(rng.random_range(0..upstreams), brittle),
+        Fault::Brittle(service, rng.random_range(MAX_REFUSALS)),
         Fault::Upstream(rng.random_range(0..upstreams), silent),
     ];
     let drawn = faults.map(|fault| {
--- a/src/coordination/dispatch/announcements.rs
+++ b/src/coordination/dispatch/announcements.rs
@@ -73,7 +73,6 @@
     leaving: &'a mut bool,
     health: &'a mut Health,
     limit: &'a mut AnnouncedLimit,
-    max_refusals: &'a mut AnnouncedLimit,
 }
 
 impl Dispatcher {
@@ -86,10 +85,10 @@
     ) -> Vec<Announcement> {
         let spread = self.rng.random::<f64>() * RESUME_SPREAD;
         let mut new = Vec::new();
-        let names_number = head.rate_limit.is_some() || head.max_refusals.is_some();
-        let names_any = head.leaving || head.pause.is_some() || names_number;
-        let may_end_number = head.matches_request && self.has_named_number(assignment, now);
-        if !names_any && !may_end_number {
+        new.extend(self.record_brittle(assignment, head, now));
+        let names_any = head.leaving || head.pause.is_some() || head.rate_limit.is_some();
+        let may_end_limit = head.matches_request && self.names_limit(assignment, now);
+        if !names_any && !may_end_limit {
             return new;
         }
         let Some(announced) = self.announced_state(assignment, now) else {
@@ -101,19 +100,8 @@
         }
         // Another incarnation may have refused a request that was not for it.
         let is_from_it = head.status != StatusCode::MISDIRECTED_REQUEST;
-        let sent_at = assignment.reserved_at;
-        if is_from_it && (head.max_refusals.is_some() || head.matches_request) {
-            match announced
-                .max_refusals
-                .record(head.max_refusals, sent_at, now)
-            {
-                LimitChange::Named(number) => new.push(Announcement::Brittle(number)),
-                LimitChange::Ended => new.push(Announcement::BrittleEnded),
-                LimitChange::Invalid => new.push(Announcement::InvalidBrittle),
-                LimitChange::None => {}
-            }
-        }
         if is_from_it && (head.rate_limit.is_some() || head.matches_request) {
+            let sent_at = assignment.reserved_at;
             match announced.limit.record(head.rate_limit, sent_at, now) {
                 LimitChange::Named(rate) => new.push(Announcement::Limit(rate)),
                 LimitChange::Ended => new.push(Announcement::LimitEnded),
@@ -145,7 +133,6 @@
                 leaving: &mut departed.leaving,
                 health: &mut departed.health,
                 limit: &mut departed.limit,
-                max_refusals: &mut departed.max_refusals,
             });
         }
         let upstream = self.registry.get_mut(&assignment.upstream)?;
@@ -154,17 +141,13 @@
             leaving: &mut upstream.leaving,
             health: &mut upstream.health,
             limit: &mut upstream.limit,
-            max_refusals: &mut upstream.max_refusals,
         })
     }
 
-    /// Returns whether the upstream of an assignment is known to have a limit, or to be brittle.
-    fn has_named_number(&self, assignment: &Assignment, now: Instant) -> bool {
+    /// Returns whether the upstream of an assignment is known to have a limit.
+    fn names_limit(&self, assignment: &Assignment, now: Instant) -> bool {
         let upstream = self.registry.get(&assignment.upstream);
-        upstream.is_some_and(|upstream| {
-            let numbers = [&upstream.limit, &upstream.max_refusals];
-            numbers.iter().any(|n| n.per_second(now).is_some())
-        })
+        upstream.is_some_and(|upstream| upstream.limit.per_second(now).is_some())
     }
 
     /// Returns the upstreams that this daemon has heard are leaving.
@@ -191,38 +174,24 @@
 
     /// Returns what this daemon knows of the limits that upstreams have named.
     pub(super) fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
-        let report = |u: &Upstream| u.limit.report(u.hash, u.started_ms, now);
-        self.registry.all().filter_map(report).collect()
-    }
-
-    /// Returns what this daemon knows of the refusals that brittle upstreams have named.
-    pub(super) fn brittle_reports(&self, now: Instant) -> Vec<LimitReport> {
-        let report = |u: &Upstream| u.max_refusals.report(u.hash, u.started_ms, now);
+        let report = |u: &Upstream| {
+            Some(LimitReport {
+                upstream: u.hash,
+                started_ms: u.started_ms,
+                known: u.limit.known(now)?,
+            })
+        };
         self.registry.all().filter_map(report).collect()
     }
 
-    /// Merges what another daemon knows of limits and of brittle upstreams.
-    pub(super) fn merge_numbers(
-        &mut self,
-        limits: &[LimitReport],
-        brittle: &[LimitReport],
-        now: Instant,
-    ) {
-        for report in limits {
-            if let Some(upstream) = self.reported_upstream(report) {
-                upstream.limit.merge(report, now);
-            }
-        }
-        for report in brittle {
-            if let Some(upstream) = self.reported_upstream(report) {
-                upstream.max_refusals.merge(report, now);
+    /// Merges what another daemon knows of limits.
+    pub(super) fn merge_limits(&mut self, reports: &[LimitReport], now: Instant) {
+        for report in reports {
+            if let Some(upstream) = self.registry.by_hash_mut(report.upstream)
+                && upstream.started_ms == report.started_ms
+            {
+                upstream.limit.merge(&report.known, now);
             }
         }
     }
-
-    /// Returns the upstream of a report, if it is of the same incarnation.
-    fn reported_upstream(&mut self, report: &LimitReport) -> Option<&mut Upstream> {
-        let upstream = self.registry.by_hash_mut(report.upstream)?;
-        (upstream.started_ms == report.started_ms).then_some(upstream)
-    }
 }
--- a/src/coordination/dispatch/brittle.rs
+++ b/src/coordination/dispatch/brittle.rs
@@ -8,10 +8,19 @@
 
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
+use platform::{ServiceName, headers::ResponseHead};
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
-    Dispatcher, cold::count, registry::Upstream, subset::HashRing,
+    Dispatcher,
+    announcements::Announcement,
+    assignment::Assignment,
+    cold::count,
+    rate_limit::{AnnouncedLimit, KnownLimit, LimitChange},
+    registry::Upstream,
+    subset::HashRing,
 };
 
 /// Fraction of the slots in use from which an upstream counts as crowded.
@@ -27,6 +36,15 @@
 /// Fraction of that time over which the daemons spread their first requests after it.
 const RESUME_SPREAD: f64 = 0.5;
 
+/// Tells other daemons what the newest known answer of a service's upstreams said of refusals.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleReport {
+    /// The service.
+    pub service: ServiceName,
+    /// Refusals that an upstream bears, if it is brittle.
+    pub known: KnownLimit,
+}
+
 /// A daemon's rank, starting at 0, among those that share an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharerRank {
@@ -81,7 +99,7 @@
     pub(super) fn update_crowded(&mut self, now: Instant) {
         let is_crowded = |u: &&Upstream| {
             let crowded = f64::from(u.slots) * CROWDED_FRACTION;
-            u.max_refusals.per_second(now).is_some() && f64::from(self.running(u)) >= crowded
+            self.max_refusals(&u.service, now).is_some() && f64::from(self.running(u)) >= crowded
         };
         let crowded: Vec<u64> = self
             .registry
@@ -107,12 +125,52 @@
         }
     }
 
-    /// Returns the refusals a second that the upstreams of a service may cause, if it is brittle.
+    /// Returns how many requests a second each upstream of a service may refuse, if it is brittle.
     ///
-    /// All upstreams of a service are brittle together, and one that has just started has not said so yet.
-    pub(super) fn max_refusals(&self, service: &str, now: Instant) -> Option<f64> {
-        let named = |u: &Upstream| u.max_refusals.per_second(now);
-        let named = self.registry.of_service(service).filter_map(named);
-        named.min_by(f64::total_cmp)
+    /// All upstreams of a service are brittle together, and one that has just started has not said so yet;
+    /// so the newest answer of any of them decides.
+    pub fn max_refusals(&self, service: &str, now: Instant) -> Option<f64> {
+        self.brittle.get(service)?.per_second(now)
+    }
+
+    /// Records what the head of an upstream's response says of refusals; returns what is new.
+    pub(super) fn record_brittle(
+        &mut self,
+        assignment: &Assignment,
+        head: &ResponseHead,
+        now: Instant,
+    ) -> Option<Announcement> {
+        // Another incarnation may have refused a request that was not for it.
+        let is_from_it = head.status != StatusCode::MISDIRECTED_REQUEST;
+        let ends = head.matches_request && self.brittle.contains_key(&assignment.service);
+        if !is_from_it || (head.max_refusals.is_none() && !ends) {
+            return None;
+        }
+        let known = self.brittle.entry(assignment.service.clone()).or_default();
+        match known.record(head.max_refusals, assignment.reserved_at, now) {
+            LimitChange::Named(number) => Some(Announcement::Brittle(number)),
+            LimitChange::Ended => Some(Announcement::BrittleEnded),
+            LimitChange::Invalid => Some(Announcement::InvalidBrittle),
+            LimitChange::None => None,
+        }
+    }
+
+    /// Returns what this daemon knows of brittle services.
+    pub(super) fn brittle_reports(&self, now: Instant) -> Vec<BrittleReport> {
+        let report = |(service, limit): (&ServiceName, &AnnouncedLimit)| {
+            Some(BrittleReport {
+                service: service.clone(),
+                known: limit.known(now)?,
+            })
+        };
+        self.brittle.iter().filter_map(report).collect()
+    }
+
+    /// Merges what another daemon knows of brittle services.
+    pub(super) fn merge_brittle(&mut self, reports: &[BrittleReport], now: Instant) {
+        for report in reports {
+            let known = self.brittle.entry(report.service.clone()).or_default();
+            known.merge(&report.known, now);
+        }
     }
 }
--- a/src/coordination/dispatch/departed.rs
+++ b/src/coordination/dispatch/departed.rs
@@ -23,7 +23,6 @@
     pub(super) leaving: bool,
     pub(super) health: Health,
     pub(super) limit: AnnouncedLimit,
-    pub(super) max_refusals: AnnouncedLimit,
     removed_at: Instant,
 }
 
@@ -35,8 +34,7 @@
     /// Keeps what an upstream announced before its entry is removed.
     pub(super) fn keep(&mut self, upstream: Upstream, now: Instant) {
         let is_paused = upstream.health.is_paused(now);
-        let names_any = upstream.limit.is_recent(now) || upstream.max_refusals.is_recent(now);
-        if !upstream.leaving && !is_paused && !names_any {
+        if !upstream.leaving && !is_paused && !upstream.limit.is_recent(now) {
             return;
         }
         let departed = Departed {
@@ -45,7 +43,6 @@
             leaving: upstream.leaving,
             health: upstream.health,
             limit: upstream.limit,
-            max_refusals: upstream.max_refusals,
             removed_at: now,
         };
         self.0.insert(upstream.id, departed);
@@ -67,7 +64,6 @@
                 leaving: false,
                 health: Health::default(),
                 limit: AnnouncedLimit::default(),
-                max_refusals: AnnouncedLimit::default(),
                 removed_at: now,
             });
         (departed.started_ms == assignment.started_ms).then_some(departed)
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
-    announcements::LeavingReport, crash_evidence::SuspectReport, evidence::Evidence,
-    rate_limit::LimitReport,
+    announcements::LeavingReport, brittle::BrittleReport, crash_evidence::SuspectReport,
+    evidence::Evidence, rate_limit::LimitReport,
 };
 
 /// Name of a daemon's instance.
@@ -133,8 +133,8 @@
     pub leaving: Vec<LeavingReport>,
     /// Limits that upstreams have named or ended, to it or to a daemon that it heard.
     pub limits: Vec<LimitReport>,
-    /// What it, or a daemon that it heard, knows of the refusals that brittle upstreams have named.
-    pub brittle: Vec<LimitReport>,
+    /// What it, or a daemon that it heard, knows of brittle services.
+    pub brittle: Vec<BrittleReport>,
 }
 
 impl Heartbeat {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -63,6 +63,7 @@
 use prefill_speed::PrefillSpeeds;
 use prefix::PrefixIndex;
 use presumed_cold::ColdPresumption;
+use rate_limit::AnnouncedLimit;
 use reachability::Reachability;
 use registry::Registry;
 use retry_budget::{RetryBudget, RetryLimit};
@@ -120,6 +121,8 @@
     early_statuses: HashMap<ServiceName, EarlyStatus>,
     budgets: HashMap<ServiceName, RetryBudget>,
     broken_connections: Vec<BrokenConnection>,
+    /// What the newest answers of services' upstreams said of refusals.
+    brittle: HashMap<ServiceName, AnnouncedLimit>,
     presumed_cold: Vec<ColdPresumption>,
     prefixes: PrefixIndex,
     prefill_speeds: PrefillSpeeds,
@@ -180,6 +183,7 @@
             early_statuses: HashMap::new(),
             budgets: HashMap::new(),
             broken_connections: Vec::new(),
+            brittle: HashMap::new(),
             presumed_cold: Vec::new(),
             prefixes: PrefixIndex::default(),
             prefill_speeds: PrefillSpeeds::default(),
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -104,7 +104,8 @@
         self.mark_unreachable_cold(&heartbeat.loads, now);
         self.record_reported_backlogs(&heartbeat.loads, now);
         self.record_leaving(&heartbeat.leaving);
-        self.merge_numbers(&heartbeat.limits, &heartbeat.brittle, now);
+        self.merge_limits(&heartbeat.limits, now);
+        self.merge_brittle(&heartbeat.brittle, now);
         let name = heartbeat.from.name.clone();
         self.count_loads_of(&name, LoadCount::Subtract, now);
         let new = self.peers.receive_heartbeat(heartbeat, address, now);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -261,10 +261,10 @@
         service: Option<&Service>,
         now: Instant,
     ) -> Result<(), Unusable> {
-        let is_lost = self.reachability.is_cut_off()
-            && self.reachability.is_unverified(&upstream.id)
-            || upstream.health.is_unreachable() && !upstream.health.is_usable(now);
-        if is_lost {
+        let is_lost =
+            self.reachability.is_cut_off() && self.reachability.is_unverified(&upstream.id);
+        let is_unreachable = upstream.health.is_unreachable() && !upstream.health.is_usable(now);
+        if is_lost || is_unreachable {
             return Err(Unusable::Unreachable);
         }
         if request.tried.contains(&upstream.id) {
--- a/src/coordination/dispatch/rate_limit.rs
+++ b/src/coordination/dispatch/rate_limit.rs
@@ -42,6 +42,13 @@
     pub upstream: u64,
     /// Startup time of the incarnation in Unix milliseconds, if known.
     pub started_ms: Option<u64>,
+    /// What the answer said.
+    pub known: KnownLimit,
+}
+
+/// What the newest known answer said of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLimit {
     /// Requests in 1,000 seconds; absent if the limit has ended.
     pub per_kilosecond: Option<u32>,
     /// Time since the answer in milliseconds.
@@ -103,11 +110,11 @@
     }
 
     /// Merges what another daemon knows, if that is newer.
-    pub fn merge(&mut self, report: &LimitReport, now: Instant) {
-        let age = Duration::from_millis(report.age_ms.into());
+    pub fn merge(&mut self, other: &KnownLimit, now: Instant) {
+        let age = Duration::from_millis(other.age_ms.into());
         let heard_at = now.checked_sub(age).unwrap_or(now);
         if self.heard_at.is_none_or(|known| known < heard_at) {
-            self.per_kilosecond = report.per_kilosecond;
+            self.per_kilosecond = other.per_kilosecond;
             self.heard_at = Some(heard_at);
         }
     }
@@ -125,16 +132,9 @@
     }
 
     /// Returns what to tell other daemons, if anything.
-    pub fn report(
-        &self,
-        upstream: u64,
-        started_ms: Option<u64>,
-        now: Instant,
-    ) -> Option<LimitReport> {
+    pub fn known(&self, now: Instant) -> Option<KnownLimit> {
         let heard_at = self.heard_at.filter(|_| self.is_recent(now))?;
-        Some(LimitReport {
-            upstream,
-            started_ms,
+        Some(KnownLimit {
             per_kilosecond: self.per_kilosecond,
             age_ms: as_millis(now.saturating_duration_since(heard_at)),
         })
--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -20,6 +20,7 @@
 use crate::coordination::dispatch::{
     Dispatcher,
     heartbeat::{DaemonName, Readiness},
+    peers::Peer,
     placement::UNDETECTED_RESTART_MARGIN,
     poison::StopSource,
     presumed_cold::ColdPresumption,
@@ -209,7 +210,7 @@
     /// links as a whole.
     pub fn choose_delegate(&mut self, tried: &[DaemonName], now: Instant) -> Option<Delegate> {
         let generation = self.generation();
-        let can_serve = |peer: &&super::peers::Peer| {
+        let can_serve = |peer: &&Peer| {
             let known = &peer.last_heartbeat;
             known.readiness == Readiness::Ready
                 && !known.cut_off
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -75,8 +75,6 @@
     pub leaving: bool,
     /// The limit that the incarnation has named in a response.
     pub limit: AnnouncedLimit,
-    /// The number of refusals a second that the incarnation, which is brittle, has named in a response.
-    pub max_refusals: AnnouncedLimit,
     /// Until when it counts as crowded, if it is brittle.
     pub(super) crowded_until: Option<Instant>,
     /// When this daemon last sent it a request.
@@ -349,7 +347,6 @@
                     upstream.leaving = departed.leaving;
                     upstream.health = departed.health;
                     upstream.limit = departed.limit;
-                    upstream.max_refusals = departed.max_refusals;
                 }
                 self.ids_by_hash.insert(upstream.hash, row.key.clone());
                 self.upstreams.insert(row.key.clone(), upstream);
@@ -430,7 +427,6 @@
             started_ms: registration.started_ms,
             leaving: false,
             limit: AnnouncedLimit::default(),
-            max_refusals: AnnouncedLimit::default(),
             crowded_until: None,
             sent_at: None,
         }
--- a/tests/dispatch/brittle.rs
+++ b/tests/dispatch/brittle.rs
@@ -202,16 +202,13 @@
 
 /// The newest answer decides, and other daemons hear of it.
 #[test]
-fn upstream_is_brittle_until_an_answer_says_otherwise() {
+fn service_is_brittle_until_an_answer_says_otherwise() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let row = upstream_with("u1", 1, &[("slots", json!(512))]);
     let mut dispatcher = crate::support::ready(std::slice::from_ref(&row), start);
     let mut other = crate::support::ready(std::slice::from_ref(&row), start);
-    let named = |d: &Dispatcher, now| {
-        let upstream = d.registry.get("u1").expect("listed");
-        upstream.max_refusals.per_second(now)
-    };
+    let named = |d: &Dispatcher, now| d.max_refusals("pool", now);
     let first = crate::support::assign(&mut dispatcher, &request(1), at(0));
     dispatcher.record_announcements(&first, &head(Some(4)), at(10));
     assert_eq!(named(&dispatcher, at(10)), Some(4.0));
