Take only a marked refusal of another daemon for a request that has not run

A delegated non-idempotent request whose upstream answered 503 without any mark ran three times: the daemon that had delegated it took the answer for the other's own refusal. A daemon marks its own refusals of delegated requests; anything else is passed on.

--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -9,7 +9,7 @@
 };
 
 use derive_more::Display;
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use platform::{
     configuration::RouteKind,
@@ -30,6 +30,8 @@
 
 /// Header with the number of upstreams that a delegated request may have reached.
 const ATTEMPTS: HeaderName = HeaderName::from_static("hibiscusyoke-attempts");
+/// Header of a daemon's own refusal of a delegated request that has not run.
+const NOT_RUN: HeaderName = HeaderName::from_static("hibiscusyoke-not-run");
 
 /// A request's way to another daemon.
 #[derive(Clone, Debug, Display)]
@@ -70,6 +72,14 @@
     attempts.unwrap_or_default()
 }
 
+/// Marks a daemon's own refusal of a delegated request, if that says that the request has not run.
+pub(super) fn mark_refusal(response: &mut Response<Body>) {
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert(NOT_RUN, value);
+    }
+}
+
 impl Exchange {
     /// Sends the request to another daemon; `after` resumes a stream after that event.
     pub(super) async fn send_to_peer(
@@ -116,19 +126,15 @@
             self.attempts += 1;
             return self.relay(Target::Peer(delegation), response);
         }
-        self.pass_on(delegation, response, head.signed).await
+        self.pass_on(delegation, response).await
     }
 
     /// Passes on what another daemon answered, unless it refused the request as not run.
-    async fn pass_on(
-        &mut self,
-        delegation: Delegation,
-        response: UpstreamResponse,
-        is_signed: bool,
-    ) -> NextStep {
+    async fn pass_on(&mut self, delegation: Delegation, response: UpstreamResponse) -> NextStep {
         let remaining = self.call.remaining(self.shared.now());
         let status = response.response.status();
-        let headers = headers_for_caller(response.response.headers());
+        let mut headers = headers_for_caller(response.response.headers());
+        let is_refusal = headers.remove(NOT_RUN).is_some();
         let body = self.shared.body_memory.read(response.response.into_body());
         let body = match tokio::time::timeout(remaining, body).await {
             Ok(Ok(body)) => body,
@@ -142,7 +148,7 @@
             Err(_) => return NextStep::GiveUp(RefusalReason::Timeout),
         };
         let response = reply::buffered(status, headers, body);
-        if !is_signed && status == StatusCode::SERVICE_UNAVAILABLE {
+        if is_refusal {
             self.log_delegation_end(&delegation, "refused_by_peer");
             self.peer_refusal = Some(response);
             return NextStep::Retry;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -80,7 +80,11 @@
             log::info!("event=refused id={id} reason={reason} generation={generation}");
             let elapsed = shared.now().saturating_duration_since(arrived_at);
             metrics::request(&reason.to_string(), elapsed);
-            return add_connection_close(&shared, reply::refuse(reason, wait));
+            let mut response = reply::refuse(reason, wait);
+            if origin == Origin::Peer {
+                delegate::mark_refusal(&mut response);
+            }
+            return add_connection_close(&shared, response);
         }
     };
     let exchange = Exchange {
@@ -477,6 +481,10 @@
             wait.unwrap_or_default().as_millis()
         );
         self.count_request(&reason.to_string());
-        reply::refuse(reason, wait)
+        let mut response = reply::refuse(reason, wait);
+        if self.origin == Origin::Peer {
+            delegate::mark_refusal(&mut response);
+        }
+        response
     }
 }
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -49,6 +49,8 @@
     Serve,
     /// Executes requests and answers with status 500.
     Fail,
+    /// Executes requests and answers with status 503, without any mark.
+    FailUnavailable,
     /// Refuses requests, and reports that they were not executed.
     Refuse,
     /// Refuses requests and asks for a pause of this many seconds.
@@ -364,6 +366,9 @@
                     Some("s"),
                 ));
             }
+            Behaviour::FailUnavailable => {
+                return Some(full_response(StatusCode::SERVICE_UNAVAILABLE, &id, None));
+            }
             Behaviour::Foreign => return Some(full_response(StatusCode::OK, "another", Some("s"))),
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
--- a/tests/gateway/lost_upstreams.rs
+++ b/tests/gateway/lost_upstreams.rs
@@ -4,7 +4,10 @@
 
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
-use stand_in::gateway::{deployment::configuration, upstream::runs_by_id};
+use stand_in::gateway::{
+    deployment::configuration,
+    upstream::{Behaviour, runs_by_id},
+};
 
 use crate::harness::{Call, Harness, plain, stream, wait_until};
 
@@ -165,3 +168,16 @@
     assert!(reply.headers.contains_key("retry-after"));
     assert!(sent_at.elapsed() < Duration::from_secs(1));
 }
+
+/// A response of an upstream that looks like another daemon's refusal does not make the request run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn delegated_request_that_has_run_is_not_sent_to_another_daemon() {
+    let harness = Harness::spawn(4).await;
+    harness.cut_off(0);
+    send_for(&harness, 0, CONTACT_TIME, "cut").await;
+    harness.set_plain_upstreams(Behaviour::FailUnavailable);
+    let reply = harness.call(&plain("once", Method::POST, "/book/1")).await;
+    assert!(!reply.status.is_success());
+    let runs = runs_by_id(&harness.plain_upstreams());
+    assert_eq!(runs.get("once"), Some(&1));
+}
