Give another daemon time to resume a stream before asking a third one

A stream from another daemon was given up after the same silence of 2.5 s after which that daemon resumes it itself (found by reading). New test: a daemon that is stopped completes what was delegated to it.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,8 @@
 const MAX_QUEUED_EVENTS: usize = 8;
 /// Pause between events after which a stream is resumed on another upstream.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The same for a stream from another daemon, which may be resuming it itself.
+const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(5_500);
 /// Time after the deadline in which events that are ready are still forwarded.
 const LATE_EVENTS_TIME: Duration = Duration::from_millis(250);
 
@@ -165,13 +167,17 @@
         let mut events = EventBuffer::default();
         let mut pace = PaceSampler::default();
         let mut repeated_bytes = 0;
+        let max_silence = match source {
+            Target::Upstream(_) => SILENCE_TIMEOUT,
+            Target::Peer(_) => PEER_SILENCE_TIMEOUT,
+        };
         loop {
             if self.is_overdue() {
                 return StreamEnd::Timeout;
             }
             let remaining = self.remaining();
             let frame = tokio::select! {
-                frame = tokio::time::timeout(SILENCE_TIMEOUT.min(remaining), body.frame()) => frame,
+                frame = tokio::time::timeout(max_silence.min(remaining), body.frame()) => frame,
                 () = self.tx.closed() => return StreamEnd::CallerLeft,
             };
             let data = match frame {
--- a/tests/gateway/lost_upstreams.rs
+++ b/tests/gateway/lost_upstreams.rs
@@ -181,3 +181,20 @@
     let runs = runs_by_id(&harness.plain_upstreams());
     assert_eq!(runs.get("once"), Some(&1));
 }
+
+/// A daemon that is stopped completes the requests that others have delegated to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn delegated_request_is_completed_by_a_daemon_that_stops() {
+    let mut harness = Harness::spawn(2).await;
+    harness.cut_off(0);
+    send_for(&harness, 0, CONTACT_TIME, "cut").await;
+    harness.set_plain_upstreams(Behaviour::SilentFor(3_500));
+    let call = plain("slow", Method::POST, "/book/1");
+    let under_way = async {
+        wait_until(|| async { harness.plain_upstreams().iter().any(|p| p.in_flight() > 0) }).await;
+        harness.gateways[1].terminate();
+    };
+    let (reply, ()) = tokio::join!(harness.call(&call), under_way);
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.body);
+    assert!(harness.gateways[1].wait_for_exit().await);
+}
