--- a/src/coordination/dispatch/brittle.rs
+++ b/src/coordination/dispatch/brittle.rs
@@ -90,6 +90,7 @@
         upstream.running < if all_have_shares { share } else { share.max(1) }
     }
 
+    /// Returns the slots of all listed upstreams of a service.
     fn slots_of_service(&self, service: &str, now: Instant) -> usize {
         let slots = self.listed(service, now).map(|u| u.slots as usize);
         slots.sum()
--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -34,7 +34,7 @@
 /// Time after which a lost connection counts against its upstream if no probe has told otherwise.
 const VERIFICATION_TIME: Duration = Duration::from_secs(1);
 
-/// How the connection to an upstream was lost.
+/// How the connection to an upstream was lost, the strongest sign of its failure last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Loss {
     /// An open connection broke or went silent.
@@ -59,9 +59,13 @@
 /// An upstream to which a connection was lost.
 #[derive(Clone, Copy, Debug)]
 struct LostUpstream {
+    /// The strongest sign that the upstream itself has failed.
     loss: Loss,
+    /// When the first connection was lost.
     since: Instant,
+    /// When the last connection was lost.
     newest: Instant,
+    /// Whether a probe has failed.
     by_probe: bool,
 }
 
@@ -91,6 +95,7 @@
     /// When a connection was last lost.
     newest_loss: Option<Instant>,
     is_cut_off: bool,
+    /// Changes that have not been logged yet.
     changes: Vec<LinkChange>,
 }
 
@@ -120,7 +125,7 @@
         self.lost.remove(upstream);
     }
 
-    fn record_loss(&mut self, upstream: &UpstreamId, loss: Loss, by_probe: bool, now: Instant) {
+    fn insert(&mut self, upstream: &UpstreamId, loss: Loss, by_probe: bool, now: Instant) {
         let lost = self
             .lost
             .entry(upstream.clone())
@@ -248,7 +253,7 @@
         if self.registry.get(upstream).is_none() {
             return;
         }
-        self.reachability.record_loss(upstream, loss, by_probe, now);
+        self.reachability.insert(upstream, loss, by_probe, now);
         let lost = &self.reachability.lost;
         let listed = self.registry.all().filter(|u| u.is_listed(now));
         let others = listed.filter(|u| u.id != *upstream).count();
