--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -47,6 +47,7 @@
 pub mod rate_limit;
 pub mod reachability;
 pub mod registry;
+mod release;
 pub mod retry_budget;
 pub mod rollout;
 mod rollout_decision;
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -17,8 +17,8 @@
     poison::StopSource,
     polling::{self, PollingCandidate, PollingRole},
     prefill_queue::PrefillNotice,
-    presumed_cold::ColdPresumption,
-    registry::{MIN_RESTART_TIME, Upstream},
+    presumed_cold::{ColdPresumption, MIN_RESTART_TIME},
+    registry::Upstream,
     rollout_decision::RolloutStatus,
     subset::{HashRing, RingPosition},
 };
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -15,7 +15,7 @@
 
 use crate::coordination::dispatch::{
     cold::RequestPacer, departed::DepartedUpstreams, health::Health, prefill_queue::PrefillQueue,
-    rate_limit::AnnouncedLimit,
+    presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -26,8 +26,6 @@
 const MASS_REMOVAL_FRACTION: f64 = 0.5;
 /// Minimum number of entries for a mass removal.
 const MASS_REMOVAL_MIN_COUNT: usize = 3;
-/// Shortest time from the stop of an upstream until it runs again.
-pub(super) const MIN_RESTART_TIME: Duration = Duration::from_millis(1_500);
 /// How long an upstream is held back whose version nobody has ordered; the order may arrive later.
 const UNORDERED_VERSION_HOLD: Duration = Duration::from_secs(3);
 
@@ -53,9 +51,9 @@
     /// End of its cold start, if it is cold.
     pub cold_until: Option<Instant>,
     /// Whether it is treated as cold because it could not be connected to.
-    presumed_cold: Option<PresumedCold>,
+    pub(super) presumed_cold: Option<PresumedCold>,
     /// Start of the newest attempt that it answered.
-    reached_at: Option<Instant>,
+    pub(super) reached_at: Option<Instant>,
     /// Health according to recent attempts.
     pub health: Health,
     /// Limits this daemon's request rate while the upstream is cold.
@@ -105,43 +103,6 @@
     pub(super) fn mark_crowded_until(&mut self, until: Instant) {
         self.crowded_until = self.crowded_until.max(Some(until));
     }
-
-    /// Treats it as cold, as it may have restarted since a connection to it was lost.
-    pub(super) fn presume_cold(&mut self, lost_at: Instant, until: Instant, now: Instant) {
-        let known = self.presumed_cold.filter(|known| now < known.until);
-        self.presumed_cold = Some(PresumedCold {
-            lost_at: known.map_or(lost_at, |known| known.lost_at),
-            until: known.map_or(until, |known| known.until.max(until)),
-        });
-    }
-
-    /// Records that it answered an attempt that began at `sent_at`. If that was soon after a lost
-    /// connection, it was silent for a moment and has not restarted.
-    pub(super) fn record_reached(&mut self, sent_at: Instant) {
-        self.reached_at = self.reached_at.max(Some(sent_at));
-        let restarted = |presumed: &PresumedCold| {
-            sent_at < presumed.lost_at || sent_at - presumed.lost_at >= MIN_RESTART_TIME
-        };
-        self.presumed_cold = self.presumed_cold.filter(restarted);
-    }
-
-    /// Returns whether it has answered an attempt that began within `time` before now.
-    pub(super) fn was_reached_within(&self, time: Duration, now: Instant) -> bool {
-        self.reached_at
-            .is_some_and(|at| now.saturating_duration_since(at) < time)
-    }
-
-    /// Marks it cold until a time, unless it is cold for longer already.
-    pub fn mark_cold_until(&mut self, until: Instant) {
-        self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
-    }
-}
-
-/// Why an upstream is treated as cold although its entry does not say so.
-#[derive(Clone, Copy, Debug)]
-struct PresumedCold {
-    lost_at: Instant,
-    until: Instant,
 }
 
 /// Effect of a changed entry.
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -216,7 +216,8 @@
             .await;
     }
 
-    /// Resets all connections of a host, also new ones.
+    /// Resets all connections of a host, also new ones. A daemon is cut off from all upstreams if each of
+    /// them does so.
     pub fn cut_off(&self, host: IpAddr) {
         self.cut_off.send_modify(|hosts| {
             hosts.insert(host);
