Escalate by the shortest objective, and place prompts by the speed of engines

Cause: under overload half of the small model's responses were still discarded for a larger model's. The expected start counted restarted engines, which have no backlog but take few requests while they are cold, and was bounded by an average that follows a burst too late; a route with a long objective filled the engines that routes with a short one share. All engines of a service were expected to take the same time. Change: only engines that can take the request now count; the bound includes what the request itself has waited; the backlog is compared to the shortest objective of the service, and less urgent requests stop first. The time between events of streams tells the speed of each engine; a long prefill costs more where it stalls many streams.

--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -28,25 +28,36 @@
 }
 
 impl Dispatcher {
-    /// Returns the earliest expected start of a response among the upstreams that may be selected. The
-    /// backlog is at most the delay that recent prompts experienced.
+    /// Returns the earliest expected start of a response among the upstreams that can take the
+    /// request now. The backlog is at most the delay that recent prompts experienced, or this request
+    /// itself, which has `waited` for a smaller model, as estimates err on the high side.
+    ///
+    /// Restarted upstreams have no backlog but accept few requests while they are cold, so they say
+    /// nothing about the load.
     pub fn expected_start(
         &self,
         request: &PlacementRequest<'_>,
+        waited: Duration,
         now: Instant,
     ) -> Option<ExpectedStart> {
         let listed = self
             .listed(request.service, now)
             .filter(|u| u.health.is_usable(now) && u.limit.per_second(now).is_none());
         let candidates = self.candidates(request, listed.collect(), now);
-        let start = |u: &Upstream| ExpectedStart {
-            backlog: self.wait(u, now),
-            prefill_time: self.prefill_time(request, u, &candidates, now),
-        };
-        let starts = candidates.upstreams.iter().map(|u| start(u));
-        let start = starts.min_by_key(|start| start.backlog + start.prefill_time)?;
+        let routes = self.routes.as_ref();
+        let service = routes.and_then(|routes| routes.service(request.service));
+        let start = candidates
+            .upstreams
+            .iter()
+            .filter(|u| self.check_usable(request, u, service, now).is_ok())
+            .map(|u| ExpectedStart {
+                backlog: self.wait(u, now),
+                prefill_time: self.prefill_time(request, u, &candidates, now),
+            })
+            .min_by_key(|start| start.backlog + start.prefill_time)?;
+        let experienced = self.observed_delay(request.service).max(waited);
         Some(ExpectedStart {
-            backlog: start.backlog.min(self.observed_delay(request.service)),
+            backlog: start.backlog.min(experienced),
             ..start
         })
     }
@@ -175,5 +186,6 @@
         let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens.max(assumed));
         self.prefill_speeds
             .prefill_time(request.model.unwrap_or_default(), uncached_tokens)
+            .mul_f64(upstream.slowness.ratio())
     }
 }
--- a/src/coordination/dispatch/cost.rs
+++ b/src/coordination/dispatch/cost.rs
@@ -2,13 +2,18 @@
 //!
 //! It avoids uneven load, failing or cold upstreams and remote failure domains. The expected cost
 //! is in milliseconds: it adds up the upstream's backlog, the prefill time of the uncached part of
-//! the prompt, the concurrent requests, the failure rate and the distance. The upstream with the
-//! lowest cost is selected.
+//! the prompt, the time for which that prefill stalls running streams, the concurrent requests, the
+//! failure rate and the distance. The upstream with the lowest cost is selected.
 
 use std::time::Duration;
 
 /// Milliseconds added by each concurrent request on a model engine.
 const ENGINE_CONCURRENCY_MS: f64 = 1.0;
+/// Prefill time that delays running streams by less than callers notice.
+const ACCEPTED_STALL: Duration = Duration::from_millis(100);
+/// Weight of a longer stall of each running stream, relative to the request's own wait. Few of the
+/// stalled streams exceed the pause that callers accept.
+const STALL_WEIGHT: f64 = 0.5;
 /// Milliseconds added on a model engine whose slots are all in use, where a request waits for a slot.
 const ENGINE_FULL_MS: f64 = 250.0;
 /// Fraction of the slots in use above which this is added in part. Counts of other daemons' requests
@@ -57,6 +62,13 @@
         true => ENGINE_FULL_MS * crowding(candidate).powi(2),
         false => 0.0,
     };
+    let stall_ms = match candidate.engine {
+        true => {
+            let stall = candidate.prefill_time.saturating_sub(ACCEPTED_STALL);
+            STALL_WEIGHT * millis(stall) * f64::from(candidate.running)
+        }
+        false => 0.0,
+    };
     let remote_kb = match candidate.remote {
         true => kilobytes(body_bytes) + 1.0,
         false => 0.0,
@@ -66,6 +78,7 @@
         false => 0.0,
     };
     millis(candidate.backlog)
+        + stall_ms
         + millis(candidate.prefill_time)
         + concurrency_ms * f64::from(candidate.running)
         + crowding_ms
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -24,6 +24,7 @@
 pub mod cost;
 pub mod crash_evidence;
 mod departed;
+pub mod engine_speed;
 pub mod escalation;
 pub mod evidence;
 pub mod fanout;
@@ -56,6 +57,7 @@
 pub mod subset;
 
 use crash_evidence::CrashId;
+use engine_speed::ModelPaces;
 use heartbeat::{LoadReport, PeerId, Readiness, TableState};
 use pauses::Pauses;
 use peers::Peers;
@@ -127,6 +129,7 @@
     presumed_cold: Vec<ColdPresumption>,
     prefixes: PrefixIndex,
     prefill_speeds: PrefillSpeeds,
+    model_paces: ModelPaces,
     prefill_delays: HashMap<ServiceName, PrefillDelay>,
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
@@ -188,6 +191,7 @@
             presumed_cold: Vec::new(),
             prefixes: PrefixIndex::default(),
             prefill_speeds: PrefillSpeeds::default(),
+            model_paces: ModelPaces::default(),
             prefill_delays: HashMap::new(),
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -164,7 +164,7 @@
     }
 
     /// Checks that an upstream can take a request now.
-    fn check_usable(
+    pub(super) fn check_usable(
         &self,
         request: &PlacementRequest<'_>,
         upstream: &Upstream,
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -14,8 +14,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::dispatch::{
-    cold::RequestPacer, departed::DepartedUpstreams, health::Health, prefill_queue::PrefillQueue,
-    presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
+    cold::RequestPacer, departed::DepartedUpstreams, engine_speed::Slowness, health::Health,
+    prefill_queue::PrefillQueue, presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -62,6 +62,8 @@
     pub running: u32,
     /// Outstanding prompts of all daemons.
     pub queue: PrefillQueue,
+    /// How much longer than other engines it takes for the same work.
+    pub slowness: Slowness,
     /// Until when an entry that disappeared around a table outage may return.
     missing_until: Option<Instant>,
     first_seen: Instant,
@@ -382,6 +384,7 @@
             cold_pacer: RequestPacer::default(),
             running: 0,
             queue: PrefillQueue::default(),
+            slowness: Slowness::default(),
             missing_until: None,
             first_seen: now,
             sequence: registration.sequence,
--- a/src/coordination/dispatch/release.rs
+++ b/src/coordination/dispatch/release.rs
@@ -50,6 +50,21 @@
         }
     }
 
+    /// Records the time between events of a stream, which shows the speed of its engine.
+    pub(super) fn record_engine_speed(&mut self, assignment: &Assignment, per_event: Duration) {
+        // A version on trial may be slow by itself.
+        if !assignment.settled || assignment.arm == Some(Arm::New) {
+            return;
+        }
+        let Some(model) = &assignment.model else {
+            return;
+        };
+        let ratio = self.model_paces.record(model, per_event);
+        if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
+            upstream.slowness.record(ratio);
+        }
+    }
+
     /// Releases the slot of an assignment and records the outcome of the attempt.
     pub fn release(&mut self, assignment: &Assignment, outcome: AttemptOutcome, now: Instant) {
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -98,6 +98,7 @@
 
     /// Records the pace of a stream as evidence for a rollout.
     pub fn record_pace(&mut self, assignment: &Assignment, per_event: Duration, now: Instant) {
+        self.record_engine_speed(assignment, per_event);
         let Some(arm) = assignment.arm else { return };
         if let Some(rollout) = self.rollouts.get_mut(&assignment.service)
             && rollout.has_order(assignment.order)
--- a/src/coordination/dispatch/routes.rs
+++ b/src/coordination/dispatch/routes.rs
@@ -1,11 +1,11 @@
 //! Looks up the route, customer and service of a request in the active configuration.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
 use derive_more::Display;
 use platform::{
-    CustomerName,
+    CustomerName, ServiceName,
     configuration::{Configuration, Route, Service},
 };
 
@@ -17,6 +17,16 @@
     /// Routes by host, longest prefix first.
     by_host: HashMap<CompactString, Vec<usize>>,
     by_key: HashMap<CompactString, usize>,
+    urgencies: HashMap<ServiceName, Urgency>,
+}
+
+/// What the most urgent routes of a service ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Urgency {
+    /// The shortest latency objective.
+    pub shortest_objective: Duration,
+    /// The highest priority; 0 is the highest possible.
+    pub highest_priority: u8,
 }
 
 /// Why a request matches no route.
@@ -57,11 +67,13 @@
             .enumerate()
             .flat_map(|(i, customer)| customer.keys.iter().map(move |key| (key.clone(), i)))
             .collect();
+        let urgencies = urgencies(&routes);
         Self {
             configuration,
             routes,
             by_host,
             by_key,
+            urgencies,
         }
     }
 
@@ -75,6 +87,11 @@
         self.configuration.services.iter().find(|s| s.name == name)
     }
 
+    /// Returns what the most urgent routes of a service ask for.
+    pub fn urgency(&self, service: &str) -> Option<Urgency> {
+        self.urgencies.get(service).copied()
+    }
+
     /// Finds the route of a request and checks its API key.
     pub fn find(
         &self,
@@ -105,3 +122,18 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 }
+
+fn urgencies(routes: &[Arc<Route>]) -> HashMap<ServiceName, Urgency> {
+    let mut urgencies: HashMap<ServiceName, Urgency> = HashMap::new();
+    for route in routes.iter().filter(|r| !r.latency_objective.is_zero()) {
+        for target in &route.split {
+            let urgency = urgencies.entry(target.service.clone()).or_insert(Urgency {
+                shortest_objective: route.latency_objective,
+                highest_priority: route.priority,
+            });
+            urgency.shortest_objective = urgency.shortest_objective.min(route.latency_objective);
+            urgency.highest_priority = urgency.highest_priority.min(route.priority);
+        }
+    }
+    urgencies
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -432,15 +432,22 @@
             return None;
         }
         let now = self.shared.now();
+        let objective = self.call.route.latency_objective;
+        let routes = self.shared.dispatcher().routes();
+        let urgency = routes.and_then(|routes| routes.urgency(&self.call.service));
+        let highest_priority = urgency.map_or(self.call.priority, |u| u.highest_priority);
         let response = StartedResponse {
             confidence: head.confidence,
             waited: self.call.age(now),
-            objective: self.call.route.latency_objective,
+            objective,
+            shortest_objective: urgency.map_or(objective, |u| u.shortest_objective),
+            priority_rank: self.call.priority.saturating_sub(highest_priority),
         };
-        let larger = self
-            .shared
-            .dispatcher()
-            .expected_start(&self.placement_request(Some(largest)), now);
+        let larger = self.shared.dispatcher().expected_start(
+            &self.placement_request(Some(largest)),
+            response.waited,
+            now,
+        );
         match decide_escalation(&response, larger) {
             EscalationDecision::Keep => None,
             EscalationDecision::Escalate => Some(largest.clone()),
--- a/tests/dispatch/escalation.rs
+++ b/tests/dispatch/escalation.rs
@@ -7,12 +7,17 @@
 };
 
 use hibiscusyoke::coordination::dispatch::{
+    Placement,
     escalation::{EscalationDecision, ExpectedStart, StartedResponse, decide_escalation},
     health::AttemptOutcome,
 };
 use rand::Rng;
+use serde_json::json;
 
-use crate::fleet::{Fleet, placement_request, prompt_of};
+use crate::{
+    fleet::{Fleet, placement_request, prompt_of},
+    support::upstream_with,
+};
 
 const OBJECTIVE: Duration = Duration::from_secs(2);
 const PREFILL_TIME: Duration = Duration::from_millis(200);
@@ -23,12 +28,17 @@
 /// How long the load lasts.
 const LOAD_DURATION: Duration = Duration::from_secs(30);
 
+/// The objective of the most urgent route.
+const SHORTEST_OBJECTIVE: Duration = Duration::from_millis(500);
+
 /// Decides for a response with this confidence; the larger model would start behind `backlog_ms`.
 fn decide(confidence: u8, backlog_ms: u64) -> EscalationDecision {
     let response = StartedResponse {
         confidence: Some(confidence),
         waited: Duration::from_millis(100),
         objective: OBJECTIVE,
+        shortest_objective: OBJECTIVE,
+        priority_rank: 0,
     };
     let larger = ExpectedStart {
         backlog: Duration::from_millis(backlog_ms),
@@ -50,6 +60,75 @@
     assert_eq!(decide(0, 1_100), EscalationDecision::Keep);
 }
 
+/// A route with a long objective kept all engines busy with large models, so that requests with a
+/// short objective were late.
+#[test]
+fn backlog_is_bounded_by_the_shortest_objective_of_the_service() {
+    let response = StartedResponse {
+        confidence: Some(10),
+        waited: Duration::from_millis(100),
+        objective: OBJECTIVE,
+        shortest_objective: SHORTEST_OBJECTIVE,
+        priority_rank: 0,
+    };
+    let larger = |backlog| {
+        Some(ExpectedStart {
+            backlog,
+            prefill_time: PREFILL_TIME,
+        })
+    };
+    let decide = |backlog| decide_escalation(&response, larger(backlog));
+    assert_eq!(decide(SHORTEST_OBJECTIVE / 4), EscalationDecision::Escalate);
+    assert_eq!(decide(SHORTEST_OBJECTIVE / 2), EscalationDecision::Keep);
+}
+
+/// The least urgent requests used the capacity that the most urgent ones lacked.
+#[test]
+fn less_urgent_requests_stop_escalating_first() {
+    let decide = |priority_rank| {
+        let response = StartedResponse {
+            confidence: Some(10),
+            waited: Duration::from_millis(100),
+            objective: OBJECTIVE,
+            shortest_objective: OBJECTIVE,
+            priority_rank,
+        };
+        let larger = ExpectedStart {
+            backlog: Duration::from_millis(600),
+            prefill_time: PREFILL_TIME,
+        };
+        decide_escalation(&response, Some(larger))
+    };
+    assert_eq!(decide(0), EscalationDecision::Escalate);
+    assert_eq!(decide(2), EscalationDecision::Keep);
+}
+
+/// Restarted engines have no backlog and take few requests; their idle queues made daemons escalate
+/// under overload.
+#[test]
+fn cold_engines_do_not_count_as_idle_ones() {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(1, 3, start);
+    let prompt = prompt_of(&[(1, TOKENS * 20)]);
+    for n in 0..6 {
+        let long = prompt_of(&[(100 + n, TOKENS * 20)]);
+        fleet.request_to(0, "small", &long, start);
+    }
+    let restarted = upstream_with("3", 1, &[("cold_remaining_ms", json!(60_000))]);
+    let daemon = &mut fleet.daemons[0];
+    daemon.registry.apply(&[restarted], start);
+    let request = placement_request("large", &prompt, 1);
+    while let Placement::Assigned(assignment) = daemon.select_upstream(&request, start) {
+        if assignment.upstream == "3" {
+            break;
+        }
+    }
+    let expected = daemon
+        .expected_start(&request, Duration::from_secs(2), start)
+        .expect("usable engines");
+    assert!(expected.backlog > Duration::from_secs(1), "{expected:?}");
+}
+
 #[test]
 fn late_escalation_requires_very_low_confidence() {
     let late = |confidence| {
@@ -57,6 +136,8 @@
             confidence: Some(confidence),
             waited: OBJECTIVE,
             objective: OBJECTIVE,
+            shortest_objective: OBJECTIVE,
+            priority_rank: 0,
         };
         let larger = ExpectedStart {
             backlog: Duration::ZERO,
@@ -74,6 +155,8 @@
         confidence: None,
         waited: Duration::ZERO,
         objective: OBJECTIVE,
+        shortest_objective: OBJECTIVE,
+        priority_rank: 0,
     };
     let larger = ExpectedStart {
         backlog: Duration::ZERO,
@@ -132,11 +215,13 @@
                 let n = request_of[a];
                 let prompt = prompt_of(&[(n as u64, TOKENS)]);
                 let request = placement_request("large", &prompt, n as u64);
-                let larger = fleet.daemons[daemon].expected_start(&request, now);
+                let larger = fleet.daemons[daemon].expected_start(&request, now - arrivals[n], now);
                 let response = StartedResponse {
                     confidence: Some(fleet.rng.random_range(0..100)),
                     waited: now - arrivals[n],
                     objective: OBJECTIVE,
+                    shortest_objective: OBJECTIVE,
+                    priority_rank: 0,
                 };
                 if decide_escalation(&response, larger) == EscalationDecision::Keep {
                     answered += 1;
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -29,6 +29,8 @@
 const FIRST_EVENT_DELAY: Duration = Duration::from_millis(60);
 /// Time to generate the response after the first event.
 const GENERATION_TIME: Duration = Duration::from_millis(800);
+/// Time between two events of a stream on an engine of average speed.
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between the first heartbeats of two daemons.
 const HEARTBEAT_OFFSET: Duration = Duration::from_millis(7);
 /// Port of the first daemon.
@@ -72,6 +74,8 @@
 #[derive(Clone, Debug)]
 struct Engine {
     free_at: Instant,
+    /// How much longer than an average engine it takes for the same work.
+    slowness: f64,
     /// Models and segments.
     cached: BTreeSet<(&'static str, u64)>,
 }
@@ -100,6 +104,7 @@
             .collect();
         let engine = Engine {
             free_at: start,
+            slowness: 1.0,
             cached: BTreeSet::new(),
         };
         Self {
@@ -110,6 +115,14 @@
         }
     }
 
+    /// Gives the engines these ratios of slowness in turn.
+    pub(crate) fn set_slowness(&mut self, ratios: &[f64]) {
+        let ratios = ratios.iter().cycle();
+        for (engine, ratio) in self.engines.iter_mut().zip(ratios) {
+            engine.slowness = *ratio;
+        }
+    }
+
     /// Plays a load; `prompt` returns the prompt of each request, and `observe` sees when and how it
     /// was sent.
     pub(crate) fn play(
@@ -148,6 +161,9 @@
                 }
                 Event::Finished(n) => {
                     let (daemon, assignment, _) = self.assignments[n].take().expect("running");
+                    let engine: usize = assignment.upstream.parse().expect("a number");
+                    let per_event = EVENT_INTERVAL.mul_f64(self.engines[engine].slowness);
+                    self.daemons[daemon].record_pace(&assignment, per_event, now);
                     self.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
                 }
                 Event::Heartbeat(n) => {
@@ -225,7 +241,7 @@
             "large" => LARGE_TIME_PER_TOKEN,
             _ => TIME_PER_TOKEN,
         };
-        let prefill_time = time_per_token * (prompt.tokens - cached);
+        let prefill_time = (time_per_token * (prompt.tokens - cached)).mul_f64(self.slowness);
         self.free_at = self.free_at.max(now) + prefill_time;
         Sent {
             prefilled_at: self.free_at,
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod cold;
 mod crash_storm;
+mod engine_speed;
 mod escalation;
 mod fanout;
 mod fleet;
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -285,6 +285,8 @@
     );
     let later = now + Duration::from_millis(200);
     dispatcher.response_started(&mut first, later - now);
-    let bounded = dispatcher.expected_start(&long, later).expect("an engine");
+    let bounded = dispatcher
+        .expected_start(&long, Duration::ZERO, later)
+        .expect("an engine");
     assert!(bounded.backlog < Duration::from_millis(200), "{bounded:?}");
 }
