Let stand-in upstreams cut off unread responses and callers read slowly

Cause: no test had a caller that does not read its response, or an upstream that notices. Change: a fake upstream can cut off a response that stays unread (cut_off_unread_after), sends streams of a chosen size (/ask/EVENTSxBYTES) and has small send buffers. A tenth of the soak's streams are read slowly, by a generator of their own, so that the other draws of a seed stay as they were.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -31,6 +31,15 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between two requests of a caller in milliseconds.
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 5..60;
+/// Probability that a stream is read slowly.
+const SLOW_PROBABILITY: f64 = 0.1;
+/// How long a caller pauses in a stream that it reads slowly, in milliseconds.
+const PAUSES_MS: std::ops::Range<u64> = 100..3_500;
+/// Separates the generator of slow readers from that of the requests.
+const SLOW_READERS_SEED: u64 = 0x0053_4c4f_575f_5244;
+/// Path of a stream that is read slowly. It has as many events as others, but does not fit into the buffers
+/// of a connection.
+const SLOW_PATH: &str = "/ask/6x32768";
 /// Probability that a caller queries the directory again although its connection is open.
 const RECONNECT_PROBABILITY: f64 = 0.05;
 
@@ -65,6 +74,9 @@
                 number,
                 gateways: gateways.clone(),
                 rng: Xoshiro128PlusPlus::seed_from_u64(seed ^ number as u64),
+                slow_rng: Xoshiro128PlusPlus::seed_from_u64(
+                    seed ^ number as u64 ^ SLOW_READERS_SEED,
+                ),
                 connection: None,
                 stopped: stopped.clone(),
             };
@@ -89,6 +101,7 @@
     number: usize,
     gateways: Arc<[Gateway]>,
     rng: Xoshiro128PlusPlus,
+    slow_rng: Xoshiro128PlusPlus,
     connection: Option<Connection>,
     stopped: Arc<AtomicBool>,
 }
@@ -122,8 +135,13 @@
             _ => self.find_gateway().await?,
         };
         let sent_at = Instant::now();
-        let within = timeout(RESPONSE_TIMEOUT, self.send(gateway, kind, &id));
-        let outcome = within.await.unwrap_or(Outcome::TimedOut);
+        let pause = self.draw_pause(kind);
+        let within = RESPONSE_TIMEOUT + pause.unwrap_or_default();
+        let outcome = match pause {
+            Some(pause) => timeout(within, self.send_and_pause(gateway, &id, pause)).await,
+            None => timeout(within, self.send(gateway, kind, &id)).await,
+        };
+        let outcome = outcome.unwrap_or(Outcome::TimedOut);
         if matches!(outcome, Outcome::TimedOut | Outcome::NoAnswer(_)) {
             self.connection = None;
         }
@@ -151,6 +169,23 @@
         }
     }
 
+    /// Returns how long to pause in a stream that is read slowly.
+    fn draw_pause(&mut self, kind: RequestKind) -> Option<Duration> {
+        let is_slow = kind == RequestKind::Ask && self.slow_rng.random_bool(SLOW_PROBABILITY);
+        is_slow.then(|| Duration::from_millis(self.slow_rng.random_range(PAUSES_MS)))
+    }
+
+    /// Requests a stream on a connection of its own and pauses before its body is read.
+    async fn send_and_pause(&self, gateway: usize, id: &str, pause: Duration) -> Outcome {
+        let address = self.gateways[gateway].caller_address;
+        let connected = timeout(CONNECT_TIMEOUT, users::connect_slow(address)).await;
+        let Some(mut sender) = connected.ok().flatten() else {
+            return Outcome::NotSent;
+        };
+        let request = ask(SLOW_PATH, id, KEY);
+        exchange(&mut sender, RequestKind::Ask, request, pause, id).await
+    }
+
     async fn send(&mut self, gateway: usize, kind: RequestKind, id: &str) -> Outcome {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
@@ -159,7 +194,8 @@
                 None => return Outcome::NotSent,
             },
         };
-        let outcome = exchange(&mut connection.sender, kind, id, KEY).await;
+        let request = request(kind, id, KEY);
+        let outcome = exchange(&mut connection.sender, kind, request, Duration::ZERO, id).await;
         self.connection = Some(connection);
         outcome
     }
@@ -168,13 +204,14 @@
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     kind: RequestKind,
+    request: Request<Full<Bytes>>,
+    pause: Duration,
     id: &str,
-    key: &str,
 ) -> Outcome {
     if sender.ready().await.is_err() {
         return Outcome::NotSent;
     }
-    let response = match sender.send_request(request(kind, id, key)).await {
+    let response = match sender.send_request(request).await {
         Ok(response) => response,
         Err(e) => return Outcome::NoAnswer(e.to_string()),
     };
@@ -188,6 +225,7 @@
         let _ = response.into_body().collect().await;
         return Outcome::Failed(status);
     }
+    tokio::time::sleep(pause).await;
     read_response(response, kind, id).await
 }
 
@@ -226,7 +264,13 @@
     };
     let query = timeout(
         RESPONSE_TIMEOUT,
-        exchange(&mut sender, RequestKind::Look, "probe", key),
+        exchange(
+            &mut sender,
+            RequestKind::Look,
+            request(RequestKind::Look, "probe", key),
+            Duration::ZERO,
+            "probe",
+        ),
     );
     query.await.unwrap_or(Outcome::TimedOut)
 }
@@ -240,14 +284,17 @@
     match kind {
         RequestKind::Book => unstreamed(Method::POST, "/book/1"),
         RequestKind::Look => unstreamed(Method::GET, "/look/1"),
-        RequestKind::Ask => {
-            let headers = users::stream_headers(id, key, DEADLINE_MS);
-            let prompt = Bytes::from_static(users::PROMPT);
-            users::request(Method::POST, "/ask/1", &headers, prompt)
-        }
+        RequestKind::Ask => ask("/ask/1", id, key),
     }
 }
 
+/// Builds a request for a stream.
+fn ask(path: &str, id: &str, key: &str) -> Request<Full<Bytes>> {
+    let headers = users::stream_headers(id, key, DEADLINE_MS);
+    let prompt = Bytes::from_static(users::PROMPT);
+    users::request(Method::POST, path, &headers, prompt)
+}
+
 /// Opens a connection to a gateway.
 async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
     let connected = timeout(CONNECT_TIMEOUT, users::connect(address));
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -1,6 +1,11 @@
 //! Deployment under test: a table, upstreams behind proxies, and gateways.
 
-use std::{collections::BTreeMap, fs, io, path::Path, time::Instant};
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    path::Path,
+    time::{Duration, Instant},
+};
 
 use stand_in::gateway::{
     deployment,
@@ -58,6 +63,9 @@
     state: &'static str,
 }
 
+/// Time after which upstreams cut off responses that are not read.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Deployment {
@@ -98,6 +106,7 @@
         for (Upstream { id, service }, framing) in UPSTREAMS.into_iter().zip(framings) {
             let upstream = FakeUpstream::spawn(id).await;
             upstream.set_framing(framing);
+            upstream.cut_off_unread_after(UNREAD_TIMEOUT);
             if service == "desk" {
                 upstream.set_slots(PLAIN_SLOTS);
             }
--- a/stand-in/src/gateway/caller.rs
+++ b/stand-in/src/gateway/caller.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Hostname of all routes.
 pub const HOST: &str = "h";
@@ -64,9 +64,27 @@
     request(Method::GET, path, &headers, Bytes::new())
 }
 
+/// Receive buffer of a slow reader. It is small, so that what is not read reaches the sender.
+const SLOW_BUFFER_BYTES: u32 = 4 << 10;
+
 /// Opens a connection.
 pub async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    handshake(TcpStream::connect(address).await.ok()?).await
+}
+
+/// Opens a connection of a caller that reads slowly.
+pub async fn connect_slow(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    handshake(connect_with_small_buffer(address).await?).await
+}
+
+/// Opens a connection with a small receive buffer.
+pub async fn connect_with_small_buffer(address: SocketAddr) -> Option<TcpStream> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_recv_buffer_size(SLOW_BUFFER_BYTES).ok()?;
+    socket.connect(address).await.ok()
+}
+
+async fn handshake(stream: TcpStream) -> Option<SendRequest<Full<Bytes>>> {
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(async move {
         // Errors are reported to the sender of each request.
--- a/stand-in/src/gateway/mod.rs
+++ b/stand-in/src/gateway/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod caller;
 pub mod deployment;
+mod stream_shape;
 pub mod table;
 pub mod upstream;
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -20,16 +20,16 @@
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{Notify, mpsc, watch},
     task::JoinSet,
 };
 use tokio_stream::wrappers::ReceiverStream;
 
+use super::stream_shape::StreamShape;
+
 /// Number of events of a complete stream.
 pub const EVENTS_PER_STREAM: u64 = 6;
-/// Interval between events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the start of a run that crashes the upstream to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Number of slots of an upstream unless another one is set.
@@ -38,6 +38,11 @@
 const BRITTLE_RUN_TIME: Duration = Duration::from_millis(60);
 /// Span in which a brittle upstream counts its refusals.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+/// Maximum number of bytes that a connection holds before a response counts as unread, in the server and
+/// in the kernel.
+const SEND_BUFFER_BYTES: u32 = 16 << 10;
+/// Maximum number of connections waiting to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Time from a crash to the restart.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
@@ -128,6 +133,10 @@
     slots: Option<usize>,
     /// Times at which it refused requests while it was brittle.
     brittle_refusals: Vec<Instant>,
+    /// Time after which a response is cut off that is not read.
+    unread_timeout: Option<Duration>,
+    /// Number of responses that were cut off as they were not read.
+    unread_cuts: usize,
 }
 
 /// Running fake of an upstream.
@@ -143,12 +152,21 @@
     cut_off: watch::Sender<BTreeSet<IpAddr>>,
 }
 
+/// Listens with a small send buffer, so that the upstream notices early that a response is not read.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 type Body = Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
 
 impl FakeUpstream {
     /// Listens on a free port of the loopback address.
     pub async fn spawn(id: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let listener = listen(([127, 0, 0, 1], 0).into()).expect("free port");
         let upstream = Self {
             id: id.into(),
             address: listener.local_addr().expect("local address"),
@@ -165,8 +183,7 @@
         loop {
             self.serve_until_crash(listener).await;
             tokio::time::sleep(DOWN_TIME).await;
-            let bound = TcpListener::bind(self.address).await;
-            listener = bound.expect("the port is free after a crash");
+            listener = listen(self.address).expect("the port is free after a crash");
             let mut state = self.state();
             state.is_down = false;
             state.restarts += 1;
@@ -203,17 +220,32 @@
     }
 
     async fn serve_open(&self, stream: TcpStream) {
+        let unread = Arc::new(Notify::new());
         let service = service_fn(|req| {
-            let upstream = self.clone();
+            let (upstream, unread) = (self.clone(), unread.clone());
             async move {
-                let response = upstream.answer(req).await;
+                let response = upstream.answer(req, unread).await;
                 response.ok_or(std::io::Error::other("broken"))
             }
         });
-        // The caller reports errors of its connection.
-        let _ = http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+        let connection = http1::Builder::new()
+            .max_buf_size(SEND_BUFFER_BYTES as usize)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // The caller reports errors of its connection.
+            _ = connection => {}
+            () = unread.notified() => self.state().unread_cuts += 1,
+        }
+    }
+
+    /// Makes the upstream cut off responses that are not read for this time.
+    pub fn cut_off_unread_after(&self, unread_timeout: Duration) {
+        self.state().unread_timeout = Some(unread_timeout);
+    }
+
+    /// Returns the number of responses that were cut off as they were not read.
+    pub fn unread_cuts(&self) -> usize {
+        self.state().unread_cuts
     }
 
     /// Resets all connections of a host, also new ones. A daemon is cut off from all upstreams if each of
@@ -322,7 +354,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Option<Response<Body>> {
+    async fn answer(&self, req: Request<Incoming>, unread: Arc<Notify>) -> Option<Response<Body>> {
         let (parts, body) = req.into_parts();
         let id = header_text(&parts.headers, "request-id");
         if header_text(&parts.headers, "expect-instance") != self.id {
@@ -384,7 +416,7 @@
             | Behaviour::Leave
             | Behaviour::Limit(_) => {}
         }
-        let mut response = self.successful_response(&parts, &id, behaviour);
+        let mut response = self.successful_response(&parts, &id, behaviour, unread);
         if behaviour == Behaviour::Leave {
             let value = "1".parse().expect("valid header value");
             response.headers_mut().insert("server-leaving", value);
@@ -440,6 +472,7 @@
         parts: &http::request::Parts,
         id: &str,
         behaviour: Behaviour,
+        unread: Arc<Notify>,
     ) -> Response<Body> {
         if !parts.uri.path().starts_with("/ask/") {
             return full_response(StatusCode::OK, id, Some("s"));
@@ -453,9 +486,10 @@
         self.events(
             id,
             &header_text(&parts.headers, "model"),
-            parts.uri.path().contains("hard"),
+            parts.uri.path(),
             after,
             behaviour,
+            unread,
         )
     }
 
@@ -463,23 +497,28 @@
         &self,
         id: &str,
         model: &str,
-        hard: bool,
+        path: &str,
         after: u64,
         behaviour: Behaviour,
+        unread: Arc<Notify>,
     ) -> Response<Body> {
+        let hard = path.contains("hard");
+        let shape = StreamShape::of(path);
         let last = match behaviour {
             Behaviour::BreakAfter(last) | Behaviour::EndAfter(last) => last,
-            _ => EVENTS_PER_STREAM,
+            _ => shape.events,
         };
         let (tx, rx) = mpsc::channel(1);
-        let line = format!("model={model} upstream={}", self.id);
+        let filler = "x".repeat(shape.filler_bytes);
+        let line = format!("model={model} upstream={} {filler}", self.id);
+        let unread_timeout = self.state().unread_timeout.unwrap_or(Duration::MAX);
         let in_flight = InFlightGuard::begin(&self.in_flight);
         tokio::spawn(async move {
             let _in_flight = in_flight;
             if behaviour == Behaviour::EndEmpty {
                 return;
             }
-            for event in after + 1..=EVENTS_PER_STREAM {
+            for event in after + 1..=shape.events {
                 if event > last {
                     let part = Frame::data(Bytes::from(format!("id: {event}\ndata: ")));
                     let _ = tx.send(Ok(part)).await;
@@ -489,10 +528,11 @@
                     return;
                 }
                 let frame = Frame::data(Bytes::from(format!("id: {event}\ndata: {line}\n\n")));
-                if tx.send(Ok(frame)).await.is_err() {
-                    return;
+                match tokio::time::timeout(unread_timeout, tx.send(Ok(frame))).await {
+                    Ok(Ok(())) => tokio::time::sleep(shape.interval).await,
+                    Ok(Err(_)) => return,
+                    Err(_) => return unread.notify_one(),
                 }
-                tokio::time::sleep(EVENT_INTERVAL).await;
             }
         });
         let confidence = if hard && model == "small" { "10" } else { "90" };
