Read streams ahead of slow callers within a budget

Cause: a relay waited for its caller after eight events of up to 256 KiB each, so that a slow caller held memory without limit. A response whose caller paused was cut off at the route's deadline, or after 5 s by the kernel, which counts a caller that does not read as silent. Change: send_buffer holds up to 64 KiB for each response and an eighth of memory_mb for all; send_budget decides, with time passed in. Reading pauses without room; a caller that accepts nothing for 10 s is given up and its connection is reset. Pauses count neither toward the deadline nor as failures of the upstream. Connections read 8 KiB at a time, and the kernel holds at most 16 KiB that it cannot send to a caller.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,14 +22,19 @@
 use thiserror::Error;
 use tokio::task::JoinHandle;
 
+use crate::gateway::read_limit::LimitedReads;
+
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long the upstream's host may be silent before the connection is closed; a sound one may be silent
 /// for more than a second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Maximum size in bytes of a response head, and of what is read ahead of a body.
+/// Maximum size in bytes of a response head.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of bytes read at a time, and so of what is read ahead of a body. It is held beside the
+/// bytes that count toward the budget for callers.
+const MAX_READ_BYTES: usize = 8 << 10;
 
 /// Why an attempt got no response.
 #[derive(Debug, Error)]
@@ -104,7 +109,7 @@
         .map_err(AttemptError::Unreachable)?;
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(LimitedReads::new(stream, MAX_READ_BYTES)))
         .await
         .map_err(AttemptError::Broken)?;
     let connection = Connection(tokio::spawn(async move {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use platform::{
@@ -13,7 +13,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::watch,
+    sync::{Notify, watch},
     task::JoinSet,
 };
 
@@ -23,6 +23,7 @@
         forward::{self, Origin},
         metrics,
         reply::{InfallibleResult, plain},
+        send_budget::STALL_TIMEOUT,
         shared::Shared,
     },
 };
@@ -31,8 +32,12 @@
 const BACKLOG: u32 = 1_024;
 /// Delay after a failed accept, such as when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// How long a caller's host may be silent before the connection is closed.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a caller's host may be silent before the connection is closed. Linux counts a caller that does
+/// not read as silent; one that only pauses has [`STALL_TIMEOUT`] and some time to go on.
+const SILENCE_TIMEOUT: Duration = STALL_TIMEOUT.saturating_add(Duration::from_secs(2));
+/// Maximum number of bytes that the kernel holds for a caller whose receive window is closed. Without this
+/// limit it holds up to 4 MB for a caller that does not read.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
 /// Maximum size of a request head in bytes before a configuration is loaded.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
 /// Idle timeout of a connection before a configuration is loaded.
@@ -82,7 +87,9 @@
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
 ) {
-    if let Err(e) = net::set_silence_timeout(&stream, SILENCE_TIMEOUT) {
+    let options = net::set_silence_timeout(&stream, SILENCE_TIMEOUT)
+        .and_then(|()| net::set_max_unsent(&stream, MAX_UNSENT_BYTES));
+    if let Err(e) = options {
         log::debug!("event=socket_options error=\"{e}\"");
     }
     let limits = shared
@@ -93,9 +100,17 @@
         .as_ref()
         .map_or(DEFAULT_MAX_HEAD_BYTES, |l| l.head_bytes);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
+    let aborted = Arc::new(Notify::new());
+    let abort = aborted.clone();
     let service = service_fn(move |req| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(forward::serve(shared, origin, req).await) }
+        let (shared, abort) = (shared.clone(), abort.clone());
+        async move {
+            let response = forward::serve(shared, origin, req).await;
+            if let Either::Right(stream) = response.body() {
+                stream.set_connection(abort);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -108,15 +123,20 @@
         // An error means that the sender was dropped because the process is exiting.
         let _ = stop.wait_for(|stop| *stop).await;
     };
+    let mut aborted = std::pin::pin!(aborted.notified());
     let result = tokio::select! {
         result = connection.as_mut() => Some(result),
         () = stop_requested => None,
+        () = aborted.as_mut() => return,
     };
     let result = match result {
         Some(result) => result,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection => result,
+                () = aborted => return,
+            }
         }
     };
     if let Err(e) = result {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -81,7 +81,7 @@
     gauge(
         "hibiscusyoke_gateway_state",
         "What the daemon believes: generation in force, upstreams listed, those it could not connect to, \
-         whether it has lost all of them, daemons that live.",
+         whether it has lost all of them, daemons that live, bytes of streams held for their callers.",
         &["what"],
     )
 });
@@ -153,6 +153,7 @@
         set("cut_off", usize::from(dispatcher.reachability.is_cut_off()));
         set("daemons", dispatcher.peers.live(now).count() + 1);
     }
+    set("bytes_held_for_callers", shared.send_buffers.held());
     crate::metrics::render()
 }
 
--- a/src/gateway/recording.rs
+++ b/src/gateway/recording.rs
@@ -89,7 +89,6 @@
             self.record_served(slot, is_whole);
         }
         self.log_stream_end(source, "served", progress);
-        self.count_request("served");
     }
 
     /// Records that a stream was not completed by its source.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,14 +1,11 @@
 //! Relays the events of a stream to the caller and resumes the stream on another upstream after a
 //! failure.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use derive_more::Display;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
+use http_body_util::BodyExt;
 
 use crate::{
     coordination::dispatch::PaceSampler,
@@ -16,28 +13,28 @@
         attempt::{BodyFraming, UpstreamResponse},
         events::{EventBuffer, MAX_EVENT_BYTES},
         forward::Exchange,
-        reply::{EventBody, StreamAborted},
+        send_buffer::{PushError, ResponseEnd, SendBody, SendWriter},
         target::Target,
     },
 };
 
-/// Maximum number of events queued for a slow caller.
-const MAX_QUEUED_EVENTS: usize = 8;
 /// Pause between events after which a stream is resumed on another upstream.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The same for a stream from another daemon, which may be resuming it itself.
 const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(5_500);
-/// Time after the deadline in which events that are ready are still forwarded.
+/// Time after the deadline, or after a pause of the caller beyond it, in which events that are ready are
+/// still forwarded.
 const LATE_EVENTS_TIME: Duration = Duration::from_millis(250);
-
-type Sender = mpsc::Sender<Result<Frame<Bytes>, StreamAborted>>;
+/// Pause in reading after which the end of a stream is not held against its upstream, which may cut off
+/// a response that it cannot deliver.
+const LONG_PAUSE: Duration = Duration::from_secs(1);
 
 /// How the stream from one upstream ended.
 enum StreamEnd {
     /// The stream is complete.
     Complete,
-    /// The caller disconnected.
-    CallerLeft,
+    /// The caller disconnected, or reads too slowly.
+    Caller(PushError),
     /// The stream is not complete.
     Broken(BreakCause),
     /// The request's deadline passed.
@@ -90,8 +87,8 @@
 }
 
 /// Relays events to the caller as they arrive, in a separate task.
-pub fn spawn(exchange: Exchange, source: Target, response: UpstreamResponse) -> EventBody {
-    let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
+pub fn spawn(exchange: Exchange, source: Target, response: UpstreamResponse) -> SendBody {
+    let (tx, body) = exchange.shared.send_buffers.open();
     tokio::spawn(async move {
         let last_event = exchange.call.head.last_event_id;
         let relay = Relay {
@@ -100,21 +97,30 @@
             is_from_start: last_event.is_none(),
             exchange,
             tx,
+            has_paused: false,
+            paused: Duration::ZERO,
+            ready_until: None,
         };
         relay.run(source, response).await;
     });
-    StreamBody::new(ReceiverStream::new(rx))
+    body
 }
 
 struct Relay {
     exchange: Exchange,
-    tx: Sender,
+    tx: SendWriter,
     /// Number of the last event that was forwarded.
     last_event: Option<u64>,
     /// Whether at least one more event must follow: the first one, or one in which an upstream stopped.
     expects_event: bool,
     /// Whether the current source sends the stream from its start.
     is_from_start: bool,
+    /// Whether reading from the current source has paused for long, as the caller did not read.
+    has_paused: bool,
+    /// How long reading from upstreams has paused, as the caller did not read.
+    paused: Duration,
+    /// Until when events count as ready after the last pause.
+    ready_until: Option<Instant>,
 }
 
 impl Relay {
@@ -124,26 +130,31 @@
             let end = self.relay_events(&source, response, &mut progress).await;
             let cause = match end {
                 StreamEnd::Complete => {
-                    return self.exchange.record_complete_stream(
+                    self.exchange.record_complete_stream(
                         &mut source,
                         self.is_from_start,
                         &progress,
                     );
+                    drop(source);
+                    return self.deliver().await;
                 }
-                StreamEnd::CallerLeft => {
-                    self.exchange
-                        .log_stream_end(&source, "caller_left", &progress);
-                    self.exchange.count_request("caller_left");
-                    return;
+                StreamEnd::Caller(error) => {
+                    return self.give_up_caller(error, &source, &progress);
                 }
                 StreamEnd::Timeout => {
                     self.exchange.log_stream_end(&source, "timeout", &progress);
-                    return self.abort("timeout").await;
+                    return self.abort("timeout");
                 }
                 StreamEnd::Broken(cause) => cause,
             };
-            self.exchange
-                .record_broken_stream(&mut source, cause, &progress);
+            match std::mem::take(&mut self.has_paused) {
+                true => self
+                    .exchange
+                    .log_stream_end(&source, "broken_after_pause", &progress),
+                false => self
+                    .exchange
+                    .record_broken_stream(&mut source, cause, &progress),
+            }
             drop(source);
             self.expects_event |= progress.partial_bytes > 0;
             match self.resume().await {
@@ -151,7 +162,7 @@
                     self.is_from_start = false;
                     (source, response) = (next_source, next_response);
                 }
-                None => return self.abort("broken_off").await,
+                None => return self.abort("broken_off"),
             }
         }
     }
@@ -165,7 +176,7 @@
         // Dropping `response` closes the connection, so it is kept until the stream ends.
         let mut body = response.response.into_body();
         let mut events = EventBuffer::default();
-        let mut pace = PaceSampler::default();
+        let mut pace = Some(PaceSampler::default());
         let mut repeated_bytes = 0;
         let max_silence = match source {
             Target::Upstream(_) => SILENCE_TIMEOUT,
@@ -178,7 +189,7 @@
             let remaining = self.remaining();
             let frame = tokio::select! {
                 frame = tokio::time::timeout(max_silence.min(remaining), body.frame()) => frame,
-                () = self.tx.closed() => return StreamEnd::CallerLeft,
+                () = self.tx.closed() => return StreamEnd::Caller(PushError::CallerLeft),
             };
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -194,6 +205,7 @@
             while let Some(event) = events.next_event() {
                 progress.events += 1;
                 if let Target::Upstream(slot) = source
+                    && let Some(pace) = &mut pace
                     && let Some(per_event) = pace.record(self.exchange.shared.now())
                 {
                     self.exchange.report_pace(slot, per_event);
@@ -204,8 +216,11 @@
                 }
                 self.last_event = Some(event.id);
                 self.expects_event = false;
-                if self.send(event.bytes).await.is_err() {
-                    return StreamEnd::CallerLeft;
+                match self.send(event.bytes).await {
+                    Ok(waited) if waited.is_zero() => {}
+                    // A pause of the caller says nothing about the upstream's pace.
+                    Ok(_) => pace = None,
+                    Err(error) => return StreamEnd::Caller(error),
                 }
             }
             progress.partial_bytes = events.partial_bytes();
@@ -221,16 +236,47 @@
         if self.expects_event {
             return StreamEnd::Broken(BreakCause::EndedWithoutEvent);
         }
-        if progress.partial_bytes > 0 && self.send(events.take_remaining()).await.is_err() {
-            return StreamEnd::CallerLeft;
+        if progress.partial_bytes > 0
+            && let Err(error) = self.send(events.take_remaining()).await
+        {
+            return StreamEnd::Caller(error);
         }
         StreamEnd::Complete
     }
 
+    /// Waits until the caller has taken the response, which the upstream has completed.
+    async fn deliver(self) {
+        self.tx.end(ResponseEnd::Complete);
+        let outcome = match self.tx.delivered().await {
+            true => "served",
+            false => "caller_left",
+        };
+        self.exchange.count_request(outcome);
+    }
+
+    /// Ends the stream for a caller that has disconnected or accepts no bytes.
+    fn give_up_caller(&self, error: PushError, source: &Target, progress: &StreamProgress) {
+        let outcome = match error {
+            PushError::CallerLeft => "caller_left",
+            PushError::CallerTooSlow => {
+                log::info!(
+                    "event=caller_too_slow id={} {source} held_bytes={} held_for_all_bytes={}",
+                    self.exchange.call.id(),
+                    self.tx.held(),
+                    self.exchange.shared.send_buffers.held()
+                );
+                self.tx.abort();
+                "caller_too_slow"
+            }
+        };
+        self.exchange.log_stream_end(source, outcome, progress);
+        self.exchange.count_request(outcome);
+    }
+
     /// Whether even events that are ready come too late.
     fn is_overdue(&self) -> bool {
         let now = self.exchange.shared.now();
-        now.saturating_duration_since(self.exchange.call.deadline) >= LATE_EVENTS_TIME
+        now.saturating_duration_since(self.deadline()) >= LATE_EVENTS_TIME
     }
 
     /// Resumes the stream after the last forwarded event, on another upstream or through another daemon.
@@ -261,23 +307,37 @@
         None
     }
 
-    async fn send(&self, bytes: Bytes) -> Result<(), ()> {
-        let frame = Ok(Frame::data(bytes));
-        self.tx.send(frame).await.map_err(|_| ())
+    /// Adds bytes to the caller's buffer; returns how long that had no room for them.
+    async fn send(&mut self, bytes: Bytes) -> Result<Duration, PushError> {
+        let waited = self.tx.push(bytes).await?;
+        if !waited.is_zero() {
+            self.has_paused |= waited >= LONG_PAUSE;
+            self.paused += waited;
+            self.ready_until = Some(self.exchange.shared.now() + LATE_EVENTS_TIME);
+        }
+        Ok(waited)
     }
 
-    async fn abort(&self, outcome: &str) {
+    fn abort(&self, outcome: &str) {
         log::info!(
             "event=stream_ended id={} outcome={outcome} last_event={}",
             self.exchange.call.id(),
             self.last_event.unwrap_or_default()
         );
         self.exchange.count_request(outcome);
-        // Fails only if the caller has already disconnected.
-        let _ = self.tx.send(Err(StreamAborted)).await;
+        self.tx.end(ResponseEnd::Aborted);
+    }
+
+    /// Returns when the stream must be complete. The time in which its caller did not read is not counted,
+    /// as an upstream that is not read cannot go on, and what is ready after a pause is not cut off.
+    fn deadline(&self) -> Instant {
+        let deadline = self.exchange.call.deadline + self.paused;
+        self.ready_until
+            .map_or(deadline, |until| deadline.max(until))
     }
 
     fn remaining(&self) -> Duration {
-        self.exchange.call.remaining(self.exchange.shared.now())
+        let now = self.exchange.shared.now();
+        self.deadline().saturating_duration_since(now)
     }
 }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, Response, StatusCode, header};
-use http_body_util::{Either, Full, StreamBody};
-use hyper::body::Frame;
+use http_body_util::{Either, Full};
 use platform::headers::retry_after;
 use thiserror::Error;
-use tokio_stream::wrappers::ReceiverStream;
+
+use crate::gateway::send_buffer::SendBody;
 
 /// Error for a stream that ended before its last event; the connection is closed without a final
 /// chunk.
@@ -17,10 +17,8 @@
 #[error("the stream was aborted")]
 pub struct StreamAborted;
 
-/// A response body that streams events as they arrive.
-pub type EventBody = StreamBody<ReceiverStream<Result<Frame<Bytes>, StreamAborted>>>;
 /// A response body, either buffered or streamed.
-pub type Body = Either<Full<Bytes>, EventBody>;
+pub type Body = Either<Full<Bytes>, SendBody>;
 
 /// Why the gateway responds to a request itself instead of forwarding an upstream's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
@@ -98,7 +96,7 @@
 }
 
 /// Builds a streamed response from an upstream's response.
-pub fn stream(status: StatusCode, headers: HeaderMap, body: EventBody) -> Response<Body> {
+pub fn stream(status: StatusCode, headers: HeaderMap, body: SendBody) -> Response<Body> {
     build_response(status, headers, Either::Right(body))
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -14,6 +14,11 @@
     state::document::{Document, DocumentError},
 };
 
+/// Maximum number of bytes held for all callers if the instance's memory is not known.
+const DEFAULT_SEND_BUFFER_BYTES: usize = 16 << 20;
+/// The part of the instance's memory that may be held for callers is one in this many.
+const SEND_BUFFER_DIVISOR: f64 = 8.0;
+
 /// Settings of a gateway; the suffix of a duration's name gives its unit.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -42,6 +47,9 @@
     /// Rate of the instance's link in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Memory of the instance in MB; absent if it is not limited.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// First and last port for traffic between daemons.
     pub peer_ports: (u16, u16),
     /// Maximum time in seconds that callers may cache a directory response.
@@ -94,6 +102,18 @@
         self.link_mbps as u32
     }
 
+    /// Returns the maximum number of bytes of events that are held for all callers.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the setting is checked"
+    )]
+    pub fn send_buffer_bytes(&self) -> usize {
+        self.memory_mb.map_or(DEFAULT_SEND_BUFFER_BYTES, |mb| {
+            (mb * 1e6 / SEND_BUFFER_DIVISOR) as usize
+        })
+    }
+
     /// Returns the time between a shutdown request and the end of the process.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.grace_period_s)
@@ -125,6 +145,9 @@
         if !(0.01..1e7).contains(&self.link_mbps) {
             return OutOfRange::for_key("link_mbps", "must be between 0.01 and 1e7");
         }
+        if self.memory_mb.is_some_and(|mb| !(1.0..1e7).contains(&mb)) {
+            return OutOfRange::for_key("memory_mb", "must be between 1 and 1e7");
+        }
         if !(0.0..1e6).contains(&self.repeat_ratio) {
             return OutOfRange::for_key("repeat_ratio", "must be between 0 and 1e6");
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,7 +22,9 @@
         health::AttemptOutcome,
         heartbeat::{PeerId, Readiness},
     },
-    gateway::{body_memory::BodyMemory, drain::Drain, settings::Settings},
+    gateway::{
+        body_memory::BodyMemory, drain::Drain, send_buffer::SendBuffers, settings::Settings,
+    },
 };
 
 /// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
@@ -49,6 +51,8 @@
     pub drain: Drain,
     /// Memory for response bodies that are read as a whole.
     pub body_memory: Arc<BodyMemory>,
+    /// The events that are held for callers.
+    pub send_buffers: Arc<SendBuffers>,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -74,6 +78,7 @@
         let mut dispatcher =
             Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
         dispatcher.set_link_mbps(settings.whole_link_mbps());
+        let send_buffers = SendBuffers::new(settings.send_buffer_bytes(), clock.clone());
         Self {
             started_at: clock.now(),
             has_tables: watch::Sender::new(false),
@@ -86,6 +91,7 @@
             table_era: EraTracker::default(),
             drain: Drain::default(),
             body_memory: Arc::default(),
+            send_buffers: Arc::new(send_buffers),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             knows_peers: AtomicBool::new(false),
