Explain where a request would go now

Cause: an operator could see where requests had gone, but not where one would go, or why. Change: the evaluation of candidates is a function of its own that reserves nothing; placement and the new explanation both use it. The gateway answers on the metrics listener, for connections from its own instance; the verb explain-route asks it, as text or JSON.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -91,6 +91,16 @@
         )
     )]
     Explain(#[bpaf(external(explain_args))] ExplainArgs),
+    /// Show where a request would go now, without sending it.
+    ///
+    /// Asks the gateway of this instance, on its metrics address.
+    #[bpaf(
+        command("explain-route"),
+        footer(
+            "Example: hibiscusyoke explain-route --daemon 10.0.0.1:9464 --route ask --model '*' --prompt-parts a:500,b:200 --tokens 900,24"
+        )
+    )]
+    ExplainRoute(#[bpaf(external(explain_route_args))] ExplainRouteArgs),
     /// Show what each customer is billed.
     #[bpaf(
         command,
@@ -291,6 +301,42 @@
     pub request: CompactString,
 }
 
+/// Arguments of `explain-route`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct ExplainRouteArgs {
+    /// Metrics address of the gateway of this instance
+    #[bpaf(long, argument("ADDR"))]
+    pub daemon: SocketAddr,
+    /// Name of the route
+    #[bpaf(long, argument("NAME"))]
+    pub route: CompactString,
+    /// Name of the customer
+    #[bpaf(long, argument("NAME"))]
+    pub customer: Option<CompactString>,
+    /// Model, or * if the gateway chooses it
+    #[bpaf(long, argument("MODEL"))]
+    pub model: Option<CompactString>,
+    /// Session, or the request's id if it has none
+    #[bpaf(long, argument("SESSION"))]
+    pub session: Option<CompactString>,
+    /// Parts of the prompt and their lengths in tokens
+    #[bpaf(long, argument("ID:TOKENS,..."))]
+    pub prompt_parts: Option<CompactString>,
+    /// Tokens of the prompt and of the response
+    #[bpaf(long, argument("PROMPT,RESPONSE"))]
+    pub tokens: Option<CompactString>,
+    /// How long the caller waits, in milliseconds
+    #[bpaf(long, argument("MS"))]
+    pub deadline_ms: Option<u64>,
+    /// Size of the body in bytes
+    #[bpaf(long, argument("BYTES"), fallback(0))]
+    pub body_bytes: usize,
+    /// Print JSON
+    #[bpaf(long, switch)]
+    pub json: bool,
+}
+
 /// Arguments of `invoice`.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(ignore_rustdoc)]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -9,6 +9,7 @@
 pub mod check;
 pub mod demo;
 pub mod explain;
+pub mod explain_route;
 pub mod files;
 pub mod gateway;
 pub mod generations;
@@ -56,6 +57,7 @@
         Command::Upstream(args) => service::run(service::Target::Upstream, args).await,
         Command::Status(args) => status::run(args).await,
         Command::Explain(args) => explain::run(args).await,
+        Command::ExplainRoute(args) => explain_route::run(args).await,
         Command::Invoice(args) => invoice::run(args).await,
         Command::Generations(args) => generations::run(args).await,
         Command::Demo(args) => demo::run(args).await,
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -25,7 +25,9 @@
 pub mod crash_evidence;
 mod departed;
 pub mod escalation;
+mod evaluation;
 pub mod evidence;
+pub mod explain;
 pub mod fanout;
 pub mod health;
 pub mod heartbeat;
@@ -240,15 +242,7 @@
 
     /// Picks one of the route's target services at random, by weight.
     pub fn pick_service(&mut self, route: &Route) -> Option<ServiceName> {
-        let total: f64 = route.split.iter().map(|target| target.weight).sum();
-        let mut draw = self.rng.random::<f64>() * total;
-        for target in &route.split {
-            draw -= target.weight;
-            if draw < 0.0 {
-                return Some(target.service.clone());
-            }
-        }
-        route.split.last().map(|target| target.service.clone())
+        draw_service(route, &mut self.rng)
     }
 
     /// Expires stale state; returns the upstreams that were removed.
@@ -321,6 +315,18 @@
     }
 }
 
+fn draw_service(route: &Route, rng: &mut impl Rng) -> Option<ServiceName> {
+    let total: f64 = route.split.iter().map(|target| target.weight).sum();
+    let mut draw = rng.random::<f64>() * total;
+    for target in &route.split {
+        draw -= target.weight;
+        if draw < 0.0 {
+            return Some(target.service.clone());
+        }
+    }
+    route.split.last().map(|target| target.service.clone())
+}
+
 /// Returns whole milliseconds for a message, at most the maximum of the type.
 fn as_millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- a/src/coordination/dispatch/passed_over.rs
+++ b/src/coordination/dispatch/passed_over.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::coordination::dispatch::{NoSlotReason, Placement};
 
 /// Maximum time that a request waits for a cold upstream's rate limit before it is refused.
@@ -15,7 +17,8 @@
 const OTHER_DAEMON_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Why an upstream cannot take a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Display)]
+#[display(rename_all = "snake_case")]
 pub(super) enum Unusable {
     /// The request has already been sent there.
     Tried,
@@ -24,12 +27,15 @@
     /// This daemon cannot connect to it.
     Unreachable,
     /// It has asked for a pause that ends after this time.
+    #[display("paused")]
     Paused(Duration),
     /// All its slots are in use.
     Full,
     /// It is cold and may get a request after this time, if any from this daemon.
+    #[display("cold")]
     Cold(Option<Duration>),
     /// It has named a limit and may get a request after this time, if any from this daemon.
+    #[display("limited")]
     Limited(Option<Duration>),
 }
 
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -3,18 +3,17 @@
 use std::time::{Duration, Instant};
 
 use platform::{RowVersion, configuration::Service};
-use rand::{Rng, SeedableRng};
-use rand_xoshiro::Xoshiro128PlusPlus;
+use rand::Rng;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::coordination::dispatch::{
     Dispatcher,
-    assignment::{Assignment, NoSlotReason, Placement, PlacementRequest},
+    assignment::{Assignment, Placement, PlacementRequest},
     brittle::SharerRank,
     cold::{self, RateShare},
-    cost::{Candidate, cost},
+    cost::Candidate,
     heartbeat::DaemonName,
-    passed_over::{NO_UPSTREAM_RETRY_AFTER, PassedOver, Unusable},
+    passed_over::Unusable,
     prefix::PrefixBlock,
     rate_limit,
     registry::Upstream,
@@ -52,62 +51,18 @@
         arm: Option<Arm>,
         now: Instant,
     ) -> Placement {
-        // Jitter is drawn while upstreams are borrowed.
-        let mut rng = Xoshiro128PlusPlus::seed_from_u64(self.rng.random());
-        let listed = self.listed_in_arm(request.service, arm, now);
-        if listed.is_empty() {
-            return Placement::Refuse(NoSlotReason::NoneListed, NO_UPSTREAM_RETRY_AFTER);
-        }
-        let candidates = self.candidates(request, listed, now);
-        let service = self
-            .routes
-            .as_ref()
-            .and_then(|r| r.service(request.service));
-        let is_brittle = self.max_refusals(request.service, now).is_some();
-        let mut passed_over = PassedOver::default();
-        let mut best: Option<(f64, &Upstream, Candidate)> = None;
-        for upstream in &candidates.upstreams {
-            let usable = self
-                .check_usable(request, upstream, service, now)
-                .and_then(|()| self.check_limit(upstream, &candidates.ring, now))
-                .and_then(|()| match is_brittle {
-                    true if !self.has_brittle_room(upstream, &candidates.ring, now) => {
-                        Err(Unusable::Full)
-                    }
-                    _ => Ok(()),
-                });
-            if let Err(reason) = usable {
-                passed_over.record(reason);
-                continue;
-            }
-            let candidate = Candidate {
-                backlog: self.wait(upstream, now),
-                prefill_time: self.prefill_time(request, upstream, &candidates, now),
-                running: self.running(upstream),
-                slots: upstream.slots,
-                failure_rate: upstream.health.failure_rate(now),
-                cold: upstream.is_cold(now),
-                remote: upstream.domain != self.domain,
-                engine: request.prompt.is_some(),
-            };
-            let cost = cost(&candidate, request.body_bytes, rng.random());
-            if best.is_none_or(|(lowest, ..)| cost < lowest) {
-                best = Some((cost, upstream, candidate));
-            }
-        }
-        let Some((_, upstream, candidate)) = best else {
-            return passed_over.placement();
+        let seed = self.rng.random();
+        let evaluation = self.evaluate(request, arm, seed, now);
+        let (upstream, candidate) = match self.choose(request, &evaluation) {
+            Ok(chosen) => chosen,
+            Err(placement) => return placement,
         };
+        let candidates = evaluation.candidates;
         let Candidate {
             backlog,
             prefill_time,
             ..
         } = candidate;
-        let known_backlog = backlog.min(self.observed_delay(request.service));
-        let excess = (known_backlog + prefill_time).saturating_sub(request.remaining);
-        if !excess.is_zero() {
-            return Placement::Refuse(NoSlotReason::TooLate, excess);
-        }
         let rollout = self.rollouts.get(request.service);
         let mut assignment = Assignment {
             upstream: upstream.id.clone(),
@@ -136,7 +91,7 @@
 
     /// Returns the upstreams of an arm of the rollout. Without one, upstreams of a version that no
     /// order has named yet are left out if there are others.
-    fn listed_in_arm<'a>(
+    pub(super) fn listed_in_arm<'a>(
         &'a self,
         service: &'a str,
         arm: Option<Arm>,
@@ -164,7 +119,7 @@
     }
 
     /// Checks that an upstream can take a request now.
-    fn check_usable(
+    pub(super) fn check_usable(
         &self,
         request: &PlacementRequest<'_>,
         upstream: &Upstream,
@@ -199,7 +154,7 @@
     }
 
     /// Checks that a limit that the upstream has named allows a request from this daemon now.
-    fn check_limit(
+    pub(super) fn check_limit(
         &self,
         upstream: &Upstream,
         ring: &HashRing,
--- a/src/coordination/dispatch/rollout.rs
+++ b/src/coordination/dispatch/rollout.rs
@@ -223,8 +223,17 @@
 
     /// Returns the version for a session's next request.
     pub fn arm(&mut self, session: u64, now: Instant) -> Arm {
+        let arm = self.expected_arm(session, now);
+        if arm == Arm::Old && self.state == RolloutState::Running {
+            self.add_sticky_sessions([session], now);
+        }
+        arm
+    }
+
+    /// Returns the arm that a request of a session would get, without recording it.
+    pub fn expected_arm(&self, session: u64, now: Instant) -> Arm {
         let phase = self.phase(now);
-        let arm = match (self.state, phase) {
+        match (self.state, phase) {
             (RolloutState::RolledBack, _) => Arm::Old,
             (RolloutState::Completed, _) | (RolloutState::Running, Phase::Moved) => Arm::New,
             (RolloutState::Running, Phase::Settling) => Arm::Old,
@@ -234,11 +243,7 @@
                 Arm::Old
             }
             (RolloutState::Running, Phase::Trial) => trial_arm(session, &self.target),
-        };
-        if arm == Arm::Old && self.state == RolloutState::Running {
-            self.add_sticky_sessions([session], now);
         }
-        arm
     }
 
     /// Counts a request that starts (`begun`) or ends on an arm.
--- a/src/coordination/dispatch/routes.rs
+++ b/src/coordination/dispatch/routes.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use platform::{
     CustomerName,
-    configuration::{Configuration, Route, Service},
+    configuration::{Configuration, Customer, Route, Service},
 };
 
 /// A configuration, indexed for lookups by request.
@@ -75,6 +75,20 @@
         self.configuration.services.iter().find(|s| s.name == name)
     }
 
+    /// Returns a route by name.
+    pub fn by_name(&self, name: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .map(AsRef::as_ref)
+            .find(|route| route.name == name)
+    }
+
+    /// Returns a customer by name.
+    pub fn customer(&self, name: &str) -> Option<&Customer> {
+        let mut customers = self.configuration.customers.iter();
+        customers.find(|customer| customer.name == name)
+    }
+
     /// Finds the route of a request and checks its API key.
     pub fn find(
         &self,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -26,7 +26,7 @@
 };
 
 /// Default time that a caller waits, used when the request has no deadline.
-const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Timeout for each frame of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -20,6 +20,7 @@
 use crate::{
     coordination::dispatch::heartbeat::Readiness,
     gateway::{
+        explain::{self, Ends},
         forward::{self, Origin},
         metrics,
         reply::{InfallibleResult, plain},
@@ -148,10 +149,21 @@
 pub async fn serve_control(shared: Arc<Shared>, listener: TcpListener) {
     loop {
         let stream = accept(&listener).await;
+        let ends = stream.peer_addr().ok().zip(stream.local_addr().ok());
+        let ends = ends.map(|(peer, local)| Ends { peer, local });
         let shared = shared.clone();
         let service = service_fn(move |req| {
-            let response = handle_control(&shared, &req);
-            async move { InfallibleResult::Ok(response) }
+            let shared = shared.clone();
+            async move {
+                let explains = |ends: &Ends| {
+                    explain::is_answered_on(&shared, ends.local)
+                        && req.uri().path() == explain::PATH
+                };
+                InfallibleResult::Ok(match ends.filter(explains) {
+                    Some(ends) => explain::answer(&shared, ends, req).await,
+                    None => handle_control(&shared, &req),
+                })
+            }
         });
         tokio::spawn(async move {
             let served = http1::Builder::new()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 pub mod delegate;
 pub mod drain;
 pub mod events;
+pub mod explain;
 pub mod fetch;
 pub mod follow;
 pub mod followed_table;
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -300,6 +300,11 @@
         address(self.ip, Port::Front)
     }
 
+    /// Returns the address of the metrics.
+    pub(crate) fn metrics_address(&self) -> SocketAddr {
+        address(self.ip, Port::Metrics)
+    }
+
     /// Returns the address for queries of peers.
     pub(crate) fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, PEER_PORT)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod brittle;
 mod endless;
+mod explain;
 mod faults;
 mod harness;
 mod heartbeats;
