Test pauses of callers through another daemon

Cause: a pause behind a delegating daemon was not tested, nor that the slot is released during a pause. Change: one test more, and a check in that of a pause of 5 s.

--- a/tests/gateway/slow_readers.rs
+++ b/tests/gateway/slow_readers.rs
@@ -205,7 +205,9 @@
     let gateway = &harness.gateways[0];
     let mut connection = send(gateway.caller_address(), "s1", "/ask/32x1024").await;
     let mut response = read_some(&mut connection, 1_000).await;
+    // The upstream's response has been read, and its slot released, before the caller goes on.
     wait_until(|| async { in_flight(&harness) == 0 }).await;
+    wait_until(|| async { gateway.log().contains("outcome=served") }).await;
     tokio::time::sleep(Duration::from_secs(5)).await;
     read_rest(&mut connection, &mut response).await;
     assert_complete(&response, 32);
@@ -232,6 +234,22 @@
     assert!(!gateway.log().contains("run_interrupted"));
 }
 
+/// Guards against a pause that counts as a failure of the daemon which serves a delegated request.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_pauses_gets_the_complete_response_through_another_daemon() {
+    let harness = Harness::spawn(2).await;
+    harness.cut_off(0);
+    let gateway = &harness.gateways[0];
+    let mut connection = send(gateway.caller_address(), "s1", "/ask/400x10240").await;
+    let mut response = read_some(&mut connection, 1_000).await;
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    read_rest(&mut connection, &mut response).await;
+    assert_complete(&response, 400);
+    assert_eq!(gateway.log().matches("event=delegated id=s1").count(), 1);
+    let runs = harness.engines().map(|engine| engine.runs().len());
+    assert_eq!(runs.iter().sum::<usize>(), 1);
+}
+
 /// Guards against events that are missing or doubled after an upstream has cut off a response, and against
 /// upstreams that count as failed for it.
 #[tokio::test(flavor = "multi_thread")]
@@ -247,8 +265,8 @@
     wait_until(|| async { cuts().iter().sum::<usize>() == 1 }).await;
     read_rest(&mut connection, &mut response).await;
     assert_complete(&response, 400);
-    assert!(gateway.log().contains("outcome=broken_after_pause"));
     assert!(!gateway.log().contains("run_interrupted"));
+    assert!(gateway.log().contains("outcome=broken_after_pause"));
 }
 
 /// Guards against responses that hold memory and a slot for a caller that does not read.
