--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod brittle;
 mod endless;
+mod explain;
 mod faults;
 mod harness;
 mod heartbeats;
@@ -12,8 +13,10 @@
 mod poison;
 mod rate_limit;
 mod reload;
+mod send_budget;
 mod serve;
 mod short_silence;
 mod shutdown;
+mod slow_readers;
 mod table_restore;
 mod trace;
