Add failing tests for links that carry no data

Daemons whose upstream connections are accepted but carry no data serve none of their callers' first attempts. The stand-in upstream learns this fault for single hosts, and Loss::Silent names a probe without an answer; it is not produced yet.

--- a/src/coordination/dispatch/health.rs
+++ b/src/coordination/dispatch/health.rs
@@ -38,7 +38,7 @@
     pub fn not_connected(loss: Loss) -> Self {
         match loss {
             Loss::Unanswered => Self::Unanswered,
-            Loss::Refused | Loss::Broken => Self::Unreachable,
+            Loss::Refused | Loss::Broken | Loss::Silent => Self::Unreachable,
         }
     }
 
--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -39,6 +39,8 @@
 pub enum Loss {
     /// An open connection broke or went silent.
     Broken,
+    /// A new connection was opened, but carried no answer.
+    Silent,
     /// A new connection was not answered.
     Unanswered,
     /// A new connection was refused.
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -1,8 +1,9 @@
 //! Fake of an upstream: a model engine or a plain service, with fault injection.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -139,8 +140,17 @@
     state: Arc<Mutex<State>>,
     in_flight: Arc<AtomicUsize>,
     crashed: Arc<Notify>,
-    /// Hosts whose connections are reset.
-    cut_off: watch::Sender<BTreeSet<IpAddr>>,
+    /// Hosts whose connections are disturbed.
+    link_faults: watch::Sender<BTreeMap<IpAddr, LinkFault>>,
+}
+
+/// How the connections of a host are disturbed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkFault {
+    /// Open and new ones are reset.
+    Reset,
+    /// New ones are accepted, and none carries data until the fault ends.
+    Silent,
 }
 
 type Body = Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
@@ -155,7 +165,7 @@
             state: Arc::default(),
             in_flight: Arc::default(),
             crashed: Arc::default(),
-            cut_off: watch::Sender::default(),
+            link_faults: watch::Sender::default(),
         };
         tokio::spawn(upstream.clone().run(listener));
         upstream
@@ -188,17 +198,24 @@
         }
     }
 
-    /// Serves a connection until it ends or its host is cut off.
+    /// Serves a connection until it ends or is reset; what arrives while it is silent is read afterwards.
     async fn serve(self, stream: TcpStream, from: IpAddr) {
-        let mut cut_off = self.cut_off.subscribe();
-        if cut_off.borrow_and_update().contains(&from) {
+        let mut faults = self.link_faults.subscribe();
+        if faults.borrow_and_update().get(&from) == Some(&LinkFault::Reset) {
             // Closing the connection resets it.
             let _ = stream.set_zero_linger();
             return;
         }
-        tokio::select! {
-            () = self.serve_open(stream) => {}
-            _ = cut_off.wait_for(|hosts| hosts.contains(&from)) => {}
+        let mut serving = pin!(self.serve_open(stream));
+        loop {
+            let fault = faults.borrow_and_update().get(&from).copied();
+            if fault == Some(LinkFault::Reset) {
+                return;
+            }
+            tokio::select! {
+                () = &mut serving, if fault.is_none() => return,
+                changed = faults.changed() => if changed.is_err() { return },
+            }
         }
     }
 
@@ -219,15 +236,24 @@
     /// Resets all connections of a host, also new ones. A daemon is cut off from all upstreams if each of
     /// them does so.
     pub fn cut_off(&self, host: IpAddr) {
-        self.cut_off.send_modify(|hosts| {
-            hosts.insert(host);
-        });
+        self.set_link_fault(host, LinkFault::Reset);
+    }
+
+    /// Accepts the connections of a host, but neither reads nor writes data on them, also on open ones.
+    pub fn silence(&self, host: IpAddr) {
+        self.set_link_fault(host, LinkFault::Silent);
     }
 
-    /// Accepts the connections of a host again.
+    /// Serves the connections of a host again.
     pub fn reconnect(&self, host: IpAddr) {
-        self.cut_off.send_modify(|hosts| {
-            hosts.remove(&host);
+        self.link_faults.send_modify(|faults| {
+            faults.remove(&host);
+        });
+    }
+
+    fn set_link_fault(&self, host: IpAddr, fault: LinkFault) {
+        self.link_faults.send_modify(|faults| {
+            faults.insert(host, fault);
         });
     }
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -195,6 +195,13 @@
         }
     }
 
+    /// Lets no data through between a gateway and the upstreams, which accept its connections.
+    pub(crate) fn silence(&self, gateway: usize) {
+        for upstream in &self.upstreams {
+            upstream.silence(self.gateways[gateway].ip);
+        }
+    }
+
     /// Lets a gateway reach the upstreams again.
     pub(crate) fn reconnect(&self, gateway: usize) {
         for upstream in &self.upstreams {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,5 +15,6 @@
 mod serve;
 mod short_silence;
 mod shutdown;
+mod silent_links;
 mod table_restore;
 mod trace;
