Detect links to upstreams that carry no data

An open connection was taken for a working link, so a daemon whose links accept connections but carry no data served nobody. Probes now ask for an answer (a request for an instance that does not exist, which any upstream answers with 421 without running it). A daemon that hears from no upstream says so in its heartbeats; others then report when their newest answered requests were sent, by service. Only if those are newer than its own unanswered ones does it probe, at most 8 times a second, and only if probes fail as well does it count as cut off. Failures in such a silence are held back and dropped if the loss is its own.

Heartbeat::cut_off becomes Heartbeat::links, which takes one byte as before while no daemon suspects a loss.

--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -45,6 +45,29 @@
     Lost,
 }
 
+/// A daemon's links to upstreams. It takes one byte while no daemon suspects a loss.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Links {
+    /// They work, as far as the daemon knows.
+    #[default]
+    Working,
+    /// It has lost all of them.
+    CutOff,
+    /// It has sent requests and heard nothing from any upstream since.
+    Silent,
+    /// They work, and another daemon has reported `Silent`.
+    Answering(Vec<AnswerReport>),
+}
+
+/// The newest request of a daemon that an upstream of a service has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerReport {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Time in milliseconds since the request was sent.
+    pub age_ms: u32,
+}
+
 /// One daemon's load on an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -105,8 +128,8 @@
     pub caller_address: SocketAddr,
     /// Whether it accepts callers.
     pub readiness: Readiness,
-    /// Whether it has lost its links to all upstreams.
-    pub cut_off: bool,
+    /// Its links to upstreams.
+    pub links: Links,
     /// Its failure domain.
     pub domain: DomainName,
     /// Rate of its link in Mbit/s.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -53,6 +53,7 @@
 mod rollout_decision;
 pub mod routes;
 pub mod sessions;
+mod silent_links;
 pub mod subset;
 
 use crash_evidence::CrashId;
@@ -72,6 +73,7 @@
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
 use sessions::RecentSessions;
+use silent_links::SilenceTracker;
 use subset::HashRing;
 
 pub use assignment::{Assignment, NoSlotReason, Placement, PlacementRequest, Quality};
@@ -101,6 +103,7 @@
     pub poison: PoisonTracker,
     /// Whether this daemon's links to upstreams work.
     pub reachability: Reachability,
+    silence: SilenceTracker,
     me: PeerId,
     domain: DomainName,
     /// Rate of this instance's link in Mbit/s, if known.
@@ -167,6 +170,7 @@
             peers: Peers::default(),
             poison: PoisonTracker::default(),
             reachability: Reachability::default(),
+            silence: SilenceTracker::default(),
             me,
             domain,
             link_mbps: 0,
@@ -254,7 +258,9 @@
     /// Expires stale state; returns the upstreams that were removed.
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
         self.pauses.tick(now);
+        self.judge_silent_probes(now);
         self.expire_unverified(now);
+        self.expire_held(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
         self.update_crowded(now);
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -61,7 +61,7 @@
             liveness: self.peers.liveness_reports(now),
             caller_address,
             readiness,
-            cut_off: self.reachability.is_cut_off(),
+            links: self.link_report(now),
             domain: self.domain.clone(),
             link_mbps: self.link_mbps,
             table: self.table_state(now),
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -226,6 +226,7 @@
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running += 1;
             upstream.sent_at = Some(now);
+            self.silence.sent(assignment, now);
             assignment.on_trial = upstream.health.request_sent();
             assignment.expected_at = upstream.queue.enqueue(assignment.prefill_time, now);
             if upstream.is_cold(now)
--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -19,7 +19,7 @@
 
 use crate::coordination::dispatch::{
     Dispatcher,
-    heartbeat::{DaemonName, Readiness},
+    heartbeat::{DaemonName, Links, Readiness},
     peers::Peer,
     placement::UNDETECTED_RESTART_MARGIN,
     poison::StopSource,
@@ -33,6 +33,8 @@
 const PROBES_PER_ROUND: usize = 2;
 /// Time after which a lost connection counts against its upstream if no probe has told otherwise.
 const VERIFICATION_TIME: Duration = Duration::from_secs(1);
+/// The same for an upstream that did not answer a probe; other daemons' reports may take that long.
+const SILENCE_VERIFICATION_TIME: Duration = Duration::from_secs(3);
 
 /// How the connection to an upstream was lost, the strongest sign of its failure last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,6 +114,17 @@
         self.is_cut_off || !self.lost.is_empty()
     }
 
+    /// Returns whether an upstream has not answered a probe, and it is not known yet why.
+    pub(super) fn has_silent_probe(&self) -> bool {
+        let mut lost = self.lost.values();
+        lost.any(|lost| lost.by_probe && lost.loss == Loss::Silent)
+    }
+
+    /// Returns since when an upstream is lost.
+    pub(super) fn lost_since(&self, upstream: &str) -> Option<Instant> {
+        self.lost.get(upstream).map(|lost| lost.since)
+    }
+
     /// Returns whether it is not known yet if the upstream or this daemon's link has failed.
     pub(super) fn is_unverified(&self, upstream: &str) -> bool {
         self.lost.contains_key(upstream)
@@ -176,6 +189,7 @@
         if let Some(upstream) = self.registry.get_mut(upstream) {
             upstream.record_reached(sent_at);
         }
+        self.answer_received(upstream, sent_at, now);
         // The connection may have been opened before the links failed.
         let is_older = Some(sent_at) < self.reachability.newest_loss;
         if is_older || !self.reachability.is_suspected() {
@@ -196,14 +210,19 @@
         }
     }
 
-    /// Returns the upstreams to probe now; none if no connection was lost since an upstream was reached.
+    /// Returns the upstreams to probe now; none if no connection was lost since an upstream was reached, and
+    /// no silence is suspected to be due to this daemon's links.
     pub fn probe_targets(&self, now: Instant) -> Vec<ProbeTarget> {
-        if !self.reachability.is_suspected() {
+        if !self.needs_probes(now) {
             return Vec::new();
         }
         let last_loss = |u: &Upstream| self.reachability.lost.get(&u.id).map(|lost| lost.newest);
         let mut listed: Vec<&Upstream> = self.registry.all().filter(|u| u.is_listed(now)).collect();
-        listed.sort_by_key(|u| (last_loss(u), u.hash ^ self.me.incarnation));
+        // Only services that answer other daemons tell the own loss from the upstreams' silence.
+        let proves_little = |u: &Upstream| {
+            self.reachability.has_silent_probe() && !self.answers_only_others(u, now)
+        };
+        listed.sort_by_key(|u| (proves_little(u), last_loss(u), u.hash ^ self.me.incarnation));
         listed.truncate(PROBES_PER_ROUND);
         let target = |u: &Upstream| ProbeTarget {
             upstream: u.id.clone(),
@@ -212,6 +231,11 @@
         listed.into_iter().map(target).collect()
     }
 
+    /// Returns whether it must be found out if this daemon reaches any upstream.
+    pub fn needs_probes(&self, now: Instant) -> bool {
+        self.reachability.is_suspected() || self.suspects_links(now)
+    }
+
     /// Chooses a daemon that can serve a request for this one, but for those in `tried`; its
     /// configuration is not older. All of them are equally likely, as a failure domain may have lost its
     /// links as a whole.
@@ -220,7 +244,7 @@
         let can_serve = |peer: &&Peer| {
             let known = &peer.last_heartbeat;
             known.readiness == Readiness::Ready
-                && !known.cut_off
+                && matches!(known.links, Links::Working | Links::Answering(_))
                 && known.generation >= generation
                 && !tried.contains(&known.from.name)
         };
@@ -243,7 +267,11 @@
             return;
         }
         let is_old = |_: &UpstreamId, lost: &mut LostUpstream| {
-            now.saturating_duration_since(lost.since) >= VERIFICATION_TIME
+            let limit = match lost.loss {
+                Loss::Silent => SILENCE_VERIFICATION_TIME,
+                _ => VERIFICATION_TIME,
+            };
+            now.saturating_duration_since(lost.since) >= limit
         };
         let expired: Vec<_> = self.reachability.lost.extract_if(.., is_old).collect();
         for (id, lost) in expired {
@@ -266,15 +294,44 @@
             }
             return;
         }
-        let failed_probes = lost.values().filter(|lost| lost.by_probe).count();
-        if failed_probes >= MIN_FAILED_PROBES {
-            self.reachability.set_cut_off();
+        let is_failure = |lost: &&LostUpstream| lost.by_probe && lost.loss != Loss::Silent;
+        if lost.values().filter(is_failure).count() >= MIN_FAILED_PROBES {
+            self.set_cut_off();
+        }
+        self.judge_silent_probes(now);
+    }
+
+    /// Counts this daemon as cut off if upstreams that answer other daemons have not answered its probes.
+    pub(super) fn judge_silent_probes(&mut self, now: Instant) {
+        if self.reachability.is_cut_off || !self.reachability.has_silent_probe() {
+            return;
+        }
+        let listed = self.registry.all().filter(|u| u.is_listed(now));
+        let answering = listed.filter(|u| self.answers_only_others(u, now));
+        let answering: Vec<&Upstream> = answering.collect();
+        let is_failed = |u: &&&Upstream| {
+            let lost = self.reachability.lost.get(&u.id);
+            lost.is_some_and(|lost| lost.by_probe)
+        };
+        let failed = answering.iter().filter(is_failed).count();
+        let all_failed = self.reachability.lost.values().filter(|l| l.by_probe);
+        if failed > 0
+            && failed >= MIN_FAILED_PROBES.min(answering.len())
+            && all_failed.count() >= MIN_FAILED_PROBES
+        {
+            self.set_cut_off();
         }
     }
 
+    fn set_cut_off(&mut self) {
+        self.reachability.set_cut_off();
+        self.silence.forget_held();
+        self.forget_broken_connections();
+    }
+
     /// Draws the conclusions from a lost connection once this daemon's links are known to work.
     fn upstream_failed(&mut self, id: &UpstreamId, lost: &LostUpstream, now: Instant) {
-        if lost.loss == Loss::Broken {
+        if matches!(lost.loss, Loss::Broken | Loss::Silent) {
             return;
         }
         if let Some(upstream) = self.registry.get(id)
--- a/src/coordination/dispatch/release.rs
+++ b/src/coordination/dispatch/release.rs
@@ -5,6 +5,7 @@
 use crate::coordination::dispatch::{
     Dispatcher, assignment::Assignment, health::AttemptOutcome,
     prefill_speed::FIRST_EVENT_OVERHEAD, reachability::Loss, rollout::Arm,
+    silent_links::FailureKind,
 };
 
 impl Dispatcher {
@@ -50,14 +51,36 @@
         }
     }
 
+    /// Counts an attempt as evidence for a rollout whose caller left before the first event.
+    pub(super) fn count_abandoned(&mut self, assignment: &Assignment, now: Instant) {
+        if let (Some(arm), Some(rollout)) =
+            (assignment.arm, self.rollouts.get_mut(&assignment.service))
+            && rollout.has_order(assignment.order)
+            && !assignment.response_started
+            && assignment.settled
+        {
+            rollout.abandoned_after(
+                arm,
+                assignment.route,
+                assignment.prefill_time,
+                assignment.age(now),
+            );
+        }
+    }
+
     /// Releases the slot of an assignment and records the outcome of the attempt.
     pub fn release(&mut self, assignment: &Assignment, outcome: AttemptOutcome, now: Instant) {
+        self.silence.released(assignment, outcome, now);
+        let is_held = outcome == AttemptOutcome::Failed
+            && self.hold_failure(assignment, FailureKind::Outcome(outcome), now);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running = upstream.running.saturating_sub(1);
             if !assignment.response_started {
                 upstream.queue.cancel(assignment.expected_at, now);
             }
-            upstream.health.record(outcome, now);
+            if !is_held {
+                upstream.health.record(outcome, now);
+            }
             if assignment.on_trial {
                 upstream.health.trial_ended(false, now);
             }
@@ -81,17 +104,11 @@
             && rollout.has_order(assignment.order)
         {
             rollout.track_running(arm, false);
-            if outcome == AttemptOutcome::Abandoned
-                && !assignment.response_started
-                && assignment.settled
-            {
-                rollout.abandoned_after(
-                    arm,
-                    assignment.route,
-                    assignment.prefill_time,
-                    assignment.age(now),
-                );
-            }
+        }
+        if outcome == AttemptOutcome::Abandoned
+            && !self.hold_failure(assignment, FailureKind::Abandoned, now)
+        {
+            self.count_abandoned(assignment, now);
         }
     }
 }
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -10,6 +10,7 @@
     poison::StopSource,
     registry,
     rollout::{Arm, Rollout},
+    silent_links::FailureKind,
 };
 
 /// Maximum time to detect the crash of an upstream after its connections broke.
@@ -77,6 +78,20 @@
     /// A broken connection counts only if its upstream is then found to be running: a crash of an
     /// upstream breaks many connections and is not evidence against its version.
     pub fn record_quality(&mut self, assignment: &Assignment, quality: Quality, now: Instant) {
+        let is_held = quality != Quality::Good
+            && self.hold_failure(assignment, FailureKind::Quality(quality), now);
+        if !is_held {
+            self.count_quality(assignment, quality, now);
+        }
+    }
+
+    /// Counts the quality of a response that is known not to be due to this daemon's links.
+    pub(super) fn count_quality(
+        &mut self,
+        assignment: &Assignment,
+        quality: Quality,
+        now: Instant,
+    ) {
         let Some(arm) = assignment.arm else { return };
         if quality == Quality::Broken {
             self.broken_connections.push(BrokenConnection {
@@ -116,6 +131,11 @@
             .retain(|broken| !broken.is_at(upstream));
     }
 
+    /// Forgets the broken connections, which this daemon's own links caused.
+    pub(super) fn forget_broken_connections(&mut self) {
+        self.broken_connections.clear();
+    }
+
     pub(super) fn resolve_broken_connections(&mut self, now: Instant) {
         let old = |broken: &BrokenConnection| {
             now.saturating_duration_since(broken.at) >= CRASH_DETECTION_TIME
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,7 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
-    coordination::dispatch::{announcements::Announcement, registry::Upstream},
+    coordination::dispatch::{announcements::Announcement, reachability::Loss, registry::Upstream},
     gateway::shared::Shared,
     metrics::{counter, gauge, histogram},
 };
@@ -53,6 +53,14 @@
     )
 });
 
+static PROBES: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_probes_total",
+        "Probes of upstreams while a loss of this instance's links is suspected, by outcome.",
+        &["outcome"],
+    )
+});
+
 static TABLE_CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter(
         "hibiscusyoke_gateway_table_calls_total",
@@ -120,6 +128,18 @@
     ANNOUNCEMENTS.with_label_values(&[what]).inc();
 }
 
+/// Counts a probe of an upstream.
+pub fn probe(result: Result<(), Loss>) {
+    let outcome = match result {
+        Ok(()) => "answered",
+        Err(Loss::Silent) => "silent",
+        Err(Loss::Broken) => "broken",
+        Err(Loss::Unanswered) => "unanswered",
+        Err(Loss::Refused) => "refused",
+    };
+    PROBES.with_label_values(&[outcome]).inc();
+}
+
 /// Counts a call to the table by outcome.
 pub fn table_call(call: &str, outcome: &str) {
     TABLE_CALLS.with_label_values(&[call, outcome]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -191,6 +191,9 @@
         for id in shared.dispatcher().tick(now) {
             log::info!("event=upstream_left upstream={id} why=lapsed");
         }
+        if shared.dispatcher().needs_probes(now) {
+            shared.connection_lost.notify_one();
+        }
     }
 }
 
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -1,29 +1,33 @@
-//! Probes whether this instance's links to upstreams work after a connection was lost.
+//! Probes whether this instance's links to upstreams work after a connection was lost or a silence.
 
 use std::{io, net::IpAddr, sync::Arc, time::Duration};
 
 use futures::future::join_all;
-use platform::net;
+use http::Request;
+use http_body_util::Full;
+use platform::headers::headers_for_probe;
 
 use crate::{
     coordination::dispatch::reachability::{Loss, ProbeTarget},
-    gateway::shared::Shared,
+    gateway::{
+        attempt::{self, AttemptError},
+        metrics,
+        shared::Shared,
+    },
 };
 
-/// Timeout for connecting.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which a new connection must stay open.
-const MIN_OPEN_TIME: Duration = Duration::from_millis(30);
-/// How long the upstream's host may be silent before the connection is closed.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between two rounds of probes.
+/// Time for an upstream to answer; sound ones answer such a request within 100 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between two rounds of two probes, which bounds a daemon's probes to eight a second.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Probes upstreams from each lost connection until one is reached.
+/// Probes upstreams from each lost connection or suspected silence until one answers.
 pub async fn run(shared: Arc<Shared>) {
     loop {
         shared.connection_lost.notified().await;
-        while probe_round(&shared).await {
+        let mut is_needed = true;
+        while is_needed {
+            is_needed = probe_round(&shared).await;
             tokio::time::sleep(ROUND_INTERVAL).await;
         }
     }
@@ -37,12 +41,13 @@
     let probes = targets.iter().map(|target| probe(local, target));
     for (result, target) in join_all(probes).await.into_iter().zip(&targets) {
         let now = shared.now();
+        metrics::probe(result);
         shared
             .dispatcher()
             .probe_ended(&target.upstream, result, sent_at, now);
     }
     report_changes(shared);
-    shared.dispatcher().reachability.is_suspected()
+    shared.dispatcher().needs_probes(shared.now())
 }
 
 /// Logs that the links to upstreams were lost or work again, and tells the other daemons at once.
@@ -56,13 +61,17 @@
     }
 }
 
-/// Connects to an upstream and waits whether the connection is closed at once.
+/// Sends an upstream a request that it answers without running it. An open connection alone proves nothing,
+/// as a proxy or a firewall may have accepted it.
 async fn probe(local: IpAddr, target: &ProbeTarget) -> Result<(), Loss> {
-    let connected = net::connect_from(local, target.address, CONNECT_TIMEOUT, SILENCE_TIMEOUT);
-    let stream = connected.await.map_err(|e| loss(&e))?;
-    match tokio::time::timeout(MIN_OPEN_TIME, stream.readable()).await {
-        Err(_) => Ok(()),
-        Ok(_) => Err(Loss::Broken),
+    let mut request = Request::new(Full::default());
+    *request.headers_mut() = headers_for_probe(target.address, ANSWER_TIMEOUT);
+    match attempt::send(local, target.address, request, ANSWER_TIMEOUT).await {
+        Ok(_) => Ok(()),
+        Err(AttemptError::Broken(e)) if e.is_parse() => Ok(()),
+        Err(AttemptError::Unreachable(e)) => Err(loss(&e)),
+        Err(AttemptError::Broken(_)) => Err(Loss::Broken),
+        Err(AttemptError::TimedOut(_)) => Err(Loss::Silent),
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Relays the events of a stream to the caller and resumes the stream on another upstream after a
 //! failure.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -30,6 +30,9 @@
 /// Time after the deadline in which events that are ready are still forwarded.
 const LATE_EVENTS_TIME: Duration = Duration::from_millis(250);
 
+/// Time between two reports of arrived bytes, as each locks the dispatcher.
+const BYTES_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 type Sender = mpsc::Sender<Result<Frame<Bytes>, StreamAborted>>;
 
 /// How the stream from one upstream ended.
@@ -98,6 +101,7 @@
             last_event,
             expects_event: last_event.is_none(),
             is_from_start: last_event.is_none(),
+            bytes_reported_at: None,
             exchange,
             tx,
         };
@@ -115,6 +119,8 @@
     expects_event: bool,
     /// Whether the current source sends the stream from its start.
     is_from_start: bool,
+    /// When arrived bytes were last reported to the dispatcher.
+    bytes_reported_at: Option<Instant>,
 }
 
 impl Relay {
@@ -190,6 +196,9 @@
                 }
                 Err(_) => continue,
             };
+            if let Target::Upstream(_) = source {
+                self.record_bytes();
+            }
             events.push(&data);
             while let Some(event) = events.next_event() {
                 progress.events += 1;
@@ -227,6 +236,16 @@
         StreamEnd::Complete
     }
 
+    /// Records now and then that bytes of an upstream arrive, which shows that its link works.
+    fn record_bytes(&mut self) {
+        let now = self.exchange.shared.now();
+        let is_due = |at| now.saturating_duration_since(at) >= BYTES_REPORT_INTERVAL;
+        if self.bytes_reported_at.is_none_or(is_due) {
+            self.bytes_reported_at = Some(now);
+            self.exchange.shared.dispatcher().bytes_received(now);
+        }
+    }
+
     /// Whether even events that are ready come too late.
     fn is_overdue(&self) -> bool {
         let now = self.exchange.shared.now();
--- a/tests/dispatch/reachability.rs
+++ b/tests/dispatch/reachability.rs
@@ -5,7 +5,7 @@
 use hibiscusyoke::coordination::dispatch::{
     Dispatcher, NoSlotReason, Placement,
     health::AttemptOutcome,
-    heartbeat::{Heartbeat, Readiness, TableState},
+    heartbeat::{Heartbeat, Links, Readiness, TableState},
     reachability::{LinkChange, Loss},
 };
 use platform::table::Row;
@@ -61,7 +61,7 @@
         let later = now + Duration::from_secs(10);
         dispatcher.tick(later);
         let told = heartbeat_of(&mut dispatcher, later);
-        assert!(told.cut_off && told.loads.iter().all(|load| !load.unreachable));
+        assert!(told.links == Links::CutOff && told.loads.iter().all(|load| !load.unreachable));
         assert!(told.suspects.is_empty() && dispatcher.poison.take_findings().is_empty());
         for id in UPSTREAMS {
             assert!(!is_cold(&dispatcher, id, later), "{id}");
@@ -104,7 +104,7 @@
     dispatcher.probe_ended(&(*other).into(), Ok(()), soon, soon);
     assert!(is_cold(&dispatcher, &id, soon));
     let told = heartbeat_of(&mut dispatcher, soon);
-    assert!(!told.cut_off && told.loads.iter().any(|load| load.unreachable));
+    assert!(told.links == Links::Working && told.loads.iter().any(|load| load.unreachable));
 }
 
 /// Without any probe, the loss counts against the upstream after a second.
@@ -174,7 +174,7 @@
     let mut dispatcher = ready(&rows(), now);
     order(&mut dispatcher, &configuration(5), now);
     let mut cut_off = heartbeat("cut", TableState::Reachable);
-    (cut_off.cut_off, cut_off.generation) = (true, 5);
+    (cut_off.links, cut_off.generation) = (Links::CutOff, 5);
     let mut leaving = heartbeat("leaving", TableState::Reachable);
     (leaving.readiness, leaving.generation) = (Readiness::Leaving, 5);
     let mut older = heartbeat("older", TableState::Reachable);
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -7,7 +7,7 @@
 
 use hibiscusyoke::coordination::dispatch::{
     Applied, Assignment, Dispatcher, FleetLimits, Placement, PlacementRequest,
-    heartbeat::{Heartbeat, PeerId, Readiness, TableState},
+    heartbeat::{Heartbeat, Links, PeerId, Readiness, TableState},
     retry_budget::RetryLimit,
 };
 use platform::{RowVersion, orders::Order, table::Row};
@@ -72,7 +72,7 @@
         liveness: Vec::new(),
         caller_address: address(1),
         readiness: Readiness::Ready,
-        cut_off: false,
+        links: Links::Working,
         domain: "a".into(),
         link_mbps: 0,
         table,
