--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -38,8 +38,11 @@
         /// Whether open ones carry no data.
         silences_open: bool,
     },
-    /// No data is forwarded, and connections stay open.
+    /// No data is forwarded, and connections stay open; what was sent is forwarded afterwards.
     Silent,
+    /// New connections are accepted without a connection to the callee, and none carries data. All are reset
+    /// afterwards, and what was sent is lost.
+    AcceptsOnly,
     /// Data from callers is not forwarded.
     RequestsLost,
     /// Data to callers is not forwarded.
@@ -58,7 +61,7 @@
         match self {
             Self::Open | Self::Delayed(_) | Self::Limited(_) | Self::Reset => false,
             Self::RefusesNew { silences_open } => silences_open,
-            Self::Silent => true,
+            Self::Silent | Self::AcceptsOnly => true,
             Self::RequestsLost => direction == Direction::Request,
             Self::AnswersLost => direction == Direction::Response,
         }
@@ -190,6 +193,14 @@
         reset_on_close(&caller);
         return;
     }
+    if state == LinkState::AcceptsOnly {
+        let mut states = link.states;
+        let ended = states.wait_for(|states| states.of(link.host) != LinkState::AcceptsOnly);
+        // An error means that the proxy was dropped.
+        let _ = ended.await;
+        reset_on_close(&caller);
+        return;
+    }
     let Ok(mut callee) = TcpStream::connect(target).await else {
         return;
     };
@@ -229,6 +240,9 @@
                 _ if !now.blocks(direction) => break,
                 _ => states.changed().await.map_err(io::Error::other)?,
             }
+            if now == LinkState::AcceptsOnly && states.borrow().of(host) != now {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
         }
         if read == 0 {
             return to.shutdown().await;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -21,6 +21,8 @@
 const LIMITS_PER_KILOSECOND: std::ops::RangeInclusive<u32> = 500..=6_000;
 /// Separates the generator of partitions and of brittle or silent upstreams from the others.
 const PARTITION_FAULTS_SEED: u64 = 0x4355_545f_4f46_4600;
+/// Separates the generator of links that carry no data from the others.
+const SILENT_LINK_FAULTS_SEED: u64 = 0x5349_4c45_4e54_0000;
 /// Refusals a second that a brittle upstream bears.
 const MAX_REFUSALS: std::ops::RangeInclusive<u32> = 2..=6;
 /// Time for which an upstream is silent in milliseconds.
@@ -115,6 +117,7 @@
         .collect();
     schedule.extend(extra_faults(seed, gateways, upstreams, injection_time));
     schedule.extend(partition_faults(seed, gateways, upstreams, injection_time));
+    schedule.extend(silent_link_fault(seed, gateways, injection_time));
     schedule.sort_by_key(|step| step.at);
     schedule
 }
@@ -187,6 +190,25 @@
     drawn.into_iter().flatten().collect()
 }
 
+/// Draws a gateway whose connections to upstreams are accepted but carry no data, from a generator of its own.
+fn silent_link_fault(
+    seed: u64,
+    gateways: usize,
+    injection_time: Duration,
+) -> Option<ScheduledFault> {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ SILENT_LINK_FAULTS_SEED);
+    let link = match rng.random_bool(0.5) {
+        true => LinkState::AcceptsOnly,
+        false => LinkState::Silent,
+    };
+    let scheduled = ScheduledFault {
+        at: injection_time.mul_f64(rng.random()),
+        duration: Duration::from_millis(rng.random_range(EXTRA_DURATIONS_MS)),
+        fault: Fault::CutOff(rng.random_range(0..gateways), link),
+    };
+    rng.random_bool(0.5).then_some(scheduled)
+}
+
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
     match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -21,6 +21,7 @@
 mod rollout;
 mod rollout_conflict;
 mod routes;
+mod silent_fleet;
 mod silent_links;
 mod support;
 mod table_outage;
