--- a/tests/dispatch/brittle.rs
+++ b/tests/dispatch/brittle.rs
@@ -16,6 +16,7 @@
 use platform::headers::{RateLimit, ResponseHead};
 use serde_json::json;
 
+use crate::brittle_load;
 use crate::support::{
     LIMITS, address, configuration, daemon, order, receive_heartbeat, request, upstream_with,
 };
@@ -177,6 +178,26 @@
     }
 }
 
+/// Bounds of the page: all of what fits, and 0.8 of the capacity under overload and in bursts. Requests that
+/// find no slot wait until their deadline, as in the gateway's queue.
+///
+/// Daemons that stayed away from upstreams after refusals served 104 of 630 requests at 60/s, and 156 of
+/// 260 at 24/s, with a capacity of 40/s.
+#[test]
+fn capacity_of_brittle_upstreams_is_used() {
+    for size in [3, 24] {
+        for (load, batch, min_share) in [(24, 1, 0.95), (60, 1, 0.8), (24, 24, 0.8), (60, 30, 0.8)]
+        {
+            let outcome = brittle_load::run(size, load, batch);
+            let case = format!("{size} daemons, {load}/s, {batch} at a time: {outcome:?}");
+            assert!(outcome.crashes <= 2, "{case}");
+            let capacity = brittle_load::CAPACITY * brittle_load::COUNTED_TIME.as_secs_f64();
+            let possible = capacity.min(outcome.sent as f64);
+            assert!(outcome.served as f64 >= min_share * possible, "{case}");
+        }
+    }
+}
+
 #[test]
 fn shares_of_slots_add_up_to_all_slots() {
     for slots in [0, 1, 6, 128] {
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod brittle;
+mod brittle_load;
 mod cold;
 mod crash_storm;
 mod escalation;
