Share out the slots of brittle services at all times

Daemons filled free slots together until these were crowded, as they know of each other's requests only from heartbeats, and then stayed away for long after refusals. Each upstream's slots are now shared out exclusively, with at least four slots of the service for each daemon that holds some; other daemons delegate their requests to these. A dead or cut off daemon holds none.

--- a/src/coordination/dispatch/assignment.rs
+++ b/src/coordination/dispatch/assignment.rs
@@ -102,6 +102,8 @@
     Unreachable,
     /// All upstreams have reached their concurrency limit.
     AllFull,
+    /// Other daemons hold all slots of a brittle service.
+    NoShare,
     /// All upstreams are cold and have used up their rate share.
     AllCold,
     /// The response would start after the request's deadline.
--- a/src/coordination/dispatch/brittle.rs
+++ b/src/coordination/dispatch/brittle.rs
@@ -2,9 +2,12 @@
 //!
 //! Load pattern: more requests arrive than a service can run, and its upstreams fail when they must refuse
 //! more than a few in a second. All daemons see a free slot at about the same time and fill it together,
-//! as what they know of one another's requests is some hundred milliseconds old. Under load, each daemon
-//! therefore keeps to an equal share of an upstream's slots, if there are enough for all. A refusal keeps
-//! it away for so long that the refusals of all daemons stay below the number that the upstream named.
+//! as what they know of one another's requests is some hundred milliseconds old. The slots of a brittle
+//! service are therefore shared out: each daemon keeps to its own share, and no upstream has to refuse.
+//!
+//! Small shares are badly used: a daemon with a single slot leaves it idle between two of its requests, and
+//! has too few when they come together. If there are few slots for each daemon, only some daemons hold
+//! shares, and the others delegate requests to them.
 
 use std::time::{Duration, Instant};
 
@@ -12,23 +15,25 @@
 use platform::{ServiceName, headers::ResponseHead};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::coordination::dispatch::{
     Dispatcher,
     announcements::Announcement,
     assignment::Assignment,
     cold::count,
+    heartbeat::{DaemonName, Links},
     rate_limit::{AnnouncedLimit, KnownLimit, LimitChange},
-    registry::Upstream,
+    reachability::Delegate,
+    registry::{self, Upstream},
     subset::HashRing,
 };
 
-/// Fraction of the slots in use from which an upstream counts as crowded.
-const CROWDED_FRACTION: f64 = 0.5;
-/// Time after which an upstream that was crowded counts as lightly loaded.
-const CROWDED_RETENTION: Duration = Duration::from_secs(2);
-/// Number of a service's slots for each daemon from which all daemons are likely to have shares.
-const MIN_SLOTS_PER_DAEMON: f64 = 2.0;
+/// Minimum number of a service's slots for each daemon that holds a share. With four slots, 0.6 of the
+/// capacity is served with short waits; with a single one, a third of such requests would wait for long.
+const MIN_SLOTS_PER_HOLDER: usize = 4;
+/// Number of upstreams of a service up to which all of its holders use each of them.
+const MAX_SHARED_UPSTREAMS: u32 = 12;
 /// Fraction of the named refusals that the daemons may cause together.
 const USED_FRACTION: f64 = 0.5;
 /// Maximum time for which a refusal keeps a daemon away.
@@ -54,6 +59,29 @@
     pub sharers: usize,
 }
 
+impl SharerRank {
+    /// Returns the rank for an upstream at `index`, so that those that get one slot more than others at one
+    /// upstream get fewer at the next.
+    fn rotated(self, index: u32, slots: u32) -> Self {
+        let remainder = slots as usize % self.sharers;
+        let offset = index as usize * remainder;
+        // Ranks below the remainder get one slot more.
+        let rank = (self.rank + self.sharers - offset % self.sharers) % self.sharers;
+        Self { rank, ..self }
+    }
+}
+
+/// A daemon's share of a brittle service's slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BrittleShare {
+    /// It holds none; other daemons serve its requests.
+    None,
+    /// It is one of the daemons that hold shares of all upstreams.
+    OfHolders(SharerRank),
+    /// All daemons that use an upstream share it.
+    OfUsers,
+}
+
 /// Returns a daemon's share of `slots`; the shares of all daemons add up to `slots`.
 pub fn slot_share(slots: u32, sharers: SharerRank) -> u32 {
     let count = u32::try_from(sharers.sharers.max(1)).unwrap_or(u32::MAX);
@@ -69,25 +97,96 @@
 }
 
 impl Dispatcher {
+    /// Returns which share of a brittle service's slots this daemon holds.
+    pub(super) fn brittle_share(
+        &self,
+        service: &str,
+        ring: &HashRing,
+        now: Instant,
+    ) -> BrittleShare {
+        // Each daemon uses a subset of the upstreams of a large service.
+        if !self.may_delegate || ring.count() > MAX_SHARED_UPSTREAMS {
+            return BrittleShare::OfUsers;
+        }
+        let holders = self.share_holders(service, now);
+        let rank = holders.iter().position(|name| **name == self.me.name);
+        rank.map_or(BrittleShare::None, |rank| {
+            BrittleShare::OfHolders(SharerRank {
+                rank,
+                sharers: holders.len(),
+            })
+        })
+    }
+
+    /// Returns the daemons that hold shares of a service's slots, the same on all daemons that know the same
+    /// daemons and upstreams.
+    fn share_holders(&self, service: &str, now: Instant) -> Vec<&DaemonName> {
+        let seed = registry::hash_of(service);
+        let weight = |name: &DaemonName| xxh3_64_with_seed(name.as_bytes(), seed);
+        // The upstreams release the slots of a daemon that has died when its connections break.
+        let ready = self.peers.ready(now).map(|peer| &peer.last_heartbeat);
+        let can_hold = ready.filter(|known| known.links != Links::CutOff);
+        let mut daemons: Vec<&DaemonName> = can_hold.map(|known| &known.from.name).collect();
+        if !self.reachability.is_cut_off() {
+            daemons.push(&self.me.name);
+        }
+        daemons.sort_by_cached_key(|name| (weight(name), (*name).clone()));
+        let holders = self.slots_of_service(service, now) / MIN_SLOTS_PER_HOLDER;
+        daemons.truncate(holders.max(1));
+        daemons
+    }
+
+    /// Chooses a daemon that can serve a request to a service for this one, but for those in `tried`: one that
+    /// holds a share if the service is brittle.
+    pub fn choose_delegate_for(
+        &mut self,
+        service: &str,
+        tried: &[DaemonName],
+        now: Instant,
+    ) -> Option<Delegate> {
+        let is_shared_out = self.may_delegate && self.max_refusals(service, now).is_some();
+        match is_shared_out {
+            true => self.choose_holder(service, tried, now),
+            false => self.choose_delegate(tried, now),
+        }
+    }
+
+    /// Chooses a daemon for a request to a service of which this one holds no share, but for those in
+    /// `tried`.
+    pub fn choose_holder(
+        &mut self,
+        service: &str,
+        tried: &[DaemonName],
+        now: Instant,
+    ) -> Option<Delegate> {
+        let holders = self.share_holders(service, now);
+        let holders: Vec<DaemonName> = holders.into_iter().cloned().collect();
+        self.choose_delegate_among(|name| holders.contains(name) && !tried.contains(name), now)
+    }
+
     /// Returns whether an upstream of a brittle service has room for another request of this daemon.
     pub(super) fn has_brittle_room(
         &self,
         upstream: &Upstream,
+        share: BrittleShare,
         ring: &HashRing,
         now: Instant,
     ) -> bool {
         if self.running(upstream) >= upstream.slots {
             return false;
         }
-        if upstream.crowded_until.is_none_or(|until| until <= now) {
-            return true;
-        }
-        let sharers = self.sharers(upstream, ring, now);
-        let share = slot_share(upstream.slots, sharers);
-        let slots = count(self.slots_of_service(&upstream.service, now));
-        let all_have_shares = slots >= count(sharers.sharers) * MIN_SLOTS_PER_DAEMON;
-        // A daemon without a share sends one request at a time.
-        upstream.running < if all_have_shares { share } else { share.max(1) }
+        let own = match share {
+            BrittleShare::None => 0,
+            BrittleShare::OfHolders(holder) => {
+                let index = ring.index(upstream.hash);
+                slot_share(upstream.slots, holder.rotated(index, upstream.slots))
+            }
+            // A daemon without a share sends one request at a time.
+            BrittleShare::OfUsers => {
+                slot_share(upstream.slots, self.sharers(upstream, ring, now)).max(1)
+            }
+        };
+        upstream.running < own
     }
 
     /// Returns the slots of all listed upstreams of a service.
@@ -96,33 +195,25 @@
         slots.sum()
     }
 
-    /// Records which brittle upstreams are crowded.
-    pub(super) fn update_crowded(&mut self, now: Instant) {
-        let is_crowded = |u: &&Upstream| {
-            let crowded = f64::from(u.slots) * CROWDED_FRACTION;
-            self.max_refusals(&u.service, now).is_some() && f64::from(self.running(u)) >= crowded
-        };
-        let crowded: Vec<u64> = self
-            .registry
-            .all()
-            .filter(is_crowded)
-            .map(|u| u.hash)
-            .collect();
-        for hash in crowded {
-            if let Some(upstream) = self.registry.by_hash_mut(hash) {
-                upstream.mark_crowded_until(now + CROWDED_RETENTION);
-            }
-        }
-    }
-
     /// Keeps this daemon away from a brittle upstream that has refused a request.
     pub(super) fn pause_brittle(&mut self, upstream: &str, max_refusals: f64, now: Instant) {
-        let sharers = self.peers.limit_sharers(now).count() + 1;
+        let sharers = self.refusal_sharers(upstream, now);
         let spread = self.rng.random::<f64>() * RESUME_SPREAD;
         let pause = pause_after_refusal(max_refusals, sharers).mul_f64(1.0 + spread);
         if let Some(upstream) = self.registry.get_mut(upstream) {
             upstream.health.pause_until(now + pause);
-            upstream.mark_crowded_until(now + pause + CROWDED_RETENTION);
+        }
+    }
+
+    /// Returns the number of daemons that may be refused by an upstream.
+    fn refusal_sharers(&self, upstream: &str, now: Instant) -> usize {
+        let all = self.peers.limit_sharers(now).count() + 1;
+        match self.registry.get(upstream) {
+            Some(upstream) if self.may_delegate => {
+                let slots = self.slots_of_service(&upstream.service, now);
+                all.min((slots / MIN_SLOTS_PER_HOLDER).max(1))
+            }
+            _ => all,
         }
     }
 
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -106,6 +106,8 @@
     silence: SilenceTracker,
     me: PeerId,
     domain: DomainName,
+    /// Whether daemons take requests that others delegate to them.
+    may_delegate: bool,
     /// Rate of this instance's link in Mbit/s, if known.
     link_mbps: u32,
     /// Number of heartbeats that this incarnation has sent.
@@ -173,6 +175,7 @@
             silence: SilenceTracker::default(),
             me,
             domain,
+            may_delegate: true,
             link_mbps: 0,
             heartbeats_sent: 0,
             // Daemons that start together must not all send to the same ones at a time.
@@ -224,6 +227,11 @@
         self.link_mbps = link_mbps;
     }
 
+    /// Sets whether daemons take requests that others delegate to them.
+    pub fn set_may_delegate(&mut self, may_delegate: bool) {
+        self.may_delegate = may_delegate;
+    }
+
     /// Replaces the operators' limits.
     pub fn set_limits(&mut self, limits: FleetLimits) {
         self.limits = limits;
@@ -263,7 +271,6 @@
         self.expire_held(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
-        self.update_crowded(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
         self.resolve_broken_connections(now);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -10,7 +10,7 @@
 use crate::coordination::dispatch::{
     Dispatcher,
     assignment::{Assignment, NoSlotReason, Placement, PlacementRequest},
-    brittle::SharerRank,
+    brittle::{BrittleShare, SharerRank},
     cold::{self, RateShare},
     cost::{Candidate, cost},
     heartbeat::DaemonName,
@@ -63,15 +63,22 @@
             .routes
             .as_ref()
             .and_then(|r| r.service(request.service));
-        let is_brittle = self.max_refusals(request.service, now).is_some();
+        let share = self
+            .max_refusals(request.service, now)
+            .map(|_| self.brittle_share(request.service, &candidates.ring, now));
+        if share == Some(BrittleShare::None) {
+            return Placement::Refuse(NoSlotReason::NoShare, NO_UPSTREAM_RETRY_AFTER);
+        }
         let mut passed_over = PassedOver::default();
         let mut best: Option<(f64, &Upstream, Candidate)> = None;
         for upstream in &candidates.upstreams {
             let usable = self
                 .check_usable(request, upstream, service, now)
                 .and_then(|()| self.check_limit(upstream, &candidates.ring, now))
-                .and_then(|()| match is_brittle {
-                    true if !self.has_brittle_room(upstream, &candidates.ring, now) => {
+                .and_then(|()| match share {
+                    Some(share)
+                        if !self.has_brittle_room(upstream, share, &candidates.ring, now) =>
+                    {
                         Err(Unusable::Full)
                     }
                     _ => Ok(()),
--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -240,18 +240,34 @@
     /// configuration is not older. All of them are equally likely, as a failure domain may have lost its
     /// links as a whole.
     pub fn choose_delegate(&mut self, tried: &[DaemonName], now: Instant) -> Option<Delegate> {
+        self.choose_delegate_among(|name| !tried.contains(name), now)
+    }
+
+    /// Chooses one of the daemons that can serve a request for this one and are admitted.
+    pub(super) fn choose_delegate_among(
+        &mut self,
+        is_admitted: impl Fn(&DaemonName) -> bool,
+        now: Instant,
+    ) -> Option<Delegate> {
         let generation = self.generation();
         let can_serve = |peer: &&Peer| {
             let known = &peer.last_heartbeat;
             known.readiness == Readiness::Ready
-                && matches!(known.links, Links::Working | Links::Answering(_))
+                && known.links != Links::CutOff
                 && known.generation >= generation
-                && !tried.contains(&known.from.name)
+                && is_admitted(&known.from.name)
+        };
+        let able: Vec<&Peer> = self.peers.reporting(now).filter(can_serve).collect();
+        // Those that hear nothing themselves may be cut off, too, or only busy.
+        let is_silent = |peer: &&Peer| peer.last_heartbeat.links == Links::Silent;
+        let (silent, answered): (Vec<&Peer>, Vec<&Peer>) = able.into_iter().partition(is_silent);
+        let preferred = if answered.is_empty() {
+            silent
+        } else {
+            answered
         };
-        let able: Vec<Delegate> = self
-            .peers
-            .reporting(now)
-            .filter(can_serve)
+        let able: Vec<Delegate> = preferred
+            .into_iter()
             .map(|peer| Delegate {
                 name: peer.last_heartbeat.from.name.clone(),
                 address: peer.address,
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -73,8 +73,6 @@
     pub leaving: bool,
     /// The limit that the incarnation has named in a response.
     pub limit: AnnouncedLimit,
-    /// Until when it counts as crowded, if it is brittle.
-    pub(super) crowded_until: Option<Instant>,
     /// When this daemon last sent it a request.
     pub sent_at: Option<Instant>,
 }
@@ -98,11 +96,6 @@
             .max(presumed)
             .is_some_and(|until| now < until)
     }
-
-    /// Counts it as crowded until a time, unless it does for longer already.
-    pub(super) fn mark_crowded_until(&mut self, until: Instant) {
-        self.crowded_until = self.crowded_until.max(Some(until));
-    }
 }
 
 /// Effect of a changed entry.
@@ -388,7 +381,6 @@
             started_ms: registration.started_ms,
             leaving: false,
             limit: AnnouncedLimit::default(),
-            crowded_until: None,
             sent_at: None,
         }
     }
--- a/src/coordination/dispatch/release.rs
+++ b/src/coordination/dispatch/release.rs
@@ -15,6 +15,7 @@
         if std::mem::replace(&mut assignment.response_started, true) {
             return;
         }
+        self.bytes_received(assignment.reserved_at + took);
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             if std::mem::take(&mut assignment.on_trial) {
                 let now = assignment.reserved_at + took;
--- a/src/coordination/dispatch/silent_links.rs
+++ b/src/coordination/dispatch/silent_links.rs
@@ -117,7 +117,8 @@
             return;
         };
         let waited = now.saturating_duration_since(assignment.reserved_at);
-        match waited < MIN_WAIT || outcome.is_lost_connection() {
+        let is_answered = matches!(outcome, AttemptOutcome::Served | AttemptOutcome::Refused);
+        match waited < MIN_WAIT || is_answered || outcome.is_lost_connection() {
             true => {
                 self.unanswered.remove(index);
             }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -74,6 +74,7 @@
         let mut dispatcher =
             Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
         dispatcher.set_link_mbps(settings.whole_link_mbps());
+        dispatcher.set_may_delegate(settings.delegation_address().is_some());
         Self {
             started_at: clock.now(),
             has_tables: watch::Sender::new(false),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -63,9 +63,9 @@
                 Placement::Wait(wait) if wait < remaining => tokio::time::sleep(wait).await,
                 Placement::Wait(wait) => return Err((RefusalReason::NoSlot, Some(wait))),
                 Placement::Refuse(why, wait) => {
-                    if why == NoSlotReason::Unreachable
-                        && let Some(delegation) = self.delegate_to_peer()
-                    {
+                    let may_delegate =
+                        matches!(why, NoSlotReason::Unreachable | NoSlotReason::NoShare);
+                    if may_delegate && let Some(delegation) = self.delegate_to_peer() {
                         return Ok(Target::Peer(delegation));
                     }
                     self.reconsider_tried(why, wait)?;
@@ -106,10 +106,10 @@
             return None;
         }
         let now = self.shared.now();
-        let chosen = self
-            .shared
-            .dispatcher()
-            .choose_delegate(&self.delegates, now);
+        let chosen =
+            self.shared
+                .dispatcher()
+                .choose_delegate_for(&self.call.service, &self.delegates, now);
         let Delegate { name, address } = chosen?;
         self.delegates.push(name.clone());
         Delegation::to(name, address, &self.shared.settings, now)
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -35,7 +35,7 @@
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Number of slots of an upstream unless another one is set.
 const DEFAULT_SLOTS: usize = 16;
-/// Time that a brittle upstream takes for a plain request.
+/// Time that a brittle upstream takes for a plain request unless another one is set.
 const BRITTLE_RUN_TIME: Duration = Duration::from_millis(60);
 /// Span in which a brittle upstream counts its refusals.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
@@ -127,6 +127,8 @@
     crashes: Vec<Instant>,
     /// Number of slots, if it is not the default.
     slots: Option<usize>,
+    /// Time that it takes for a plain request while it is brittle, if it is not the default.
+    brittle_run_time: Option<Duration>,
     /// Times at which it refused requests while it was brittle.
     brittle_refusals: Vec<Instant>,
 }
@@ -302,6 +304,11 @@
         self.state().slots = Some(slots);
     }
 
+    /// Sets the time that the upstream takes for a plain request while it is brittle.
+    pub fn set_brittle_run_time(&self, run_time: Duration) {
+        self.state().brittle_run_time = Some(run_time);
+    }
+
     /// Restarts the upstream as another incarnation that serves requests.
     pub fn restart(&self) {
         let mut state = self.state();
@@ -400,7 +407,10 @@
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
             Behaviour::SilentFor(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-            Behaviour::Brittle(_) => tokio::time::sleep(BRITTLE_RUN_TIME).await,
+            Behaviour::Brittle(_) => {
+                let run_time = self.state().brittle_run_time.unwrap_or(BRITTLE_RUN_TIME);
+                tokio::time::sleep(run_time).await;
+            }
             Behaviour::Serve
             | Behaviour::BreakAfter(_)
             | Behaviour::EndAfter(_)
