Share out the slots of brittle services with many upstreams

Daemons used only a subset of more than 12 upstreams, where a daemon could have no share, and a refusal kept a daemon away as if all holders shared the upstream. Shares now span all upstreams of a service, in the same way for both versions of a rollout, and a refusal counts the daemons that can share its upstream.

--- a/src/coordination/dispatch/brittle.rs
+++ b/src/coordination/dispatch/brittle.rs
@@ -32,8 +32,6 @@
 /// Minimum number of a service's slots for each daemon that holds a share. With four slots, 0.6 of the
 /// capacity is served with short waits; with a single one, a third of such requests would wait for long.
 const MIN_SLOTS_PER_HOLDER: usize = 4;
-/// Number of upstreams of a service up to which all of its holders use each of them.
-const MAX_SHARED_UPSTREAMS: u32 = 12;
 /// Fraction of the named refusals that the daemons may cause together.
 const USED_FRACTION: f64 = 0.5;
 /// Maximum time for which a refusal keeps a daemon away.
@@ -72,12 +70,12 @@
 }
 
 /// A daemon's share of a brittle service's slots.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub(super) enum BrittleShare {
     /// It holds none; other daemons serve its requests.
     None,
-    /// It is one of the daemons that hold shares of all upstreams.
-    OfHolders(SharerRank),
+    /// It is one of the daemons that hold shares of the service, whose upstreams are on this ring.
+    OfHolders(SharerRank, HashRing),
     /// All daemons that use an upstream share it.
     OfUsers,
 }
@@ -98,24 +96,19 @@
 
 impl Dispatcher {
     /// Returns which share of a brittle service's slots this daemon holds.
-    pub(super) fn brittle_share(
-        &self,
-        service: &str,
-        ring: &HashRing,
-        now: Instant,
-    ) -> BrittleShare {
-        // Each daemon uses a subset of the upstreams of a large service.
-        if !self.may_delegate || ring.count() > MAX_SHARED_UPSTREAMS {
+    pub(super) fn brittle_share(&self, service: &str, now: Instant) -> BrittleShare {
+        if !self.may_delegate {
             return BrittleShare::OfUsers;
         }
         let holders = self.share_holders(service, now);
         let rank = holders.iter().position(|name| **name == self.me.name);
-        rank.map_or(BrittleShare::None, |rank| {
-            BrittleShare::OfHolders(SharerRank {
-                rank,
-                sharers: holders.len(),
-            })
-        })
+        let Some(rank) = rank else {
+            return BrittleShare::None;
+        };
+        let sharers = holders.len();
+        // Shares are the same for both versions of a rollout.
+        let ring = HashRing::from_hashes(self.listed(service, now).map(|u| u.hash));
+        BrittleShare::OfHolders(SharerRank { rank, sharers }, ring)
     }
 
     /// Returns the daemons that hold shares of a service's slots, the same on all daemons that know the same
@@ -168,7 +161,7 @@
     pub(super) fn has_brittle_room(
         &self,
         upstream: &Upstream,
-        share: BrittleShare,
+        share: &BrittleShare,
         ring: &HashRing,
         now: Instant,
     ) -> bool {
@@ -177,10 +170,17 @@
         }
         let own = match share {
             BrittleShare::None => 0,
-            BrittleShare::OfHolders(holder) => {
-                let index = ring.index(upstream.hash);
+            BrittleShare::OfHolders(holder, service_ring) => {
+                let index = service_ring.index(upstream.hash);
                 slot_share(upstream.slots, holder.rotated(index, upstream.slots))
             }
+            BrittleShare::OfUsers
+                if !self
+                    .own_position()
+                    .uses(ring.index(upstream.hash), ring.count()) =>
+            {
+                0
+            }
             // A daemon without a share sends one request at a time.
             BrittleShare::OfUsers => {
                 slot_share(upstream.slots, self.sharers(upstream, ring, now)).max(1)
@@ -211,7 +211,8 @@
         match self.registry.get(upstream) {
             Some(upstream) if self.may_delegate => {
                 let slots = self.slots_of_service(&upstream.service, now);
-                all.min((slots / MIN_SLOTS_PER_HOLDER).max(1))
+                let holders = (slots / MIN_SLOTS_PER_HOLDER).max(1);
+                all.min(holders).min(upstream.slots as usize)
             }
             _ => all,
         }
--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -38,7 +38,7 @@
         let listed = self
             .listed(request.service, now)
             .filter(|u| u.health.is_usable(now) && u.limit.per_second(now).is_none());
-        let candidates = self.candidates(request, listed.collect(), now);
+        let candidates = self.candidates(request, listed.collect(), false, now);
         let start = |u: &Upstream| ExpectedStart {
             backlog: self.wait(u, now),
             prefill_time: self.prefill_time(request, u, &candidates, now),
@@ -68,19 +68,21 @@
             .filter(move |u| u.is_listed(now) && !self.evacuated.contains(&u.domain))
     }
 
-    /// Returns the upstreams of `listed` on which a request may be placed.
+    /// Returns the upstreams of `listed` on which a request may be placed; all of them if this daemon has shares of
+    /// their slots, which may be outside of its subset.
     pub(super) fn candidates<'a>(
         &self,
         request: &PlacementRequest<'_>,
         listed: Vec<&'a Upstream>,
+        has_shares: bool,
         now: Instant,
     ) -> CandidateSet<'a> {
         let ring = HashRing::from_hashes(listed.iter().map(|u| u.hash));
         let blocks = self.blocks(request);
         let homes = Homes::find(&blocks, listed.iter().map(|u| u.hash));
         let upstreams = match request.prompt {
-            Some(_) => self.preferred(request, listed, &ring, &homes, now),
-            None => listed,
+            Some(_) if !has_shares => self.preferred(request, listed, &ring, &homes, now),
+            _ => listed,
         };
         CandidateSet {
             upstreams,
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -58,15 +58,16 @@
         if listed.is_empty() {
             return Placement::Refuse(NoSlotReason::NoneListed, NO_UPSTREAM_RETRY_AFTER);
         }
-        let candidates = self.candidates(request, listed, now);
+        let share = self
+            .max_refusals(request.service, now)
+            .map(|_| self.brittle_share(request.service, now));
+        let has_shares = matches!(share, Some(BrittleShare::OfHolders(..)));
+        let candidates = self.candidates(request, listed, has_shares, now);
         let service = self
             .routes
             .as_ref()
             .and_then(|r| r.service(request.service));
-        let share = self
-            .max_refusals(request.service, now)
-            .map(|_| self.brittle_share(request.service, &candidates.ring, now));
-        if share == Some(BrittleShare::None) {
+        if matches!(share, Some(BrittleShare::None)) {
             return Placement::Refuse(NoSlotReason::NoShare, NO_UPSTREAM_RETRY_AFTER);
         }
         let mut passed_over = PassedOver::default();
@@ -75,7 +76,7 @@
             let usable = self
                 .check_usable(request, upstream, service, now)
                 .and_then(|()| self.check_limit(upstream, &candidates.ring, now))
-                .and_then(|()| match share {
+                .and_then(|()| match &share {
                     Some(share)
                         if !self.has_brittle_room(upstream, share, &candidates.ring, now) =>
                     {
--- a/tests/dispatch/brittle.rs
+++ b/tests/dispatch/brittle.rs
@@ -214,11 +214,25 @@
     }
 }
 
+/// Guards against a service with more upstreams than a daemon's subset, of which each daemon has few slots.
+#[test]
+fn capacity_of_many_brittle_upstreams_is_used() {
+    for (size, times, load, min_share) in [(40, 8, 480, 0.8), (16, 5, 120, 0.95)] {
+        let outcome = brittle_load::run_with_upstreams(size, times, load);
+        let case = format!("{size} daemons, {times} times the upstreams, {load}/s: {outcome:?}");
+        assert!(outcome.crashes <= 2, "{case}");
+        let capacity = brittle_load::CAPACITY * times as f64;
+        let possible = capacity * brittle_load::COUNTED_TIME.as_secs_f64();
+        let possible = possible.min(outcome.sent as f64);
+        assert!(outcome.served as f64 >= min_share * possible, "{case}");
+    }
+}
+
 /// Guards against slots that stay unused because the daemons that hold them have died.
 #[test]
 fn shares_of_dead_daemons_are_used_by_others() {
     for (size, deaths) in [(3, 1), (24, 12), (24, 20)] {
-        let outcome = brittle_load::run_with_deaths(size, deaths, 24, 1);
+        let outcome = brittle_load::run_with_deaths(size, deaths, 24);
         let case = format!("{deaths} of {size} daemons die: {outcome:?}");
         assert!(outcome.crashes <= 2, "{case}");
         assert!(
--- a/tests/dispatch/brittle_load.rs
+++ b/tests/dispatch/brittle_load.rs
@@ -28,6 +28,7 @@
 /// Time for which requests are counted.
 pub(crate) const COUNTED_TIME: Duration = Duration::from_secs(20);
 
+/// Upstreams that have the capacity together.
 const UPSTREAMS: usize = 3;
 const SLOTS: usize = 4;
 const RUN_TIME: Duration = Duration::from_millis(300);
@@ -88,17 +89,26 @@
 
 /// Sends `load` requests a second through all daemons, `batch` of them at the same time.
 pub(crate) fn run(size: usize, load: u32, batch: u32) -> Outcome {
-    run_with_deaths(size, 0, load, batch)
+    run_with(size, 0, UPSTREAMS, load, batch)
+}
+
+/// The same with this many times the upstreams.
+pub(crate) fn run_with_upstreams(size: usize, times: usize, load: u32) -> Outcome {
+    run_with(size, 0, UPSTREAMS * times, load, 1)
 }
 
 /// The same, while the first `deaths` daemons die; requests are counted once that must be known.
-pub(crate) fn run_with_deaths(size: usize, deaths: usize, load: u32, batch: u32) -> Outcome {
+pub(crate) fn run_with_deaths(size: usize, deaths: usize, load: u32) -> Outcome {
+    run_with(size, deaths, UPSTREAMS, load, 1)
+}
+
+fn run_with(size: usize, deaths: usize, upstreams: usize, load: u32, batch: u32) -> Outcome {
     let now = Instant::now();
     let mut fleet = Load {
-        daemons: (0..size).map(|n| new_daemon(n, now)).collect(),
+        daemons: (0..size).map(|n| new_daemon(n, upstreams, now)).collect(),
         waiting: VecDeque::new(),
         running: Vec::new(),
-        refused_at: vec![Vec::new(); UPSTREAMS],
+        refused_at: vec![Vec::new(); upstreams],
         outcome: Outcome::default(),
         dead: 0,
         counted_from: CONTACT_TIME,
@@ -142,8 +152,8 @@
     fleet.outcome
 }
 
-fn new_daemon(n: usize, now: Instant) -> Dispatcher {
-    let rows: Vec<_> = (0..UPSTREAMS)
+fn new_daemon(n: usize, upstreams: usize, now: Instant) -> Dispatcher {
+    let rows: Vec<_> = (0..upstreams)
         .map(|u| {
             let fields = [("slots", json!(SLOTS)), ("service", json!("desk"))];
             upstream_with(&format!("u{u}"), u as u64 + 1, &fields)
