--- a/src/coordination/dispatch/evaluation.rs
+++ b/src/coordination/dispatch/evaluation.rs
@@ -9,6 +9,7 @@
 use crate::coordination::dispatch::{
     Dispatcher,
     assignment::{NoSlotReason, Placement, PlacementRequest},
+    brittle::BrittleShare,
     candidates::CandidateSet,
     cost::{Candidate, cost},
     passed_over::{NO_UPSTREAM_RETRY_AFTER, PassedOver, Unusable},
@@ -23,6 +24,8 @@
     pub(super) candidates: CandidateSet<'a>,
     /// The result for each of them.
     pub(super) evaluated: Vec<Evaluated<'a>>,
+    /// Whether only other daemons may use the upstreams, which are brittle.
+    pub(super) has_no_share: bool,
 }
 
 /// An upstream and its cost for a request, or why it cannot take it.
@@ -45,19 +48,24 @@
     ) -> Evaluation<'a> {
         let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed);
         let listed = self.listed_in_arm(request.service, arm, now);
-        let candidates = self.candidates(request, listed, now);
+        let share = self
+            .max_refusals(request.service, now)
+            .map(|_| self.brittle_share(request.service, now));
+        let has_shares = matches!(share, Some(BrittleShare::OfHolders(..)));
+        let candidates = self.candidates(request, listed, has_shares, now);
         let service = self
             .routes
             .as_ref()
             .and_then(|r| r.service(request.service));
-        let is_brittle = self.max_refusals(request.service, now).is_some();
         let mut evaluated = Vec::with_capacity(candidates.upstreams.len());
         for upstream in &candidates.upstreams {
             let usable = self
                 .check_usable(request, upstream, service, now)
                 .and_then(|()| self.check_limit(upstream, &candidates.ring, now))
-                .and_then(|()| match is_brittle {
-                    true if !self.has_brittle_room(upstream, &candidates.ring, now) => {
+                .and_then(|()| match &share {
+                    Some(share)
+                        if !self.has_brittle_room(upstream, share, &candidates.ring, now) =>
+                    {
                         Err(Unusable::Full)
                     }
                     _ => Ok(()),
@@ -72,6 +80,7 @@
         Evaluation {
             candidates,
             evaluated,
+            has_no_share: matches!(share, Some(BrittleShare::None)),
         }
     }
 
@@ -85,6 +94,10 @@
             let reason = NoSlotReason::NoneListed;
             return Err(Placement::Refuse(reason, NO_UPSTREAM_RETRY_AFTER));
         }
+        if evaluation.has_no_share {
+            let reason = NoSlotReason::NoShare;
+            return Err(Placement::Refuse(reason, NO_UPSTREAM_RETRY_AFTER));
+        }
         let mut passed_over = PassedOver::default();
         let mut best: Option<(f64, &'a Upstream, Candidate)> = None;
         for evaluated in &evaluation.evaluated {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -56,6 +56,7 @@
 mod rollout_decision;
 pub mod routes;
 pub mod sessions;
+mod silent_links;
 pub mod subset;
 
 use crash_evidence::CrashId;
@@ -76,6 +77,7 @@
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
 use sessions::RecentSessions;
+use silent_links::SilenceTracker;
 use subset::HashRing;
 
 pub use assignment::{Assignment, NoSlotReason, Placement, PlacementRequest, Quality};
@@ -105,8 +107,11 @@
     pub poison: PoisonTracker,
     /// Whether this daemon's links to upstreams work.
     pub reachability: Reachability,
+    silence: SilenceTracker,
     me: PeerId,
     domain: DomainName,
+    /// Whether daemons take requests that others delegate to them.
+    may_delegate: bool,
     /// Rate of this instance's link in Mbit/s, if known.
     link_mbps: u32,
     /// Number of heartbeats that this incarnation has sent.
@@ -172,8 +177,10 @@
             peers: Peers::default(),
             poison: PoisonTracker::default(),
             reachability: Reachability::default(),
+            silence: SilenceTracker::default(),
             me,
             domain,
+            may_delegate: true,
             link_mbps: 0,
             heartbeats_sent: 0,
             // Daemons that start together must not all send to the same ones at a time.
@@ -226,6 +233,11 @@
         self.link_mbps = link_mbps;
     }
 
+    /// Sets whether daemons take requests that others delegate to them.
+    pub fn set_may_delegate(&mut self, may_delegate: bool) {
+        self.may_delegate = may_delegate;
+    }
+
     /// Replaces the operators' limits.
     pub fn set_limits(&mut self, limits: FleetLimits) {
         self.limits = limits;
@@ -252,10 +264,11 @@
     /// Expires stale state; returns the upstreams that were removed.
     pub fn tick(&mut self, now: Instant) -> Vec<UpstreamId> {
         self.pauses.tick(now);
+        self.judge_silent_probes(now);
         self.expire_unverified(now);
+        self.expire_held(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
-        self.update_crowded(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
         self.resolve_broken_connections(now);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -29,6 +29,9 @@
 /// a response that it cannot deliver.
 const LONG_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between two reports of arrived bytes, as each locks the dispatcher.
+const BYTES_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How the stream from one upstream ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -95,6 +98,7 @@
             last_event,
             expects_event: last_event.is_none(),
             is_from_start: last_event.is_none(),
+            bytes_reported_at: None,
             exchange,
             tx,
             has_paused: false,
@@ -121,6 +125,8 @@
     paused: Duration,
     /// Until when events count as ready after the last pause.
     ready_until: Option<Instant>,
+    /// When arrived bytes were last reported to the dispatcher.
+    bytes_reported_at: Option<Instant>,
 }
 
 impl Relay {
@@ -201,6 +207,9 @@
                 }
                 Err(_) => continue,
             };
+            if let Target::Upstream(_) = source {
+                self.record_bytes();
+            }
             events.push(&data);
             while let Some(event) = events.next_event() {
                 progress.events += 1;
@@ -273,6 +282,16 @@
         self.exchange.count_request(outcome);
     }
 
+    /// Records now and then that bytes of an upstream arrive, which shows that its link works.
+    fn record_bytes(&mut self) {
+        let now = self.exchange.shared.now();
+        let is_due = |at| now.saturating_duration_since(at) >= BYTES_REPORT_INTERVAL;
+        if self.bytes_reported_at.is_none_or(is_due) {
+            self.bytes_reported_at = Some(now);
+            self.exchange.shared.dispatcher().bytes_received(now);
+        }
+    }
+
     /// Whether even events that are ready come too late.
     fn is_overdue(&self) -> bool {
         let now = self.exchange.shared.now();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -79,6 +79,7 @@
             Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
         dispatcher.set_link_mbps(settings.whole_link_mbps());
         let send_buffers = SendBuffers::new(settings.send_buffer_bytes(), clock.clone());
+        dispatcher.set_may_delegate(settings.delegation_address().is_some());
         Self {
             started_at: clock.now(),
             has_tables: watch::Sender::new(false),
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -1,8 +1,9 @@
 //! Fake of an upstream: a model engine or a plain service, with fault injection.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -34,7 +35,7 @@
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Number of slots of an upstream unless another one is set.
 const DEFAULT_SLOTS: usize = 16;
-/// Time that a brittle upstream takes for a plain request.
+/// Time that a brittle upstream takes for a plain request unless another one is set.
 const BRITTLE_RUN_TIME: Duration = Duration::from_millis(60);
 /// Span in which a brittle upstream counts its refusals.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
@@ -131,6 +132,8 @@
     crashes: Vec<Instant>,
     /// Number of slots, if it is not the default.
     slots: Option<usize>,
+    /// Time that it takes for a plain request while it is brittle, if it is not the default.
+    brittle_run_time: Option<Duration>,
     /// Times at which it refused requests while it was brittle.
     brittle_refusals: Vec<Instant>,
     /// Time after which a response is cut off that is not read.
@@ -148,8 +151,17 @@
     state: Arc<Mutex<State>>,
     in_flight: Arc<AtomicUsize>,
     crashed: Arc<Notify>,
-    /// Hosts whose connections are reset.
-    cut_off: watch::Sender<BTreeSet<IpAddr>>,
+    /// Hosts whose connections are disturbed.
+    link_faults: watch::Sender<BTreeMap<IpAddr, LinkFault>>,
+}
+
+/// How the connections of a host are disturbed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkFault {
+    /// Open and new ones are reset.
+    Reset,
+    /// New ones are accepted, and none carries data until the fault ends.
+    Silent,
 }
 
 /// Listens with a small send buffer, so that the upstream notices early that a response is not read.
@@ -173,7 +185,7 @@
             state: Arc::default(),
             in_flight: Arc::default(),
             crashed: Arc::default(),
-            cut_off: watch::Sender::default(),
+            link_faults: watch::Sender::default(),
         };
         tokio::spawn(upstream.clone().run(listener));
         upstream
@@ -205,17 +217,24 @@
         }
     }
 
-    /// Serves a connection until it ends or its host is cut off.
+    /// Serves a connection until it ends or is reset; what arrives while it is silent is read afterwards.
     async fn serve(self, stream: TcpStream, from: IpAddr) {
-        let mut cut_off = self.cut_off.subscribe();
-        if cut_off.borrow_and_update().contains(&from) {
+        let mut faults = self.link_faults.subscribe();
+        if faults.borrow_and_update().get(&from) == Some(&LinkFault::Reset) {
             // Closing the connection resets it.
             let _ = stream.set_zero_linger();
             return;
         }
-        tokio::select! {
-            () = self.serve_open(stream) => {}
-            _ = cut_off.wait_for(|hosts| hosts.contains(&from)) => {}
+        let mut serving = pin!(self.serve_open(stream));
+        loop {
+            let fault = faults.borrow_and_update().get(&from).copied();
+            if fault == Some(LinkFault::Reset) {
+                return;
+            }
+            tokio::select! {
+                () = &mut serving, if fault.is_none() => return,
+                changed = faults.changed() => if changed.is_err() { return },
+            }
         }
     }
 
@@ -251,15 +270,24 @@
     /// Resets all connections of a host, also new ones. A daemon is cut off from all upstreams if each of
     /// them does so.
     pub fn cut_off(&self, host: IpAddr) {
-        self.cut_off.send_modify(|hosts| {
-            hosts.insert(host);
-        });
+        self.set_link_fault(host, LinkFault::Reset);
     }
 
-    /// Accepts the connections of a host again.
+    /// Accepts the connections of a host, but neither reads nor writes data on them, also on open ones.
+    pub fn silence(&self, host: IpAddr) {
+        self.set_link_fault(host, LinkFault::Silent);
+    }
+
+    /// Serves the connections of a host again.
     pub fn reconnect(&self, host: IpAddr) {
-        self.cut_off.send_modify(|hosts| {
-            hosts.remove(&host);
+        self.link_faults.send_modify(|faults| {
+            faults.remove(&host);
+        });
+    }
+
+    fn set_link_fault(&self, host: IpAddr, fault: LinkFault) {
+        self.link_faults.send_modify(|faults| {
+            faults.insert(host, fault);
         });
     }
 
@@ -308,6 +336,11 @@
         self.state().slots = Some(slots);
     }
 
+    /// Sets the time that the upstream takes for a plain request while it is brittle.
+    pub fn set_brittle_run_time(&self, run_time: Duration) {
+        self.state().brittle_run_time = Some(run_time);
+    }
+
     /// Restarts the upstream as another incarnation that serves requests.
     pub fn restart(&self) {
         let mut state = self.state();
@@ -406,7 +439,10 @@
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
             Behaviour::SilentFor(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-            Behaviour::Brittle(_) => tokio::time::sleep(BRITTLE_RUN_TIME).await,
+            Behaviour::Brittle(_) => {
+                let run_time = self.state().brittle_run_time.unwrap_or(BRITTLE_RUN_TIME);
+                tokio::time::sleep(run_time).await;
+            }
             Behaviour::Serve
             | Behaviour::BreakAfter(_)
             | Behaviour::EndAfter(_)
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod brittle;
+mod brittle_load;
 mod cold;
 mod crash_storm;
 mod engine_speed;
@@ -22,6 +23,8 @@
 mod rollout;
 mod rollout_conflict;
 mod routes;
+mod silent_fleet;
+mod silent_links;
 mod support;
 mod table_outage;
 mod table_restore;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod short_silence;
 mod shutdown;
+mod silent_links;
 mod slow_readers;
 mod table_restore;
 mod trace;
