Count control traffic of a daemon in virtual time

The test plays 8 requests/s per daemon on ten engines per daemon and counts encoded bytes by kind of content. The bounds of small fleets are the bytes that this commit sends.

--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,8 @@
 mod announcements;
 mod brittle;
 mod cold;
+mod control_network;
+mod control_traffic;
 mod crash_storm;
 mod escalation;
 mod fanout;
