Send loads only to the daemons that use an engine

In fleets of more than 20 daemons a heartbeat to all no longer carries the sender's loads. Load updates go to the users of each engine, as changes and in full at intervals; two users of a busy engine report its total to all. A sign of life takes 7 bytes instead of about 20, and a heartbeat passes on at most 20.

--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -8,7 +8,8 @@
 
 use crate::coordination::dispatch::{
     announcements::LeavingReport, brittle::BrittleReport, crash_evidence::SuspectReport,
-    evidence::Evidence, rate_limit::LimitReport,
+    evidence::Evidence, liveness::LivenessReport, rate_limit::LimitReport,
+    shared_loads::BusyReport,
 };
 
 /// Name of a daemon's instance.
@@ -81,17 +82,6 @@
     pub sticky_sessions: Vec<u64>,
 }
 
-/// A sign of life of a daemon, passed on by another one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LivenessReport {
-    /// The daemon that is alive.
-    pub peer: PeerId,
-    /// Sequence number of its newest heartbeat that is known of.
-    pub sequence: u32,
-    /// Time in milliseconds since that heartbeat was sent, without transmission delays.
-    pub age_ms: u32,
-}
-
 /// Sent by each daemon to the others several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -123,8 +113,10 @@
     pub newest_upstream_version: RowVersion,
     /// Whether it keeps removed upstreams that may return after an outage of the table.
     pub awaits_upstreams: bool,
-    /// Its load on upstreams.
+    /// Its load on upstreams; in a large fleet only on those that it could not connect to.
     pub loads: Vec<LoadReport>,
+    /// The total load of busy engines that it uses; in a large fleet only.
+    pub busy: Vec<BusyReport>,
     /// Its view of the rollouts.
     pub rollouts: Vec<RolloutReport>,
     /// What may have crashed upstreams, according to all daemons that it heard.
--- /dev/null
+++ b/src/coordination/dispatch/liveness.rs
@@ -0,0 +1,106 @@
+//! Signs of life that daemons pass on for each other.
+//!
+//! Load pattern: a daemon of a large fleet sends to each of the others only every few seconds. Its sign
+//! of life reaches them much earlier by way of those that it has sent to. Each heartbeat passes on the
+//! newest signs of life, at most a constant number of them, so its size does not grow with the fleet.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::coordination::dispatch::{
+    heartbeat::PeerId,
+    peers::{Peer, Peers},
+};
+
+/// Number of known daemons for each sign of life that a heartbeat passes on.
+const KNOWN_PER_REPORT: usize = 8;
+/// Maximum number of signs of life in a heartbeat. A daemon of a fleet of 300 gets 80 heartbeats a
+/// second, and so about five signs of life of each other daemon.
+const MAX_REPORTS: usize = 20;
+/// Maximum age of a sign of life that is passed on.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
+/// Unit of the age in a report, in milliseconds; the maximum age fits into a byte.
+const AGE_UNIT_MS: u128 = 4;
+
+/// Identifies one incarnation of a daemon in few bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ShortId([u8; 4]);
+
+impl ShortId {
+    /// Returns the short id of an incarnation.
+    pub fn of(id: &PeerId) -> Self {
+        let hash = xxh3_64_with_seed(id.name.as_bytes(), id.incarnation);
+        let [a, b, c, d, ..] = hash.to_le_bytes();
+        Self([a, b, c, d])
+    }
+}
+
+/// A sign of life of a daemon, passed on by another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LivenessReport {
+    /// The daemon that is alive.
+    id: ShortId,
+    /// Last two bytes of the sequence number of its newest heartbeat that is known of.
+    sequence: [u8; 2],
+    /// Time since that heartbeat was sent, without transmission delays.
+    age: u8,
+}
+
+impl LivenessReport {
+    fn new(peer: &Peer, now: Instant) -> Self {
+        // Rounded up, so that a sign of life does not grow younger when it is passed on.
+        let age = peer.silence(now).as_millis().div_ceil(AGE_UNIT_MS);
+        let [.., high, low] = peer.newest_sequence().to_be_bytes();
+        Self {
+            id: peer.short_id(),
+            sequence: [high, low],
+            age: u8::try_from(age).unwrap_or(u8::MAX),
+        }
+    }
+
+    /// Returns the sequence number if it is newer than a known one.
+    fn newer_sequence(&self, known: u32) -> Option<u32> {
+        let [.., high, low] = known.to_be_bytes();
+        let known_low = u16::from_be_bytes([high, low]);
+        let ahead = u16::from_be_bytes(self.sequence).wrapping_sub(known_low);
+        let is_newer = ahead > 0 && ahead <= u16::MAX / 2;
+        is_newer.then(|| known.saturating_add(ahead.into()))
+    }
+
+    /// Returns the time since the sign of life.
+    fn age(&self) -> Duration {
+        Duration::from_millis(u64::from(self.age)) * u32::try_from(AGE_UNIT_MS).unwrap_or(1)
+    }
+}
+
+impl Peers {
+    /// Merges what another daemon knows of a daemon's liveness.
+    pub fn merge_liveness(&mut self, report: &LivenessReport, now: Instant) {
+        let Some(peer) = self.by_short_id_mut(report.id) else {
+            return;
+        };
+        if let Some(sequence) = report.newer_sequence(peer.newest_sequence()) {
+            let alive_at = now.checked_sub(report.age()).unwrap_or(now);
+            peer.record_life(sequence, alive_at);
+        }
+    }
+
+    /// Returns the newest signs of life of other daemons.
+    pub fn liveness_reports(&self, now: Instant) -> Vec<LivenessReport> {
+        let mut recent: Vec<(Duration, &Peer)> = self
+            .known()
+            .map(|peer| (peer.silence(now), peer))
+            .filter(|(silence, _)| *silence < MAX_REPORT_AGE)
+            .collect();
+        let count = self.known().count().div_ceil(KNOWN_PER_REPORT);
+        let count = count.min(MAX_REPORTS);
+        if count > 0 && count < recent.len() {
+            recent.select_nth_unstable_by_key(count - 1, |(silence, _)| *silence);
+            recent.truncate(count);
+        }
+        let report = |(_, peer): (Duration, &Peer)| LivenessReport::new(peer, now);
+        recent.into_iter().map(report).collect()
+    }
+}
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -30,6 +30,7 @@
 pub mod health;
 pub mod heartbeat;
 pub mod homes;
+pub mod liveness;
 pub mod orders;
 pub mod pace;
 mod passed_over;
@@ -53,6 +54,7 @@
 mod rollout_decision;
 pub mod routes;
 pub mod sessions;
+pub mod shared_loads;
 pub mod subset;
 
 use crash_evidence::CrashId;
@@ -72,6 +74,7 @@
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
 use sessions::RecentSessions;
+use shared_loads::SharedLoads;
 use subset::HashRing;
 
 pub use assignment::{Assignment, NoSlotReason, Placement, PlacementRequest, Quality};
@@ -130,6 +133,7 @@
     prefill_delays: HashMap<ServiceName, PrefillDelay>,
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
+    shared_loads: SharedLoads,
     /// This daemon and the others that may hold a share of fleet-wide limits.
     daemon_ring: HashRing,
     pauses: Pauses,
@@ -144,17 +148,24 @@
     overdue: Duration,
 }
 
+impl From<&LoadReport> for PeerLoad {
+    fn from(load: &LoadReport) -> Self {
+        Self {
+            running: load.running,
+            overdue: Duration::from_millis(load.overdue_ms.into()),
+        }
+    }
+}
+
 impl PeerLoad {
-    fn add(&mut self, load: &LoadReport) {
+    fn add(&mut self, load: Self) {
         self.running = self.running.saturating_add(load.running);
-        let overdue = Duration::from_millis(load.overdue_ms.into());
-        self.overdue = self.overdue.saturating_add(overdue);
+        self.overdue = self.overdue.saturating_add(load.overdue);
     }
 
-    fn subtract(&mut self, load: &LoadReport) {
+    fn subtract(&mut self, load: Self) {
         self.running = self.running.saturating_sub(load.running);
-        let overdue = Duration::from_millis(load.overdue_ms.into());
-        self.overdue = self.overdue.saturating_sub(overdue);
+        self.overdue = self.overdue.saturating_sub(load.overdue);
     }
 }
 
@@ -191,6 +202,7 @@
             prefill_delays: HashMap::new(),
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
+            shared_loads: SharedLoads::default(),
             daemon_ring: HashRing::default(),
             pauses: Pauses::default(),
             own_subset: HashSet::new(),
@@ -260,6 +272,7 @@
         self.update_crowded(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
+        self.update_shared_loads(now);
         self.resolve_broken_connections(now);
         self.poison.expire(now);
         let expired = self.registry.expire(now);
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -35,11 +35,13 @@
         max_session_age: Duration,
         now: Instant,
     ) -> Heartbeat {
-        let loads = self
-            .registry
-            .all()
-            .filter_map(|u| self.load_report(u, now))
-            .collect();
+        let is_large = self.is_large_fleet();
+        let loads = self.registry.all().filter_map(|u| match is_large {
+            true => self.loss_report(u, now),
+            false => self.load_report(u, now),
+        });
+        let loads = loads.collect();
+        let busy = self.busy_reports(now);
         let rollouts = self
             .rollouts
             .iter()
@@ -71,6 +73,7 @@
             newest_upstream_version: self.upstreams.newest_change(),
             awaits_upstreams: self.registry.awaits_entries(now),
             loads,
+            busy,
             rollouts,
             suspects: self.poison.reports(now),
             leaving: self.leaving_reports(),
@@ -103,6 +106,7 @@
         }
         self.mark_unreachable_cold(&heartbeat.loads, now);
         self.record_reported_backlogs(&heartbeat.loads, now);
+        self.record_busy_reports(&heartbeat.busy, now);
         self.record_leaving(&heartbeat.leaving);
         self.merge_limits(&heartbeat.limits, now);
         self.merge_brittle(&heartbeat.brittle, now);
@@ -304,8 +308,7 @@
     /// Returns what to report on an upstream, if anything.
     fn load_report(&self, upstream: &Upstream, now: Instant) -> Option<LoadReport> {
         let backlog_ms = self.backlog_ms(upstream, now);
-        let is_unreachable =
-            upstream.health.is_unreachable() && !self.reachability.is_unverified(&upstream.id);
+        let is_unreachable = self.is_known_unreachable(upstream);
         (upstream.running > 0 || is_unreachable || backlog_ms > 0).then(|| LoadReport {
             upstream: upstream.hash,
             running: upstream.running,
@@ -315,6 +318,22 @@
         })
     }
 
+    /// Returns what to report to a large fleet on an upstream: only that it could not be connected to.
+    fn loss_report(&self, upstream: &Upstream, now: Instant) -> Option<LoadReport> {
+        let is_lost = self.is_known_unreachable(upstream) && !upstream.health.is_usable(now);
+        is_lost.then_some(LoadReport {
+            upstream: upstream.hash,
+            running: 0,
+            overdue_ms: 0,
+            backlog_ms: 0,
+            unreachable: true,
+        })
+    }
+
+    fn is_known_unreachable(&self, upstream: &Upstream) -> bool {
+        upstream.health.is_unreachable() && !self.reachability.is_unverified(&upstream.id)
+    }
+
     /// Returns the backlog to report: only daemons that are notified of an engine's prompts know it.
     fn backlog_ms(&self, upstream: &Upstream, now: Instant) -> u32 {
         match self.own_subset.contains(&upstream.hash) {
@@ -362,8 +381,8 @@
         for load in &peer.last_heartbeat.loads {
             let sum = self.peer_loads.entry(load.upstream).or_default();
             match count {
-                LoadCount::Add => sum.add(load),
-                LoadCount::Subtract => sum.subtract(load),
+                LoadCount::Add => sum.add(load.into()),
+                LoadCount::Subtract => sum.subtract(load.into()),
             }
         }
     }
@@ -372,7 +391,8 @@
         self.peer_loads.clear();
         for peer in self.peers.reporting(now) {
             for load in &peer.last_heartbeat.loads {
-                self.peer_loads.entry(load.upstream).or_default().add(load);
+                let sum = self.peer_loads.entry(load.upstream).or_default();
+                sum.add(load.into());
             }
         }
     }
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -1,20 +1,20 @@
 //! The other daemons, and which of them count as live.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use crate::coordination::dispatch::{
-    as_millis,
-    heartbeat::{DaemonName, Heartbeat, LivenessReport, Readiness},
+    heartbeat::{DaemonName, Heartbeat, Readiness},
+    liveness::ShortId,
 };
 
 /// Minimum time between a daemon's heartbeats.
 pub(super) const MIN_PERIOD: Duration = Duration::from_millis(250);
 /// Time between heartbeats per daemon in the fleet, which bounds a daemon's traffic.
-const PERIOD_PER_DAEMON: Duration = Duration::from_millis(12);
+pub(super) const PERIOD_PER_DAEMON: Duration = Duration::from_millis(12);
 /// Time per daemon over which the fleet spreads its reactions to an event.
 const SPREAD_PER_DAEMON: Duration = Duration::from_millis(2);
 /// Maximum time over which the fleet spreads its reactions to an event.
@@ -29,10 +29,6 @@
 const MAX_MISSED_BY_POLLER: f64 = 2.5;
 /// Minimum time before another daemon polls the table instead.
 const MIN_POLLER_SILENCE: Duration = Duration::from_secs(1);
-/// Number of known daemons for each sign of life that a heartbeat passes on.
-const KNOWN_PER_LIVENESS_REPORT: usize = 8;
-/// Maximum age of a sign of life that is passed on.
-const MAX_LIVENESS_REPORT_AGE: Duration = Duration::from_secs(1);
 /// How long a silent daemon keeps its share of fleet-wide limits.
 const SHARE_RETENTION: Duration = Duration::from_secs(20);
 
@@ -43,6 +39,7 @@
     pub last_heartbeat: Heartbeat,
     /// Source address of its datagrams.
     pub address: SocketAddr,
+    short_id: ShortId,
     /// When the last heartbeat arrived.
     heard_at: Instant,
     /// Sequence number of its newest heartbeat that this daemon knows of.
@@ -57,6 +54,22 @@
         now.saturating_duration_since(self.alive_at)
     }
 
+    /// Returns the short id of its incarnation.
+    pub(super) fn short_id(&self) -> ShortId {
+        self.short_id
+    }
+
+    /// Returns the sequence number of its newest heartbeat that this daemon knows of.
+    pub(super) fn newest_sequence(&self) -> u32 {
+        self.newest_sequence
+    }
+
+    /// Records that it sent a heartbeat at a time, according to another daemon.
+    pub(super) fn record_life(&mut self, sequence: u32, sent_at: Instant) {
+        self.newest_sequence = sequence;
+        self.alive_at = self.alive_at.max(sent_at);
+    }
+
     /// Returns the time since its last heartbeat arrived.
     fn report_age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.heard_at)
@@ -67,6 +80,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: BTreeMap<DaemonName, Peer>,
+    /// Names of the known daemons by the short ids of their incarnations.
+    names: HashMap<ShortId, DaemonName>,
     /// Daemons that are listed in the table but have not sent a heartbeat.
     expected: BTreeMap<DaemonName, ExpectedPeer>,
 }
@@ -114,10 +129,20 @@
             newest_sequence: overtaken.map_or(heartbeat.sequence, |peer| peer.newest_sequence),
             alive_at: overtaken.map_or(now, |peer| peer.alive_at),
             heard_at: now,
+            short_id: match known {
+                Some(peer) => peer.short_id,
+                None => ShortId::of(&heartbeat.from),
+            },
             last_heartbeat: heartbeat,
             address,
         };
         let new = known.is_none();
+        if new {
+            if let Some(earlier) = self.known.get(&name) {
+                self.names.remove(&earlier.short_id);
+            }
+            self.names.insert(peer.short_id, name.clone());
+        }
         self.known.insert(name, peer);
         new
     }
@@ -133,38 +158,14 @@
         (heartbeat.from.incarnation, heartbeat.sequence) < newest
     }
 
-    /// Merges what another daemon knows of a daemon's liveness.
-    pub fn merge_liveness(&mut self, report: &LivenessReport, now: Instant) {
-        let Some(peer) = self.known.get_mut(&report.peer.name) else {
-            return;
-        };
-        let same_incarnation = peer.last_heartbeat.from == report.peer;
-        if same_incarnation && report.sequence > peer.newest_sequence {
-            let age = Duration::from_millis(report.age_ms.into());
-            let alive_at = now.checked_sub(age).unwrap_or(now);
-            peer.newest_sequence = report.sequence;
-            peer.alive_at = peer.alive_at.max(alive_at);
-        }
+    /// Returns the daemon whose incarnation has a short id.
+    pub(super) fn by_short_id(&self, id: ShortId) -> Option<&Peer> {
+        self.known.get(self.names.get(&id)?)
     }
 
-    /// Returns the newest signs of life of other daemons.
-    ///
-    /// Load pattern: a daemon of a large fleet sends to each of the others only every few seconds.
-    /// Its sign of life reaches them much earlier by way of those that it has sent to.
-    pub fn liveness_reports(&self, now: Instant) -> Vec<LivenessReport> {
-        let mut recent: Vec<&Peer> = self
-            .known
-            .values()
-            .filter(|peer| peer.silence(now) < MAX_LIVENESS_REPORT_AGE)
-            .collect();
-        recent.sort_unstable_by_key(|peer| peer.silence(now));
-        recent.truncate(self.known.len().div_ceil(KNOWN_PER_LIVENESS_REPORT));
-        let report = |peer: &Peer| LivenessReport {
-            peer: peer.last_heartbeat.from.clone(),
-            sequence: peer.newest_sequence,
-            age_ms: as_millis(peer.silence(now)),
-        };
-        recent.into_iter().map(report).collect()
+    /// Returns the daemon whose incarnation has a short id, mutably.
+    pub(super) fn by_short_id_mut(&mut self, id: ShortId) -> Option<&mut Peer> {
+        self.known.get_mut(self.names.get(&id)?)
     }
 
     /// Returns whether no other daemon is known.
@@ -231,7 +232,7 @@
     }
 
     /// Returns for how long the content of a heartbeat is used.
-    fn max_report_age(&self) -> Duration {
+    pub(super) fn max_report_age(&self) -> Duration {
         self.heartbeat_period()
             .mul_f64(MAX_MISSED_HEARTBEATS)
             .max(MIN_SILENCE)
@@ -271,6 +272,7 @@
     pub fn expire(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < SHARE_RETENTION * 3;
         self.known.retain(|_, peer| recent(peer.alive_at));
+        self.names.retain(|_, name| self.known.contains_key(name));
         self.expected.retain(|_, expected| recent(expected.since));
     }
 }
--- /dev/null
+++ b/src/coordination/dispatch/shared_loads.rs
@@ -0,0 +1,395 @@
+//! Tells a daemon's load on an engine only to the daemons that use this engine.
+//!
+//! Load pattern: each of hundreds of daemons has requests on some twenty engines, and few daemons use
+//! each engine. Sent to all daemons, the loads would be most of the control traffic. In a large fleet,
+//! a daemon therefore sends its loads to the users of each engine, as changes and now and then in full.
+//! Two users of an engine sum up what they know of it and tell all daemons in their heartbeats while
+//! the engine is busy, for those that have it as the home of a prompt prefix (see [`BusyReport`]).
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::dispatch::{
+    Dispatcher, PeerLoad, as_millis,
+    liveness::ShortId,
+    peers::{MIN_PERIOD, PERIOD_PER_DAEMON, Peer},
+    registry::Upstream,
+    subset::{HashRing, RingPosition},
+};
+
+/// Number of daemons up to which heartbeats carry all loads to all daemons.
+pub const MAX_SMALL_FLEET: usize = 20;
+/// Fraction of the slots in use from which an engine counts as busy. The cost of a request hardly
+/// depends on the number of requests below it.
+const BUSY_FRACTION: f64 = 0.25;
+/// Backlog from which an engine counts as busy.
+const BUSY_BACKLOG: Duration = Duration::from_millis(40);
+/// Number of daemons that report an engine's total load to all; the second one is for the case that
+/// the first has crashed or its link has failed.
+const REPORTERS: usize = 2;
+/// Fraction of the heartbeat period after which all loads are sent again, so that they are correct again
+/// within two periods after a lost message.
+const FULL_STATE_PERIODS: f64 = 0.6;
+/// Maximum time after which all loads are sent again.
+const MAX_FULL_STATE_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of full states in which the end of a load is reported.
+const REPORTS_OF_END: u32 = 2;
+/// Number of heartbeat periods for which a total load is used.
+const TOTAL_RETENTION_PERIODS: u32 = 2;
+
+/// A daemon's load on an engine that the receiver uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedLoad {
+    /// Hash of the upstream's id.
+    pub upstream: u64,
+    /// Outstanding requests of the sender.
+    pub running: u32,
+    /// Prefill time of the sender's overdue prompts in milliseconds.
+    pub overdue_ms: u32,
+}
+
+impl SharedLoad {
+    fn is_zero(&self) -> bool {
+        self.running == 0 && self.overdue_ms == 0
+    }
+
+    fn as_peer_load(&self) -> PeerLoad {
+        PeerLoad {
+            running: self.running,
+            overdue: Duration::from_millis(self.overdue_ms.into()),
+        }
+    }
+}
+
+/// The loads of a daemon that have changed, or all of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadUpdate {
+    /// The sender.
+    pub from: ShortId,
+    /// Increases with each update of the incarnation.
+    pub sequence: u32,
+    /// The loads, not as differences.
+    pub loads: Vec<SharedLoad>,
+}
+
+/// The load of all daemons on a busy engine, as far as one of its users knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BusyReport {
+    /// Hash of the upstream's id.
+    pub upstream: u64,
+    /// Outstanding requests of all daemons.
+    pub running: u32,
+    /// Time in milliseconds until all prompts are processed.
+    pub backlog_ms: u32,
+}
+
+/// What another daemon has reported.
+#[derive(Debug, Default)]
+struct ReceivedLoads {
+    sequence: u32,
+    loads: HashMap<u64, (SharedLoad, Instant)>,
+}
+
+/// A load that was sent to the engine's users.
+#[derive(Clone, Copy, Debug)]
+struct SentLoad {
+    load: SharedLoad,
+    /// Full states in which it is still reported that it has ended.
+    ends_left: u32,
+}
+
+/// A total load that another daemon reported.
+#[derive(Clone, Copy, Debug)]
+struct TotalLoad {
+    /// Requests of all daemons but this one.
+    others_running: u32,
+    at: Instant,
+}
+
+/// What this daemon has sent and received of the loads on shared engines.
+#[derive(Debug, Default)]
+pub(super) struct SharedLoads {
+    received: HashMap<ShortId, ReceivedLoads>,
+    totals: HashMap<u64, TotalLoad>,
+    sent: HashMap<u64, SentLoad>,
+    sequence: u32,
+    last_full: Option<Instant>,
+    /// Number of daemons that the last full state was for.
+    receivers: u32,
+    /// Until when an engine that was busy is reported.
+    busy_until: HashMap<u64, Instant>,
+    /// Live daemons, those of this failure domain first.
+    users: Vec<User>,
+    /// The engines of each service that can be selected.
+    rings: HashMap<String, HashRing>,
+}
+
+/// A daemon that may use an engine.
+#[derive(Clone, Copy, Debug)]
+struct User {
+    position: RingPosition,
+    address: SocketAddr,
+}
+
+impl SharedLoads {
+    /// Adds what is known of other daemons' requests from reports of the total load.
+    pub(super) fn with_total(&self, upstream: u64, mut load: PeerLoad) -> PeerLoad {
+        if let Some(total) = self.totals.get(&upstream) {
+            load.running = load.running.max(total.others_running);
+        }
+        load
+    }
+
+    /// Returns the loads that were received from live daemons.
+    fn received(&self) -> impl Iterator<Item = &SharedLoad> {
+        let loads = self.received.values().flat_map(|r| r.loads.values());
+        loads.map(|(load, _)| load)
+    }
+}
+
+impl Dispatcher {
+    /// Returns whether loads are sent to the users of an engine instead of to all daemons.
+    pub fn is_large_fleet(&self) -> bool {
+        self.peers.known().count() >= MAX_SMALL_FLEET
+    }
+
+    /// Returns the time between two load updates, which bounds the number of datagrams.
+    pub fn load_update_interval(&self) -> Duration {
+        let receivers = self.shared_loads.receivers;
+        PERIOD_PER_DAEMON.saturating_mul(receivers).max(MIN_PERIOD)
+    }
+
+    /// Returns the next load updates and their receivers, the nearest first; none in a small fleet.
+    pub fn load_updates(&mut self, now: Instant) -> Vec<(SocketAddr, LoadUpdate)> {
+        if !self.is_large_fleet() {
+            return Vec::new();
+        }
+        let is_full = self.is_full_state_due(now);
+        let due = self.due_loads(is_full, now);
+        let mut updates: Vec<(SocketAddr, LoadUpdate)> = Vec::new();
+        let shared = &mut self.shared_loads;
+        shared.sequence += u32::from(!due.is_empty());
+        let from = ShortId::of(&self.me);
+        for user in &shared.users {
+            let uses = |(load, index, engines): &(SharedLoad, u32, u32)| {
+                user.position.uses(*index, *engines).then_some(*load)
+            };
+            let loads: Vec<SharedLoad> = due.iter().filter_map(uses).collect();
+            if !loads.is_empty() {
+                let update = LoadUpdate {
+                    from,
+                    sequence: shared.sequence,
+                    loads,
+                };
+                updates.push((user.address, update));
+            }
+        }
+        if is_full {
+            shared.last_full = Some(now);
+            shared.receivers = u32::try_from(updates.len()).unwrap_or(u32::MAX);
+        }
+        updates
+    }
+
+    /// Merges a load update of another daemon.
+    pub fn receive_load_update(&mut self, update: &LoadUpdate, now: Instant) {
+        let Some(peer) = self.peers.by_short_id(update.from) else {
+            return;
+        };
+        let is_counted = self.peers.is_reporting(peer, now);
+        let received = self.shared_loads.received.entry(update.from).or_default();
+        if update.sequence <= received.sequence {
+            return;
+        }
+        received.sequence = update.sequence;
+        for load in &update.loads {
+            let earlier = match load.is_zero() {
+                true => received.loads.remove(&load.upstream),
+                false => received.loads.insert(load.upstream, (*load, now)),
+            };
+            if is_counted {
+                let sum = self.peer_loads.entry(load.upstream).or_default();
+                if let Some((earlier, _)) = earlier {
+                    sum.subtract(earlier.as_peer_load());
+                }
+                sum.add(load.as_peer_load());
+            }
+        }
+    }
+
+    /// Returns the busy engines whose total load this daemon reports to all.
+    pub(super) fn busy_reports(&mut self, now: Instant) -> Vec<BusyReport> {
+        if !self.is_large_fleet() {
+            return Vec::new();
+        }
+        let until = now + self.peers.heartbeat_period();
+        let crowded = self.used_engines().filter(|u| self.is_crowded(u));
+        let busy: Vec<u64> = crowded.map(|u| u.hash).collect();
+        let shared = &mut self.shared_loads;
+        shared.busy_until.retain(|_, until| now < *until);
+        for engine in busy {
+            shared.busy_until.insert(engine, until);
+        }
+        self.used_engines()
+            .filter(|u| {
+                let was_busy = self.shared_loads.busy_until.contains_key(&u.hash);
+                (was_busy || self.wait(u, now) >= BUSY_BACKLOG) && self.is_reporter_of(u)
+            })
+            .map(|u| BusyReport {
+                upstream: u.hash,
+                running: self.running(u),
+                backlog_ms: as_millis(self.wait(u, now)),
+            })
+            .collect()
+    }
+
+    /// Records the total loads that another daemon reported.
+    pub(super) fn record_busy_reports(&mut self, reports: &[BusyReport], now: Instant) {
+        for report in reports {
+            let is_used = self.own_subset.contains(&report.upstream);
+            let Some(upstream) = self.registry.by_hash_mut(report.upstream) else {
+                continue;
+            };
+            if is_used {
+                continue;
+            }
+            let backlog = Duration::from_millis(report.backlog_ms.into());
+            upstream.queue.record_report(backlog, now);
+            let total = TotalLoad {
+                others_running: report.running.saturating_sub(upstream.running),
+                at: now,
+            };
+            self.shared_loads.totals.insert(report.upstream, total);
+        }
+    }
+
+    /// Drops what other daemons have not repeated in time, and updates the users of the engines.
+    pub(super) fn update_shared_loads(&mut self, now: Instant) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let report_age = self.peers.max_report_age();
+        let total_age = self.peers.heartbeat_period() * TOTAL_RETENTION_PERIODS + MIN_PERIOD;
+        let shared = &mut self.shared_loads;
+        shared.received.retain(|id, received| {
+            received.loads.retain(|_, (_, at)| age(*at) < report_age);
+            let peer = self.peers.by_short_id(*id);
+            peer.is_some_and(|peer| self.peers.is_reporting(peer, now))
+        });
+        shared.totals.retain(|_, total| age(total.at) < total_age);
+        let loads: Vec<SharedLoad> = shared.received().copied().collect();
+        for load in loads {
+            let sum = self.peer_loads.entry(load.upstream).or_default();
+            sum.add(load.as_peer_load());
+        }
+        self.update_users(now);
+    }
+
+    fn update_users(&mut self, now: Instant) {
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .peers
+            .live(now)
+            .partition(|peer| peer.last_heartbeat.domain == self.domain);
+        let user = |peer: &Peer| User {
+            position: self.position_of(&peer.last_heartbeat.from.name),
+            address: peer.address,
+        };
+        let users = near.into_iter().chain(far).map(user).collect();
+        let mut engines: HashMap<&str, Vec<u64>> = HashMap::new();
+        let selectable = |u: &&Upstream| u.is_listed(now) && !self.evacuated.contains(&u.domain);
+        for upstream in self.registry.all().filter(selectable) {
+            engines
+                .entry(&upstream.service)
+                .or_default()
+                .push(upstream.hash);
+        }
+        let ring = |(service, hashes): (&str, Vec<u64>)| {
+            (service.to_owned(), HashRing::from_hashes(hashes))
+        };
+        let rings = engines.into_iter().map(ring).collect();
+        self.shared_loads.users = users;
+        self.shared_loads.rings = rings;
+    }
+
+    fn is_full_state_due(&self, now: Instant) -> bool {
+        let interval = self.peers.heartbeat_period().mul_f64(FULL_STATE_PERIODS);
+        let interval = interval.clamp(MIN_PERIOD, MAX_FULL_STATE_INTERVAL);
+        let last = self.shared_loads.last_full;
+        last.is_none_or(|last| now.saturating_duration_since(last) >= interval)
+    }
+
+    /// Returns the loads to send, with the index of each engine and the number of engines: those that
+    /// have changed, or all.
+    fn due_loads(&mut self, is_full: bool, now: Instant) -> Vec<(SharedLoad, u32, u32)> {
+        let mut due = Vec::new();
+        let mut sent = std::mem::take(&mut self.shared_loads.sent);
+        for upstream in self.registry.all() {
+            let load = SharedLoad {
+                upstream: upstream.hash,
+                running: upstream.running,
+                overdue_ms: as_millis(upstream.queue.overdue(now)),
+            };
+            let known = sent.get(&upstream.hash).copied();
+            if load.is_zero() && known.is_none() {
+                continue;
+            }
+            let has_changed = known.is_none_or(|known| known.load != load);
+            let is_due = is_full || (has_changed && self.is_worth_telling(upstream, &load));
+            let Some((index, engines)) = self.ring_index(upstream).filter(|_| is_due) else {
+                continue;
+            };
+            due.push((load, index, engines));
+            let ends_left = match (load.is_zero(), known) {
+                (true, Some(known)) => known.ends_left.saturating_sub(u32::from(is_full)),
+                _ => REPORTS_OF_END,
+            };
+            match ends_left {
+                0 => sent.remove(&upstream.hash),
+                _ => sent.insert(upstream.hash, SentLoad { load, ends_left }),
+            };
+        }
+        sent.retain(|hash, _| self.registry.by_hash(*hash).is_some());
+        self.shared_loads.sent = sent;
+        due
+    }
+
+    /// Returns whether a changed load is told before the next full state.
+    fn is_worth_telling(&self, upstream: &Upstream, load: &SharedLoad) -> bool {
+        load.overdue_ms > 0 || self.is_crowded(upstream)
+    }
+
+    fn is_crowded(&self, upstream: &Upstream) -> bool {
+        f64::from(self.running(upstream)) >= BUSY_FRACTION * f64::from(upstream.slots)
+    }
+
+    fn ring_index(&self, upstream: &Upstream) -> Option<(u32, u32)> {
+        let ring = self.shared_loads.rings.get(upstream.service.as_str())?;
+        Some((ring.index(upstream.hash), ring.count()))
+    }
+
+    /// Returns the engines in this daemon's subset.
+    fn used_engines(&self) -> impl Iterator<Item = &Upstream> {
+        let engines = self.own_subset.iter();
+        engines.filter_map(|hash| self.registry.by_hash(*hash))
+    }
+
+    /// Returns whether this daemon is one of those that report an engine's total load.
+    fn is_reporter_of(&self, upstream: &Upstream) -> bool {
+        let Some((index, engines)) = self.ring_index(upstream) else {
+            return false;
+        };
+        let own = self.own_position();
+        // If all daemons use all engines, different ones report different engines.
+        let order = |position: RingPosition| {
+            let daemons = position.daemons.max(1);
+            (position.rank + daemons - index % daemons) % daemons
+        };
+        let precedes =
+            |user: &&User| user.position.uses(index, engines) && order(user.position) < order(own);
+        let before = self.shared_loads.users.iter().filter(precedes);
+        before.take(REPORTERS).count() < REPORTERS
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -107,6 +107,7 @@
         tokio::spawn(table_service::serve(shared.clone(), listen(address)?));
         tokio::spawn(peer_link::receive(shared.clone()));
         tokio::spawn(peer_link::send_heartbeats(shared.clone()));
+        tokio::spawn(peer_link::send_loads(shared.clone()));
         tokio::spawn(follow(shared.clone(), FollowedTable::Orders));
         tokio::spawn(follow(shared.clone(), FollowedTable::Upstreams));
         tokio::spawn(records::run(shared.clone()));
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -8,6 +8,7 @@
 use crate::{
     coordination::dispatch::{
         Assignment, fanout::Fanout, heartbeat::Heartbeat, prefill_queue::PrefillNotice,
+        shared_loads::LoadUpdate,
     },
     gateway::{metrics, shared::Shared},
     protocol::codec,
@@ -35,6 +36,8 @@
     ForwardedHeartbeat(SocketAddr, Box<Heartbeat>),
     /// Reports that the sender has sent a prompt to an engine.
     PromptSent(PrefillNotice),
+    /// Loads of the sender on engines that the receiver uses, in a large fleet.
+    Loads(LoadUpdate),
 }
 
 impl Datagram {
@@ -45,6 +48,7 @@
             Self::HeartbeatToForward(_) => "heartbeat_to_forward",
             Self::ForwardedHeartbeat(..) => "forwarded_heartbeat",
             Self::PromptSent(_) => "prompt_sent",
+            Self::Loads(_) => "loads",
         }
     }
 }
@@ -89,6 +93,18 @@
     send(shared, &Datagram::Heartbeat(heartbeat), &fanout.direct);
 }
 
+/// Sends this daemon's loads to the daemons that use the same engines until the process exits.
+pub async fn send_loads(shared: Arc<Shared>) {
+    loop {
+        let interval = shared.dispatcher().load_update_interval();
+        tokio::time::sleep(interval).await;
+        let updates = shared.dispatcher().load_updates(shared.now());
+        for (receiver, update) in updates {
+            send(&shared, &Datagram::Loads(update), &[receiver]);
+        }
+    }
+}
+
 /// Receives and applies datagrams from the other daemons.
 pub async fn receive(shared: Arc<Shared>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -115,6 +131,10 @@
             Ok(Datagram::PromptSent(notice)) => {
                 shared.dispatcher().receive_notice(notice, shared.now());
             }
+            Ok(Datagram::Loads(update)) => {
+                let now = shared.now();
+                shared.dispatcher().receive_load_update(&update, now);
+            }
             Err(e) => log::warn!("event=datagram_unreadable peer={from} error=\"{e}\""),
         }
     }
--- a/tests/dispatch/brittle.rs
+++ b/tests/dispatch/brittle.rs
@@ -17,7 +17,8 @@
 use serde_json::json;
 
 use crate::support::{
-    LIMITS, address, configuration, daemon, order, receive_heartbeat, request, upstream_with,
+    LIMITS, address, configuration, daemon, exchange_loads, order, receive_heartbeat, request,
+    upstream_with,
 };
 
 /// Number of upstreams.
@@ -96,10 +97,11 @@
         .iter_mut()
         .map(|d| d.heartbeat(address(1), Readiness::Ready, Duration::ZERO, now))
         .collect();
-    for daemon in daemons {
+    for daemon in daemons.iter_mut() {
         receive_heartbeat(daemon, &heartbeats, now);
         daemon.tick(now);
     }
+    exchange_loads(daemons, now);
 }
 
 /// Sends requests at an interval through all daemons in turn; the upstreams say that they are brittle.
--- a/tests/dispatch/control_network.rs
+++ b/tests/dispatch/control_network.rs
@@ -73,6 +73,7 @@
     Finished(usize),
     Tick(usize),
     Heartbeat(usize),
+    Loads(usize),
     Request(usize),
 }
 
@@ -113,6 +114,7 @@
             network.schedule(TICK_INTERVAL.mul_f64(offset), Event::Tick(n));
             network.schedule(interval.mul_f64(offset), Event::Heartbeat(n));
             network.schedule(REQUEST_INTERVAL.mul_f64(offset), Event::Request(n));
+            network.schedule(TICK_INTERVAL.mul_f64(offset), Event::Loads(n));
         }
         network
     }
@@ -142,6 +144,10 @@
                 self.send_heartbeat(n, &fanout);
                 self.schedule(self.daemons[n].peers.part_interval(), event);
             }
+            Event::Loads(n) => {
+                self.send_loads(n);
+                self.schedule(self.daemons[n].load_update_interval(), event);
+            }
             Event::Request(n) => {
                 self.request(n);
                 self.schedule(REQUEST_INTERVAL, event);
@@ -181,6 +187,14 @@
         }
     }
 
+    fn send_loads(&mut self, n: usize) {
+        for (receiver, update) in self.daemons[n].load_updates(self.now) {
+            let contents = [("loads", TAG_BYTES + encoded(&update))];
+            self.traffic.count("loads", &contents, 1);
+            self.daemons[daemon_at(receiver)].receive_load_update(&update, self.now);
+        }
+    }
+
     fn send_heartbeat(&mut self, n: usize, fanout: &Fanout) {
         let heartbeat = self.heartbeat(n);
         let contents = contents(&heartbeat, TAG_BYTES);
@@ -226,7 +240,10 @@
 /// Returns the encoded size of a heartbeat by kind of content; `envelope` is the size of the rest.
 fn contents(heartbeat: &Heartbeat, envelope: usize) -> [(&'static str, usize); 5] {
     let parts = [
-        ("loads", encoded(&heartbeat.loads)),
+        (
+            "loads",
+            encoded(&heartbeat.loads) + encoded(&heartbeat.busy),
+        ),
         ("liveness", encoded(&heartbeat.liveness)),
         ("rollouts", encoded(&heartbeat.rollouts)),
         ("suspects", encoded(&heartbeat.suspects)),
--- a/tests/dispatch/control_traffic.rs
+++ b/tests/dispatch/control_traffic.rs
@@ -55,3 +55,10 @@
         assert!(now <= before, "{size} daemons: {now:.0} B/s");
     }
 }
+
+#[test]
+fn tmp_small() {
+    for size in [30, 100] {
+        bytes_per_second(size);
+    }
+}
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -54,6 +54,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Heartbeat(usize),
+    Loads(usize),
     ResponseStarted(usize),
     Finished(usize),
     Request,
@@ -124,6 +125,7 @@
         for (n, offset) in (0..self.daemons.len()).zip(0..) {
             let first = start + HEARTBEAT_OFFSET * offset;
             events.push(Reverse((first, Event::Heartbeat(n))));
+            events.push(Reverse((first, Event::Loads(n))));
         }
         while let Some(Reverse((now, event))) = events.pop() {
             if now > start + load.duration {
@@ -150,6 +152,13 @@
                     let (daemon, assignment, _) = self.assignments[n].take().expect("running");
                     self.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
                 }
+                Event::Loads(n) => {
+                    if policy == Policy::Daemons {
+                        self.send_loads(n, now);
+                    }
+                    let interval = self.daemons[n].load_update_interval();
+                    events.push(Reverse((now + interval, Event::Loads(n))));
+                }
                 Event::Heartbeat(n) => {
                     if policy == Policy::Daemons {
                         self.heartbeat(n, now);
@@ -201,6 +210,13 @@
         }
     }
 
+    fn send_loads(&mut self, from: usize, now: Instant) {
+        for (receiver, update) in self.daemons[from].load_updates(now) {
+            let n = usize::from(receiver.port() - FIRST_PORT);
+            self.daemons[n].receive_load_update(&update, now);
+        }
+    }
+
     pub(crate) fn heartbeat(&mut self, from: usize, now: Instant) {
         self.daemons[from].tick(now);
         let heartbeat_message =
--- a/tests/dispatch/rate_limit.rs
+++ b/tests/dispatch/rate_limit.rs
@@ -12,8 +12,8 @@
 use serde_json::json;
 
 use crate::support::{
-    LIMITS, address, assign, configuration, daemon, heartbeat, order, ready, receive_heartbeat,
-    request, upstream_with,
+    LIMITS, address, assign, configuration, daemon, exchange_loads, heartbeat, order, ready,
+    receive_heartbeat, request, upstream_with,
 };
 
 /// Time between the heartbeats of a daemon.
@@ -80,6 +80,7 @@
             receive_heartbeat(daemon, &heartbeats, now);
             daemon.tick(now);
         }
+        exchange_loads(&mut self.daemons, now);
     }
 
     /// Sends one request through a daemon.
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -82,6 +82,7 @@
         newest_upstream_version: RowVersion::default(),
         awaits_upstreams: false,
         loads: Vec::new(),
+        busy: Vec::new(),
         rollouts: Vec::new(),
         suspects: Vec::new(),
         leaving: Vec::new(),
@@ -97,6 +98,17 @@
     }
 }
 
+/// Exchanges the load updates of daemons whose heartbeats came from `address(2)` and those after it.
+pub(crate) fn exchange_loads(daemons: &mut [Dispatcher], now: Instant) {
+    for n in 0..daemons.len() {
+        for (receiver, update) in daemons[n].load_updates(now) {
+            let is_receiver = |i: &u8| address(*i) == receiver;
+            let index = (2..=u8::MAX).position(|i| is_receiver(&i));
+            daemons[index.expect("a daemon")].receive_load_update(&update, now);
+        }
+    }
+}
+
 /// Returns a configuration with a pool of engines and a plain service.
 pub(crate) fn configuration(generation: u64) -> Row {
     let value = serde_json::json!({
