Tell of the end of a load at once, and test lost updates, cut links and a lost domain

An engine that became idle was told only in the next full state, as it no longer counted as busy, while its users still took it for full. The test of lost updates found it (no update after four slots were given back).

--- a/src/coordination/dispatch/shared_loads.rs
+++ b/src/coordination/dispatch/shared_loads.rs
@@ -228,7 +228,9 @@
             return Vec::new();
         }
         let until = now + self.peers.heartbeat_period();
-        let crowded = self.used_engines().filter(|u| self.is_crowded(u));
+        let crowded = self
+            .used_engines()
+            .filter(|u| is_crowded(u, self.running(u)));
         let busy: Vec<u64> = crowded.map(|u| u.hash).collect();
         let shared = &mut self.shared_loads;
         shared.busy_until.retain(|_, until| now < *until);
@@ -336,8 +338,7 @@
             if load.is_zero() && known.is_none() {
                 continue;
             }
-            let has_changed = known.is_none_or(|known| known.load != load);
-            let is_due = is_full || (has_changed && self.is_worth_telling(upstream, &load));
+            let is_due = is_full || self.is_worth_telling(upstream, load, known);
             let Some((index, engines)) = self.ring_index(upstream).filter(|_| is_due) else {
                 continue;
             };
@@ -356,13 +357,21 @@
         due
     }
 
-    /// Returns whether a changed load is told before the next full state.
-    fn is_worth_telling(&self, upstream: &Upstream, load: &SharedLoad) -> bool {
-        load.overdue_ms > 0 || self.is_crowded(upstream)
-    }
-
-    fn is_crowded(&self, upstream: &Upstream) -> bool {
-        f64::from(self.running(upstream)) >= BUSY_FRACTION * f64::from(upstream.slots)
+    /// Returns whether a load is told before the next full state: it has changed, and the engine is busy
+    /// or the receivers take it for busy.
+    fn is_worth_telling(
+        &self,
+        upstream: &Upstream,
+        load: SharedLoad,
+        known: Option<SentLoad>,
+    ) -> bool {
+        let told = known.map(|known| known.load);
+        let told_running = told.map_or(0, |told| told.running);
+        let told_overdue_ms = told.map_or(0, |told| told.overdue_ms);
+        let others = self.running(upstream).saturating_sub(upstream.running);
+        let running = others.saturating_add(load.running.max(told_running));
+        let is_busy = load.overdue_ms.max(told_overdue_ms) > 0 || is_crowded(upstream, running);
+        told != Some(load) && is_busy
     }
 
     fn ring_index(&self, upstream: &Upstream) -> Option<(u32, u32)> {
@@ -393,3 +402,8 @@
         before.take(REPORTERS).count() < REPORTERS
     }
 }
+
+/// Returns whether an upstream with this number of requests counts as busy.
+fn is_crowded(upstream: &Upstream, running: u32) -> bool {
+    f64::from(running) >= BUSY_FRACTION * f64::from(upstream.slots)
+}
--- a/tests/dispatch/control_network.rs
+++ b/tests/dispatch/control_network.rs
@@ -85,6 +85,10 @@
     pub(crate) now: Instant,
     /// Sent by all daemons.
     pub(crate) traffic: Traffic,
+    /// Daemons that neither send nor receive.
+    pub(crate) crashed: Vec<bool>,
+    /// Whether datagrams from one daemon to another are lost.
+    pub(crate) is_cut: fn(usize, usize) -> bool,
     events: BinaryHeap<Reverse<(Instant, Event)>>,
     assignments: Vec<Option<(usize, Assignment)>>,
     engines: usize,
@@ -100,6 +104,8 @@
             daemons: (0..size).map(|n| new_daemon(n, &rows, now)).collect(),
             now,
             traffic: Traffic::default(),
+            crashed: vec![false; size],
+            is_cut: |_, _| false,
             events: BinaryHeap::new(),
             assignments: Vec::new(),
             engines,
@@ -141,6 +147,7 @@
                 self.daemons[n].tick(self.now);
                 self.schedule(TICK_INTERVAL, event);
             }
+            Event::Heartbeat(n) | Event::Loads(n) | Event::Request(n) if self.crashed[n] => {}
             Event::Heartbeat(n) => {
                 let fanout = self.daemons[n].next_fanout(self.now);
                 self.send_heartbeat(n, &fanout);
@@ -184,8 +191,10 @@
         let contents = [("notices", TAG_BYTES + encoded(&notice))];
         self.traffic
             .count("prompt_sent", &contents, receivers.len());
-        for receiver in receivers {
-            self.daemons[daemon_at(receiver)].receive_notice(notice, self.now);
+        for to in receivers.into_iter().map(daemon_at) {
+            if self.reaches(from, to) {
+                self.daemons[to].receive_notice(notice, self.now);
+            }
         }
     }
 
@@ -193,7 +202,10 @@
         for (receiver, update) in self.daemons[n].load_updates(self.now) {
             let contents = [("loads", TAG_BYTES + encoded(&update))];
             self.traffic.count("loads", &contents, 1);
-            self.daemons[daemon_at(receiver)].receive_load_update(&update, self.now);
+            let to = daemon_at(receiver);
+            if self.reaches(n, to) {
+                self.daemons[to].receive_load_update(&update, self.now);
+            }
         }
     }
 
@@ -205,11 +217,15 @@
         let to_forward = fanout.forwarders.len();
         self.traffic
             .count("heartbeat_to_forward", &contents, to_forward);
-        for receiver in &fanout.direct {
-            self.receive(daemon_at(*receiver), n, heartbeat.clone());
+        for to in fanout.direct.iter().copied().map(daemon_at) {
+            if self.reaches(n, to) {
+                self.receive(to, n, heartbeat.clone());
+            }
         }
-        for forwarder in &fanout.forwarders {
-            self.forward(daemon_at(*forwarder), n, &heartbeat);
+        for forwarder in fanout.forwarders.iter().copied().map(daemon_at) {
+            if self.reaches(n, forwarder) {
+                self.forward(forwarder, n, &heartbeat);
+            }
         }
     }
 
@@ -218,8 +234,10 @@
         let contents = contents(heartbeat, TAG_BYTES + ORIGIN_BYTES);
         self.traffic
             .count("forwarded_heartbeat", &contents, receivers.len());
-        for receiver in receivers {
-            self.receive(daemon_at(receiver), origin, heartbeat.clone());
+        for to in receivers.into_iter().map(daemon_at) {
+            if self.reaches(forwarder, to) {
+                self.receive(to, origin, heartbeat.clone());
+            }
         }
         self.receive(forwarder, origin, heartbeat.clone());
     }
@@ -234,6 +252,23 @@
         self.daemons[receiver].receive_heartbeat(heartbeat, from, self.now);
     }
 
+    /// Returns whether a datagram arrives.
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        !self.crashed[to] && !(self.is_cut)(from, to)
+    }
+
+    /// Returns the daemons that have not crashed.
+    pub(crate) fn survivors(&self) -> Vec<usize> {
+        (0..self.daemons.len())
+            .filter(|n| !self.crashed[*n])
+            .collect()
+    }
+
+    /// Returns how many other daemons one of them takes for live.
+    pub(crate) fn live_count(&self, n: usize) -> usize {
+        self.daemons[n].peers.live(self.now).count()
+    }
+
     fn schedule(&mut self, delay: Duration, event: Event) {
         self.events.push(Reverse((self.now + delay, event)));
     }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod brittle;
 mod cold;
+mod control_faults;
 mod control_network;
 mod control_traffic;
 mod crash_storm;
