--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -153,7 +153,7 @@
     fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
         let load = self.peer_loads.get(&upstream.hash);
         let load = load.copied().unwrap_or_default();
-        self.shared_loads.with_total(upstream.hash, load)
+        self.busy.with_total(upstream.hash, load)
     }
 
     pub(super) fn prefill_time(
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -7,9 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
-    announcements::LeavingReport, brittle::BrittleReport, crash_evidence::SuspectReport,
-    evidence::Evidence, liveness::LivenessReport, rate_limit::LimitReport,
-    shared_loads::BusyReport,
+    announcements::LeavingReport, brittle::BrittleReport, busy_reports::BusyReport,
+    crash_evidence::SuspectReport, evidence::Evidence, liveness::LivenessReport,
+    rate_limit::LimitReport,
 };
 
 /// Name of a daemon's instance.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -19,6 +19,7 @@
 pub mod announcements;
 pub mod assignment;
 pub mod brittle;
+pub mod busy_reports;
 mod candidates;
 pub mod cold;
 pub mod cost;
@@ -59,6 +60,7 @@
 pub mod sticky_sessions;
 pub mod subset;
 
+use busy_reports::BusyEngines;
 use crash_evidence::CrashId;
 use heartbeat::{LoadReport, PeerId, Readiness, TableState};
 use pauses::Pauses;
@@ -136,6 +138,7 @@
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
     shared_loads: SharedLoads,
+    busy: BusyEngines,
     /// This daemon and the others that may hold a share of fleet-wide limits.
     daemon_ring: HashRing,
     pauses: Pauses,
@@ -205,6 +208,7 @@
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
             shared_loads: SharedLoads::default(),
+            busy: BusyEngines::default(),
             daemon_ring: HashRing::default(),
             pauses: Pauses::default(),
             own_subset: HashSet::new(),
--- a/src/coordination/dispatch/shared_loads.rs
+++ b/src/coordination/dispatch/shared_loads.rs
@@ -3,8 +3,8 @@
 //! Load pattern: each of hundreds of daemons has requests on some twenty engines, and few daemons use
 //! each engine. Sent to all daemons, the loads would be most of the control traffic. In a large fleet,
 //! a daemon therefore sends its loads to the users of each engine, as changes and now and then in full.
-//! Two users of an engine sum up what they know of it and tell all daemons in their heartbeats while
-//! the engine is busy, for those that have it as the home of a prompt prefix (see [`BusyReport`]).
+//! Two users of an engine tell all daemons its total load while it is busy, for those that have it as the
+//! home of a prompt prefix (see [`super::busy_reports`]).
 
 use std::{
     collections::HashMap,
@@ -27,11 +27,6 @@
 /// Fraction of the slots in use from which an engine counts as busy. The cost of a request hardly
 /// depends on the number of requests below it.
 const BUSY_FRACTION: f64 = 0.25;
-/// Backlog from which an engine counts as busy.
-const BUSY_BACKLOG: Duration = Duration::from_millis(40);
-/// Number of daemons that report an engine's total load to all; the second one is for the case that
-/// the first has crashed or its link has failed.
-const REPORTERS: usize = 2;
 /// Fraction of the heartbeat period after which all loads are sent again, so that they are correct again
 /// within two periods after a lost message.
 const FULL_STATE_PERIODS: f64 = 0.6;
@@ -39,9 +34,6 @@
 const MAX_FULL_STATE_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of full states in which the end of a load is reported.
 const REPORTS_OF_END: u32 = 2;
-/// Number of heartbeat periods for which a total load is used.
-const TOTAL_RETENTION_PERIODS: u32 = 2;
-
 /// A daemon's load on an engine that the receiver uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedLoad {
@@ -77,17 +69,6 @@
     pub loads: Vec<SharedLoad>,
 }
 
-/// The load of all daemons on a busy engine, as far as one of its users knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BusyReport {
-    /// Hash of the upstream's id.
-    pub upstream: u64,
-    /// Outstanding requests of all daemons.
-    pub running: u32,
-    /// Time in milliseconds until all prompts are processed.
-    pub backlog_ms: u32,
-}
-
 /// What another daemon has reported.
 #[derive(Debug, Default)]
 struct ReceivedLoads {
@@ -103,48 +84,29 @@
     ends_left: u32,
 }
 
-/// A total load that another daemon reported.
-#[derive(Clone, Copy, Debug)]
-struct TotalLoad {
-    /// Requests of all daemons but this one.
-    others_running: u32,
-    at: Instant,
-}
-
 /// What this daemon has sent and received of the loads on shared engines.
 #[derive(Debug, Default)]
 pub(super) struct SharedLoads {
     received: HashMap<ShortId, ReceivedLoads>,
-    totals: HashMap<u64, TotalLoad>,
     sent: HashMap<u64, SentLoad>,
     sequence: u32,
     last_full: Option<Instant>,
     /// Number of daemons that the last full state was for.
     receivers: u32,
-    /// Until when an engine that was busy is reported.
-    busy_until: HashMap<u64, Instant>,
     /// Live daemons, those of this failure domain first.
-    users: Vec<User>,
+    pub(super) users: Vec<User>,
     /// The engines of each service that can be selected.
     rings: HashMap<String, HashRing>,
 }
 
 /// A daemon that may use an engine.
 #[derive(Clone, Copy, Debug)]
-struct User {
-    position: RingPosition,
+pub(super) struct User {
+    pub(super) position: RingPosition,
     address: SocketAddr,
 }
 
 impl SharedLoads {
-    /// Adds what is known of other daemons' requests from reports of the total load.
-    pub(super) fn with_total(&self, upstream: u64, mut load: PeerLoad) -> PeerLoad {
-        if let Some(total) = self.totals.get(&upstream) {
-            load.running = load.running.max(total.others_running);
-        }
-        load
-    }
-
     /// Returns the loads that were received from live daemons.
     fn received(&self) -> impl Iterator<Item = &SharedLoad> {
         let loads = self.received.values().flat_map(|r| r.loads.values());
@@ -222,72 +184,23 @@
         }
     }
 
-    /// Returns the busy engines whose total load this daemon reports to all.
-    pub(super) fn busy_reports(&mut self, now: Instant) -> Vec<BusyReport> {
-        if !self.is_large_fleet() {
-            return Vec::new();
-        }
-        let until = now + self.peers.heartbeat_period();
-        let crowded = self
-            .used_engines()
-            .filter(|u| is_crowded(u, self.running(u)));
-        let busy: Vec<u64> = crowded.map(|u| u.hash).collect();
-        let shared = &mut self.shared_loads;
-        shared.busy_until.retain(|_, until| now < *until);
-        for engine in busy {
-            shared.busy_until.insert(engine, until);
-        }
-        self.used_engines()
-            .filter(|u| {
-                let was_busy = self.shared_loads.busy_until.contains_key(&u.hash);
-                (was_busy || self.wait(u, now) >= BUSY_BACKLOG) && self.is_reporter_of(u)
-            })
-            .map(|u| BusyReport {
-                upstream: u.hash,
-                running: self.running(u),
-                backlog_ms: as_millis(self.wait(u, now)),
-            })
-            .collect()
-    }
-
-    /// Records the total loads that another daemon reported.
-    pub(super) fn record_busy_reports(&mut self, reports: &[BusyReport], now: Instant) {
-        for report in reports {
-            let is_used = self.own_subset.contains(&report.upstream);
-            let Some(upstream) = self.registry.by_hash_mut(report.upstream) else {
-                continue;
-            };
-            if is_used {
-                continue;
-            }
-            let backlog = Duration::from_millis(report.backlog_ms.into());
-            upstream.queue.record_report(backlog, now);
-            let total = TotalLoad {
-                others_running: report.running.saturating_sub(upstream.running),
-                at: now,
-            };
-            self.shared_loads.totals.insert(report.upstream, total);
-        }
-    }
-
     /// Drops what other daemons have not repeated in time, and updates the users of the engines.
     pub(super) fn update_shared_loads(&mut self, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
         let report_age = self.peers.max_report_age();
-        let total_age = self.peers.heartbeat_period() * TOTAL_RETENTION_PERIODS + MIN_PERIOD;
         let shared = &mut self.shared_loads;
         shared.received.retain(|id, received| {
             received.loads.retain(|_, (_, at)| age(*at) < report_age);
             let peer = self.peers.by_short_id(*id);
             peer.is_some_and(|peer| self.peers.is_reporting(peer, now))
         });
-        shared.totals.retain(|_, total| age(total.at) < total_age);
         let loads: Vec<SharedLoad> = shared.received().copied().collect();
         for load in loads {
             let sum = self.peer_loads.entry(load.upstream).or_default();
             sum.add(load.as_peer_load());
         }
         self.update_users(now);
+        self.expire_totals(now);
     }
 
     fn update_users(&mut self, now: Instant) {
@@ -374,36 +287,13 @@
         told != Some(load) && is_busy
     }
 
-    fn ring_index(&self, upstream: &Upstream) -> Option<(u32, u32)> {
+    pub(super) fn ring_index(&self, upstream: &Upstream) -> Option<(u32, u32)> {
         let ring = self.shared_loads.rings.get(upstream.service.as_str())?;
         Some((ring.index(upstream.hash), ring.count()))
     }
-
-    /// Returns the engines in this daemon's subset.
-    fn used_engines(&self) -> impl Iterator<Item = &Upstream> {
-        let engines = self.own_subset.iter();
-        engines.filter_map(|hash| self.registry.by_hash(*hash))
-    }
-
-    /// Returns whether this daemon is one of those that report an engine's total load.
-    fn is_reporter_of(&self, upstream: &Upstream) -> bool {
-        let Some((index, engines)) = self.ring_index(upstream) else {
-            return false;
-        };
-        let own = self.own_position();
-        // If all daemons use all engines, different ones report different engines.
-        let order = |position: RingPosition| {
-            let daemons = position.daemons.max(1);
-            (position.rank + daemons - index % daemons) % daemons
-        };
-        let precedes =
-            |user: &&User| user.position.uses(index, engines) && order(user.position) < order(own);
-        let before = self.shared_loads.users.iter().filter(precedes);
-        before.take(REPORTERS).count() < REPORTERS
-    }
 }
 
 /// Returns whether an upstream with this number of requests counts as busy.
-fn is_crowded(upstream: &Upstream, running: u32) -> bool {
+pub(super) fn is_crowded(upstream: &Upstream, running: u32) -> bool {
     f64::from(running) >= BUSY_FRACTION * f64::from(upstream.slots)
 }
