Spread the answers to daemons that are heard of for the first time

After a restart of 300 daemons at once, the answers to a daemon's first heartbeat arrived together and overran a socket's buffer of 256 datagrams; a daemon that missed one waited for the next periodic heartbeat, up to 3.6 s.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -31,6 +31,7 @@
 pub mod health;
 pub mod heartbeat;
 pub mod homes;
+mod introductions;
 pub mod liveness;
 mod load_reports;
 pub mod orders;
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -148,7 +148,16 @@
     }
 }
 
-fn handle_heartbeat(shared: &Shared, heartbeat: Heartbeat, from: SocketAddr) {
+/// Answers a daemon that was heard of for the first time.
+async fn introduce(shared: Arc<Shared>, peer: SocketAddr) {
+    let delay = shared.dispatcher().introduction_delay();
+    tokio::time::sleep(delay).await;
+    let build = Dispatcher::heartbeat;
+    let heartbeat = heartbeat(&shared, MAX_SESSION_AGE_FOR_NEW_PEER, build);
+    send(&shared, &Datagram::Heartbeat(heartbeat), &[peer]);
+}
+
+fn handle_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat, from: SocketAddr) {
     let now = shared.now();
     let id = heartbeat.from.clone();
     shared.table_era.learn(heartbeat.table_era);
@@ -162,9 +171,7 @@
             id.name,
             id.incarnation
         );
-        let heartbeat =
-            self::heartbeat(shared, MAX_SESSION_AGE_FOR_NEW_PEER, Dispatcher::heartbeat);
-        send(shared, &Datagram::Heartbeat(heartbeat), &[from]);
+        tokio::spawn(introduce(shared.clone(), from));
     }
     shared.newest_peer_version.send_if_modified(|known| {
         let newer = reported_version > *known;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod control_faults;
 mod control_network;
+mod control_restart;
 mod control_traffic;
 mod crash_storm;
 mod escalation;
