--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -165,7 +165,8 @@
 
     fn peer_load(&self, upstream: &Upstream) -> PeerLoad {
         let load = self.peer_loads.get(&upstream.hash);
-        load.copied().unwrap_or_default()
+        let load = load.copied().unwrap_or_default();
+        self.busy.with_total(upstream.hash, load)
     }
 
     pub(super) fn prefill_time(
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -7,8 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
-    announcements::LeavingReport, brittle::BrittleReport, crash_evidence::SuspectReport,
-    evidence::Evidence, rate_limit::LimitReport,
+    announcements::LeavingReport, brittle::BrittleReport, busy_reports::BusyReport,
+    crash_evidence::SuspectReport, evidence::Evidence, liveness::LivenessReport,
+    rate_limit::LimitReport,
 };
 
 /// Name of a daemon's instance.
@@ -104,17 +105,6 @@
     pub sticky_sessions: Vec<u64>,
 }
 
-/// A sign of life of a daemon, passed on by another one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LivenessReport {
-    /// The daemon that is alive.
-    pub peer: PeerId,
-    /// Sequence number of its newest heartbeat that is known of.
-    pub sequence: u32,
-    /// Time in milliseconds since that heartbeat was sent, without transmission delays.
-    pub age_ms: u32,
-}
-
 /// Sent by each daemon to the others several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -146,8 +136,10 @@
     pub newest_upstream_version: RowVersion,
     /// Whether it keeps removed upstreams that may return after an outage of the table.
     pub awaits_upstreams: bool,
-    /// Its load on upstreams.
+    /// Its load on upstreams; in a large fleet only on those that it could not connect to.
     pub loads: Vec<LoadReport>,
+    /// The total load of busy engines that it uses; in a large fleet only.
+    pub busy: Vec<BusyReport>,
     /// Its view of the rollouts.
     pub rollouts: Vec<RolloutReport>,
     /// What may have crashed upstreams, according to all daemons that it heard.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -19,6 +19,7 @@
 pub mod announcements;
 pub mod assignment;
 pub mod brittle;
+pub mod busy_reports;
 mod candidates;
 pub mod cold;
 pub mod cost;
@@ -33,6 +34,9 @@
 pub mod health;
 pub mod heartbeat;
 pub mod homes;
+mod introductions;
+pub mod liveness;
+mod load_reports;
 pub mod orders;
 pub mod pace;
 mod passed_over;
@@ -56,9 +60,12 @@
 mod rollout_decision;
 pub mod routes;
 pub mod sessions;
+pub mod shared_loads;
 mod silent_links;
+pub mod sticky_sessions;
 pub mod subset;
 
+use busy_reports::BusyEngines;
 use crash_evidence::CrashId;
 use engine_speed::ModelPaces;
 use heartbeat::{LoadReport, PeerId, Readiness, TableState};
@@ -77,6 +84,7 @@
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
 use sessions::RecentSessions;
+use shared_loads::SharedLoads;
 use silent_links::SilenceTracker;
 use subset::HashRing;
 
@@ -140,6 +148,8 @@
     prefill_delays: HashMap<ServiceName, PrefillDelay>,
     sessions: RecentSessions,
     peer_loads: HashMap<u64, PeerLoad>,
+    shared_loads: SharedLoads,
+    busy: BusyEngines,
     /// This daemon and the others that may hold a share of fleet-wide limits.
     daemon_ring: HashRing,
     pauses: Pauses,
@@ -154,17 +164,24 @@
     overdue: Duration,
 }
 
+impl From<&LoadReport> for PeerLoad {
+    fn from(load: &LoadReport) -> Self {
+        Self {
+            running: load.running,
+            overdue: Duration::from_millis(load.overdue_ms.into()),
+        }
+    }
+}
+
 impl PeerLoad {
-    fn add(&mut self, load: &LoadReport) {
+    fn add(&mut self, load: Self) {
         self.running = self.running.saturating_add(load.running);
-        let overdue = Duration::from_millis(load.overdue_ms.into());
-        self.overdue = self.overdue.saturating_add(overdue);
+        self.overdue = self.overdue.saturating_add(load.overdue);
     }
 
-    fn subtract(&mut self, load: &LoadReport) {
+    fn subtract(&mut self, load: Self) {
         self.running = self.running.saturating_sub(load.running);
-        let overdue = Duration::from_millis(load.overdue_ms.into());
-        self.overdue = self.overdue.saturating_sub(overdue);
+        self.overdue = self.overdue.saturating_sub(load.overdue);
     }
 }
 
@@ -204,6 +221,8 @@
             prefill_delays: HashMap::new(),
             sessions: RecentSessions::default(),
             peer_loads: HashMap::new(),
+            shared_loads: SharedLoads::default(),
+            busy: BusyEngines::default(),
             daemon_ring: HashRing::default(),
             pauses: Pauses::default(),
             own_subset: HashSet::new(),
@@ -271,6 +290,7 @@
         self.sum_peer_loads(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
+        self.update_shared_loads(now);
         self.resolve_broken_connections(now);
         self.poison.expire(now);
         let expired = self.registry.expire(now);
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -7,7 +7,11 @@
 
 use crate::{
     coordination::dispatch::{
-        Assignment, fanout::Fanout, heartbeat::Heartbeat, prefill_queue::PrefillNotice,
+        Assignment, Dispatcher,
+        fanout::Fanout,
+        heartbeat::{Heartbeat, Readiness},
+        prefill_queue::PrefillNotice,
+        shared_loads::LoadUpdate,
     },
     gateway::{metrics, shared::Shared},
     protocol::codec,
@@ -35,6 +39,8 @@
     ForwardedHeartbeat(SocketAddr, Box<Heartbeat>),
     /// Reports that the sender has sent a prompt to an engine.
     PromptSent(PrefillNotice),
+    /// Loads of the sender on engines that the receiver uses, in a large fleet.
+    Loads(LoadUpdate),
 }
 
 impl Datagram {
@@ -45,6 +51,7 @@
             Self::HeartbeatToForward(_) => "heartbeat_to_forward",
             Self::ForwardedHeartbeat(..) => "forwarded_heartbeat",
             Self::PromptSent(_) => "prompt_sent",
+            Self::Loads(_) => "loads",
         }
     }
 }
@@ -68,27 +75,44 @@
             tokio::time::sleep_until(next_urgent).await;
             shared.urgent_heartbeat.notified().await;
         };
-        let fanout = tokio::select! {
+        tokio::select! {
             () = tokio::time::sleep(part_interval) => {
-                shared.dispatcher().next_fanout(shared.now())
+                let fanout = shared.dispatcher().next_fanout(shared.now());
+                send_to_fleet(&shared, &fanout, Dispatcher::heartbeat);
             }
             () = urgent => {
                 next_urgent = tokio::time::Instant::now() + urgent_interval;
-                shared.dispatcher().full_fanout(shared.now())
+                let fanout = shared.dispatcher().full_fanout(shared.now());
+                send_to_fleet(&shared, &fanout, Dispatcher::urgent_heartbeat);
             }
-        };
-        send_to_fleet(&shared, &fanout);
+        }
     }
 }
 
-fn send_to_fleet(shared: &Shared, fanout: &Fanout) {
+/// Builds a heartbeat.
+type BuildHeartbeat =
+    fn(&mut Dispatcher, SocketAddr, Readiness, Duration, std::time::Instant) -> Heartbeat;
+
+fn send_to_fleet(shared: &Shared, fanout: &Fanout, build: BuildHeartbeat) {
     let max_session_age = shared.dispatcher().peers.heartbeat_period() * REPORTS_OF_SESSION;
-    let heartbeat = heartbeat(shared, max_session_age.max(MIN_SESSION_AGE));
+    let heartbeat = heartbeat(shared, max_session_age.max(MIN_SESSION_AGE), build);
     let to_forward = Datagram::HeartbeatToForward(heartbeat.clone());
     send(shared, &to_forward, &fanout.forwarders);
     send(shared, &Datagram::Heartbeat(heartbeat), &fanout.direct);
 }
 
+/// Sends this daemon's loads to the daemons that use the same engines until the process exits.
+pub async fn send_loads(shared: Arc<Shared>) {
+    loop {
+        let interval = shared.dispatcher().load_update_interval();
+        tokio::time::sleep(interval).await;
+        let updates = shared.dispatcher().load_updates(shared.now());
+        for (receiver, update) in updates {
+            send(&shared, &Datagram::Loads(update), &[receiver]);
+        }
+    }
+}
+
 /// Receives and applies datagrams from the other daemons.
 pub async fn receive(shared: Arc<Shared>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -115,12 +139,25 @@
             Ok(Datagram::PromptSent(notice)) => {
                 shared.dispatcher().receive_notice(notice, shared.now());
             }
+            Ok(Datagram::Loads(update)) => {
+                let now = shared.now();
+                shared.dispatcher().receive_load_update(&update, now);
+            }
             Err(e) => log::warn!("event=datagram_unreadable peer={from} error=\"{e}\""),
         }
     }
 }
 
-fn handle_heartbeat(shared: &Shared, heartbeat: Heartbeat, from: SocketAddr) {
+/// Answers a daemon that was heard of for the first time.
+async fn introduce(shared: Arc<Shared>, peer: SocketAddr) {
+    let delay = shared.dispatcher().introduction_delay();
+    tokio::time::sleep(delay).await;
+    let build = Dispatcher::heartbeat;
+    let heartbeat = heartbeat(&shared, MAX_SESSION_AGE_FOR_NEW_PEER, build);
+    send(&shared, &Datagram::Heartbeat(heartbeat), &[peer]);
+}
+
+fn handle_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat, from: SocketAddr) {
     let now = shared.now();
     let id = heartbeat.from.clone();
     shared.table_era.learn(heartbeat.table_era);
@@ -134,8 +171,7 @@
             id.name,
             id.incarnation
         );
-        let heartbeat = self::heartbeat(shared, MAX_SESSION_AGE_FOR_NEW_PEER);
-        send(shared, &Datagram::Heartbeat(heartbeat), &[from]);
+        tokio::spawn(introduce(shared.clone(), from));
     }
     shared.newest_peer_version.send_if_modified(|known| {
         let newer = reported_version > *known;
@@ -159,12 +195,18 @@
     send(shared, &Datagram::PromptSent(notice), &receivers);
 }
 
-fn heartbeat(shared: &Shared, max_session_age: Duration) -> Box<Heartbeat> {
+fn heartbeat(shared: &Shared, max_session_age: Duration, build: BuildHeartbeat) -> Box<Heartbeat> {
     let now = shared.now();
     let readiness = shared.readiness();
     let front = shared.settings.front;
     let mut dispatcher = shared.dispatcher();
-    Box::new(dispatcher.heartbeat(front, readiness, max_session_age, now))
+    Box::new(build(
+        &mut dispatcher,
+        front,
+        readiness,
+        max_session_age,
+        now,
+    ))
 }
 
 fn send(shared: &Shared, datagram: &Datagram, addresses: &[SocketAddr]) {
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -56,6 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Heartbeat(usize),
+    Loads(usize),
     ResponseStarted(usize),
     Finished(usize),
     Request,
@@ -137,6 +138,7 @@
         for (n, offset) in (0..self.daemons.len()).zip(0..) {
             let first = start + HEARTBEAT_OFFSET * offset;
             events.push(Reverse((first, Event::Heartbeat(n))));
+            events.push(Reverse((first, Event::Loads(n))));
         }
         while let Some(Reverse((now, event))) = events.pop() {
             if now > start + load.duration {
@@ -166,6 +168,13 @@
                     self.daemons[daemon].record_pace(&assignment, per_event, now);
                     self.daemons[daemon].release(&assignment, AttemptOutcome::Served, now);
                 }
+                Event::Loads(n) => {
+                    if policy == Policy::Daemons {
+                        self.send_loads(n, now);
+                    }
+                    let interval = self.daemons[n].load_update_interval();
+                    events.push(Reverse((now + interval, Event::Loads(n))));
+                }
                 Event::Heartbeat(n) => {
                     if policy == Policy::Daemons {
                         self.heartbeat(n, now);
@@ -217,6 +226,13 @@
         }
     }
 
+    fn send_loads(&mut self, from: usize, now: Instant) {
+        for (receiver, update) in self.daemons[from].load_updates(now) {
+            let n = usize::from(receiver.port() - FIRST_PORT);
+            self.daemons[n].receive_load_update(&update, now);
+        }
+    }
+
     pub(crate) fn heartbeat(&mut self, from: usize, now: Instant) {
         self.daemons[from].tick(now);
         let heartbeat_message =
