--- a/src/coordination/admission/limit.rs
+++ b/src/coordination/admission/limit.rs
@@ -64,6 +64,11 @@
         self.share = f64::from(capacity) * overcommit / daemons as f64;
     }
 
+    /// Sets the share of the capacity, in slots.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
     /// Decreases the limit after an admitted request found all upstreams busy.
     pub fn busy(&mut self, now: Instant) {
         let recent = self
--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -2,9 +2,11 @@
 
 mod hold_time;
 mod limit;
+mod precedence;
 mod queue;
 
 pub use limit::{Limit, engine_capacity, service_capacity};
+pub use precedence::{Position, Traits};
 pub use queue::{
     Admission, Admit, AdmitRequest, Arrival, QueueAction, RefusalCause, Refused, WaiterId,
 };
--- a/src/coordination/admission/queue.rs
+++ b/src/coordination/admission/queue.rs
@@ -2,14 +2,20 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use derive_more::Display;
 
 use crate::{
-    coordination::{admission::hold_time::HoldTime, decisions::RequestId},
+    coordination::{
+        admission::{
+            hold_time::HoldTime,
+            precedence::{Traits, Turns},
+        },
+        decisions::RequestId,
+    },
     state::objects::CustomerName,
 };
 
@@ -98,17 +104,17 @@
 }
 
 /// The order of one customer's waiting requests: priority, then deadline, then arrival.
-type Rank = (Reverse<u8>, Instant, WaiterId);
+pub(super) type Rank = (Reverse<u8>, Instant, WaiterId);
 
 #[derive(Debug, Default)]
-struct CustomerQueue {
-    weight: f64,
+pub(super) struct CustomerQueue {
+    pub(super) weight: f64,
     virtual_finish: f64,
-    waiting: BTreeSet<Rank>,
+    pub(super) waiting: BTreeMap<Rank, Traits>,
 }
 
 impl CustomerQueue {
-    fn virtual_start(&self, virtual_time: f64) -> f64 {
+    pub(super) fn virtual_start(&self, virtual_time: f64) -> f64 {
         self.virtual_finish.max(virtual_time)
     }
 }
@@ -118,9 +124,11 @@
 pub struct Admission {
     max_running: u32,
     running: u32,
-    virtual_time: f64,
-    queues: BTreeMap<CustomerName, CustomerQueue>,
-    hold: HoldTime,
+    pub(super) virtual_time: f64,
+    pub(super) queues: BTreeMap<CustomerName, CustomerQueue>,
+    pub(super) hold: HoldTime,
+    /// Which groups of waiting requests have been passed over, in the order of precedence.
+    pub(super) turns: Turns,
 }
 
 impl Admission {
@@ -146,7 +154,7 @@
         let wait = self.predicted_wait(arrival);
         let queue = self.queue(arrival);
         if idle {
-            self.charge(&arrival.customer);
+            self.charge(&arrival.customer, 1.0);
             self.running += 1;
             return Admit::Now;
         }
@@ -158,7 +166,8 @@
         if needed > remaining {
             return refuse(RefusalCause::Deadline, needed.saturating_sub(remaining));
         }
-        self.queue(arrival).waiting.insert(rank(arrival));
+        let traits = Traits::of(arrival);
+        self.queue(arrival).waiting.insert(rank(arrival), traits);
         Admit::Queued
     }
 
@@ -182,7 +191,7 @@
             let Some((customer, id)) = self.pop_next() else {
                 break;
             };
-            self.charge(&customer);
+            self.charge(&customer, 1.0);
             self.running += 1;
             actions.push(QueueAction::Run(id));
         }
@@ -199,7 +208,7 @@
         let sort_key = |queue: &CustomerQueue| {
             let virtual_start = queue.virtual_start(self.virtual_time);
             let within_lead = virtual_start <= min_start + MAX_PRIORITY_LEAD / queue.weight;
-            let head = queue.waiting.first().map_or(0, |rank| rank.0.0);
+            let head = queue.waiting.keys().next().map_or(0, |rank| rank.0.0);
             (Reverse(if within_lead { head } else { 0 }), virtual_start)
         };
         let (name, _) = backlogged().min_by(|(_, a), (_, b)| {
@@ -209,14 +218,15 @@
         let name = name.clone();
         self.virtual_time = self.virtual_time.max(min_start);
         let queue = self.queues.get_mut(&name)?;
-        let (_, _, id) = queue.waiting.pop_first()?;
+        let ((_, _, id), _) = queue.waiting.pop_first()?;
         Some((name, id))
     }
 
-    fn charge(&mut self, customer: &CustomerName) {
+    /// Charges a customer for a start that costs `units`.
+    pub(super) fn charge(&mut self, customer: &CustomerName, units: f64) {
         let virtual_time = self.virtual_time;
         if let Some(queue) = self.queues.get_mut(customer) {
-            queue.virtual_finish = queue.virtual_start(virtual_time) + 1.0 / queue.weight;
+            queue.virtual_finish = queue.virtual_start(virtual_time) + units / queue.weight;
         }
     }
 
@@ -224,7 +234,7 @@
         let hold = self.hold.mean();
         let mut actions = Vec::new();
         for queue in self.queues.values_mut() {
-            queue.waiting.retain(|(_, deadline, id)| {
+            queue.waiting.retain(|(_, deadline, id), _| {
                 let late = now + hold > *deadline;
                 if late {
                     let refused = refused(RefusalCause::Deadline, hold);
@@ -252,13 +262,13 @@
         self.hold.wait(ahead + 1, self.max_running, share)
     }
 
-    fn queue(&mut self, arrival: &Arrival) -> &mut CustomerQueue {
+    pub(super) fn queue(&mut self, arrival: &Arrival) -> &mut CustomerQueue {
         let queue = self.queues.entry(arrival.customer.clone()).or_default();
         queue.weight = f64::from(arrival.weight.max(1));
         queue
     }
 
-    fn evict_idle(&mut self) {
+    pub(super) fn evict_idle(&mut self) {
         if self.queues.len() >= MAX_CUSTOMERS {
             let virtual_time = self.virtual_time;
             self.queues
@@ -267,7 +277,7 @@
     }
 }
 
-fn rank(arrival: &Arrival) -> Rank {
+pub(super) fn rank(arrival: &Arrival) -> Rank {
     (Reverse(arrival.priority), arrival.deadline, arrival.id)
 }
 
--- a/src/coordination/dispatch/assignment.rs
+++ b/src/coordination/dispatch/assignment.rs
@@ -63,8 +63,12 @@
     pub(super) expected_at: Instant,
     pub(super) reserved_at: Instant,
     pub(super) prefill_time: Duration,
+    /// Maximum length of the response in tokens; 0 without a prompt.
+    pub(super) output_tokens: u32,
     pub(super) model: Option<CompactString>,
     pub(super) response_started: bool,
+    /// Time from the reservation to the first event.
+    pub(super) first_event_after: Duration,
 }
 
 impl Assignment {
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -8,7 +8,7 @@
 
 use crate::coordination::dispatch::{
     announcements::LeavingReport, brittle::BrittleReport, crash_evidence::SuspectReport,
-    evidence::Evidence, rate_limit::LimitReport,
+    evidence::Evidence, overload::{self, OverloadReport}, rate_limit::LimitReport,
 };
 
 /// Name of a daemon's instance.
@@ -135,6 +135,10 @@
     pub limits: Vec<LimitReport>,
     /// What it, or a daemon that it heard, knows of brittle services.
     pub brittle: Vec<BrittleReport>,
+    /// Demand for services whose upstreams are full. It takes no bytes if there are none, so it must be
+    /// the last field.
+    #[serde(with = "overload::optional_tail")]
+    pub overload: Vec<OverloadReport>,
 }
 
 impl Heartbeat {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 
-use crate::state::rows::RowCache;
+use crate::{coordination::admission::WaiterId, state::rows::RowCache};
 
 pub mod announcements;
 pub mod assignment;
@@ -31,6 +31,7 @@
 pub mod heartbeat;
 pub mod homes;
 pub mod orders;
+pub mod overload;
 pub mod pace;
 mod passed_over;
 mod pauses;
@@ -54,6 +55,7 @@
 pub mod routes;
 pub mod sessions;
 pub mod subset;
+pub mod waiting;
 
 use crash_evidence::CrashId;
 use heartbeat::{LoadReport, PeerId, Readiness, TableState};
@@ -73,6 +75,7 @@
 use routes::Routes;
 use sessions::RecentSessions;
 use subset::HashRing;
+use waiting::ServiceQueue;
 
 pub use assignment::{Assignment, NoSlotReason, Placement, PlacementRequest, Quality};
 pub use orders::Applied;
@@ -135,6 +138,10 @@
     pauses: Pauses,
     /// Hashes of the engines whose prompts this daemon is notified of.
     own_subset: HashSet<u64>,
+    /// The waiting requests and the counts of each service.
+    queues: HashMap<ServiceName, ServiceQueue>,
+    /// Id of the newest request that may wait.
+    last_waiter: WaiterId,
     rng: Xoshiro128PlusPlus,
 }
 
@@ -194,6 +201,8 @@
             daemon_ring: HashRing::default(),
             pauses: Pauses::default(),
             own_subset: HashSet::new(),
+            queues: HashMap::new(),
+            last_waiter: 0,
             rng,
         }
     }
@@ -258,6 +267,7 @@
         self.peers.expire(now);
         self.sum_peer_loads(now);
         self.update_crowded(now);
+        self.update_shares(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
         self.resolve_broken_connections(now);
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -76,6 +76,7 @@
             leaving: self.leaving_reports(),
             limits: self.limit_reports(now),
             brittle: self.brittle_reports(now),
+            overload: self.overload_reports(now),
         }
     }
 
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -58,7 +58,7 @@
     }
 
     /// Returns the time since its last heartbeat arrived.
-    fn report_age(&self, now: Instant) -> Duration {
+    pub(super) fn report_age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.heard_at)
     }
 }
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -126,8 +126,10 @@
             expected_at: now,
             reserved_at: now,
             prefill_time,
+            output_tokens: request.prompt.map_or(0, |prompt| prompt.max_output_tokens),
             model: request.model.map(Into::into),
             response_started: false,
+            first_event_after: Duration::ZERO,
         };
         let blocks = candidates.blocks;
         self.reserve_slot(&mut assignment, &blocks, now);
--- a/src/coordination/dispatch/release.rs
+++ b/src/coordination/dispatch/release.rs
@@ -14,6 +14,7 @@
         if std::mem::replace(&mut assignment.response_started, true) {
             return;
         }
+        assignment.first_event_after = took;
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             if std::mem::take(&mut assignment.on_trial) {
                 let now = assignment.reserved_at + took;
@@ -62,6 +63,7 @@
                 upstream.health.trial_ended(false, now);
             }
         }
+        self.record_hold(assignment, outcome, now);
         match outcome {
             AttemptOutcome::Unreachable => {
                 self.connection_lost(&assignment.upstream, Loss::Refused, now);
--- a/src/gateway/followed_table.rs
+++ b/src/gateway/followed_table.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     coordination::dispatch::{Applied, Dispatcher, registry::Change},
-    gateway::shared::Shared,
+    gateway::{shared::Shared, waiting},
     state::rows::{RowCache, RowChanges},
 };
 
@@ -156,6 +156,8 @@
             Change::Updated(_) | Change::None => {}
         }
     }
+    drop(dispatcher);
+    waiting::wake_all(shared);
 }
 
 fn log_row(rows: &[Row], id: &str) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,6 +21,7 @@
         escalation::{EscalationDecision, StartedResponse, decide_escalation},
         health::AttemptOutcome,
         heartbeat::DaemonName,
+        waiting::Rejection,
     },
     gateway::{
         attempt::{self, AttemptError, UpstreamResponse},
@@ -133,6 +134,8 @@
     failure: Option<Response<Body>>,
     /// Another daemon's refusal, forwarded if nothing else can serve the request.
     pub(super) peer_refusal: Option<Response<Body>>,
+    /// Why it was rejected for lack of capacity.
+    pub(super) rejection: Option<Rejection>,
     /// Keeps the daemon running during shutdown until the response is complete.
     _work: WorkGuard,
 }
@@ -164,6 +167,7 @@
             may_have_run: false,
             failure: None,
             peer_refusal: None,
+            rejection: None,
         }
     }
 
@@ -329,6 +333,7 @@
             may_have_run: true,
             failure: None,
             peer_refusal: None,
+            rejection: None,
             _work: self._work.clone(),
         };
         let body = relay::spawn(exchange, source, response);
@@ -476,13 +481,14 @@
     fn refuse(&self, reason: RefusalReason, wait: Option<Duration>) -> Response<Body> {
         let waited = self.call.age(self.shared.now());
         log::info!(
-            "event=refused id={} route={} reason={reason} attempts={} generation={} ms={} retry_after_ms={}",
+            "event=refused id={} route={} reason={reason} attempts={} generation={} ms={} retry_after_ms={}{}",
             self.call.id(),
             self.call.route.name,
             self.attempts,
             self.call.generation,
             waited.as_millis(),
-            wait.unwrap_or_default().as_millis()
+            wait.unwrap_or_default().as_millis(),
+            self.rejection.map_or_else(String::new, |r| format!(" {r}"))
         );
         self.count_request(&reason.to_string());
         let mut response = reply::refuse(reason, wait);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,7 +5,9 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
-    coordination::dispatch::{announcements::Announcement, registry::Upstream},
+    coordination::dispatch::{
+        announcements::Announcement, overload::PRIORITIES, registry::Upstream,
+    },
     gateway::shared::Shared,
     metrics::{counter, gauge, histogram},
 };
@@ -53,6 +55,22 @@
     )
 });
 
+static WAITS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_waits_total",
+        "Requests that waited for an upstream with room, by priority.",
+        &["priority"],
+    )
+});
+
+static REJECTIONS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_rejections_total",
+        "Requests that were rejected for lack of capacity, by priority.",
+        &["priority"],
+    )
+});
+
 static TABLE_CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter(
         "hibiscusyoke_gateway_table_calls_total",
@@ -104,6 +122,24 @@
     ATTEMPTS.with_label_values(&[outcome]).inc();
 }
 
+/// Counts a request that waits for an upstream with room.
+pub fn wait(priority: u8) {
+    WAITS.with_label_values(&[priority_label(priority)]).inc();
+}
+
+/// Counts a request that is rejected for lack of capacity.
+pub fn rejection(priority: u8) {
+    REJECTIONS
+        .with_label_values(&[priority_label(priority)])
+        .inc();
+}
+
+/// Returns one of at most ten label values; the last one stands for all lower priorities.
+fn priority_label(priority: u8) -> &'static str {
+    const LABELS: [&str; PRIORITIES] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
+    LABELS[usize::from(priority).min(PRIORITIES - 1)]
+}
+
 /// Counts an announcement of an upstream.
 pub fn announcement(announcement: &Announcement) {
     let what = match announcement {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub mod table_link;
 pub mod table_service;
 pub mod target;
+pub mod waiting;
 
 /// Interval between removals of expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -9,7 +9,7 @@
     coordination::dispatch::{
         Assignment, fanout::Fanout, heartbeat::Heartbeat, prefill_queue::PrefillNotice,
     },
-    gateway::{metrics, shared::Shared},
+    gateway::{metrics, shared::Shared, waiting},
     protocol::codec,
 };
 
@@ -137,6 +137,7 @@
         let heartbeat = self::heartbeat(shared, MAX_SESSION_AGE_FOR_NEW_PEER);
         send(shared, &Datagram::Heartbeat(heartbeat), &[from]);
     }
+    waiting::wake_all(shared);
     shared.newest_peer_version.send_if_modified(|known| {
         let newer = reported_version > *known;
         *known = reported_version.max(*known);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -239,7 +239,10 @@
             return None;
         }
         while self.exchange.may_retry() && !self.tx.is_closed() {
-            let mut target = self.exchange.choose_target().await.ok()?;
+            let mut target = tokio::select! {
+                target = self.exchange.choose_target() => target.ok()?,
+                () = self.tx.closed() => return None,
+            };
             let sent = tokio::select! {
                 sent = self.exchange.send_resumption(&target, self.last_event) => sent,
                 () = self.tx.closed() => return None,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,7 +22,12 @@
         health::AttemptOutcome,
         heartbeat::{PeerId, Readiness},
     },
-    gateway::{body_memory::BodyMemory, drain::Drain, settings::Settings},
+    gateway::{
+        body_memory::BodyMemory,
+        drain::Drain,
+        settings::Settings,
+        waiting::{self, Waiters},
+    },
 };
 
 /// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
@@ -49,6 +54,8 @@
     pub drain: Drain,
     /// Memory for response bodies that are read as a whole.
     pub body_memory: Arc<BodyMemory>,
+    /// The requests that wait for an upstream with room.
+    pub waiters: Waiters,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -86,6 +93,7 @@
             table_era: EraTracker::default(),
             drain: Drain::default(),
             body_memory: Arc::default(),
+            waiters: Waiters::default(),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             knows_peers: AtomicBool::new(false),
@@ -248,6 +256,7 @@
         self.shared
             .dispatcher()
             .release(&self.assignment, self.outcome, now);
+        waiting::wake(&self.shared, &self.assignment.service);
         if self.outcome.is_lost_connection() {
             self.shared.connection_lost.notify_one();
         }
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -35,7 +35,7 @@
 
 impl Exchange {
     /// Chooses an upstream and reserves a slot there, or a daemon that can serve the request instead;
-    /// waits only while the rate limit of cold upstreams requires it.
+    /// waits while the upstreams are full or the rate limit of cold ones requires it.
     pub async fn choose_target(&mut self) -> Result<Target, (RefusalReason, Option<Duration>)> {
         if self.prefers_delegate()
             && let Some(delegation) = self.delegate_to_peer()
@@ -48,12 +48,7 @@
             if remaining.is_zero() {
                 return Err((RefusalReason::Timeout, None));
             }
-            let placement_request = self.placement_request(self.model.as_ref());
-            let placement = self
-                .shared
-                .dispatcher()
-                .select_upstream(&placement_request, now);
-            match placement {
+            match self.place().await? {
                 Placement::Assigned(assignment) => {
                     self.log_placement(&assignment);
                     peer_link::send_prefill_notice(&self.shared, &assignment);
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -9,6 +9,8 @@
 mod fleet;
 mod herd;
 mod orders;
+mod overload;
+mod overload_fleet;
 mod placement;
 mod poison;
 mod polling;
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -87,6 +87,7 @@
         leaving: Vec::new(),
         limits: Vec::new(),
         brittle: Vec::new(),
+        overload: Vec::new(),
     }
 }
 
