--- a/src/coordination/admission/precedence.rs
+++ b/src/coordination/admission/precedence.rs
@@ -165,10 +165,8 @@
             .filter(|entry| entry.traits.latest_start >= now && may_start(entry.id()));
         let entries: Vec<Entry<'_>> = entries.collect();
         let due = self.turns.due(&entries);
-        let is_due = |entry: &&Entry<'_>| {
-            due.as_ref()
-                .is_none_or(|due| entry.groups().contains(due))
-        };
+        let is_due =
+            |entry: &&Entry<'_>| due.as_ref().is_none_or(|due| entry.groups().contains(due));
         let first = entries.iter().filter(is_due);
         let first = first.min_by(|a, b| a.compare(b, now));
         first.map(Entry::id)
@@ -261,7 +259,11 @@
         let [route, customer, session] = &started_groups;
         let is_group_turn = is_turn(route) || is_turn(customer);
         let is_session_turn = is_turn(session);
-        self.since_turn = if is_group_turn { 0 } else { self.since_turn.saturating_add(1) };
+        self.since_turn = if is_group_turn {
+            0
+        } else {
+            self.since_turn.saturating_add(1)
+        };
         self.since_session_turn = match is_session_turn {
             true => 0,
             false => self.since_session_turn.saturating_add(1),
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -7,8 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
-    announcements::LeavingReport, brittle::BrittleReport, crash_evidence::SuspectReport,
-    evidence::Evidence, overload::{self, OverloadReport}, rate_limit::LimitReport,
+    announcements::LeavingReport,
+    brittle::BrittleReport,
+    crash_evidence::SuspectReport,
+    evidence::Evidence,
+    overload::{self, OverloadReport},
+    rate_limit::LimitReport,
 };
 
 /// Name of a daemon's instance.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -49,6 +49,7 @@
 pub mod reachability;
 pub mod registry;
 mod release;
+mod released_slots;
 pub mod retry_budget;
 pub mod rollout;
 mod rollout_decision;
--- a/src/coordination/dispatch/overload.rs
+++ b/src/coordination/dispatch/overload.rs
@@ -319,7 +319,6 @@
     f64::INFINITY
 }
 
-
 /// Encodes the last field of a message without any bytes if it is empty.
 pub(super) mod optional_tail {
     use serde::{Deserialize, Deserializer, Serialize, Serializer};
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -188,7 +188,8 @@
         if !upstream.health.is_usable(now) {
             return Err(Unusable::Unhealthy);
         }
-        if self.running(upstream) >= upstream.slots * queue_factor(service) {
+        let is_full = self.running(upstream) >= upstream.slots * queue_factor(service);
+        if is_full && !upstream.released.has_any(now) {
             return Err(Unusable::Full);
         }
         match upstream
@@ -228,6 +229,7 @@
         if let Some(upstream) = self.registry.get_mut(&assignment.upstream) {
             upstream.running += 1;
             upstream.sent_at = Some(now);
+            upstream.released.take();
             assignment.on_trial = upstream.health.request_sent();
             assignment.expected_at = upstream.queue.enqueue(assignment.prefill_time, now);
             if upstream.is_cold(now)
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -15,7 +15,7 @@
 
 use crate::coordination::dispatch::{
     cold::RequestPacer, departed::DepartedUpstreams, health::Health, prefill_queue::PrefillQueue,
-    presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
+    presumed_cold::PresumedCold, rate_limit::AnnouncedLimit, released_slots::ReleasedSlots,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -75,6 +75,8 @@
     pub limit: AnnouncedLimit,
     /// Until when it counts as crowded, if it is brittle.
     pub(super) crowded_until: Option<Instant>,
+    /// Slots that this daemon may reuse while the service is full.
+    pub(super) released: ReleasedSlots,
     /// When this daemon last sent it a request.
     pub sent_at: Option<Instant>,
 }
@@ -389,6 +391,7 @@
             leaving: false,
             limit: AnnouncedLimit::default(),
             crowded_until: None,
+            released: ReleasedSlots::default(),
             sent_at: None,
         }
     }
--- a/src/coordination/dispatch/waiting.rs
+++ b/src/coordination/dispatch/waiting.rs
@@ -11,7 +11,7 @@
 };
 
 use derive_more::Display;
-use platform::ServiceName;
+use platform::{ServiceName, UpstreamId};
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,6 +24,7 @@
         overload::{
             AdmissionLevel, OverloadCounts, OverloadReport, RequestSample, admission_level,
         },
+        registry::Upstream,
     },
 };
 
@@ -35,9 +36,8 @@
 const RETURN_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of rejected sessions that are remembered for each service.
 const MAX_RETURNING: usize = 2_048;
-/// Ratio of the sum of all daemons' shares to the slots. Daemons use their shares unevenly, and upstreams
-/// let a few requests wait.
-const OVERCOMMIT: f64 = 1.1;
+/// Fraction of the slots in use from which a service that was full still counts as full.
+const CROWDED_FRACTION: f64 = 0.9;
 /// Weight of the newest counts in a daemon's share; those of one second are few in a large fleet.
 const SHARE_WEIGHT: f64 = 0.2;
 /// Weight of the newest sample in the time for each token of a response.
@@ -176,9 +176,7 @@
     /// Returns the expected time for which a request holds its slot after its prefill.
     fn response_time(&self, tokens: u32) -> Duration {
         match self.per_token_s {
-            Some(per_token) if tokens > 0 => {
-                Duration::from_secs_f64(per_token * f64::from(tokens))
-            }
+            Some(per_token) if tokens > 0 => Duration::from_secs_f64(per_token * f64::from(tokens)),
             _ => self.admission.mean_hold(),
         }
     }
@@ -197,7 +195,6 @@
                     return Admitted::Placed(placement);
                 }
             }
-            self.service_queue(service).counts.record_full(now);
         }
         self.admit_in_order(request, now)
     }
@@ -209,10 +206,15 @@
         let (arrival, traits) = self.arrival(request, now);
         let sample = sample(request, &traits, now);
         if !request.sent_before {
-            self.service_queue(service).counts.record_arrival(sample, now);
+            self.service_queue(service)
+                .counts
+                .record_arrival(sample, now);
         }
         let level = self.admission_level(service, now);
-        let position = self.service_queue(service).admission.position(&arrival, traits, now);
+        let position = self
+            .service_queue(service)
+            .admission
+            .position(&arrival, traits, now);
         let state = WaitState {
             level,
             position: position.ahead,
@@ -228,9 +230,7 @@
         }
         if position.ahead == 0 {
             match self.select_in_share(&request.placement, now) {
-                Placement::Refuse(NoSlotReason::AllFull, _) => {
-                    self.service_queue(service).counts.record_full(now);
-                }
+                Placement::Refuse(NoSlotReason::AllFull, _) => {}
                 Placement::Assigned(assignment) => {
                     let queue = self.service_queue(service);
                     queue.admission.start_at_once(&arrival, traits.work);
@@ -263,7 +263,10 @@
         let service = request.placement.service;
         let state = self.wait_state(service, id, now);
         let queue = self.service_queue(service);
-        let latest_start = queue.waiters.get(&id).map(|(_, traits)| traits.latest_start);
+        let latest_start = queue
+            .waiters
+            .get(&id)
+            .map(|(_, traits)| traits.latest_start);
         if latest_start.is_none_or(|latest| latest < now) {
             queue.remove(id);
             let session = request.placement.session;
@@ -286,10 +289,7 @@
                 queue.remove(id);
                 Admitted::Placed(placement)
             }
-            Placement::Refuse(why, _) => {
-                if why == NoSlotReason::AllFull {
-                    queue.counts.record_full(now);
-                }
+            Placement::Refuse(..) => {
                 // Others may use the upstreams that it has tried.
                 if !request.placement.tried.is_empty() {
                     queue.passed.insert(id);
@@ -358,10 +358,58 @@
         let running = self.own_running(request.service);
         let queue = self.service_queue(request.service);
         let is_limited = queue.share.is_some() && running >= queue.limit.max_running();
-        match is_limited && queue.counts.is_full(now) {
-            true => Placement::Refuse(NoSlotReason::AllFull, MIN_RETRY_AFTER),
-            false => self.select_upstream(request, now),
+        if queue.counts.is_full(now) {
+            if is_limited {
+                if self.is_crowded(request.service, now) {
+                    self.service_queue(request.service).counts.record_full(now);
+                }
+                return Placement::Refuse(NoSlotReason::AllFull, MIN_RETRY_AFTER);
+            }
+            if let Some(placement) = self.select_released(request, now) {
+                return placement;
+            }
+            // An upstream that seems to have room has just refused the request. The next one would, too.
+            if !request.tried.is_empty() && running > 0 {
+                return Placement::Refuse(NoSlotReason::AllFull, MIN_RETRY_AFTER);
+            }
+        }
+        let placement = self.select_upstream(request, now);
+        if let Placement::Refuse(NoSlotReason::AllFull, _) = placement {
+            self.service_queue(request.service).counts.record_full(now);
         }
+        placement
+    }
+
+    /// Places a request on an upstream on which this daemon has just released a slot. Other daemons do not
+    /// know of that slot yet, so this one does not have to compete for it.
+    fn select_released(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        now: Instant,
+    ) -> Option<Placement> {
+        let may_use = |u: &&Upstream| {
+            u.released.has_any(now) && u.health.is_usable(now) && !request.tried.contains(&u.id)
+        };
+        let released = self.listed(request.service, now).find(may_use)?.id.clone();
+        let others = self.registry.of_service(request.service);
+        let others = others.filter(|u| u.id != released).map(|u| u.id.clone());
+        let tried: Vec<UpstreamId> = others.collect();
+        let request = PlacementRequest {
+            tried: &tried,
+            ..*request
+        };
+        let placement = self.select_upstream(&request, now);
+        matches!(placement, Placement::Assigned(_)).then_some(placement)
+    }
+
+    /// Returns whether most slots of a service are in use, as far as is known.
+    fn is_crowded(&self, service: &str, now: Instant) -> bool {
+        let (running, slots) = self
+            .listed(service, now)
+            .fold((0, 0), |(running, slots), u| {
+                (running + self.running(u), slots + u.slots)
+            });
+        f64::from(running) >= f64::from(slots) * CROWDED_FRACTION
     }
 
     /// Updates this daemon's shares of the slots of full services, in proportion to the admitted demand.
@@ -388,7 +436,7 @@
         let total: f64 = others.map(|(r, _)| r.admitted_ms(level.as_ref())).sum();
         let own = own.admitted_ms(level.as_ref()).max(1.0);
         let slots: u32 = self.listed(service, now).map(|u| u.slots).sum();
-        Some(f64::from(slots) * OVERCOMMIT * own / (own + total))
+        Some(f64::from(slots) * own / (own + total))
     }
 
     fn reports_of_others<'a>(
@@ -399,7 +447,9 @@
         self.peers.reporting(now).flat_map(move |peer| {
             let age = peer.report_age(now);
             let reports = peer.last_heartbeat.overload.iter();
-            reports.filter(move |r| r.service == service).map(move |r| (r, age))
+            reports
+                .filter(move |r| r.service == service)
+                .map(move |r| (r, age))
         })
     }
 
@@ -412,7 +462,14 @@
     ) {
         let queue = self.service_queue(&assignment.service);
         match outcome {
-            AttemptOutcome::Served => queue.limit.served(),
+            AttemptOutcome::Served => {
+                queue.limit.served();
+                if queue.counts.is_full(now)
+                    && let Some(upstream) = self.registry.get_mut(&assignment.upstream)
+                {
+                    upstream.released.release(now);
+                }
+            }
             AttemptOutcome::Refused => {
                 let work = assignment.prefill_time + queue.response_time(assignment.output_tokens);
                 queue.counts.withdraw_start(work, now);
@@ -422,6 +479,7 @@
             _ => return,
         }
         let held = assignment.age(now);
+        let queue = self.service_queue(&assignment.service);
         queue.admission.record_hold(held);
         if assignment.output_tokens > 0 {
             let response = held.saturating_sub(assignment.first_event_after);
@@ -447,12 +505,16 @@
             return;
         };
         let service = request.placement.service;
-        let response_time = self.service_queue(service).response_time(assignment.output_tokens);
+        let response_time = self
+            .service_queue(service)
+            .response_time(assignment.output_tokens);
         let work = assignment.prefill_time + response_time;
         let traits = self.traits(request, work, now);
         let queue = self.service_queue(service);
         if !request.sent_before {
-            queue.counts.record_arrival(sample(request, &traits, now), now);
+            queue
+                .counts
+                .record_arrival(sample(request, &traits, now), now);
         }
         queue.counts.record_start(work, now);
     }
@@ -463,7 +525,9 @@
             Some(_) => self.expected_start(placement, now).map(|s| s.prefill_time),
             None => None,
         };
-        let tokens = placement.prompt.map_or(0, |prompt| prompt.max_output_tokens);
+        let tokens = placement
+            .prompt
+            .map_or(0, |prompt| prompt.max_output_tokens);
         let response_time = self.service_queue(placement.service).response_time(tokens);
         let work = prefill_time.unwrap_or_default() + response_time;
         self.last_waiter += 1;
@@ -532,7 +596,9 @@
     ) -> Admitted {
         let pressure = state.level.map_or(1.0, |level| level.pressure.max(1.0));
         let spread = Duration::from_secs(1).mul_f64(pressure.min(MAX_RETRY_SPREAD.as_secs_f64()));
-        let base = state.expected_start.clamp(MIN_RETRY_AFTER, MAX_RETRY_SPREAD);
+        let base = state
+            .expected_start
+            .clamp(MIN_RETRY_AFTER, MAX_RETRY_SPREAD);
         let retry_after = base + spread.mul_f64(self.rng.random::<f64>());
         let queue = self.service_queue(service);
         queue.record_rejected(session, now + retry_after, now);
--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -110,7 +110,10 @@
     /// Waits until the request is woken or has to be looked at; returns whether it was woken.
     async fn wait(&self) -> bool {
         let now = self.shared.now();
-        let latest = self.shared.dispatcher().latest_start(&self.service, self.id);
+        let latest = self
+            .shared
+            .dispatcher()
+            .latest_start(&self.service, self.id);
         let left = latest.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
         // Only after its latest start does a request count as late.
         let pause = (left + Duration::from_millis(1)).min(RETRY_INTERVAL);
@@ -155,10 +158,10 @@
                 log::info!("event=waiting_ended id={} why=leaving", self.call.id());
                 return Err((self.reason_or_no_answer(RefusalReason::Leaving), Some(left)));
             }
-            let admitted = self
-                .shared
-                .dispatcher()
-                .place_waiting(id, &self.admission_request(), now);
+            let admitted =
+                self.shared
+                    .dispatcher()
+                    .place_waiting(id, &self.admission_request(), now);
             match admitted {
                 Admitted::Placed(placement) => return Ok(placement),
                 Admitted::Rejected(rejection) => return Err(self.reject(rejection)),
@@ -195,7 +198,11 @@
     }
 
     fn reject(&mut self, rejection: Rejection) -> (RefusalReason, Option<Duration>) {
-        log::info!("event=no_place id={} why={}", self.call.id(), rejection.cause);
+        log::info!(
+            "event=no_place id={} why={}",
+            self.call.id(),
+            rejection.cause
+        );
         metrics::rejection(self.call.priority);
         self.rejection = Some(rejection);
         (self.no_slot_reason(), Some(rejection.retry_after))
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -36,6 +36,8 @@
 const DEFAULT_SLOTS: usize = 16;
 /// Time that a brittle upstream takes for a plain request.
 const BRITTLE_RUN_TIME: Duration = Duration::from_millis(60);
+/// Interval at which a queued request checks for a slot.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Span in which a brittle upstream counts its refusals.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 /// Time from a crash to the restart.
@@ -62,6 +64,8 @@
     /// Runs requests as its slots allow, refuses the others, and says that it is brittle: it crashes if it
     /// refuses more than this many in a second.
     Brittle(u32),
+    /// Runs requests as its slots allow, queues this many others by priority, and refuses the rest.
+    Queue(usize),
     /// Is silent for this many milliseconds before it executes and answers a request.
     SilentFor(u64),
     /// Executes requests and closes the connection without a response.
@@ -126,6 +130,10 @@
     crashes: Vec<Instant>,
     /// Number of slots, if it is not the default.
     slots: Option<usize>,
+    /// Priorities and arrival numbers of the requests that it queues.
+    queued: BTreeSet<(u64, u64)>,
+    /// Number of requests that it has queued so far.
+    queued_so_far: u64,
     /// Times at which it refused requests while it was brittle.
     brittle_refusals: Vec<Instant>,
 }
@@ -339,6 +347,17 @@
             name_brittle(&mut response, max_refusals);
             return Some(response);
         }
+        let slot = match behaviour {
+            Behaviour::Queue(length) => {
+                let priority = header_text(&parts.headers, "request-priority");
+                let slot = self.wait_in_queue(priority.parse().unwrap_or(0), length);
+                let Some(slot) = slot.await else {
+                    return refusal(Behaviour::Refuse, &id);
+                };
+                Some(slot)
+            }
+            _ => None,
+        };
         let body = body.collect().await.ok()?.to_bytes();
         let headers = parts.headers.clone();
         {
@@ -357,7 +376,7 @@
                 restarts,
             });
         }
-        let _in_flight = InFlightGuard::begin(&self.in_flight);
+        let _in_flight = slot.unwrap_or_else(|| InFlightGuard::begin(&self.in_flight));
         match behaviour {
             Behaviour::Break => return None,
             Behaviour::Fail => {
@@ -380,6 +399,7 @@
             | Behaviour::EndAfter(_)
             | Behaviour::EndEmpty
             | Behaviour::Refuse
+            | Behaviour::Queue(_)
             | Behaviour::RefuseWithPause(_)
             | Behaviour::Leave
             | Behaviour::Limit(_) => {}
@@ -400,6 +420,31 @@
         Some(response)
     }
 
+    /// Waits in a queue of at most `length` requests for a slot; `None` if the queue is full.
+    async fn wait_in_queue(&self, priority: u64, length: usize) -> Option<InFlightGuard> {
+        let place = {
+            let mut state = self.state();
+            let free = self.in_flight() < state.slots.unwrap_or(DEFAULT_SLOTS);
+            if state.queued.len() >= length && !free {
+                return None;
+            }
+            state.queued_so_far += 1;
+            let place = (priority, state.queued_so_far);
+            state.queued.insert(place);
+            QueuedRequest(self, place)
+        };
+        loop {
+            {
+                let state = self.state();
+                let free = self.in_flight() < state.slots.unwrap_or(DEFAULT_SLOTS);
+                if free && state.queued.first() == Some(&place.1) {
+                    return Some(InFlightGuard::begin(&self.in_flight));
+                }
+            }
+            tokio::time::sleep(QUEUE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns whether all slots are in use; crashes if there are too many refusals in a second.
     fn refuses_for_want_of_room(&self, max_refusals: u32) -> bool {
         let mut state = self.state();
@@ -515,6 +560,15 @@
     }
 }
 
+/// A request in an upstream's queue, removed when dropped.
+struct QueuedRequest<'a>(&'a FakeUpstream, (u64, u64));
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        self.0.state().queued.remove(&self.1);
+    }
+}
+
 /// Counts a request as in flight until the guard is dropped.
 struct InFlightGuard(Arc<AtomicUsize>);
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod input;
 mod lost_upstreams;
 mod narrow_links;
+mod overload;
 mod poison;
 mod rate_limit;
 mod reload;
