--- a/src/coordination/admission/precedence.rs
+++ b/src/coordination/admission/precedence.rs
@@ -131,7 +131,7 @@
 impl Admission {
     /// Adds a request that waits in the order of precedence; returns `false` if the queue is full.
     pub fn enqueue(&mut self, arrival: &Arrival, traits: Traits) -> bool {
-        if self.waiting() >= MAX_WAITING {
+        if self.is_full() {
             return false;
         }
         self.evict_idle();
@@ -139,6 +139,17 @@
         true
     }
 
+    /// Returns whether no more requests can wait.
+    pub fn is_full(&self) -> bool {
+        self.waiting() >= MAX_WAITING
+    }
+
+    /// Returns the request that would start last.
+    pub fn last(&self, now: Instant) -> Option<WaiterId> {
+        let last = self.entries().max_by(|a, b| a.compare(b, now));
+        last.map(|entry| entry.id())
+    }
+
     /// Returns where a request would stand, or stands, in the order.
     pub fn position(&self, arrival: &Arrival, traits: Traits, now: Instant) -> Position {
         let queue = self.queues.get(&arrival.customer);
--- a/src/coordination/dispatch/waiting.rs
+++ b/src/coordination/dispatch/waiting.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Removes the request that would start last; its task learns of it at its next try.
+    fn remove_last(&mut self, now: Instant) {
+        if let Some(id) = self.admission.last(now) {
+            self.remove(id);
+        }
+    }
+
     fn start(&mut self, id: WaiterId, now: Instant) {
         self.passed.remove(&id);
         if let Some((_, traits)) = self.waiters.remove(&id) {
@@ -261,6 +268,9 @@
             return self.reject(service, session, RejectionCause::Deadline, state, now);
         }
         let queue = self.service_queue(service);
+        if queue.admission.is_full() && position.ahead < queue.admission.waiting() {
+            queue.remove_last(now);
+        }
         if !queue.admission.enqueue(&arrival, traits) {
             return self.reject(service, session, RejectionCause::QueueFull, state, now);
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -217,13 +217,13 @@
 pub struct SlotGuard {
     shared: Arc<Shared>,
     /// The assignment that reserves the slot.
-    pub assignment: Assignment,
+    pub assignment: Box<Assignment>,
     outcome: AttemptOutcome,
 }
 
 impl SlotGuard {
     /// Holds the slot of an assignment.
-    pub fn for_assignment(shared: Arc<Shared>, assignment: Assignment) -> Self {
+    pub fn for_assignment(shared: Arc<Shared>, assignment: Box<Assignment>) -> Self {
         Self {
             shared,
             assignment,
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -52,7 +52,7 @@
                 Placement::Assigned(assignment) => {
                     self.log_placement(&assignment);
                     peer_link::send_prefill_notice(&self.shared, &assignment);
-                    let slot = SlotGuard::for_assignment(self.shared.clone(), *assignment);
+                    let slot = SlotGuard::for_assignment(self.shared.clone(), assignment);
                     return Ok(Target::Upstream(slot));
                 }
                 Placement::Wait(wait) if wait < remaining => tokio::time::sleep(wait).await,
