Reject waiting requests that fall below the level; give passed-over groups their turn

A request that began to wait before the level was known was held until its latest start (7.9 s in virtual time). Of groups passed over equally often, sessions took the turns of routes and customers.

--- a/src/coordination/admission/precedence.rs
+++ b/src/coordination/admission/precedence.rs
@@ -242,19 +242,27 @@
 }
 
 impl Turns {
-    /// Returns the group that gets the next start, if one has been passed over too often.
+    /// Returns the group that gets the next start, if one has been passed over too often. Sessions, which
+    /// may be many, come after routes and customers.
     fn due(&self, waiting: &[Entry<'_>]) -> Option<Group> {
-        let sessions_due = self.since_session_turn + 1 >= STARTS_PER_TURN;
-        let groups_due = self.since_turn + 1 >= STARTS_BETWEEN_TURNS;
-        if !sessions_due && !groups_due {
-            return None;
-        }
-        let groups = waiting.iter().flat_map(Entry::groups);
-        let due = groups.filter(|group| match group {
-            Group::Session(_) => sessions_due,
-            Group::Route(_) | Group::Customer(_) => groups_due,
-        });
-        let passed = due.map(|group| (self.passed(&group), group));
+        let is_session = |group: &Group| matches!(group, Group::Session(_));
+        let group = match self.since_turn + 1 >= STARTS_BETWEEN_TURNS {
+            true => self.longest_passed(waiting, |group| !is_session(group)),
+            false => None,
+        };
+        group.or_else(|| match self.since_session_turn + 1 >= STARTS_PER_TURN {
+            true => self.longest_passed(waiting, is_session),
+            false => None,
+        })
+    }
+
+    fn longest_passed(
+        &self,
+        waiting: &[Entry<'_>],
+        is_kind: impl Fn(&Group) -> bool,
+    ) -> Option<Group> {
+        let groups = waiting.iter().flat_map(Entry::groups).filter(is_kind);
+        let passed = groups.map(|group| (self.passed(&group), group));
         let longest = passed.reduce(|a, b| if b.0 > a.0 { b } else { a })?;
         (longest.0 + 1 >= STARTS_PER_TURN).then_some(longest.1)
     }
--- a/src/coordination/dispatch/overload.rs
+++ b/src/coordination/dispatch/overload.rs
@@ -17,7 +17,7 @@
 
 /// Time after a service was seen full for which its counts are used and reported. With the age of a
 /// heartbeat, a level must end within 1 s after capacity is available.
-const FULL_RETENTION: Duration = Duration::from_millis(500);
+const FULL_RETENTION: Duration = Duration::from_millis(700);
 /// Span in which arrivals and starts are counted.
 const COUNT_SPAN: Duration = Duration::from_secs(1);
 /// Number of intervals of that span.
--- a/src/coordination/dispatch/released_slots.rs
+++ b/src/coordination/dispatch/released_slots.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Time after which a slot that was not reused is left to other daemons.
-const REUSE_TIME: Duration = Duration::from_millis(1_500);
+const REUSE_TIME: Duration = Duration::from_millis(500);
 
 /// The number of released slots and how long they may be reused.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/coordination/dispatch/waiting.rs
+++ b/src/coordination/dispatch/waiting.rs
@@ -296,6 +296,15 @@
             let session = request.placement.session;
             return self.reject(service, session, RejectionCause::Deadline, state, now);
         };
+        // It may have begun to wait before the level was known.
+        let is_below = state
+            .level
+            .is_some_and(|level| request.priority > level.priority);
+        if is_below && !request.sent_before {
+            queue.remove(id);
+            let session = request.placement.session;
+            return self.reject(service, session, RejectionCause::Level, state, now);
+        }
         if self.next_waiting(service, now) != Some(id) {
             return Admitted::Waiting(id, state);
         }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -26,3 +26,4 @@
 mod support;
 mod table_outage;
 mod table_restore;
+mod waiting;
