--- a/src/coordination/dispatch/candidates.rs
+++ b/src/coordination/dispatch/candidates.rs
@@ -62,6 +62,21 @@
         })
     }
 
+    /// Returns the shortest prefill time of a request's prompt, also while all upstreams are full.
+    pub(super) fn shortest_prefill_time(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let listed = self.listed(request.service, now).collect();
+        let candidates = self.candidates(request, listed, false, now);
+        candidates
+            .upstreams
+            .iter()
+            .map(|u| self.prefill_time(request, u, &candidates, now))
+            .min()
+    }
+
     /// Returns the delay that recent prompts experienced; zero before the first response.
     pub(super) fn observed_delay(&self, service: &str) -> Duration {
         let delay = self.prefill_delays.get(service);
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -7,8 +7,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::dispatch::{
-    announcements::LeavingReport, brittle::BrittleReport, busy_reports::BusyReport,
-    crash_evidence::SuspectReport, evidence::Evidence, liveness::LivenessReport,
+    announcements::LeavingReport,
+    brittle::BrittleReport,
+    busy_reports::BusyReport,
+    crash_evidence::SuspectReport,
+    evidence::Evidence,
+    liveness::LivenessReport,
+    overload::{self, OverloadReport},
     rate_limit::LimitReport,
 };
 
@@ -150,6 +155,10 @@
     pub limits: Vec<LimitReport>,
     /// What it, or a daemon that it heard, knows of brittle services.
     pub brittle: Vec<BrittleReport>,
+    /// Demand for services whose upstreams are full. It takes no bytes if there are none, so it must be
+    /// the last field.
+    #[serde(with = "overload::optional_tail")]
+    pub overload: Vec<OverloadReport>,
 }
 
 impl Heartbeat {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 
-use crate::state::rows::RowCache;
+use crate::{coordination::admission::WaiterId, state::rows::RowCache};
 
 pub mod announcements;
 pub mod assignment;
@@ -38,6 +38,7 @@
 pub mod liveness;
 mod load_reports;
 pub mod orders;
+pub mod overload;
 pub mod pace;
 mod passed_over;
 mod pauses;
@@ -55,6 +56,7 @@
 pub mod reachability;
 pub mod registry;
 mod release;
+mod released_slots;
 pub mod retry_budget;
 pub mod rollout;
 mod rollout_decision;
@@ -64,6 +66,7 @@
 mod silent_links;
 pub mod sticky_sessions;
 pub mod subset;
+pub mod waiting;
 
 use busy_reports::BusyEngines;
 use crash_evidence::CrashId;
@@ -87,6 +90,7 @@
 use shared_loads::SharedLoads;
 use silent_links::SilenceTracker;
 use subset::HashRing;
+use waiting::ServiceQueue;
 
 pub use assignment::{Assignment, NoSlotReason, Placement, PlacementRequest, Quality};
 pub use orders::Applied;
@@ -155,6 +159,10 @@
     pauses: Pauses,
     /// Hashes of the engines whose prompts this daemon is notified of.
     own_subset: HashSet<u64>,
+    /// The waiting requests and the counts of each service.
+    queues: HashMap<ServiceName, ServiceQueue>,
+    /// Id of the newest request that may wait.
+    last_waiter: WaiterId,
     rng: Xoshiro128PlusPlus,
 }
 
@@ -226,6 +234,8 @@
             daemon_ring: HashRing::default(),
             pauses: Pauses::default(),
             own_subset: HashSet::new(),
+            queues: HashMap::new(),
+            last_waiter: 0,
             rng,
         }
     }
@@ -288,6 +298,7 @@
         self.expire_held(now);
         self.peers.expire(now);
         self.sum_peer_loads(now);
+        self.update_shares(now);
         self.update_daemon_ring(now);
         self.update_own_subset(now);
         self.update_shared_loads(now);
--- a/src/coordination/dispatch/peer_messages.rs
+++ b/src/coordination/dispatch/peer_messages.rs
@@ -86,6 +86,7 @@
             leaving: self.leaving_reports(),
             limits: self.limit_reports(now),
             brittle: self.brittle_reports(now),
+            overload: self.overload_reports(now),
         }
     }
 
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -81,8 +81,10 @@
             expected_at: now,
             reserved_at: now,
             prefill_time,
+            output_tokens: request.prompt.map_or(0, |prompt| prompt.max_output_tokens),
             model: request.model.map(Into::into),
             response_started: false,
+            first_event_after: Duration::ZERO,
         };
         let blocks = candidates.blocks;
         self.reserve_slot(&mut assignment, &blocks, now);
@@ -141,7 +143,8 @@
         if !upstream.health.is_usable(now) {
             return Err(Unusable::Unhealthy);
         }
-        if self.running(upstream) >= upstream.slots * queue_factor(service) {
+        let is_full = self.running(upstream) >= upstream.slots * queue_factor(service);
+        if is_full && !upstream.released.has_any(now) {
             return Err(Unusable::Full);
         }
         match upstream
@@ -182,6 +185,7 @@
             upstream.running += 1;
             upstream.sent_at = Some(now);
             self.silence.sent(assignment, now);
+            upstream.released.take();
             assignment.on_trial = upstream.health.request_sent();
             assignment.expected_at = upstream.queue.enqueue(assignment.prefill_time, now);
             if upstream.is_cold(now)
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -16,6 +16,7 @@
 use crate::coordination::dispatch::{
     cold::RequestPacer, departed::DepartedUpstreams, engine_speed::Slowness, health::Health,
     prefill_queue::PrefillQueue, presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
+    released_slots::ReleasedSlots,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -75,6 +76,8 @@
     pub leaving: bool,
     /// The limit that the incarnation has named in a response.
     pub limit: AnnouncedLimit,
+    /// Slots that this daemon may reuse while the service is full.
+    pub(super) released: ReleasedSlots,
     /// When this daemon last sent it a request.
     pub sent_at: Option<Instant>,
 }
@@ -384,6 +387,7 @@
             started_ms: registration.started_ms,
             leaving: false,
             limit: AnnouncedLimit::default(),
+            released: ReleasedSlots::default(),
             sent_at: None,
         }
     }
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -13,7 +13,7 @@
         prefill_queue::PrefillNotice,
         shared_loads::LoadUpdate,
     },
-    gateway::{metrics, shared::Shared},
+    gateway::{metrics, shared::Shared, waiting},
     protocol::codec,
 };
 
@@ -173,6 +173,7 @@
         );
         tokio::spawn(introduce(shared.clone(), from));
     }
+    waiting::wake_all(shared);
     shared.newest_peer_version.send_if_modified(|known| {
         let newer = reported_version > *known;
         *known = reported_version.max(*known);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,7 +23,11 @@
         heartbeat::{PeerId, Readiness},
     },
     gateway::{
-        body_memory::BodyMemory, drain::Drain, send_buffer::SendBuffers, settings::Settings,
+        body_memory::BodyMemory,
+        drain::Drain,
+        send_buffer::SendBuffers,
+        settings::Settings,
+        waiting::{self, Waiters},
     },
 };
 
@@ -53,6 +57,8 @@
     pub body_memory: Arc<BodyMemory>,
     /// The events that are held for callers.
     pub send_buffers: Arc<SendBuffers>,
+    /// The requests that wait for an upstream with room.
+    pub waiters: Waiters,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -93,6 +99,7 @@
             drain: Drain::default(),
             body_memory: Arc::default(),
             send_buffers: Arc::new(send_buffers),
+            waiters: Waiters::default(),
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             knows_peers: AtomicBool::new(false),
@@ -216,13 +223,13 @@
 pub struct SlotGuard {
     shared: Arc<Shared>,
     /// The assignment that reserves the slot.
-    pub assignment: Assignment,
+    pub assignment: Box<Assignment>,
     outcome: AttemptOutcome,
 }
 
 impl SlotGuard {
     /// Holds the slot of an assignment.
-    pub fn for_assignment(shared: Arc<Shared>, assignment: Assignment) -> Self {
+    pub fn for_assignment(shared: Arc<Shared>, assignment: Box<Assignment>) -> Self {
         Self {
             shared,
             assignment,
@@ -255,6 +262,7 @@
         self.shared
             .dispatcher()
             .release(&self.assignment, self.outcome, now);
+        waiting::wake(&self.shared, &self.assignment.service);
         if self.outcome.is_lost_connection() {
             self.shared.connection_lost.notify_one();
         }
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -1,7 +1,7 @@
 //! Fake of an upstream: a model engine or a plain service, with fault injection.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
     pin::pin,
     sync::{
@@ -37,6 +37,8 @@
 const DEFAULT_SLOTS: usize = 16;
 /// Time that a brittle upstream takes for a plain request unless another one is set.
 const BRITTLE_RUN_TIME: Duration = Duration::from_millis(60);
+/// Interval at which a queued request checks for a slot.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Span in which a brittle upstream counts its refusals.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that a connection holds before a response counts as unread, in the server and
@@ -68,6 +70,8 @@
     /// Runs requests as its slots allow, refuses the others, and says that it is brittle: it crashes if it
     /// refuses more than this many in a second.
     Brittle(u32),
+    /// Runs requests as its slots allow, queues this many others by priority, and refuses the rest.
+    Queue(usize),
     /// Is silent for this many milliseconds before it executes and answers a request.
     SilentFor(u64),
     /// Executes requests and closes the connection without a response.
@@ -134,6 +138,10 @@
     slots: Option<usize>,
     /// Time that it takes for a plain request while it is brittle, if it is not the default.
     brittle_run_time: Option<Duration>,
+    /// Priorities and arrival numbers of the requests that it queues.
+    queued: BTreeSet<(u64, u64)>,
+    /// Number of requests that it has queued so far.
+    queued_so_far: u64,
     /// Times at which it refused requests while it was brittle.
     brittle_refusals: Vec<Instant>,
     /// Time after which a response is cut off that is not read.
@@ -404,6 +412,17 @@
             name_brittle(&mut response, max_refusals);
             return Some(response);
         }
+        let slot = match behaviour {
+            Behaviour::Queue(length) => {
+                let priority = header_text(&parts.headers, "request-priority");
+                let slot = self.wait_in_queue(priority.parse().unwrap_or(0), length);
+                let Some(slot) = slot.await else {
+                    return refusal(Behaviour::Refuse, &id);
+                };
+                Some(slot)
+            }
+            _ => None,
+        };
         let body = body.collect().await.ok()?.to_bytes();
         let headers = parts.headers.clone();
         {
@@ -422,7 +441,7 @@
                 restarts,
             });
         }
-        let _in_flight = InFlightGuard::begin(&self.in_flight);
+        let _in_flight = slot.unwrap_or_else(|| InFlightGuard::begin(&self.in_flight));
         match behaviour {
             Behaviour::Break => return None,
             Behaviour::Fail => {
@@ -448,6 +467,7 @@
             | Behaviour::EndAfter(_)
             | Behaviour::EndEmpty
             | Behaviour::Refuse
+            | Behaviour::Queue(_)
             | Behaviour::RefuseWithPause(_)
             | Behaviour::Leave
             | Behaviour::Limit(_) => {}
@@ -468,6 +488,31 @@
         Some(response)
     }
 
+    /// Waits in a queue of at most `length` requests for a slot; `None` if the queue is full.
+    async fn wait_in_queue(&self, priority: u64, length: usize) -> Option<InFlightGuard> {
+        let place = {
+            let mut state = self.state();
+            let free = self.in_flight() < state.slots.unwrap_or(DEFAULT_SLOTS);
+            if state.queued.len() >= length && !free {
+                return None;
+            }
+            state.queued_so_far += 1;
+            let place = (priority, state.queued_so_far);
+            state.queued.insert(place);
+            QueuedRequest(self, place)
+        };
+        loop {
+            {
+                let state = self.state();
+                let free = self.in_flight() < state.slots.unwrap_or(DEFAULT_SLOTS);
+                if free && state.queued.first() == Some(&place.1) {
+                    return Some(InFlightGuard::begin(&self.in_flight));
+                }
+            }
+            tokio::time::sleep(QUEUE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns whether all slots are in use; crashes if there are too many refusals in a second.
     fn refuses_for_want_of_room(&self, max_refusals: u32) -> bool {
         let mut state = self.state();
@@ -591,6 +636,15 @@
     }
 }
 
+/// A request in an upstream's queue, removed when dropped.
+struct QueuedRequest<'a>(&'a FakeUpstream, (u64, u64));
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        self.0.state().queued.remove(&self.1);
+    }
+}
+
 /// Counts a request as in flight until the guard is dropped.
 struct InFlightGuard(Arc<AtomicUsize>);
 
--- a/tests/dispatch/support.rs
+++ b/tests/dispatch/support.rs
@@ -88,6 +88,7 @@
         leaving: Vec::new(),
         limits: Vec::new(),
         brittle: Vec::new(),
+        overload: Vec::new(),
     }
 }
 
