--- a/src/coordination/dispatch/waiting.rs
+++ b/src/coordination/dispatch/waiting.rs
@@ -55,9 +55,10 @@
     pub customer: &'a str,
     /// The priority; 0 is the highest.
     pub priority: u8,
-    /// Whether it has been sent to an upstream before. It is not counted and not subject to the level, as
-    /// work on it has been done.
+    /// Whether it has been sent to an upstream before. It is not counted again.
     pub sent_before: bool,
+    /// Whether an upstream may have worked on it. The level does not end its wait.
+    pub has_run: bool,
 }
 
 /// Why a request is rejected for lack of capacity.
@@ -300,7 +301,7 @@
         let is_below = state
             .level
             .is_some_and(|level| request.priority > level.priority);
-        if is_below && !request.sent_before {
+        if is_below && !request.has_run {
             queue.remove(id);
             let session = request.placement.session;
             return self.reject(service, session, RejectionCause::Level, state, now);
--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -177,6 +177,7 @@
             customer: self.call.customer.as_deref().unwrap_or_default(),
             priority: self.call.priority,
             sent_before: self.attempts > 0,
+            has_run: self.may_have_run,
         }
     }
 
--- a/tests/dispatch/overload_fleet.rs
+++ b/tests/dispatch/overload_fleet.rs
@@ -291,6 +291,7 @@
             customer: class.customer,
             priority: class.priority,
             sent_before: !request.tried.is_empty(),
+            has_run: false,
         };
         act(&mut self.daemons[request.daemon], &admission)
     }
