--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -55,6 +55,7 @@
 mod rollout_decision;
 pub mod routes;
 pub mod sessions;
+mod slot_shares;
 pub mod subset;
 pub mod waiting;
 
--- a/src/coordination/dispatch/waiting.rs
+++ b/src/coordination/dispatch/waiting.rs
@@ -11,7 +11,7 @@
 };
 
 use derive_more::Display;
-use platform::{ServiceName, UpstreamId};
+use platform::ServiceName;
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,25 +24,20 @@
         overload::{
             AdmissionLevel, OverloadCounts, OverloadReport, RequestSample, admission_level,
         },
-        registry::Upstream,
     },
 };
 
 /// Minimum Retry-After of a request that is rejected for lack of capacity.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Maximum span over which callers that are rejected at the same time return.
 const MAX_RETRY_SPREAD: Duration = Duration::from_secs(5);
 /// Time after its Retry-After for which a rejected session goes before newcomers.
 const RETURN_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of rejected sessions that are remembered for each service.
 const MAX_RETURNING: usize = 2_048;
-/// Fraction of the slots in use from which a service that was full still counts as full.
-const CROWDED_FRACTION: f64 = 0.9;
 /// Number of slots of which one is kept for requests that must start soon. With none kept, a daemon with
 /// nine slots starts only two thirds of them in time at 0.7 of its capacity.
 const SLOTS_PER_RESERVE: u32 = 8;
-/// Weight of the newest counts in a daemon's share; those of one second are few in a large fleet.
-const SHARE_WEIGHT: f64 = 0.2;
 /// Weight of the newest sample in the time for each token of a response.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -132,16 +127,16 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceQueue {
     admission: Admission,
-    counts: OverloadCounts,
+    pub(super) counts: OverloadCounts,
     waiters: HashMap<WaiterId, (Arrival, Traits)>,
     /// Waiting requests that found no room among the upstreams that they have not tried.
     passed: HashSet<WaiterId>,
     /// Rejected sessions and when they may return.
     rejected: HashMap<u64, Instant>,
     /// This daemon's share of the slots while they are full.
-    limit: Limit,
+    pub(super) limit: Limit,
     /// That share in slots, as an average over several ticks.
-    share: Option<f64>,
+    pub(super) share: Option<f64>,
     /// Seconds for each token of a response, after the prefill.
     per_token_s: Option<f64>,
 }
@@ -172,7 +167,7 @@
 
     /// Returns how many requests may run. Some slots are kept for requests that must start soon if such
     /// requests arrive, as the next slot of a daemon with few may be released too late for them.
-    fn max_running(&self, is_tight: bool, now: Instant) -> u32 {
+    pub(super) fn max_running(&self, is_tight: bool, now: Instant) -> u32 {
         let limit = self.limit.max_running();
         match is_tight {
             true => limit + limit.div_ceil(SLOTS_PER_RESERVE),
@@ -385,101 +380,7 @@
             .collect()
     }
 
-    /// Places a request within this daemon's share of the slots.
-    ///
-    /// Load pattern: all daemons of a large fleet see a free slot at the same time, as what they know of
-    /// one another is up to a second old, and the upstream has to refuse most of what they send.
-    fn select_in_share(
-        &mut self,
-        request: &PlacementRequest<'_>,
-        is_tight: bool,
-        now: Instant,
-    ) -> Placement {
-        let running = self.own_running(request.service);
-        let queue = self.service_queue(request.service);
-        let is_limited = queue.share.is_some() && running >= queue.max_running(is_tight, now);
-        if queue.counts.is_full(now) {
-            if is_limited {
-                if self.is_crowded(request.service, now) {
-                    self.service_queue(request.service).counts.record_full(now);
-                }
-                return Placement::Refuse(NoSlotReason::AllFull, MIN_RETRY_AFTER);
-            }
-            if let Some(placement) = self.select_released(request, now) {
-                return placement;
-            }
-            // An upstream that seems to have room has just refused the request. The next one would, too.
-            if !request.tried.is_empty() && running > 0 {
-                return Placement::Refuse(NoSlotReason::AllFull, MIN_RETRY_AFTER);
-            }
-        }
-        let placement = self.select_upstream(request, now);
-        if let Placement::Refuse(NoSlotReason::AllFull, _) = placement {
-            self.service_queue(request.service).counts.record_full(now);
-        }
-        placement
-    }
-
-    /// Places a request on an upstream on which this daemon has just released a slot. Other daemons do not
-    /// know of that slot yet, so this one does not have to compete for it.
-    fn select_released(
-        &mut self,
-        request: &PlacementRequest<'_>,
-        now: Instant,
-    ) -> Option<Placement> {
-        let may_use = |u: &&Upstream| {
-            u.released.has_any(now) && u.health.is_usable(now) && !request.tried.contains(&u.id)
-        };
-        let released = self.listed(request.service, now).find(may_use)?.id.clone();
-        let others = self.registry.of_service(request.service);
-        let others = others.filter(|u| u.id != released).map(|u| u.id.clone());
-        let tried: Vec<UpstreamId> = others.collect();
-        let request = PlacementRequest {
-            tried: &tried,
-            ..*request
-        };
-        let placement = self.select_upstream(&request, now);
-        matches!(placement, Placement::Assigned(_)).then_some(placement)
-    }
-
-    /// Returns whether most slots of a service are in use, as far as is known.
-    fn is_crowded(&self, service: &str, now: Instant) -> bool {
-        let (running, slots) = self
-            .listed(service, now)
-            .fold((0, 0), |(running, slots), u| {
-                (running + self.running(u), slots + u.slots)
-            });
-        f64::from(running) >= f64::from(slots) * CROWDED_FRACTION
-    }
-
-    /// Updates this daemon's shares of the slots of full services, in proportion to the admitted demand.
-    pub(super) fn update_shares(&mut self, now: Instant) {
-        let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
-        for service in services {
-            let newest = self.share(&service, now);
-            let queue = self.service_queue(&service);
-            queue.share = newest.map(|newest| {
-                let known = queue.share.unwrap_or(newest);
-                known + SHARE_WEIGHT * (newest - known)
-            });
-            if let Some(share) = queue.share {
-                queue.limit.set_share(share);
-            }
-        }
-    }
-
-    /// Returns this daemon's share of the slots; `None` if the service is not full.
-    fn share(&self, service: &str, now: Instant) -> Option<f64> {
-        let own = self.overload_report(service, now)?;
-        let level = self.admission_level(service, now);
-        let others = self.reports_of_others(service, now);
-        let total: f64 = others.map(|(r, _)| r.admitted_ms(level.as_ref())).sum();
-        let own = own.admitted_ms(level.as_ref()).max(1.0);
-        let slots: u32 = self.listed(service, now).map(|u| u.slots).sum();
-        Some(f64::from(slots) * own / (own + total))
-    }
-
-    fn reports_of_others<'a>(
+    pub(super) fn reports_of_others<'a>(
         &'a self,
         service: &'a str,
         now: Instant,
@@ -530,7 +431,7 @@
         }
     }
 
-    fn overload_report(&self, service: &str, now: Instant) -> Option<OverloadReport> {
+    pub(super) fn overload_report(&self, service: &str, now: Instant) -> Option<OverloadReport> {
         let (service, queue) = self.queues.get_key_value(service)?;
         queue.counts.report(service, self.own_running(service), now)
     }
@@ -622,7 +523,7 @@
         (position.work_ahead + hold).div_f64(slots)
     }
 
-    fn own_running(&self, service: &str) -> u32 {
+    pub(super) fn own_running(&self, service: &str) -> u32 {
         self.registry.of_service(service).map(|u| u.running).sum()
     }
 
@@ -649,7 +550,7 @@
         })
     }
 
-    fn service_queue(&mut self, service: &str) -> &mut ServiceQueue {
+    pub(super) fn service_queue(&mut self, service: &str) -> &mut ServiceQueue {
         self.queues.entry(service.into()).or_default()
     }
 }
