--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -64,6 +64,7 @@
 pub mod sessions;
 pub mod shared_loads;
 mod silent_links;
+mod slot_shares;
 pub mod sticky_sessions;
 pub mod subset;
 pub mod waiting;
