Take a refusal for a full upstream only if that has load

Change: a refusal shows a full upstream only if half of its slots are in use, as far as is known, and it has not asked for a pause.

--- a/src/coordination/dispatch/waiting.rs
+++ b/src/coordination/dispatch/waiting.rs
@@ -27,6 +27,9 @@
     },
 };
 
+/// Divisor of the slots that must be in use, as far as is known, for a refusal to show a full upstream.
+/// Counts of other daemons' requests are old.
+const REFUSAL_LOAD_DIVISOR: u32 = 2;
 /// Minimum Retry-After of a request that is rejected for lack of capacity.
 pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Maximum span over which callers that are rejected at the same time return.
@@ -401,8 +404,13 @@
         outcome: AttemptOutcome,
         now: Instant,
     ) {
+        let is_full = self.is_full_by_refusal(&assignment.upstream, now);
         let queue = self.service_queue(&assignment.service);
         match outcome {
+            AttemptOutcome::Refused if !is_full => {
+                let work = assignment.prefill_time + queue.response_time(assignment.output_tokens);
+                return queue.counts.withdraw_start(work, now);
+            }
             AttemptOutcome::Served => {
                 queue.limit.served();
                 if queue.counts.is_full(now)
@@ -431,6 +439,15 @@
         }
     }
 
+    /// Returns whether a refusal by an upstream shows that it is full. Upstreams also refuse requests
+    /// when they ask for a pause or fail, and then others have room.
+    fn is_full_by_refusal(&self, upstream: &str, now: Instant) -> bool {
+        self.registry.get(upstream).is_none_or(|u| {
+            let is_loaded = (self.running(u) + 1) * REFUSAL_LOAD_DIVISOR >= u.slots;
+            is_loaded && !u.health.is_paused(now)
+        })
+    }
+
     pub(super) fn overload_report(&self, service: &str, now: Instant) -> Option<OverloadReport> {
         let (service, queue) = self.queues.get_key_value(service)?;
         queue.counts.report(service, self.own_running(service), now)
