Add failing tests of polls that the table never answers

A daemon whose poll is lost acts on a change 3.5 s after it was acknowledged (2 s are allowed), though its peers have it; a single daemon acts 3.5 s after the table is back (3 s are allowed). The stand-in can now lose a number of calls for changes, and its clock advances.

--- a/stand-in/src/gateway/table.rs
+++ b/stand-in/src/gateway/table.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -56,12 +56,27 @@
     calls: u64,
     /// Full reads by table.
     reads: BTreeMap<String, u64>,
+    /// How many more calls for the changes of each table are accepted and never answered.
+    feeds_to_lose: BTreeMap<String, u64>,
+}
+
+impl State {
+    /// Returns whether a call for the changes of a table is to be lost.
+    fn takes_lost_feed(&mut self, table: &str) -> bool {
+        let Some(left) = self.feeds_to_lose.get_mut(table) else {
+            return false;
+        };
+        let is_lost = *left > 0;
+        *left = left.saturating_sub(1);
+        is_lost
+    }
 }
 
 /// Running fake of the table.
 #[derive(Clone, Debug)]
 pub struct FakeTable {
     address: SocketAddr,
+    started_at: Instant,
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
 }
@@ -72,6 +87,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
         let table = Self {
             address: listener.local_addr().expect("local address"),
+            started_at: Instant::now(),
             state: Arc::default(),
             changed: Arc::new(watch::Sender::new(0)),
         };
@@ -99,6 +115,16 @@
         self.state().fault = fault;
     }
 
+    /// Never answers the next `count` calls for the changes of a table.
+    pub fn lose_feeds(&self, table: &str, count: u64) {
+        self.state().feeds_to_lose.insert(table.into(), count);
+    }
+
+    /// Returns whether all calls that were to be lost have arrived.
+    pub fn has_lost_feeds(&self) -> bool {
+        self.state().feeds_to_lose.values().all(|left| *left == 0)
+    }
+
     /// Discards the history of changes.
     pub fn compact(&self) {
         let mut state = self.state();
@@ -202,6 +228,9 @@
         }
         let query = query(req.uri().query().unwrap_or_default());
         let path = req.uri().path().to_owned();
+        if path == "/rows-feed" && self.state().takes_lost_feed(&query["table"]) {
+            return std::future::pending().await;
+        }
         let restores = self.state().restores;
         let response = match (req.method().clone(), path.as_str()) {
             (Method::GET, "/rows-get") => self.read(&query),
@@ -244,10 +273,17 @@
         rows.sort_by_key(|row| row["key"].as_str().map(str::to_owned));
         let more = rows.len() > limit;
         rows.truncate(limit);
-        let body = json!({"rows": rows, "has_more": more, "ver": state.version, "now_ms": 1_000});
+        let body =
+            json!({"rows": rows, "has_more": more, "ver": state.version, "now_ms": self.now_ms()});
         reply(StatusCode::OK, &body)
     }
 
+    /// Returns the table's monotonic clock in milliseconds.
+    fn now_ms(&self) -> u64 {
+        let elapsed = self.started_at.elapsed().as_millis();
+        u64::try_from(elapsed).unwrap_or(u64::MAX)
+    }
+
     async fn feed(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
         let after: u64 = query["after"].parse().expect("valid version");
         let wait = Duration::from_millis(query["wait_ms"].parse().expect("milliseconds"));
@@ -263,7 +299,7 @@
                 }
                 let rows = rows(&state, &query["table"], after);
                 if !rows.is_empty() || tokio::time::Instant::now() >= until {
-                    let body = json!({"rows": rows, "ver": state.version, "now_ms": 1_000});
+                    let body = json!({"rows": rows, "ver": state.version, "now_ms": self.now_ms()});
                     return reply(StatusCode::OK, &body);
                 }
             }
@@ -300,7 +336,10 @@
             self.write(&table, &name, None);
         }
         let version = self.state().version;
-        reply(StatusCode::OK, &json!({"ver": version, "now_ms": 1_000}))
+        reply(
+            StatusCode::OK,
+            &json!({"ver": version, "now_ms": self.now_ms()}),
+        )
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod heartbeats;
 mod input;
+mod lost_polls;
 mod lost_upstreams;
 mod narrow_links;
 mod overload;
