Let daemons that poll ask their peers for changes that their poll does not bring

Callers saw the old configuration, or 404 for an added route, at one daemon for up to 3.5 s after a change was acknowledged (2 s allowed). Cause: a daemon that polls was deaf to its peers while its poll was pending. They had reported the newer version in heartbeats 1.8 to 2.7 s earlier, but it asked them only once its poll had timed out; a poll that begins while the table is silent is never answered.

Once the head of the table's response has arrived its body is awaited alone, so that a narrow link does not carry a change twice. The queries to peers and their state move to a module of their own.

lost_poll_does_not_delay_a_change_that_peers_have failed before (3.51 s) and passes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,24 +1,20 @@
 //! Follows the operators' and the upstreams' tables by long polling or by querying peers.
 
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use platform::{
     RowVersion,
-    table::{Rows, TableClient, TableError, TableErrorCause},
+    table::{PollResponse, Rows, TableClient, TableError, TableErrorCause},
 };
-use rand::seq::IteratorRandom;
 
 use crate::{
-    coordination::dispatch::{peers::Peer, polling::PollingRole},
+    coordination::dispatch::polling::PollingRole,
     gateway::{
-        fetch::{Fetched, fetch_from, fetch_newer_generation},
-        followed_table::FollowedTable,
-        metrics,
-        shared::Shared,
+        fetch::fetch_newer_generation, followed_table::FollowedTable, metrics,
+        peer_changes::PeerChanges, shared::Shared,
     },
     state::rows::RowChanges,
 };
@@ -40,8 +36,6 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 /// Delay before each poll of a daemon that has lost the table and is not selected to poll.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(1_500);
-/// How often a listening daemon checks whether its polling role has changed.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long rows that a restored table lacks are carried over.
 const CARRY_OVER_TIME: Duration = Duration::from_secs(3);
 /// Maximum time in which a starting daemon reads the list of its peers.
@@ -57,12 +51,6 @@
 /// Delay between polls of the upstreams after a change; they change several times a second while a
 /// service is replaced.
 const UPSTREAM_POLL_DELAY: Duration = Duration::from_millis(250);
-/// Delay before a daemon that has a change is asked again after it was busy.
-const BUSY_DELAY: Duration = Duration::from_millis(50);
-/// How long a daemon knows of a change that no peer has time to send before it polls the table itself.
-const MAX_BUSY_TIME: Duration = Duration::from_secs(1);
-/// Number of consecutive failed queries to peers after which a daemon polls the table itself.
-const MAX_FAILED_QUERIES: u32 = 2;
 
 /// Follows a table until the process exits.
 pub async fn follow(shared: Arc<Shared>, followed: FollowedTable) {
@@ -70,8 +58,7 @@
         client: TableClient::open(shared.settings.table, shared.table_era.clone()),
         followed,
         failures: 0,
-        failed_queries: 0,
-        busy_since: None,
+        peer_changes: PeerChanges::new(shared.clone(), followed),
         next_read: NextRead::Full,
         start: StartPhase::Started,
         settle_at: None,
@@ -89,10 +76,7 @@
     followed: FollowedTable,
     /// Consecutive failed calls to the table.
     failures: u32,
-    /// Consecutive failed queries to peers.
-    failed_queries: u32,
-    /// When a peer was first busy, if none has answered since.
-    busy_since: Option<Instant>,
+    peer_changes: PeerChanges,
     next_read: NextRead,
     start: StartPhase,
     /// When rows that were carried over from an earlier era are dropped unless they were written again.
@@ -125,7 +109,7 @@
 
 impl Follower {
     async fn step(&mut self) {
-        if self.followed == FollowedTable::Orders && self.newer_peer().is_none() {
+        if self.followed == FollowedTable::Orders && self.peer_changes.newer_peer().is_none() {
             self.vain_generation = fetch_newer_generation(&self.shared, self.vain_generation).await;
         }
         let role = self.shared.dispatcher().polling_role(self.shared.now());
@@ -134,33 +118,26 @@
         if !initialized && self.start == StartPhase::Started {
             self.start = StartPhase::AskedPeers;
             self.await_peer_changes().await;
-            if self.fetch_from_newer_peer().await {
+            if self.peer_changes.fetch().await {
                 self.next_read = NextRead::Changes;
                 return;
             }
         }
         match role {
-            PollingRole::Listen if initialized && self.can_rely_on_peers() => {
+            PollingRole::Listen if initialized && self.peer_changes.are_sent() => {
                 self.failures = 0;
-                self.listen().await;
+                self.peer_changes.listen().await;
             }
             PollingRole::Listen | PollingRole::Poll => self.poll().await,
             PollingRole::Retry => {
                 // Other daemons may have changes meanwhile.
-                let listening = self.listen_forever();
+                let listening = self.peer_changes.listen_forever();
                 let _ = tokio::time::timeout(RETRY_POLL_INTERVAL, listening).await;
                 self.poll().await;
             }
         }
     }
 
-    /// Returns whether peers have sent their changes when they were asked.
-    fn can_rely_on_peers(&self) -> bool {
-        let now = self.shared.now();
-        let is_waiting = |since: Instant| now.saturating_duration_since(since) >= MAX_BUSY_TIME;
-        self.failed_queries < MAX_FAILED_QUERIES && !self.busy_since.is_some_and(is_waiting)
-    }
-
     /// Waits at the start of this daemon until a peer has read the table, for a random time at most.
     ///
     /// Load pattern: many daemons start at once. If each read the table, the calls would grow with the
@@ -175,78 +152,11 @@
             tokio::time::sleep(START_CHECK_INTERVAL).await;
         }
         let deadline = self.shared.now() + MIN_START_WAIT + max_wait.mul_f64(rand::random());
-        while self.newer_peer().is_none() && self.shared.now() < deadline {
+        while self.peer_changes.newer_peer().is_none() && self.shared.now() < deadline {
             tokio::time::sleep(START_CHECK_INTERVAL).await;
         }
     }
 
-    /// Fetches the changes that peers report.
-    async fn listen_forever(&mut self) {
-        loop {
-            self.listen().await;
-        }
-    }
-
-    /// Queries a peer that has newer changes, or waits until a peer reports some.
-    async fn listen(&mut self) {
-        let mut peer_version = self.shared.newest_peer_version.subscribe();
-        if self.newer_peer().is_some() {
-            let spread = self.shared.dispatcher().peers.spread_over_fleet();
-            tokio::time::sleep(spread.mul_f64(rand::random())).await;
-        }
-        if !self.fetch_from_newer_peer().await {
-            // The next step checks for new changes whether the wait timed out or was notified.
-            let _ = tokio::time::timeout(ROLE_CHECK_INTERVAL, peer_version.changed()).await;
-        }
-    }
-
-    /// Fetches changes from a peer that has newer ones; returns whether any newer change arrived.
-    async fn fetch_from_newer_peer(&mut self) -> bool {
-        let Some((peer, after)) = self.newer_peer() else {
-            return false;
-        };
-        match fetch_from(&self.shared, self.followed, peer, after).await {
-            Fetched::Answered => {}
-            Fetched::Busy => {
-                self.busy_since.get_or_insert(self.shared.now());
-                tokio::time::sleep(BUSY_DELAY.mul_f64(rand::random())).await;
-                return false;
-            }
-            Fetched::Failed => {
-                self.failed_queries += 1;
-                return false;
-            }
-        }
-        self.failed_queries = 0;
-        self.busy_since = None;
-        let cache_version = self
-            .followed
-            .cache(&self.shared.dispatcher())
-            .newest_change();
-        // If nothing newer arrived, an immediate repeat is not worthwhile.
-        cache_version > after
-    }
-
-    /// Returns one of the peers with the newest changes, if these are newer than this daemon's.
-    ///
-    /// Load pattern: all daemons learn of a change at once, and at first few have it. A random choice
-    /// and the spread over time keep them from querying the same one.
-    fn newer_peer(&self) -> Option<(SocketAddr, RowVersion)> {
-        let dispatcher = self.shared.dispatcher();
-        let known = self.followed.cache(&dispatcher).newest_change();
-        let version = |peer: &Peer| match self.followed {
-            FollowedTable::Orders => peer.last_heartbeat.newest_order_version,
-            FollowedTable::Upstreams => peer.last_heartbeat.newest_upstream_version,
-        };
-        let now = self.shared.now();
-        let newest = dispatcher.peers.reporting(now).map(version).max()?;
-        let sources = dispatcher.peers.reporting(now);
-        let source = sources
-            .filter(|peer| version(peer) == newest)
-            .choose(&mut rand::rng())?;
-        (newest > known).then_some((source.address, known))
-    }
-
     async fn poll(&mut self) {
         let result = self.call().await;
         self.shared.enter_table_era();
@@ -280,10 +190,22 @@
             true => POLL_WAIT,
             false => SHORT_POLL_WAIT,
         };
+        let response = self.await_poll(after, wait).await?;
+        self.client.receive_changes(response).await
+    }
+
+    /// Polls the table; meanwhile fetches changes that peers have and the poll does not bring.
+    async fn await_poll(
+        &mut self,
+        after: RowVersion,
+        wait: Duration,
+    ) -> Result<PollResponse, TableError> {
         let table = self.followed.table();
-        self.client
-            .changes(table, after, wait, POLL_TIMEOUT_MARGIN)
-            .await
+        let poll = self.client.poll(table, after, wait, POLL_TIMEOUT_MARGIN);
+        tokio::select! {
+            response = poll => response,
+            never = self.peer_changes.fetch_overdue() => never,
+        }
     }
 
     fn handle_rows(&mut self, rows: Rows) {
@@ -315,8 +237,7 @@
         self.start = StartPhase::Answered;
         self.next_read = NextRead::Changes;
         self.failures = 0;
-        self.failed_queries = 0;
-        self.busy_since = None;
+        self.peer_changes.forget_failures();
     }
 
     async fn handle_failure(&mut self, e: &TableError) {
@@ -335,7 +256,7 @@
         }
         self.failures += 1;
         self.shared.dispatcher().table_lost(self.shared.now());
-        self.fetch_from_newer_peer().await;
+        self.peer_changes.fetch().await;
         let backoff = INITIAL_BACKOFF * (1 << self.failures.min(3));
         tokio::time::sleep(backoff.min(MAX_BACKOFF)).await;
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod packing;
+pub mod peer_changes;
 pub mod peer_link;
 pub mod probe;
 mod read_limit;
