--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -4,6 +4,8 @@
 
 /// The blank line that terminates an event.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
+/// Names of the fields of an event.
+const FIELD_NAMES: [&[u8]; 5] = [b"data", b"event", b"id", b"retry", b"weight-versions"];
 /// Maximum size in bytes of an event, and of what may precede the next new one.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -18,8 +20,8 @@
 
 /// Buffers the bytes of a stream until they form complete events.
 ///
-/// Events without a number are kept until a numbered one follows or the stream ends: bytes that are no
-/// part of an answer may hold blank lines, too.
+/// Events without a number are kept until a numbered one follows or the stream ends. Bytes that are no
+/// part of an answer, such as the text of an error, may hold blank lines, too, but not only lines of events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
@@ -27,6 +29,7 @@
     unnumbered: usize,
     /// Length of the part of `pending` that holds no delimiter after the unnumbered events.
     searched: usize,
+    is_malformed: bool,
 }
 
 impl EventBuffer {
@@ -38,7 +41,12 @@
     /// Removes and returns the next numbered event.
     pub fn next_event(&mut self) -> Option<Event> {
         while let Some(end) = self.find_delimiter() {
-            let id = event_id(&self.pending[self.unnumbered..end]);
+            let event = &self.pending[self.unnumbered..end];
+            if !event.split(|b| *b == b'\n').all(is_event_line) {
+                self.is_malformed = true;
+                return None;
+            }
+            let id = event_id(event);
             self.searched = end;
             self.unnumbered = end;
             if let Some(id) = id {
@@ -58,6 +66,11 @@
             .any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
+    /// Whether bytes that are no event follow the last numbered one.
+    pub fn is_malformed(&self) -> bool {
+        self.is_malformed
+    }
+
     /// Number of bytes after the last numbered event.
     pub fn partial_bytes(&self) -> usize {
         self.pending.len()
@@ -96,6 +109,13 @@
         .position(|window| window == needle)
 }
 
+/// Whether a line is blank, a comment or a field of an event.
+fn is_event_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let name = line.split(|b| *b == b':').next().unwrap_or_default();
+    name.is_empty() || FIELD_NAMES.contains(&name)
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     event
         .split(|b| *b == b'\n')
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -54,6 +54,8 @@
     Silent,
     /// Much was received without a new event.
     NoNewEvent,
+    /// Bytes that are no event were received, such as the text of an error.
+    NotAnEvent,
     /// The body ended inside an event.
     EndedInsideEvent,
     /// The body ended without an event that must follow.
@@ -233,6 +235,9 @@
                 }
             }
             progress.partial_bytes = events.partial_bytes();
+            if events.is_malformed() {
+                return StreamEnd::Broken(BreakCause::NotAnEvent);
+            }
             if events.is_overlong() || repeated_bytes > MAX_EVENT_BYTES {
                 return StreamEnd::Broken(BreakCause::NoNewEvent);
             }
--- a/stand-in/src/gateway/mod.rs
+++ b/stand-in/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod raw_upstream;
 mod stream_shape;
 pub mod table;
 pub mod upstream;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod explain;
 mod faults;
+mod faulty_answers;
 mod harness;
 mod heartbeats;
 mod input;
