serve: take a late refusal on a kept connection for no promise

Now the attempt id is checked first, for errors too, and a refusal without an id counts only on a connection that has carried no other request; the same for plain services.

late_refusal_on_a_kept_connection_promises_nothing failed before (left: true, right: false) and passes.

--- a/src/daemon/service/attempt.rs
+++ b/src/daemon/service/attempt.rs
@@ -88,7 +88,8 @@
 
 /// Reads the complete answer and checks that it belongs to the attempt.
 ///
-/// The attempt's id may be missing only from a refusal of a request that was not executed.
+/// The attempt's id may be missing only from a refusal of a request that was not executed, on a
+/// connection that has carried no other request.
 pub(super) async fn read_answer(
     exchange: &mut Exchange,
     attempt: &str,
@@ -97,7 +98,7 @@
     let is_refused = exchange.header(NOT_RUN_HEADER) == Some("true");
     match exchange.header(ATTEMPT_HEADER) {
         Some(echoed) if echoed != attempt => return Err(AttemptError::Crossed),
-        None if !is_refused => return Err(AttemptError::Crossed),
+        None if !is_refused || exchange.is_reused() => return Err(AttemptError::Crossed),
         _ => {}
     }
     if is_refused {
--- a/src/transport/engine/mod.rs
+++ b/src/transport/engine/mod.rs
@@ -169,13 +169,14 @@
         let req = self.http_request(request)?;
         let may_send = || self.send_check.as_ref().is_none_or(|may| may());
         let exchange = self.http.send_if(req, reuse, timeouts, &may_send).await?;
-        if exchange.status() != StatusCode::OK {
-            return Err(self.refused(&exchange));
-        }
         let echoed = exchange.header(ATTEMPT_HEADER);
-        if echoed.is_some_and(|id| id != request.attempt) {
+        let may_be_late = echoed.is_none() && exchange.is_reused();
+        if may_be_late || echoed.is_some_and(|id| id != request.attempt) {
             return Err(EngineError::WrongAttempt { peer: self.peer() });
         }
+        if exchange.status() != StatusCode::OK {
+            return Err(self.refused(&exchange));
+        }
         Ok(exchange)
     }
 
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -102,6 +102,7 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     client: HttpClient,
     chunk: Duration,
+    is_reused: bool,
 }
 
 /// A new connection that has not been used yet.
@@ -154,7 +155,7 @@
             while let Some(mut sender) = self.take_idle() {
                 self.ensure_may_send(may_send)?;
                 match self.exchange(&mut sender, req, timeouts.head).await {
-                    Ok(res) => return Ok(self.new_exchange(res, sender, timeouts.chunk)),
+                    Ok(res) => return Ok(self.new_exchange(res, sender, timeouts.chunk, true)),
                     Err(Failure::Unsent(returned)) => req = *returned,
                     Err(Failure::Final(e)) => return Err(e),
                 }
@@ -163,7 +164,7 @@
         let mut sender = self.connect(timeouts.connect).await?;
         self.ensure_may_send(may_send)?;
         match self.exchange(&mut sender, req, timeouts.head).await {
-            Ok(res) => Ok(self.new_exchange(res, sender, timeouts.chunk)),
+            Ok(res) => Ok(self.new_exchange(res, sender, timeouts.chunk, false)),
             Err(Failure::Unsent(_)) => Err(self.error(
                 Step::Head,
                 Sent::No,
@@ -248,6 +249,7 @@
         res: Response<Incoming>,
         sender: SendRequest<Full<Bytes>>,
         chunk: Duration,
+        is_reused: bool,
     ) -> Exchange {
         let (head, body) = res.into_parts();
         Exchange {
@@ -256,6 +258,7 @@
             sender: Some(sender),
             client: self.clone(),
             chunk,
+            is_reused,
         }
     }
 
@@ -307,7 +310,7 @@
         let client = &self.client;
         client.set_host(&mut req);
         match client.exchange(&mut self.sender, req, timeouts.head).await {
-            Ok(res) => Ok(client.new_exchange(res, self.sender, timeouts.chunk)),
+            Ok(res) => Ok(client.new_exchange(res, self.sender, timeouts.chunk, false)),
             Err(Failure::Unsent(_)) => Err(client.error(
                 Step::Head,
                 Sent::No,
@@ -325,6 +328,12 @@
         self.head.status
     }
 
+    /// Returns whether the connection has carried other requests before, so that the response may be a
+    /// late one of theirs.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns a header's value, if present and valid text.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.headers.get(name)?.to_str().ok()
--- a/tests/engine_client.rs
+++ b/tests/engine_client.rs
@@ -110,3 +110,48 @@
     let error = stream.next().await.unwrap_err();
     assert!(matches!(error, EngineError::Truncated { .. }), "{error}");
 }
+
+/// An answer of an engine that runs a request, after the refusal that it gives first.
+const SERVED: &str = "{\"id\":\"ID\",\"model\":\"draft-1\",\"choices\":[],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":0,\"total_tokens\":1}}";
+
+/// Answers the first request of each connection as asked, and the second one with a refusal that names
+/// `second_id` as its attempt.
+async fn serve_late_refusal(
+    mut connection: TcpStream,
+    second_id: Option<&str>,
+) -> std::io::Result<()> {
+    let mut request = [0; 4_096];
+    let _ = connection.read(&mut request).await?;
+    let body = SERVED.replace("ID", "one");
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\nx-attempt-id: one\r\ncontent-length: {length}\r\n\r\n");
+    connection
+        .write_all(format!("{head}{body}").as_bytes())
+        .await?;
+    let _ = connection.read(&mut request).await?;
+    let echoed = second_id.map_or_else(String::new, |id| format!("x-attempt-id: {id}\r\n"));
+    let refusal =
+        format!("HTTP/1.1 503 Full\r\n{echoed}x-not-run: true\r\ncontent-length: 4\r\n\r\nfull");
+    connection.write_all(refusal.as_bytes()).await?;
+    std::future::pending().await
+}
+
+/// A request that an engine may have run counted as not run, as the refusal of an earlier one was written
+/// once more on a kept connection.
+#[tokio::test]
+async fn late_refusal_on_a_kept_connection_promises_nothing() {
+    for (second_id, is_refusal) in [(Some("earlier"), false), (None, false), (Some("two"), true)] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = EngineClient::new(listener.local_addr().unwrap());
+        tokio::spawn(async move {
+            while let Ok((connection, _)) = listener.accept().await {
+                tokio::spawn(serve_late_refusal(connection, second_id));
+            }
+        });
+        let first = client.complete(&engine_request("one"), Reuse::Idle).await;
+        first.unwrap();
+        let second = client.complete(&engine_request("two"), Reuse::Idle).await;
+        let error = second.unwrap_err();
+        assert_eq!(error.not_run(), is_refusal, "{second_id:?}: {error}");
+    }
+}
