Count daemons whose messages cannot be read among those that share limits; guard the wire format

Messages between daemons are encoded by position, without a version, so that a build that adds a field and one before it do not hear each other at all: each group then takes all of the retry budget, the slots of brittle and cold upstreams and the named limits for its own, up to twice as much together.

- A daemon whose datagrams cannot be read now keeps its share of the fleet-wide limits, as a listed daemon did for 20 s only; it is logged once and not at each datagram. daemon_that_cannot_be_read_keeps_its_share guards this; there was no such count before.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -26,6 +26,7 @@
 pub struct Fleet {
     gateways: Vec<Gateway>,
     program: PathBuf,
+    earlier_program: Option<PathBuf>,
     violations: Vec<Violation>,
     _folder: TempDir,
 }
@@ -40,6 +41,8 @@
     settings: PathBuf,
     log: PathBuf,
     process: Option<Child>,
+    /// Whether it has been started before.
+    has_run: bool,
     /// Time at which the gateway was signalled to stop.
     stopping: Option<Instant>,
     /// Time spans in which the gateway was killed, paused or stopping.
@@ -62,6 +65,7 @@
         let mut fleet = Self {
             gateways,
             program: options.program.clone(),
+            earlier_program: options.earlier_program.clone(),
             violations: Vec::new(),
             _folder: folder,
         };
@@ -128,13 +132,18 @@
             .create(true)
             .append(true)
             .open(&gateway.log)?;
-        let process = Command::new(&self.program)
+        let earlier = self.earlier_program.as_ref();
+        let program = earlier
+            .filter(|_| !gateway.has_run)
+            .unwrap_or(&self.program);
+        let process = Command::new(program)
             .args(["gateway", "--settings"])
             .arg(&gateway.settings)
             .stdout(log)
             .kill_on_drop(true)
             .spawn()?;
         gateway.process = Some(process);
+        gateway.has_run = true;
         gateway.stopping = None;
         Ok(())
     }
@@ -296,6 +305,7 @@
             settings,
             log,
             process: None,
+            has_run: false,
             stopping: None,
             disruptions: Vec::new(),
         })
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -24,6 +24,8 @@
 pub struct Options {
     /// Path of the gateway binary.
     pub program: PathBuf,
+    /// Path of the binary of an earlier build, which each gateway runs until its first restart.
+    pub earlier_program: Option<PathBuf>,
     /// Number of gateways.
     pub gateways: usize,
     /// Number of callers.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,6 +16,9 @@
     /// Path of the gateway binary
     #[bpaf(argument("PATH"), fallback("target/release/hibiscusyoke".into()))]
     program: PathBuf,
+    /// Path of the binary of an earlier build, which each gateway runs until its first restart
+    #[bpaf(argument("PATH"), optional)]
+    earlier: Option<PathBuf>,
     /// First seed
     #[bpaf(argument("N"), fallback(1), display_fallback)]
     seed: u64,
@@ -44,6 +47,7 @@
     let arguments = arguments().run();
     let options = Options {
         program: arguments.program,
+        earlier_program: arguments.earlier,
         gateways: arguments.gateways,
         callers: arguments.callers,
         injection_time: Duration::from_secs(arguments.storm_s),
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use compact_str::ToCompactString;
+
 use crate::coordination::dispatch::{
     heartbeat::{DaemonName, Heartbeat, Readiness},
     liveness::ShortId,
@@ -31,6 +33,8 @@
 const MAX_MISSED_BY_POLLER: f64 = 2.5;
 /// Minimum time before another daemon polls the table instead.
 const MIN_POLLER_SILENCE: Duration = Duration::from_secs(1);
+/// Maximum number of daemons that are known only by the addresses of messages that cannot be read.
+const MAX_UNREADABLE: usize = 1_024;
 /// How long a silent daemon keeps its share of fleet-wide limits.
 const SHARE_RETENTION: Duration = Duration::from_secs(20);
 
@@ -84,14 +88,17 @@
     known: BTreeMap<DaemonName, Peer>,
     /// Names of the known daemons by the short ids of their incarnations.
     names: HashMap<ShortId, DaemonName>,
-    /// Daemons that are listed in the table but have not sent a heartbeat.
+    /// Daemons that are listed in the table but have not sent a heartbeat that can be read.
     expected: BTreeMap<DaemonName, ExpectedPeer>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct ExpectedPeer {
     address: SocketAddr,
+    /// When it was listed, or last sent a message that cannot be read.
     since: Instant,
+    /// Whether it has sent such a message.
+    is_unreadable: bool,
 }
 
 impl Peers {
@@ -109,10 +116,37 @@
             ExpectedPeer {
                 address,
                 since: now,
+                is_unreadable: false,
             },
         );
     }
 
+    /// Records that a daemon has sent a message that cannot be read; returns whether it was silent before.
+    ///
+    /// Failure: in an upgrade, daemons of two builds may not understand each other. If each group took all of
+    /// the fleet-wide limits, both together would exceed them.
+    pub fn hear_unreadable(&mut self, address: SocketAddr, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SHARE_RETENTION;
+        let mut known = self.known.values();
+        if known.any(|peer| peer.address == address && is_recent(peer.alive_at)) {
+            return false;
+        }
+        if !self.expected.values().any(|peer| peer.address == address) {
+            if self.expected.len() >= MAX_UNREADABLE {
+                return false;
+            }
+            self.expect_peer(address.to_compact_string(), address, now);
+        }
+        let mut was_silent = false;
+        let expected = self.expected.values_mut();
+        for peer in expected.filter(|peer| peer.address == address) {
+            was_silent |= !peer.is_unreadable || !is_recent(peer.since);
+            peer.since = now;
+            peer.is_unreadable = true;
+        }
+        was_silent
+    }
+
     /// Stores a heartbeat that is not outdated; returns whether it is from a new incarnation.
     pub fn receive_heartbeat(
         &mut self,
@@ -121,7 +155,8 @@
         now: Instant,
     ) -> bool {
         let name = heartbeat.from.name.clone();
-        self.expected.remove(&name);
+        self.expected
+            .retain(|expected, peer| *expected != name && peer.address != address);
         let known = self
             .known
             .get(&name)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
+pub mod datagram;
 pub mod delegate;
 pub mod drain;
 pub mod events;
--- a/src/gateway/peer_link.rs
+++ b/src/gateway/peer_link.rs
@@ -2,7 +2,6 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::{
@@ -10,11 +9,9 @@
         Assignment, Dispatcher,
         fanout::Fanout,
         heartbeat::{Heartbeat, Readiness},
-        prefill_queue::PrefillNotice,
-        shared_loads::LoadUpdate,
     },
-    gateway::{metrics, shared::Shared, waiting},
-    protocol::codec,
+    gateway::{datagram::Datagram, metrics, shared::Shared, waiting},
+    protocol::codec::{self, CodecError},
 };
 
 /// Delay after a failed receive.
@@ -28,34 +25,6 @@
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
-/// A message between daemons.
-#[derive(Debug, Serialize, Deserialize)]
-enum Datagram {
-    /// The sender's current state, sent periodically.
-    Heartbeat(Box<Heartbeat>),
-    /// The same, to be forwarded within the receiver's failure domain.
-    HeartbeatToForward(Box<Heartbeat>),
-    /// The state of another daemon, which has this address.
-    ForwardedHeartbeat(SocketAddr, Box<Heartbeat>),
-    /// Reports that the sender has sent a prompt to an engine.
-    PromptSent(PrefillNotice),
-    /// Loads of the sender on engines that the receiver uses, in a large fleet.
-    Loads(LoadUpdate),
-}
-
-impl Datagram {
-    /// Returns the name used in metrics.
-    fn kind(&self) -> &'static str {
-        match self {
-            Self::Heartbeat(_) => "heartbeat",
-            Self::HeartbeatToForward(_) => "heartbeat_to_forward",
-            Self::ForwardedHeartbeat(..) => "forwarded_heartbeat",
-            Self::PromptSent(_) => "prompt_sent",
-            Self::Loads(_) => "loads",
-        }
-    }
-}
-
 /// Binds the socket for datagrams.
 pub async fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
     UdpSocket::bind(address).await
@@ -143,11 +112,19 @@
                 let now = shared.now();
                 shared.dispatcher().receive_load_update(&update, now);
             }
-            Err(e) => log::warn!("event=datagram_unreadable peer={from} error=\"{e}\""),
+            Err(e) => handle_unreadable(&shared, from, &e),
         }
     }
 }
 
+/// Counts a daemon of another build, whose messages this one cannot read, among those that share limits.
+fn handle_unreadable(shared: &Shared, from: SocketAddr, e: &CodecError) {
+    let now = shared.now();
+    if shared.dispatcher().peers.hear_unreadable(from, now) {
+        log::warn!("event=datagram_unreadable peer={from} error=\"{e}\"");
+    }
+}
+
 /// Answers a daemon that was heard of for the first time.
 async fn introduce(shared: Arc<Shared>, peer: SocketAddr) {
     let delay = shared.dispatcher().introduction_delay();
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod herd;
 mod orders;
+mod other_builds;
 mod overload;
 mod overload_fleet;
 mod placement;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod brittle;
+mod earlier_builds;
 mod endless;
 mod explain;
 mod faults;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -22,6 +22,7 @@
 async fn invariants_hold_under_faults() {
     let options = Options {
         program: env!("CARGO_BIN_EXE_hibiscusyoke").into(),
+        earlier_program: None,
         gateways: 3,
         callers: 6,
         injection_time: Duration::from_secs(6),
