--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,11 +1,10 @@
 //! Splits a stream of server-sent events into complete events.
 
 use bytes::{Bytes, BytesMut};
+use platform::stream::EVENT_FIELDS;
 
 /// The blank line that terminates an event.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
-/// Names of the fields of an event.
-const FIELD_NAMES: [&[u8]; 5] = [b"data", b"event", b"id", b"retry", b"weight-versions"];
 /// Maximum size in bytes of an event, and of what may precede the next new one.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -113,7 +112,7 @@
 fn is_event_line(line: &[u8]) -> bool {
     let line = line.strip_suffix(b"\r").unwrap_or(line);
     let name = line.split(|b| *b == b':').next().unwrap_or_default();
-    name.is_empty() || FIELD_NAMES.contains(&name)
+    name.is_empty() || EVENT_FIELDS.contains(&name)
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
