--- a/stand-in/src/gateway/table.rs
+++ b/stand-in/src/gateway/table.rs
@@ -174,6 +174,16 @@
         self.write(table, key, Some(encode(value.to_string().as_bytes())));
     }
 
+    /// Writes a row whose value is this text as it is, which need not be base64.
+    pub fn put_unencoded(&self, table: &str, key: &str, value: &str) {
+        self.write(table, key, Some(value.to_owned()));
+    }
+
+    /// Writes a row whose value holds these bytes, which need not be JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.write(table, key, Some(encode(value)));
+    }
+
     /// Removes a row, as operators and upstreams do.
     pub fn remove(&self, table: &str, key: &str) {
         self.write(table, key, None);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod lost_polls;
 mod lost_upstreams;
 mod narrow_links;
+mod odd_rows;
 mod overload;
 mod poison;
 mod rate_limit;
