Read the rows of a page each by itself

What callers saw: with one row whose value is no base64 the list of upstreams was read again and again and never taken, so that an upstream that registered afterwards was never used, and a daemon that started then did not become ready. The same row among the daemons' own records kept a daemon from joining.

Cause: one row decided about the whole page: the first value, or field, that could not be decoded failed the read.

Change: a page is split into rows first.

Evidence: gateway_starts_beside_odd_rows and upstreams_are_followed_beside_odd_rows with "no base64", and unreadable_rows_do_not_hide_the_others, failed before (timeout; "row no-base64: Invalid symbol"), and pass now.

--- a/tests/gateway/odd_rows.rs
+++ b/tests/gateway/odd_rows.rs
@@ -13,17 +13,26 @@
 /// Keys that sort before, between and after those of the upstreams.
 const ODD_KEYS: [&str; 3] = ["a0", "e1x", "zz"];
 
+/// A value of an odd row.
+enum OddValue {
+    /// The text in place of base64.
+    Unencoded(&'static str),
+    /// Bytes that are encoded like any value.
+    Bytes(Vec<u8>),
+}
+
 /// Returns the values of odd rows, with what makes them odd; `sound` is the entry of an upstream.
-fn odd_values(sound: &Value) -> Vec<(&'static str, Vec<u8>)> {
+fn odd_values(sound: &Value) -> Vec<(&'static str, OddValue)> {
     let with = |key: &str, value: &str| {
         let mut row = sound.clone();
         row[key] = "PLACEHOLDER".into();
         let text = row.to_string().replace("\"PLACEHOLDER\"", value);
-        text.into_bytes()
+        OddValue::Bytes(text.into_bytes())
     };
     let digits = "9".repeat(400);
     let nested = format!("{}{}", "[".repeat(40_000), "]".repeat(40_000));
     vec![
+        ("no base64", OddValue::Unencoded("*** not base64 ***")),
         ("cold for 1e22 ms", with("cold_remaining_ms", "1e22")),
         ("cold for 1e300 ms", with("cold_remaining_ms", "1e300")),
         ("cold for 400 digits", with("cold_remaining_ms", &digits)),
@@ -33,14 +42,17 @@
         ("port out of range", with("address", "\"127.0.0.1:70000\"")),
         ("port 0", with("address", "\"127.0.0.1:0\"")),
         ("sequence of 400 digits", with("sequence", &digits)),
-        ("no UTF-8", vec![0xff, 0xfe, 0x00]),
-        ("empty", Vec::new()),
+        ("no UTF-8", OddValue::Bytes(vec![0xff, 0xfe, 0x00])),
+        ("empty", OddValue::Bytes(Vec::new())),
     ]
 }
 
-fn put_odd_rows(harness: &Harness, value: &[u8]) {
+fn put_odd_rows(harness: &Harness, value: &OddValue) {
     for key in ODD_KEYS {
-        harness.table.put_bytes("servers", key, value);
+        match value {
+            OddValue::Unencoded(text) => harness.table.put_unencoded("servers", key, text),
+            OddValue::Bytes(bytes) => harness.table.put_bytes("servers", key, bytes),
+        }
     }
 }
 
@@ -82,8 +94,15 @@
     let sound = harness.plain_upstreams()[0].row("desk", "v1");
     for (n, (_, value)) in odd_values(&sound).iter().enumerate() {
         let key = format!("odd{n}");
-        harness.table.put_bytes("servers", &key, value);
+        match value {
+            OddValue::Unencoded(text) => harness.table.put_unencoded("servers", &key, text),
+            OddValue::Bytes(bytes) => harness.table.put_bytes("servers", &key, bytes),
+        }
+    }
+    for key in ["daemon/odd", "rollout/pool"] {
+        harness.table.put_unencoded("hibiscusyoke", key, "***");
     }
+    harness.table.put_unencoded("op", "rollout/pool", "***");
     harness.start_gateway();
     wait_until(|| harness.gateways[0].is_ready()).await;
     let reply = harness.call(&plain("r1", Method::GET, "/look/1")).await;
--- a/tests/platform/table.rs
+++ b/tests/platform/table.rs
@@ -1,13 +1,19 @@
 //! The client of the platform's table against the stand-in table.
 
-use std::time::Duration;
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
 use platform::{
     EraTracker, RowVersion,
     table::{Row, Step, TableClient, TableErrorCause, Transaction, TransactionOutcome},
     version::EraError,
 };
 use serde_json::json;
+use tokio::net::TcpListener;
 
 use stand_in::gateway::table::{FakeTable, Fault};
 
@@ -212,3 +218,64 @@
     client.read("op", TIMEOUT).await.expect_err("busy");
     assert_eq!(era.current(), 2);
 }
+
+/// Answers each call with this page of rows.
+async fn spawn_page(page: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("local address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = service_fn(async |_| {
+                let page = Full::new(Bytes::from_static(page.as_bytes()));
+                Ok::<_, Infallible>(Response::new(page))
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), answer));
+        }
+    });
+    address
+}
+
+/// A row that could not be read failed the read of all rows, again and again.
+#[tokio::test]
+async fn unreadable_rows_do_not_hide_the_others() {
+    let page = r#"{"ver":9,"now_ms":5,"rows":[
+        {"part":"","key":"a","value":"YQ==","ver":1},
+        {"part":"","key":"no-base64","value":"***","ver":2},
+        {"part":"","key":"value-is-a-number","value":7,"ver":3},
+        {"part":"","key":"version-is-text","value":"Yg==","ver":"4"},
+        {"part":"","key":"removed","deleted":true,"ver":5},
+        {"part":"","key":"nested","value":[[[[1e400]]]],"ver":6},
+        {"part":"","value":"no key","ver":7},
+        [], 7, null, "text",
+        {"part":"other","key":"other","value":"YQ==","ver":8},
+        {"part":"","key":"z","value":"eg==","ver":9}]}"#;
+    let address = spawn_page(page).await;
+    let mut client = TableClient::open(address, EraTracker::default());
+    let rows = client.read("servers", TIMEOUT).await.expect("answered");
+    let read: Vec<(&str, Option<&[u8]>, u64)> = rows
+        .rows
+        .iter()
+        .map(|row| (row.key.as_str(), row.value.as_deref(), row.version.number))
+        .collect();
+    assert_eq!(
+        read,
+        [
+            ("a", Some(&b"a"[..]), 1),
+            ("no-base64", Some(&b""[..]), 2),
+            ("value-is-a-number", Some(&b""[..]), 9),
+            ("version-is-text", Some(&b""[..]), 9),
+            ("removed", None, 5),
+            ("nested", Some(&b""[..]), 9),
+            ("z", Some(&b"z"[..]), 9),
+        ]
+    );
+}
+
+/// The next page cannot be asked for after a page without a key; it must not be asked for again and again.
+#[tokio::test]
+async fn page_without_a_key_fails_the_read() {
+    let address = spawn_page(r#"{"ver":9,"rows":[{"ver":1}],"has_more":true}"#).await;
+    let mut client = TableClient::open(address, EraTracker::default());
+    let e = client.read("servers", TIMEOUT).await.expect_err("no key");
+    assert!(matches!(e.cause, TableErrorCause::NoKey), "{e}");
+}
