Apply each entry and each order by itself

Cause: a panic while one row is applied ended the task that follows the table, and again after each restart, so that one row decided about all others.

Change: a row whose application panics is reported like an unreadable one and names no upstream; the rows before and after it are applied.

--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -13,10 +13,13 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::coordination::dispatch::{
-    cold::RequestPacer, departed::DepartedUpstreams, engine_speed::Slowness, health::Health,
-    prefill_queue::PrefillQueue, presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
-    released_slots::ReleasedSlots,
+use crate::{
+    coordination::dispatch::{
+        cold::RequestPacer, departed::DepartedUpstreams, engine_speed::Slowness, health::Health,
+        prefill_queue::PrefillQueue, presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
+        released_slots::ReleasedSlots,
+    },
+    isolate::isolate,
 };
 
 /// How long after an outage of the table a missing entry may return.
@@ -225,7 +228,7 @@
         let grace_deadline = self.grace_deadline(&missing, now);
         let handle_removal = |id: &UpstreamId| self.handle_removal(id, grace_deadline, now);
         let mut changes: Vec<Change> = missing.iter().map(handle_removal).collect();
-        changes.extend(rows.iter().map(|row| self.put(row, now)));
+        changes.extend(rows.iter().map(|row| self.put_isolated(row, now)));
         if first {
             for upstream in self.upstreams.values() {
                 self.settled
@@ -244,7 +247,7 @@
         let grace_deadline = self.grace_deadline(&removed, now);
         rows.iter()
             .map(|row| match row.value {
-                Some(_) => self.put(row, now),
+                Some(_) => self.put_isolated(row, now),
                 None => self.handle_removal(&row.key, grace_deadline, now),
             })
             .collect()
@@ -265,6 +268,15 @@
         expired
     }
 
+    /// Applies an entry; one that cannot be applied names no upstream and does not keep the others from
+    /// being applied.
+    fn put_isolated(&mut self, row: &Row, now: Instant) -> Change {
+        isolate(|| self.put(row, now)).unwrap_or_else(|cause| {
+            self.remove(&row.key, now);
+            Change::Unreadable(row.key.clone(), cause)
+        })
+    }
+
     fn put(&mut self, row: &Row, now: Instant) -> Change {
         let Some(value) = &row.value else {
             return Change::None;
--- a/src/gateway/followed_table.rs
+++ b/src/gateway/followed_table.rs
@@ -3,6 +3,8 @@
 use std::{borrow::Cow, collections::BTreeSet};
 
 use platform::{
+    DomainName,
+    decode::DecodeError,
     orders::{self, Order},
     table::Row,
     upstream,
@@ -12,6 +14,7 @@
 use crate::{
     coordination::dispatch::{Applied, Dispatcher, registry::Change},
     gateway::{shared::Shared, waiting},
+    isolate::isolate,
     state::rows::{RowCache, RowChanges},
 };
 
@@ -33,6 +36,14 @@
         }
     }
 
+    /// Returns the name of the task that follows the table.
+    pub fn follower_name(self) -> &'static str {
+        match self {
+            Self::Orders => "follow_orders",
+            Self::Upstreams => "follow_upstreams",
+        }
+    }
+
     /// Returns the cached rows of the table.
     pub fn cache(self, dispatcher: &Dispatcher) -> &RowCache {
         match self {
@@ -101,23 +112,16 @@
     let now = shared.now();
     let mut evacuated = BTreeSet::new();
     for row in &changes.rows {
-        let order = match Order::decode(row) {
-            Ok(order) => order,
+        let (key, version) = (&row.key, row.version);
+        match isolate(|| apply_order(shared, row, &mut evacuated)) {
+            Ok(Ok(Applied::Nothing)) => {}
+            Ok(Ok(applied)) => log::info!("event=order_applied version={version} {applied}"),
+            Ok(Err(e)) => {
+                log::error!("event=order_unreadable key={key} version={version} error=\"{e}\"");
+            }
             Err(e) => {
-                log::error!(
-                    "event=order_unreadable key={} version={} error=\"{e}\"",
-                    row.key,
-                    row.version
-                );
-                continue;
+                log::error!("event=order_not_applied key={key} version={version} error=\"{e}\"");
             }
-        };
-        if let Order::Evacuate(domain) = &order {
-            evacuated.insert(domain.clone());
-        }
-        let applied = shared.dispatcher().apply(order, row.version, now);
-        if applied != Applied::Nothing {
-            log::info!("event=order_applied version={} {applied}", row.version);
         }
     }
     // A peer's rows may be older than those that this daemon has read itself.
@@ -126,6 +130,20 @@
     }
 }
 
+/// Applies an order, and records the failure domain that it evacuates.
+fn apply_order(
+    shared: &Shared,
+    row: &Row,
+    evacuated: &mut BTreeSet<DomainName>,
+) -> Result<Applied, DecodeError> {
+    let order = Order::decode(row)?;
+    if let Order::Evacuate(domain) = &order {
+        evacuated.insert(domain.clone());
+    }
+    let now = shared.now();
+    Ok(shared.dispatcher().apply(order, row.version, now))
+}
+
 fn apply_upstreams(shared: &Shared, changes: &RowChanges) {
     let now = shared.now();
     let mut dispatcher = shared.dispatcher();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod demo;
 pub mod gateway;
+pub mod isolate;
 pub mod local;
 pub mod measure;
 pub mod metrics;
