Bound the times and counts in messages of other daemons

What callers would see: a message with an enormous prefill time ended the task that receives datagrams; the daemon heard no other daemon again, kept its requests to itself and was left out of the directory. One with a plausible but absurd time kept an engine out of use for as long.

The encoding is the same.

--- a/src/coordination/dispatch/evidence.rs
+++ b/src/coordination/dispatch/evidence.rs
@@ -49,10 +49,11 @@
     }
 
     fn add(&mut self, other: Self) {
-        self.answers += other.answers;
-        self.bad += other.bad;
-        self.begun += other.begun;
-        self.slow += other.slow;
+        // Another daemon chooses these numbers.
+        self.answers = self.answers.saturating_add(other.answers);
+        self.bad = self.bad.saturating_add(other.bad);
+        self.begun = self.begun.saturating_add(other.begun);
+        self.slow = self.slow.saturating_add(other.slow);
     }
 
     fn slow_ratio(self) -> BadRatio {
@@ -110,7 +111,7 @@
         }
         self.old_pace.add(&other.old_pace);
         self.new_pace.add(&other.new_pace);
-        self.running_old += other.running_old;
+        self.running_old = self.running_old.saturating_add(other.running_old);
     }
 
     /// Returns whether the evidence shows that the new version is faulty.
--- a/src/coordination/dispatch/pace.rs
+++ b/src/coordination/dispatch/pace.rs
@@ -52,13 +52,13 @@
     /// Adds the streams of another daemon.
     pub fn add(&mut self, other: &Self) {
         for (sum, streams) in self.streams.iter_mut().zip(other.streams) {
-            *sum += streams;
+            *sum = sum.saturating_add(streams);
         }
     }
 
     /// Returns the number of streams.
     pub fn total(&self) -> u32 {
-        self.streams.iter().sum()
+        self.streams.iter().fold(0, |sum, n| sum.saturating_add(*n))
     }
 
     /// Returns the approximate 10th percentile of the time per event, that is, the pace of the
@@ -69,7 +69,7 @@
         let rank = self.total().div_ceil(10);
         let mut seen = 0;
         for (streams, bucket) in self.streams.iter().zip(0..) {
-            seen += streams;
+            seen = streams.saturating_add(seen);
             if seen >= rank && seen > 0 {
                 return Some(FIRST_BUCKET_PACE.mul_f64(f64::powi(BUCKET_FACTOR, bucket)));
             }
--- a/src/coordination/dispatch/prefill_queue.rs
+++ b/src/coordination/dispatch/prefill_queue.rs
@@ -5,11 +5,14 @@
 
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Fraction of the estimation error by which the end of the queue is corrected.
 const CORRECTION_FACTOR: f64 = 0.5;
 
+/// Maximum prefill time or backlog that another daemon reports; the longest deadlines are shorter.
+const MAX_REPORTED_TIME: Duration = Duration::from_secs(60);
+
 /// How long after its expected time a prompt counts as overdue.
 const OVERDUE_AFTER: Duration = Duration::from_millis(150);
 
@@ -19,9 +22,15 @@
     /// Hash of the upstream's id.
     pub upstream: u64,
     /// Prefill time for the part of the prompt that is not cached.
+    #[serde(deserialize_with = "bounded_time")]
     pub prefill_time: Duration,
 }
 
+fn bounded_time<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let time = Duration::deserialize(deserializer)?;
+    Ok(time.min(MAX_REPORTED_TIME))
+}
+
 /// A prompt of this daemon whose prefill has not completed.
 #[derive(Clone, Copy, Debug)]
 struct PendingPrefill {
@@ -76,7 +85,8 @@
     /// Records the backlog that another daemon reported. The daemons that are notified of an engine's
     /// prompts report it to the others.
     pub fn record_report(&mut self, backlog: Duration, now: Instant) {
-        self.reported_empty_at = self.reported_empty_at.max(Some(now + backlog));
+        let empty_at = now + backlog.min(MAX_REPORTED_TIME);
+        self.reported_empty_at = self.reported_empty_at.max(Some(empty_at));
     }
 
     /// Adds a prompt of another daemon.
--- a/src/daemon/service/forward.rs
+++ b/src/daemon/service/forward.rs
@@ -4,6 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use platform::decode::MAX_DURATION;
 use tokio::time::sleep;
 
 use super::{
@@ -149,7 +150,7 @@
             return Response::OtherIncarnation;
         }
         let call = Call {
-            deadline: self.core.clock.now() + forwarded.time_left,
+            deadline: self.core.clock.now() + forwarded.time_left.min(MAX_DURATION),
             caller_request: Arc::new(forwarded.into()),
         };
         match self
--- a/src/gateway/table_link.rs
+++ b/src/gateway/table_link.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http2 as client};
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use platform::{RowVersion, net, transfer::read_body};
+use platform::{RowVersion, decode::MAX_DURATION, net, transfer::read_body};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -93,7 +93,7 @@
         .map_err(|e| fetch_error("decode", peer, e))?;
     Ok(ChangesReply {
         changes: packing::unpack(&reply.changes).map_err(|e| fetch_error("unpack", peer, e))?,
-        grace_remaining: reply.grace_remaining,
+        grace_remaining: reply.grace_remaining.map(|left| left.min(MAX_DURATION)),
     })
 }
 
--- a/tests/gateway/heartbeats.rs
+++ b/tests/gateway/heartbeats.rs
@@ -2,7 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use crate::harness::{Gateway, Harness, wait_until};
+use http::StatusCode;
+use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
+
+use hibiscusyoke::{
+    coordination::dispatch::prefill_queue::PrefillNotice, gateway::datagram::Datagram,
+    protocol::codec,
+};
+
+use crate::harness::{Gateway, Harness, stream, wait_until};
 
 /// Time in which heartbeats are counted.
 const COUNTING_TIME: Duration = Duration::from_secs(3);
@@ -48,3 +57,27 @@
     assert!(killed.elapsed() < MAX_DETECTION_TIME);
     assert!(!harness.gateways[0].wait_for_exit().await);
 }
+
+/// A message with an enormous time ended the task that receives datagrams, so that the daemon heard no other.
+#[tokio::test(flavor = "multi_thread")]
+async fn datagram_with_an_enormous_time_does_not_end_receiving() {
+    let mut harness = Harness::spawn(1).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let receiver = harness.gateways[0].peer_address();
+    for engine in harness.engines() {
+        let notice = Datagram::PromptSent(PrefillNotice {
+            upstream: xxh3_64(engine.id.as_bytes()),
+            prefill_time: Duration::from_secs(u64::MAX),
+        });
+        let datagram = codec::encode(&notice).expect("encoded");
+        let sent = socket.send_to(&datagram, receiver).await;
+        assert_eq!(sent.expect("sent"), datagram.len());
+    }
+    harness.start_gateway();
+    for gateway in &harness.gateways {
+        wait_until(|| async { gateway.directory().await.len() == 2 }).await;
+    }
+    let reply = harness.call(&stream("s1", "/ask/easy")).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert!(!harness.gateways[0].log().contains("event=panic"));
+}
