Log, count and restart background tasks that end, and notice those that stand still

What callers saw: a daemon whose task had ended was ready for ever and served by what it had known: removed upstreams went on being used, new ones never were. Nothing told of it but the text of the panic, which is no log line. If it was one of the few daemons that poll the table for the others, it stayed one.

Cause: the handles of the tasks were dropped.

Change: a supervisor runs each background task of gateway and serve. A panic is a log line (event=panic) and a counter; a task that ends is logged (event=task_ended), counted and started again after a pause that grows from 0.1 to 5 s. A daemon of which a task that follows a table completes no step for 10 s (event=not_followed) is not ready, tells the others that it has lost the table, so that another one polls, and stays in the directory only if no daemon is ready. One that no longer accepts callers is not ready either.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -15,6 +15,7 @@
     clock::SystemClock,
     commands::Status,
     gateway::{Gateway, logging, settings::Settings},
+    supervise,
 };
 
 /// Interval between checks of the settings file for changes.
@@ -30,6 +31,7 @@
         }
     };
     logging::install();
+    supervise::log_panics();
     let gateway = match Gateway::spawn(settings, Arc::new(SystemClock)).await {
         Ok(gateway) => gateway,
         Err(e) => {
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     cli::ServeArgs, clock::SystemClock, commands::Status, daemon::Daemon, settings::Settings,
+    supervise,
 };
 
 /// Runs the daemon until a stop signal, then shuts down without interrupting requests in flight.
@@ -19,6 +20,7 @@
         }
     };
     log_to_stderr();
+    supervise::log_panics();
     let daemon = match Daemon::spawn(settings, Arc::new(SystemClock)).await {
         Ok(daemon) => daemon,
         Err(e) => {
--- a/src/coordination/dispatch/heartbeat.rs
+++ b/src/coordination/dispatch/heartbeat.rs
@@ -32,7 +32,7 @@
 /// Whether a daemon accepts callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Readiness {
-    /// It has no configuration yet.
+    /// It has no configuration yet, or no longer follows the tables.
     Starting,
     /// It accepts callers.
     Ready,
--- a/src/daemon/billing.rs
+++ b/src/daemon/billing.rs
@@ -23,6 +23,7 @@
         PeerRequest, PeerResponse,
         bills::{Hold, Request, Response},
     },
+    supervise::Supervisor,
     transport::table::{TableClient, TableError},
 };
 
@@ -72,10 +73,12 @@
             core,
         });
         billing.refresh_holders();
-        tokio::spawn(Self::replicate_bills(Arc::downgrade(&billing)));
-        tokio::spawn(Self::write_rows(Arc::downgrade(&billing)));
-        tokio::spawn(Self::adopt_orphans(Arc::downgrade(&billing)));
-        tokio::spawn(Self::probe_table(Arc::downgrade(&billing)));
+        let tasks = Supervisor::new(&billing.core.clock);
+        let weak = || Arc::downgrade(&billing);
+        tasks.spawn("replicate_bills", weak(), Self::replicate_bills);
+        tasks.spawn("write_bills", weak(), Self::write_rows);
+        tasks.spawn("adopt_orphaned_bills", weak(), Self::adopt_orphans);
+        tasks.spawn("probe_table", weak(), Self::probe_table);
         billing
     }
 
--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -27,6 +27,7 @@
             claims::{AttemptQuery, Request, Response},
         },
     },
+    supervise::Supervisor,
 };
 
 mod flush;
@@ -95,8 +96,10 @@
             journals: JournalCache::default(),
             core,
         });
-        tokio::spawn(Self::record_outcomes(Arc::downgrade(&claims)));
-        tokio::spawn(Self::write_journal(Arc::downgrade(&claims)));
+        let tasks = Supervisor::new(&claims.core.clock);
+        let weak = || Arc::downgrade(&claims);
+        tasks.spawn("record_outcomes", weak(), Self::record_outcomes);
+        tasks.spawn("write_journal", weak(), Self::write_journal);
         claims
     }
 
--- a/src/daemon/configuration/mod.rs
+++ b/src/daemon/configuration/mod.rs
@@ -19,6 +19,7 @@
     daemon::core::{Core, MemberList},
     protocol::peer::configuration::{Request, Response},
     state::snapshot::Snapshot,
+    supervise::Supervisor,
 };
 
 mod publish;
@@ -48,7 +49,11 @@
             follower: Mutex::new(follower),
             publishing: tokio::sync::Mutex::new(()),
         });
-        tokio::spawn(run(Arc::downgrade(&configuration), members));
+        let tasks = Supervisor::new(&configuration.core.clock);
+        let state = (Arc::downgrade(&configuration), members);
+        tasks.spawn("follow_configuration", state, |(configuration, members)| {
+            run(configuration, members)
+        });
         configuration
     }
 
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -13,6 +13,7 @@
     coordination::membership::{Member, Outgoing, QuorumStatus, Record, Seed, swim::Swim},
     daemon::core::Core,
     state::objects::UpstreamName,
+    supervise::Supervisor,
     transport::{gossip::GossipSocket, instances::InstancesClient},
 };
 
@@ -43,9 +44,10 @@
             socket,
             tasks: Mutex::default(),
         });
+        let supervisor = Supervisor::new(&this.core.clock);
         let tasks = vec![
-            tokio::spawn(this.clone().run()),
-            tokio::spawn(this.clone().poll_instances()),
+            supervisor.spawn("membership", this.clone(), Self::run),
+            supervisor.spawn("poll_instances", this.clone(), Self::poll_instances),
         ];
         *this.tasks.lock().unwrap_or_else(PoisonError::into_inner) = tasks;
         Ok(this)
--- a/src/daemon/permits.rs
+++ b/src/daemon/permits.rs
@@ -31,6 +31,7 @@
         objects::{Offer, UpstreamName},
         snapshot::{Generation, Snapshot},
     },
+    supervise::Supervisor,
 };
 
 mod links;
@@ -90,7 +91,7 @@
             links: EngineLinks::default(),
             slots_changed: Notify::new(),
         });
-        tokio::spawn(this.clone().run());
+        Supervisor::new(&this.core.clock).spawn("permits", this.clone(), Self::run);
         this
     }
 
--- a/src/daemon/policy/gossip.rs
+++ b/src/daemon/policy/gossip.rs
@@ -24,6 +24,7 @@
         policy::{Hops, Request, Response},
     },
     state::objects::Offer,
+    supervise::Supervisor,
 };
 
 /// Timeout of a call to a peer.
@@ -58,8 +59,9 @@
 
 /// Starts the background tasks. They end when the last handle of the policy is dropped.
 pub(super) fn spawn(policy: &Arc<Policy>) {
-    tokio::spawn(run(Arc::downgrade(policy)));
-    tokio::spawn(save_verdicts(Arc::downgrade(policy)));
+    let tasks = Supervisor::new(&policy.core.clock);
+    tasks.spawn("exchange_ratings", Arc::downgrade(policy), run);
+    tasks.spawn("save_verdicts", Arc::downgrade(policy), save_verdicts);
 }
 
 async fn run(policy: Weak<Policy>) {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -61,8 +61,21 @@
         vain_generation: 0,
         shared,
     };
+    let _end = EndGuard(follower.shared.clone());
     loop {
         follower.step().await;
+        let shared = &follower.shared;
+        shared.follow_progress.record_step(followed, shared.now());
+    }
+}
+
+/// Tells the other daemons not to rely on this one if it stops following a table.
+struct EndGuard(Arc<Shared>);
+
+impl Drop for EndGuard {
+    fn drop(&mut self) {
+        self.0.dispatcher().table_lost(self.0.now());
+        self.0.urgent_heartbeat.notify_one();
     }
 }
 
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -66,6 +66,10 @@
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) {
+    let _end = AcceptGuard {
+        shared: shared.clone(),
+        origin,
+    };
     let mut connections = JoinSet::new();
     let connection_stop = stop.clone();
     loop {
@@ -82,6 +86,20 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Takes the daemon out of the directory if it stops accepting callers.
+struct AcceptGuard {
+    shared: Arc<Shared>,
+    origin: Origin,
+}
+
+impl Drop for AcceptGuard {
+    fn drop(&mut self) {
+        if self.origin == Origin::Caller {
+            self.shared.stop_accepting();
+        }
+    }
+}
+
 async fn serve_connection(
     shared: Arc<Shared>,
     origin: Origin,
@@ -146,7 +164,7 @@
 }
 
 /// Serves the directory, the readiness check and the metrics until the process exits.
-pub async fn serve_control(shared: Arc<Shared>, listener: TcpListener) {
+pub async fn serve_control(shared: Arc<Shared>, listener: Arc<TcpListener>) {
     loop {
         let stream = accept(&listener).await;
         let ends = stream.peer_addr().ok().zip(stream.local_addr().ok());
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -107,7 +107,8 @@
     gauge(
         "hibiscusyoke_gateway_state",
         "What the daemon believes: generation in force, upstreams listed, those it could not connect to, \
-         whether it has lost all of them, daemons that live, bytes of streams held for their callers.",
+         whether it has lost all of them, daemons that live, whether a table is no longer followed, bytes of \
+         streams held for their callers.",
         &["what"],
     )
 });
@@ -209,6 +210,8 @@
         set("cut_off", usize::from(dispatcher.reachability.is_cut_off()));
         set("daemons", dispatcher.peers.live(now).count() + 1);
     }
+    let is_stalled = shared.follow_progress.is_stalled();
+    set("not_followed", usize::from(is_stalled));
     set("bytes_held_for_callers", shared.send_buffers.held());
     crate::metrics::render()
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use futures::future::OptionFuture;
+use futures::{
+    FutureExt,
+    future::{BoxFuture, OptionFuture},
+};
 use thiserror::Error;
 use tokio::{sync::watch, task::JoinHandle};
 
@@ -18,9 +21,10 @@
     clock::SharedClock,
     coordination::dispatch::heartbeat::PeerId,
     gateway::{
-        follow::follow, followed_table::FollowedTable, forward::Origin, settings::Settings,
-        shared::Shared,
+        follow::follow, followed_table::FollowedTable, forward::Origin, progress::FollowChange,
+        settings::Settings, shared::Shared,
     },
+    supervise::Supervisor,
 };
 
 pub mod attempt;
@@ -42,6 +46,7 @@
 pub mod peer_changes;
 pub mod peer_link;
 pub mod probe;
+pub mod progress;
 mod read_limit;
 mod recording;
 pub mod records;
@@ -108,19 +113,32 @@
         let listen =
             |address| listener::bind(address).map_err(|source| StartError { address, source });
         let front = listen(settings.front)?;
+        let tasks = Supervisor::new(&shared.clock);
         let control = [Some(settings.ready), settings.directory, settings.metrics];
         for address in control.into_iter().flatten() {
-            tokio::spawn(listener::serve_control(shared.clone(), listen(address)?));
+            let listener = Arc::new(listen(address)?);
+            let state = (shared.clone(), listener);
+            tasks.spawn("serve_control", state, |(shared, listener)| {
+                listener::serve_control(shared, listener)
+            });
+        }
+        let state = (shared.clone(), Arc::new(listen(address)?));
+        tasks.spawn("serve_peers", state, |(shared, listener)| {
+            table_service::serve(shared, listener)
+        });
+        for table in [FollowedTable::Orders, FollowedTable::Upstreams] {
+            let name = table.follower_name();
+            tasks.spawn(name, shared.clone(), move |shared| follow(shared, table));
         }
-        tokio::spawn(table_service::serve(shared.clone(), listen(address)?));
-        tokio::spawn(peer_link::receive(shared.clone()));
-        tokio::spawn(peer_link::send_heartbeats(shared.clone()));
-        tokio::spawn(peer_link::send_loads(shared.clone()));
-        tokio::spawn(follow(shared.clone(), FollowedTable::Orders));
-        tokio::spawn(follow(shared.clone(), FollowedTable::Upstreams));
-        tokio::spawn(records::run(shared.clone()));
-        tokio::spawn(probe::run(shared.clone()));
-        tokio::spawn(tick(shared.clone()));
+        let spawn = |name, task: fn(Arc<Shared>) -> BoxFuture<'static, ()>| {
+            tasks.spawn(name, shared.clone(), task);
+        };
+        spawn("receive_datagrams", |s| peer_link::receive(s).boxed());
+        spawn("send_heartbeats", |s| peer_link::send_heartbeats(s).boxed());
+        spawn("send_loads", |s| peer_link::send_loads(s).boxed());
+        spawn("write_records", |s| records::run(s).boxed());
+        spawn("probe_upstreams", |s| probe::run(s).boxed());
+        spawn("tick", |s| tick(s).boxed());
         let stop = watch::Sender::new(false);
         let delegation = shared
             .settings
@@ -192,6 +210,7 @@
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = shared.now();
+        report_progress(&shared);
         report_crashes(&shared);
         probe::report_changes(&shared);
         for presumed in shared.dispatcher().take_presumed_cold() {
@@ -206,6 +225,19 @@
     }
 }
 
+/// Logs whether the tables are followed, and tells the other daemons not to rely on this one while they are not.
+fn report_progress(shared: &Shared) {
+    let now = shared.now();
+    match shared.follow_progress.check(now) {
+        Some(change @ FollowChange::Stalled(..)) => log::error!("{change}"),
+        Some(change @ FollowChange::Resumed) => log::info!("{change}"),
+        None => {}
+    }
+    if shared.follow_progress.is_stalled() {
+        shared.dispatcher().table_lost(now);
+    }
+}
+
 /// Logs the crashes of upstreams that were counted, and tells the other daemons at once.
 fn report_crashes(shared: &Shared) {
     let (findings, refused) = {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,6 +25,7 @@
     gateway::{
         body_memory::BodyMemory,
         drain::Drain,
+        progress::FollowProgress,
         send_buffer::SendBuffers,
         settings::Settings,
         waiting::{self, Waiters},
@@ -59,6 +60,8 @@
     pub send_buffers: Arc<SendBuffers>,
     /// The requests that wait for an upstream with room.
     pub waiters: Waiters,
+    /// Whether the tables are followed.
+    pub follow_progress: FollowProgress,
     /// The socket for datagrams between daemons.
     pub peer_socket: UdpSocket,
     dispatcher: Mutex<Dispatcher>,
@@ -86,6 +89,7 @@
         dispatcher.set_link_mbps(settings.whole_link_mbps());
         let send_buffers = SendBuffers::new(settings.send_buffer_bytes(), clock.clone());
         dispatcher.set_may_delegate(settings.delegation_address().is_some());
+        let follow_progress = FollowProgress::new(clock.now());
         Self {
             started_at: clock.now(),
             has_tables: watch::Sender::new(false),
@@ -100,6 +104,7 @@
             body_memory: Arc::default(),
             send_buffers: Arc::new(send_buffers),
             waiters: Waiters::default(),
+            follow_progress,
             peer_socket,
             dispatcher: Mutex::new(dispatcher),
             knows_peers: AtomicBool::new(false),
@@ -182,6 +187,11 @@
         self.accepting.store(false, Ordering::Relaxed);
     }
 
+    /// Whether callers can connect to this daemon.
+    fn is_accepting(&self) -> bool {
+        self.accepting.load(Ordering::Relaxed)
+    }
+
     /// Whether the process is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -189,11 +199,12 @@
 
     /// Returns whether this daemon is ready for callers.
     pub fn readiness(&self) -> Readiness {
-        if self.is_leaving() {
+        if self.is_leaving() || !self.is_accepting() {
             return Readiness::Leaving;
         }
         let has_tables = *self.has_tables.borrow();
-        match has_tables && self.joined.load(Ordering::Relaxed) {
+        let follows = !self.follow_progress.is_stalled();
+        match has_tables && follows && self.joined.load(Ordering::Relaxed) {
             true => Readiness::Ready,
             false => Readiness::Starting,
         }
@@ -201,8 +212,8 @@
 
     /// Returns the caller addresses of all live and ready daemons, including this one.
     ///
-    /// If there are none because all daemons are shutting down at the same time, it returns the address
-    /// of this daemon as long as callers can connect to it.
+    /// If there are none because all daemons are shutting down at the same time, or no longer follow the tables,
+    /// it returns the address of this daemon as long as callers can connect to it.
     pub fn directory(&self) -> Vec<SocketAddr> {
         let own = (self.readiness() == Readiness::Ready).then_some(self.settings.front);
         let dispatcher = self.dispatcher();
@@ -212,7 +223,10 @@
             .map(|p| p.last_heartbeat.caller_address)
             .collect();
         let ready: Vec<SocketAddr> = own.into_iter().chain(peers).collect();
-        match ready.is_empty() && self.is_leaving() && self.accepting.load(Ordering::Relaxed) {
+        match ready.is_empty()
+            && (self.is_leaving() || self.follow_progress.is_stalled())
+            && self.is_accepting()
+        {
             true => vec![self.settings.front],
             false => ready,
         }
--- a/src/gateway/table_service.rs
+++ b/src/gateway/table_service.rs
@@ -46,7 +46,7 @@
 const MAX_CONNECTION_TIME: Duration = Duration::from_secs(20);
 
 /// Serves the queries of peers until the process exits.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+pub async fn serve(shared: Arc<Shared>, listener: Arc<TcpListener>) {
     let transfers = concurrent_transfers(shared.settings.link_mbps);
     let service = Arc::new(TableService {
         shared,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod protocol;
 pub mod settings;
 pub mod state;
+pub mod supervise;
 pub mod transport;
