Refuse at a planned stop what may outlast the daemon, and answer the rest before it exits

What callers saw: requests that may not be repeated were taken after the SIGTERM whatever their deadline, and cut without an answer at the end of the grace period, though another daemon was ready; those that waited for an upstream were sent on late; those that were running were cut, too.

Cause: in the first 2.8 s a leaving daemon takes all requests; afterwards it looked only at waiting requests whose time left was under 0.5 s; at the end the process exited over what still ran.

Change: from the SIGTERM on, a request that must not be repeated and may outlast the daemon is refused at once (503, Retry-After 0, Connection: close) if another daemon is ready, also while it waits. 0.1 s before the process must exit, requests that still run are answered with 502. With no other daemon ready all is as before; Retry-After is the time to the exit only then.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,9 @@
 //! Handling of a request: selection of an upstream, attempts and the response.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -27,7 +30,7 @@
         attempt::{self, AttemptError, UpstreamResponse},
         call::Call,
         delegate,
-        drain::WorkGuard,
+        drain::{DrainRequest, Leaving, WorkGuard},
         metrics, probe, relay,
         reply::{self, Body, RefusalReason},
         shared::{Shared, SlotGuard},
@@ -88,15 +91,34 @@
             return add_connection_close(&shared, response);
         }
     };
+    let call = Arc::new(call);
     let exchange = Exchange {
         origin,
         attempts: earlier_attempts,
-        ..Exchange::new(shared.clone(), Arc::new(call))
+        ..Exchange::new(shared.clone(), call.clone())
+    };
+    let response = tokio::select! {
+        response = exchange.run() => response,
+        () = shared.drain.expired() => answer_before_exit(&shared, &call),
     };
-    let response = exchange.run().await;
     add_connection_close(&shared, response)
 }
 
+/// Answers a request that still runs when the process must exit; it may have run.
+fn answer_before_exit(shared: &Shared, call: &Call) -> Response<Body> {
+    let reason = RefusalReason::NoAnswer;
+    let elapsed = call.age(shared.now());
+    log::warn!(
+        "event=refused id={} route={} reason={reason} why=exit generation={} ms={}",
+        call.id(),
+        call.route.name,
+        call.generation,
+        elapsed.as_millis()
+    );
+    metrics::request(&reason.to_string(), elapsed);
+    reply::refuse(reason, None)
+}
+
 /// Tells the caller to reconnect, possibly to another daemon, if this daemon is shutting down.
 fn add_connection_close(shared: &Shared, mut response: Response<Body>) -> Response<Body> {
     if shared.is_leaving() {
@@ -174,9 +196,8 @@
     /// Makes attempts until there is a response for the caller.
     pub async fn run(mut self) -> Response<Body> {
         let now = self.shared.now();
-        let drain_time_left = self.shared.drain.time_left(now);
-        if let Some(left) = drain_time_left.filter(|left| self.call.remaining(now) > *left) {
-            return self.refuse(RefusalReason::Leaving, Some(left));
+        if let Some(leaving) = self.leaving(now) {
+            return self.refuse(RefusalReason::Leaving, Some(leaving.retry_after));
         }
         self.shared
             .dispatcher()
@@ -254,6 +275,16 @@
         allowed
     }
 
+    /// Returns whether the request is refused because the daemon shuts down.
+    pub(super) fn leaving(&self, now: Instant) -> Option<Leaving> {
+        let request = DrainRequest {
+            remaining: self.call.remaining(now),
+            is_retryable: self.call.route.is_retryable(),
+        };
+        let has_successor = || self.shared.has_ready_peer(now);
+        self.shared.drain.refuses(request, has_successor, now)
+    }
+
     /// Returns the suspect for which the request is refused, if any.
     fn poison(&self) -> Option<Suspect> {
         self.shared.dispatcher().poison.poison(&self.call.suspects)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -66,9 +66,7 @@
 /// Interval between removals of expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long new requests are accepted after a shutdown request, until cached directory responses
-/// have expired.
-///
-/// A stream that starts later might not finish within the grace period.
+/// have expired. A stream that starts later might not finish within the grace period.
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(2_800);
 /// Interval between checks whether a daemon that drains may stop accepting requests.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -179,6 +177,7 @@
         let grace = self.shared.settings.grace_period();
         let deadline = self.shared.now() + grace.saturating_sub(EXIT_RESERVE);
         log::info!("event=stop grace_ms={}", grace.as_millis());
+        self.shared.drain.announce(deadline);
         self.shared.set_leaving();
         tokio::time::sleep(SHUTDOWN_DELAY.min(grace / 2)).await;
         self.drain_without_successor(deadline).await;
@@ -194,11 +193,10 @@
     /// Accepts requests that end before the deadline while no other daemon is ready and earlier
     /// requests keep this one running.
     async fn drain_without_successor(&self, deadline: Instant) {
-        let earlier = self.shared.drain.begin(deadline);
+        let earlier = self.shared.drain.begin();
         let is_needed = || {
             let now = self.shared.now();
-            let has_successor = self.shared.dispatcher().peers.ready(now).next().is_some();
-            now < deadline && !has_successor && !earlier.has_ended()
+            now < deadline && !self.shared.has_ready_peer(now) && !earlier.has_ended()
         };
         while is_needed() {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -197,6 +197,11 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns whether another daemon is ready for callers.
+    pub fn has_ready_peer(&self, now: Instant) -> bool {
+        self.dispatcher().peers.ready(now).next().is_some()
+    }
+
     /// Returns whether this daemon is ready for callers.
     pub fn readiness(&self) -> Readiness {
         if self.is_leaving() || !self.is_accepting() {
--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -22,7 +22,7 @@
             waiting::{AdmissionRequest, Admitted, Rejection, WaitState},
         },
     },
-    gateway::{forward::Exchange, metrics, reply::RefusalReason, shared::Shared},
+    gateway::{drain::Leaving, forward::Exchange, metrics, reply::RefusalReason, shared::Shared},
 };
 
 /// Maximum time between two tries of a waiting request. Changes that wake no request, such as the end of
@@ -154,9 +154,10 @@
         loop {
             let was_woken = ticket.wait().await;
             let now = self.shared.now();
-            if let Some(left) = self.time_left_in_shutdown(now) {
+            if let Some(leaving) = self.leaving_while_waiting(now) {
                 log::info!("event=waiting_ended id={} why=leaving", self.call.id());
-                return Err((self.reason_or_no_answer(RefusalReason::Leaving), Some(left)));
+                let reason = self.reason_or_no_answer(RefusalReason::Leaving);
+                return Err((reason, Some(leaving.retry_after)));
             }
             let admitted =
                 self.shared
@@ -181,11 +182,15 @@
         }
     }
 
-    /// Returns the rest of the grace period if the process shuts down and the request can no longer be
-    /// served within it.
-    fn time_left_in_shutdown(&self, now: Instant) -> Option<Duration> {
-        let left = self.shared.drain.time_left(now)?;
-        (left < RETRY_INTERVAL * 2).then_some(left)
+    /// Returns whether the request must not wait any longer because the process shuts down: it can no longer be
+    /// served in time, or may be cut and must not be repeated.
+    fn leaving_while_waiting(&self, now: Instant) -> Option<Leaving> {
+        let left = self.shared.drain.time_left(now);
+        if let Some(left) = left.filter(|left| *left < RETRY_INTERVAL * 2) {
+            return Some(Leaving { retry_after: left });
+        }
+        self.leaving(now)
+            .filter(|_| !self.call.route.is_retryable())
     }
 
     fn log_waiting(&self, state: &WaitState) {
