Let late attempts go on unless another one is made, and learn what is late

What callers saw, in calm, where a plain service takes longer than 0.8 of its objective: each request ran up to three times, one after the other, and took as much longer; once the retry budget was spent, it was refused with 502 while an upstream was at work on it.

Cause: an attempt was ended at 0.8 of the objective and the expected time, and only then was it asked whether another one may be made. The expected time is known for engines only.

Change: the times to the first byte are kept by upstream and route (two histograms of 40 buckets, 10 s each, at most 16 routes). An attempt is late after 1.5 times the median of the upstreams' 0.9 quantiles, if that is more than before. A late one goes on; another one is made beside it if the budget, the route and the upstreams allow, and the first usable response wins. A stream is ended first, as an engine should not run it twice; it goes on if there is nowhere to send it. While more than half of a service's upstreams are late, further attempts are at most 3 % of its requests. Each late attempt has a log line and a counter by outcome.

Evidence: slow_upstreams.rs: before, the first 16 requests were served, those after them got 502; 502 for 8 of 8 without a budget; now at most 1.05 runs once the time is known, and all served. In virtual time (dispatch response_times, 3, 8 and 86 daemons): at most 5 % extra runs of a service at 1.3, 2 and 4 times its objective, always or for a while; one slow or mute upstream of 2, one of 20 or three of 9 cost what they did before.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -57,6 +57,7 @@
 pub mod registry;
 mod release;
 mod released_slots;
+pub mod response_times;
 pub mod retry_budget;
 pub mod rollout;
 mod rollout_decision;
@@ -83,6 +84,7 @@
 use rate_limit::AnnouncedLimit;
 use reachability::Reachability;
 use registry::Registry;
+use response_times::ExtraAttempts;
 use retry_budget::{RetryBudget, RetryLimit};
 use rollout::Rollout;
 use rollout_decision::{BrokenConnection, EarlyStatus};
@@ -143,6 +145,7 @@
     rollouts: BTreeMap<ServiceName, Rollout>,
     early_statuses: HashMap<ServiceName, EarlyStatus>,
     budgets: HashMap<ServiceName, RetryBudget>,
+    extra_attempts: ExtraAttempts,
     broken_connections: Vec<BrokenConnection>,
     /// What the newest answers of services' upstreams said of refusals.
     brittle: HashMap<ServiceName, AnnouncedLimit>,
@@ -223,6 +226,7 @@
             rollouts: BTreeMap::new(),
             early_statuses: HashMap::new(),
             budgets: HashMap::new(),
+            extra_attempts: ExtraAttempts::default(),
             broken_connections: Vec::new(),
             brittle: HashMap::new(),
             presumed_cold: Vec::new(),
@@ -280,6 +284,7 @@
     pub fn record_request(&mut self, service: &str, now: Instant) {
         let limit = self.limits.retries;
         self.budget(service).record_request(&limit, now);
+        self.extra_attempts.record_request(service);
     }
 
     /// Takes a retry from the service's budget; returns whether one was left.
--- a/src/coordination/dispatch/registry.rs
+++ b/src/coordination/dispatch/registry.rs
@@ -17,7 +17,7 @@
     coordination::dispatch::{
         cold::RequestPacer, departed::DepartedUpstreams, engine_speed::Slowness, health::Health,
         prefill_queue::PrefillQueue, presumed_cold::PresumedCold, rate_limit::AnnouncedLimit,
-        released_slots::ReleasedSlots,
+        released_slots::ReleasedSlots, response_times::ResponseTimes,
     },
     isolate::isolate,
 };
@@ -68,6 +68,8 @@
     pub queue: PrefillQueue,
     /// How much longer than other engines it takes for the same work.
     pub slowness: Slowness,
+    /// How long it took to begin its responses.
+    pub times: ResponseTimes,
     /// Whether its entry disappeared around a table outage and may return.
     missing: Option<Missing>,
     first_seen: Instant,
@@ -418,6 +420,7 @@
             running: 0,
             queue: PrefillQueue::default(),
             slowness: Slowness::default(),
+            times: ResponseTimes::default(),
             missing: None,
             first_seen: now,
             sequence: registration.sequence,
--- a/src/coordination/dispatch/release.rs
+++ b/src/coordination/dispatch/release.rs
@@ -22,6 +22,10 @@
                 let now = assignment.reserved_at + took;
                 upstream.health.trial_ended(true, now);
             }
+            let began_at = assignment.reserved_at + took;
+            upstream
+                .times
+                .record_response(assignment.route, took, began_at);
             let prefill_time = took.saturating_sub(FIRST_EVENT_OVERHEAD);
             upstream.queue.response_started(
                 assignment.expected_at,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,7 +27,7 @@
         waiting::Rejection,
     },
     gateway::{
-        attempt::{self, AttemptError, UpstreamResponse},
+        attempt::{AttemptError, UpstreamResponse},
         call::Call,
         delegate,
         drain::{DrainRequest, Leaving, WorkGuard},
@@ -40,11 +40,6 @@
 
 /// Maximum number of upstreams that may be unreachable before a request is refused.
 const MAX_UNREACHABLE_UPSTREAMS: u32 = 4;
-/// Fraction of the latency objective that is added to the expected wait when the response timeout is
-/// computed.
-const SILENCE_FRACTION: f64 = 0.8;
-/// Multiple of the expected wait that an upstream may take before its attempt times out.
-const EXPECTED_FACTOR: u32 = 4;
 /// Minimum remaining time for another attempt to be worthwhile.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(60);
 /// Retry-After while this daemon starts up, or when no upstream accepted the request.
@@ -290,14 +285,13 @@
         self.shared.dispatcher().poison.poison(&self.call.suspects)
     }
 
-    async fn attempt(&mut self, mut slot: SlotGuard) -> NextStep {
-        let response_timeout = self.response_timeout(&slot);
-        let request = self.request(&slot, None);
-        self.attempts += 1;
-        let address = slot.assignment.address;
-        let local = self.shared.settings.ip;
-        let sent = attempt::send(local, address, request, response_timeout).await;
-        let upstream_response = match sent {
+    /// Handles the response to an attempt, or its failure.
+    pub(super) async fn handle_answer(
+        &mut self,
+        mut slot: SlotGuard,
+        answer: Result<UpstreamResponse, AttemptError>,
+    ) -> NextStep {
+        let upstream_response = match answer {
             Ok(upstream_response) => upstream_response,
             Err(e) => return self.handle_failure(&mut slot, &e),
         };
@@ -411,6 +405,15 @@
     }
 
     fn handle_failure(&mut self, slot: &mut SlotGuard, e: &AttemptError) -> NextStep {
+        self.record_failure(slot, e);
+        if self.call.remaining(self.shared.now()).is_zero() {
+            return NextStep::GiveUp(RefusalReason::Timeout);
+        }
+        NextStep::Retry
+    }
+
+    /// Records an attempt that got no response.
+    pub(super) fn record_failure(&mut self, slot: &mut SlotGuard, e: &AttemptError) {
         self.record_tried(slot);
         match e {
             AttemptError::Unreachable(e) => {
@@ -442,10 +445,6 @@
             AttemptError::Broken(_) => "broken",
             AttemptError::TimedOut(_) => "silent",
         });
-        if self.call.remaining(self.shared.now()).is_zero() {
-            return NextStep::GiveUp(RefusalReason::Timeout);
-        }
-        NextStep::Retry
     }
 
     pub(super) fn record_tried(&mut self, slot: &SlotGuard) {
@@ -490,15 +489,17 @@
         }
     }
 
-    /// Returns how long to wait for a response head.
-    fn response_timeout(&self, slot: &SlotGuard) -> Duration {
-        let remaining = self.call.remaining(self.shared.now());
-        let last = self.attempts + 1 >= self.call.route.max_attempts;
-        if last || !self.call.route.is_retryable() {
-            return remaining;
+    /// Returns how long to wait for a response head before another attempt is considered; `None` if none may follow.
+    pub(super) fn late_after(&self, slot: &SlotGuard) -> Option<Duration> {
+        let is_last = self.attempts + 1 >= self.call.route.max_attempts;
+        if is_last || !self.call.route.is_retryable() {
+            return None;
         }
-        let silence = self.call.route.latency_objective.mul_f64(SILENCE_FRACTION);
-        (silence + slot.assignment.expected_first_event() * EXPECTED_FACTOR).min(remaining)
+        let now = self.shared.now();
+        let objective = self.call.route.latency_objective;
+        let dispatcher = self.shared.dispatcher();
+        let late_after = dispatcher.late_after(&slot.assignment, objective, now);
+        (late_after < self.call.remaining(now)).then_some(late_after)
     }
 
     fn failure_reason(&self) -> RefusalReason {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -47,6 +47,14 @@
     )
 });
 
+static LATE_ATTEMPTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_late_attempts_total",
+        "Attempts whose upstream was late with its response, by what came of them.",
+        &["outcome"],
+    )
+});
+
 static ANNOUNCEMENTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter(
         "hibiscusyoke_gateway_upstream_announcements_total",
@@ -131,6 +139,11 @@
     ATTEMPTS.with_label_values(&[outcome]).inc();
 }
 
+/// Counts an attempt whose upstream was late, by what came of it.
+pub fn late_attempt(outcome: &str) {
+    LATE_ATTEMPTS.with_label_values(&[outcome]).inc();
+}
+
 /// Counts a request that waits for an upstream with room.
 pub fn wait(priority: u8) {
     WAITS.with_label_values(&[priority_label(priority)]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod follow;
 pub mod followed_table;
 pub mod forward;
+pub mod hedge;
 pub mod listener;
 pub mod logging;
 pub mod metrics;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -26,6 +26,7 @@
 mod prefix_homes;
 mod rate_limit;
 mod reachability;
+mod response_times;
 mod retry_budget;
 mod rollout;
 mod rollout_conflict;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,5 +24,6 @@
 mod shutdown;
 mod silent_links;
 mod slow_readers;
+mod slow_upstreams;
 mod table_restore;
 mod trace;
