Count a request whose attempt is late as possibly run while another one is chosen

The refusal of a second attempt could otherwise say that the request has not run, though the late attempt may be running it; nothing of that reached a caller, as the late attempt is waited for.

--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -72,6 +72,7 @@
 
     async fn handle_late(&mut self, mut late: Sent) -> NextStep {
         self.record_tried(&late.slot);
+        self.may_have_run = true;
         let mut was_denied = false;
         while !self.may_try_another(&late.slot) {
             if !std::mem::replace(&mut was_denied, true) {
