Move what becomes of an upstream's answer to a module of its own

No change of behaviour: the functions are moved as they were, two fields of Exchange are visible to their sibling module.

--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,216 @@
+//! What becomes of an upstream's answer, or of its failure.
+
+use compact_str::CompactString;
+use platform::{
+    configuration::RouteKind,
+    headers::{ResponseHead, headers_for_caller},
+};
+
+use crate::{
+    coordination::dispatch::{
+        Quality,
+        escalation::{EscalationDecision, StartedResponse, decide_escalation},
+        health::AttemptOutcome,
+    },
+    gateway::{
+        attempt::{AttemptError, UpstreamResponse},
+        forward::{Exchange, NextStep},
+        metrics, probe, relay,
+        reply::{self, RefusalReason},
+        shared::SlotGuard,
+        target::Target,
+    },
+};
+
+impl Exchange {
+    /// Handles the response to an attempt, or its failure.
+    pub(super) async fn handle_answer(
+        &mut self,
+        mut slot: SlotGuard,
+        answer: Result<UpstreamResponse, AttemptError>,
+    ) -> NextStep {
+        let upstream_response = match answer {
+            Ok(upstream_response) => upstream_response,
+            Err(e) => return self.handle_failure(&mut slot, &e),
+        };
+        self.record_reached(&slot);
+        let head = self.response_head(&upstream_response);
+        self.record_announcements(&slot, &head);
+        self.record_tried(&slot);
+        if head.not_run {
+            slot.set_outcome(AttemptOutcome::Refused);
+            self.log_attempt_end(&slot, "refused_by_upstream");
+            return NextStep::Retry;
+        }
+        self.record_run_start(&mut slot);
+        self.may_have_run = true;
+        if !head.matches_request || (!head.signed && head.status.is_success()) {
+            slot.set_outcome(AttemptOutcome::Failed);
+            self.report_quality(&slot, Quality::Failed);
+            self.log_attempt_end(&slot, "not_an_answer");
+            return NextStep::Retry;
+        }
+        match self.call.route.kind {
+            RouteKind::Streaming if head.status.is_success() => {
+                self.stream(slot, upstream_response, &head)
+            }
+            _ => self.buffered(slot, upstream_response, &head).await,
+        }
+    }
+
+    fn stream(
+        &mut self,
+        mut slot: SlotGuard,
+        upstream_response: UpstreamResponse,
+        head: &ResponseHead,
+    ) -> NextStep {
+        if let Some(larger) = self.escalation_model(head)
+            && self.may_retry()
+        {
+            slot.set_outcome(AttemptOutcome::Served);
+            self.report_quality(&slot, Quality::Good);
+            self.log_attempt_end(&slot, "escalated");
+            self.model = Some(larger);
+            // An upstream that was already tried may also run the larger model.
+            self.tried.clear();
+            return NextStep::Escalated;
+        }
+        self.relay(Target::Upstream(slot), upstream_response)
+    }
+
+    /// Relays a stream from an upstream or from another daemon to the caller.
+    pub(super) fn relay(&mut self, source: Target, response: UpstreamResponse) -> NextStep {
+        let headers = headers_for_caller(response.response.headers());
+        let status = response.response.status();
+        let exchange = Self {
+            shared: self.shared.clone(),
+            call: self.call.clone(),
+            model: self.model.clone(),
+            origin: self.origin,
+            tried: std::mem::take(&mut self.tried),
+            delegates: std::mem::take(&mut self.delegates),
+            is_delegated: self.is_delegated,
+            attempts: self.attempts,
+            unreachable: self.unreachable,
+            broken: self.broken,
+            may_have_run: true,
+            failure: None,
+            peer_refusal: None,
+            rejection: None,
+            work: self.work.clone(),
+        };
+        let body = relay::spawn(exchange, source, response);
+        NextStep::Done(reply::stream(status, headers, body))
+    }
+
+    async fn buffered(
+        &mut self,
+        mut slot: SlotGuard,
+        upstream_response: UpstreamResponse,
+        head: &ResponseHead,
+    ) -> NextStep {
+        let remaining = self.call.remaining(self.shared.now());
+        let headers = headers_for_caller(upstream_response.response.headers());
+        // Dropping `upstream_response` closes the connection, so it is kept until the body is read.
+        let body = upstream_response.response.into_body();
+        let body = self.shared.body_memory.read(body);
+        let body = match tokio::time::timeout(remaining, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) => {
+                slot.set_outcome(AttemptOutcome::Failed);
+                self.report_quality(&slot, Quality::Broken);
+                log::info!("event=answer_broken id={} error=\"{e}\"", self.call.id());
+                self.log_attempt_end(&slot, "broken");
+                return NextStep::Retry;
+            }
+            Err(_) => return NextStep::GiveUp(RefusalReason::Timeout),
+        };
+        let failed = head.status.is_server_error();
+        if failed {
+            slot.set_outcome(AttemptOutcome::Failed);
+            self.report_quality(&slot, Quality::Failed);
+        } else {
+            self.record_served(&mut slot, true);
+        }
+        self.log_attempt_end(&slot, if failed { "failed" } else { "served" });
+        let response = reply::buffered(head.status, headers, body);
+        if !failed || !self.call.route.is_retryable() {
+            self.count_request(if failed { "failed" } else { "served" });
+            return NextStep::Done(response);
+        }
+        self.failure = Some(response);
+        NextStep::Retry
+    }
+
+    fn handle_failure(&mut self, slot: &mut SlotGuard, e: &AttemptError) -> NextStep {
+        self.record_failure(slot, e);
+        if self.call.remaining(self.shared.now()).is_zero() {
+            return NextStep::GiveUp(RefusalReason::Timeout);
+        }
+        NextStep::Retry
+    }
+
+    /// Records an attempt that got no response.
+    pub(super) fn record_failure(&mut self, slot: &mut SlotGuard, e: &AttemptError) {
+        self.record_tried(slot);
+        match e {
+            AttemptError::Unreachable(e) => {
+                self.attempts -= 1;
+                self.unreachable += 1;
+                slot.set_outcome(AttemptOutcome::not_connected(probe::loss(e)));
+                self.shared.urgent_heartbeat.notify_one();
+            }
+            AttemptError::Broken(_) => {
+                self.may_have_run = true;
+                slot.set_outcome(AttemptOutcome::Failed);
+                self.report_quality(slot, Quality::Broken);
+                self.report_broken_connection(slot);
+                self.record_lost(slot);
+            }
+            AttemptError::TimedOut(_) => {
+                self.may_have_run = true;
+                slot.set_outcome(AttemptOutcome::Failed);
+                self.report_quality(slot, Quality::Failed);
+            }
+        }
+        log::info!(
+            "event=attempt_failed id={} upstream={} {e}",
+            self.call.id(),
+            slot.assignment.upstream
+        );
+        metrics::attempt(match e {
+            AttemptError::Unreachable(_) => "unreachable",
+            AttemptError::Broken(_) => "broken",
+            AttemptError::TimedOut(_) => "silent",
+        });
+    }
+
+    /// Returns the larger model to use if the response of the current one is not trusted.
+    fn escalation_model(&self, head: &ResponseHead) -> Option<CompactString> {
+        let largest = self.call.models().last()?;
+        if self.model.as_ref() == Some(largest) || self.attempts >= self.call.route.max_attempts {
+            return None;
+        }
+        let now = self.shared.now();
+        let objective = self.call.route.latency_objective;
+        let routes = self.shared.dispatcher().routes();
+        let urgency = routes.and_then(|routes| routes.urgency(&self.call.service));
+        let highest_priority = urgency.map_or(self.call.priority, |u| u.highest_priority);
+        let response = StartedResponse {
+            confidence: head.confidence,
+            waited: self.call.age(now),
+            objective,
+            shortest_objective: urgency.map_or(objective, |u| u.shortest_objective),
+            priority_rank: self.call.priority.saturating_sub(highest_priority),
+        };
+        let larger = self.shared.dispatcher().expected_start(
+            &self.placement_request(Some(largest)),
+            response.waited,
+            now,
+        );
+        match decide_escalation(&response, larger) {
+            EscalationDecision::Keep => None,
+            EscalationDecision::Escalate => Some(largest.clone()),
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
     supervise::Supervisor,
 };
 
+mod answer;
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
