Leave odd rows among those of the upstreams in the soak

Half of the seeds get rows before and after the others whose value is no base64, or no JSON, or an entry that is cold for an enormous time, from a generator of their own, so that the other faults of a seed stay as they were.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use serde_json::json;
 use stand_in::gateway::{
     deployment,
     table::{FakeTable, TableCopy},
@@ -18,6 +19,7 @@
     fleet::Fleet,
     proxy::{LinkState, Proxy},
     records::Span,
+    schedule::OddRow,
 };
 
 /// Ids and services of the upstreams.
@@ -33,6 +35,8 @@
 const PLAIN_SLOTS: usize = 4;
 /// Number of routes by which the configuration grows.
 const MANY_ROUTES: usize = 2_000;
+/// Keys of odd rows, which sort before and after those of the upstreams.
+const ODD_KEYS: [&str; 2] = ["0-odd", "z-odd"];
 /// API key of all callers.
 pub const KEY: &str = "k1";
 
@@ -137,6 +141,28 @@
         })
     }
 
+    /// Writes odd rows before and after those of the upstreams.
+    pub fn put_odd_rows(&self, odd: OddRow) {
+        for key in ODD_KEYS {
+            match odd {
+                OddRow::Unencoded => self.table.put_unencoded("servers", key, "*** not base64"),
+                OddRow::NotJson => self.table.put_bytes("servers", key, &[0xff, b'{']),
+                OddRow::EnormousColdTime => {
+                    let mut row = self.upstreams[0].upstream.row("odd", "v1");
+                    row["cold_remaining_ms"] = json!(1e22);
+                    self.table.put("servers", key, &row);
+                }
+            }
+        }
+    }
+
+    /// Removes the odd rows.
+    pub fn remove_odd_rows(&self) {
+        for key in ODD_KEYS {
+            self.table.remove("servers", key);
+        }
+    }
+
     /// Begins to drain an upstream.
     pub fn drain(&mut self, upstream: usize) {
         *self.draining.entry(upstream).or_default() += 1;
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -104,6 +104,7 @@
         Fault::Restore => {}
         Fault::Configure => deployment.publish_configuration(),
         Fault::ConfigureRoutes => deployment.change_routes(),
+        Fault::OddRows(odd) => deployment.put_odd_rows(odd),
     }
     Ok(())
 }
@@ -157,6 +158,7 @@
         Fault::Drain(upstream) => deployment.end_drain(upstream, from),
         Fault::Leave(upstream) => deployment.restart_left_upstream(upstream, from),
         Fault::ConfigureRoutes => deployment.change_routes(),
+        Fault::OddRows(_) => deployment.remove_odd_rows(),
         Fault::Reload(_) | Fault::Compact | Fault::Restore | Fault::Configure => {}
     }
     Ok(true)
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -23,6 +23,8 @@
 const PARTITION_FAULTS_SEED: u64 = 0x4355_545f_4f46_4600;
 /// Separates the generator of links that carry no data from the others.
 const SILENT_LINK_FAULTS_SEED: u64 = 0x5349_4c45_4e54_0000;
+/// Separates the generator of odd rows from the others.
+const ODD_ROW_SEED: u64 = 0x4f44_445f_524f_5753;
 /// Refusals a second that a brittle upstream bears.
 const MAX_REFUSALS: std::ops::RangeInclusive<u32> = 2..=6;
 /// Time for which an upstream is silent in milliseconds.
@@ -68,6 +70,19 @@
     Configure,
     /// The configuration grows by many routes, or shrinks again.
     ConfigureRoutes,
+    /// Another writer leaves rows among those of the upstreams that name none.
+    OddRows(OddRow),
+}
+
+/// What is odd about a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OddRow {
+    /// Its value is not base64.
+    Unencoded,
+    /// Its value is not JSON.
+    NotJson,
+    /// It is cold for an enormous time.
+    EnormousColdTime,
 }
 
 /// A fault with its start time and duration.
@@ -118,6 +133,7 @@
     schedule.extend(extra_faults(seed, gateways, upstreams, injection_time));
     schedule.extend(partition_faults(seed, gateways, upstreams, injection_time));
     schedule.extend(silent_link_fault(seed, gateways, injection_time));
+    schedule.extend(odd_rows(seed, injection_time));
     schedule.sort_by_key(|step| step.at);
     schedule
 }
@@ -209,6 +225,22 @@
     rng.random_bool(0.5).then_some(scheduled)
 }
 
+/// Draws rows that name no upstream, from a generator of its own.
+fn odd_rows(seed: u64, injection_time: Duration) -> Option<ScheduledFault> {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ ODD_ROW_SEED);
+    let odd = match rng.random_range(0..3) {
+        0 => OddRow::Unencoded,
+        1 => OddRow::NotJson,
+        _ => OddRow::EnormousColdTime,
+    };
+    let scheduled = ScheduledFault {
+        at: injection_time.mul_f64(rng.random()),
+        duration: Duration::from_millis(rng.random_range(EXTRA_DURATIONS_MS)),
+        fault: Fault::OddRows(odd),
+    };
+    rng.random_bool(0.5).then_some(scheduled)
+}
+
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
     match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
