--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -138,7 +138,7 @@
     }
 }
 
-/// Of two attempts the first whole response wins, and the upstream that was late is not asked again at once.
+/// A late attempt that responds before the other one was ended all the same, and its caller waited for the other.
 #[tokio::test(flavor = "multi_thread")]
 async fn first_usable_response_of_two_attempts_wins() {
     let harness = spawn(|_| {}).await;
