--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -103,7 +103,9 @@
 
 fn join_all(threads: Vec<JoinHandle<()>>) -> io::Result<()> {
     for thread in threads {
-        thread.join().map_err(|_| io::Error::other("a requester panicked"))?;
+        thread
+            .join()
+            .map_err(|_| io::Error::other("a requester panicked"))?;
     }
     Ok(())
 }
@@ -112,7 +114,13 @@
 fn replica_entries(deployment: &Deployment) -> io::Result<Vec<Entry>> {
     let entries = replica::read_log(&deployment.runs())?;
     for entry in &entries {
-        let Entry { at_ms, replica, event, request, details } = entry;
+        let Entry {
+            at_ms,
+            replica,
+            event,
+            request,
+            details,
+        } = entry;
         let line = format!("replica {replica} {event} {request} {details}");
         deployment.record.line_at(*at_ms, &line);
     }
@@ -136,8 +144,8 @@
     let mut n = 0_u32;
     let mut is_in_trouble = false;
     while started.elapsed() < LENGTH {
-        let must_be = has_trouble
-            && (TROUBLE_AT..TROUBLE_AT + TROUBLE_FOR).contains(&started.elapsed());
+        let must_be =
+            has_trouble && (TROUBLE_AT..TROUBLE_AT + TROUBLE_FOR).contains(&started.elapsed());
         if must_be != is_in_trouble {
             is_in_trouble = must_be;
             record.line(&format!("trouble {is_in_trouble}"));
@@ -172,7 +180,9 @@
     let answers = answers.lock().unwrap_or_else(PoisonError::into_inner);
     let served = answers.iter().filter(|a| a.response.status == 200).count();
     if served * 2 < n as usize {
-        return Err(io::Error::other(format!("only {served} of {n} bookings were served")));
+        return Err(io::Error::other(format!(
+            "only {served} of {n} bookings were served"
+        )));
     }
     let promised = |a: &&Answer| matches!(a.response.status, 408 | 421 | 429 | 503);
     let mut broken = 0;
@@ -180,7 +190,10 @@
         if runs(&answer.request) > 0 {
             broken += 1;
             let status = answer.response.status;
-            record.line(&format!("REFUSED {} was answered {status} and has run", answer.request));
+            record.line(&format!(
+                "REFUSED {} was answered {status} and has run",
+                answer.request
+            ));
         }
     }
     let mut applied: BTreeMap<&str, usize> = BTreeMap::new();
@@ -191,7 +204,11 @@
     record.line(&format!(
         "bookings={n} served={served} refused_and_ran={broken} bookings_applied_twice={doubled}"
     ));
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// Returns the ids of the events in a stream.
@@ -218,7 +235,15 @@
         let (record, answers) = (deployment.record.clone(), answers.clone());
         threads.push(thread::spawn(move || {
             let (request, path) = (format!("s{n:04}"), format!("/ask/{n}/{}", load.events));
-            send(&record, &answers, gateway, &request, "POST", &path, load.timeout);
+            send(
+                &record,
+                &answers,
+                gateway,
+                &request,
+                "POST",
+                &path,
+                load.timeout,
+            );
         }));
         thread::sleep(Duration::from_secs_f64(1.0 / load.per_second));
     }
@@ -245,22 +270,31 @@
         events: 20,
         timeout: Duration::from_secs(25),
     };
-    let mut deployment = Deployment::start(record, Options {
-        is_unframed: true,
-        ..Options::default()
-    })?;
+    let mut deployment = Deployment::start(
+        record,
+        Options {
+            is_unframed: true,
+            ..Options::default()
+        },
+    )?;
     let answers = Answers::default();
     let (mut killed, mut removed, mut restarted) = (false, false, false);
     send_streams(&mut deployment, &answers, load, |deployment, at| {
         if has_trouble && at >= KILL_AT && !killed {
             killed = true;
-            deployment.record.line(&format!("kill {}", deployment.replicas[0].id));
+            deployment
+                .record
+                .line(&format!("kill {}", deployment.replicas[0].id));
             deployment.replicas[0].process.kill();
         }
         if killed && at >= KILL_AT + REMOVED_AFTER && !removed {
             removed = true;
-            deployment.record.line(&format!("store removes {}", deployment.replicas[0].id));
-            deployment.store.remove("servers", &deployment.replicas[0].id);
+            deployment
+                .record
+                .line(&format!("store removes {}", deployment.replicas[0].id));
+            deployment
+                .store
+                .remove("servers", &deployment.replicas[0].id);
         }
         if killed && at >= KILL_AT + DOWN_FOR && !restarted {
             restarted = true;
@@ -275,7 +309,9 @@
     let served = answers.iter().filter(whole).count();
     if served * 2 < answers.len() {
         let sent = answers.len();
-        return Err(io::Error::other(format!("only {served} of {sent} streams were served")));
+        return Err(io::Error::other(format!(
+            "only {served} of {sent} streams were served"
+        )));
     }
     let mut broken = 0;
     for answer in answers.iter().filter(|a| a.response.status == 200) {
@@ -289,8 +325,15 @@
             ));
         }
     }
-    record.line(&format!("streams={} whole={served} ended_early={broken}", answers.len()));
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+    record.line(&format!(
+        "streams={} whole={served} ended_early={broken}",
+        answers.len()
+    ));
+    Ok(if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// All replicas are short of memory and preempt each run for 3 s, in the middle of its stream, while gateways are told
@@ -316,30 +359,43 @@
     send_streams(&mut deployment, &answers, load, |deployment, at| {
         if has_trouble && at >= TROUBLE_AT && !is_in_trouble {
             is_in_trouble = true;
-            deployment.record.line("all replicas are short of memory from now on");
+            deployment
+                .record
+                .line("all replicas are short of memory from now on");
             for zone in ZONES {
                 File::create(deployment.trouble_of("pool", zone))?;
             }
         }
         let next = hangups.len();
         if HANGUPS_AT.get(next).is_some_and(|due| at >= *due) {
-            deployment.record.line(&format!("SIGHUP to {}", deployment.front(next)));
+            deployment
+                .record
+                .line(&format!("SIGHUP to {}", deployment.front(next)));
             deployment.gateways[next].signal("HUP")?;
             hangups.push((deployment.front(next), replica::unix_ms()));
         }
         Ok(())
     })?;
     let entries = replica_entries(&deployment)?;
-    let has_run = |a: &Answer| entries.iter().any(|e| e.event == "ran" && e.request == a.request);
+    let has_run = |a: &Answer| {
+        entries
+            .iter()
+            .any(|e| e.event == "ran" && e.request == a.request)
+    };
     let answers = answers.lock().unwrap_or_else(PoisonError::into_inner);
     let is_cut = |a: &&Answer| a.response.end == End::Cut && a.took < ROUTE_TIMEOUT;
     let is_planned = |a: &&Answer| {
         hangups.iter().any(|(gateway, hangup_ms)| {
             let ended_ms = a.sent_ms + a.took.as_millis();
-            *gateway == a.gateway && a.sent_ms <= hangup_ms + CONFIG_APPLY_MS && ended_ms > *hangup_ms
+            *gateway == a.gateway
+                && a.sent_ms <= hangup_ms + CONFIG_APPLY_MS
+                && ended_ms > *hangup_ms
         })
     };
-    let served = answers.iter().filter(|a| a.response.end == End::Complete).count();
+    let served = answers
+        .iter()
+        .filter(|a| a.response.end == End::Complete)
+        .count();
     if !has_trouble && served < answers.len() {
         return Err(io::Error::other("streams were cut without any trouble"));
     }
@@ -350,7 +406,10 @@
         .filter(|a| has_run(a))
         .collect();
     for answer in &lost {
-        let last = event_ids(&answer.response.body).last().copied().unwrap_or(0);
+        let last = event_ids(&answer.response.body)
+            .last()
+            .copied()
+            .unwrap_or(0);
         record.line(&format!(
             "LOST {} was cut after event {last} of {}, {:.1} s after it was sent",
             answer.request,
@@ -364,7 +423,11 @@
         answers.len(),
         lost.len()
     ));
-    Ok(if lost.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if lost.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
 
 /// The process that reads a gateway's log stops reading for some time.
@@ -422,16 +485,26 @@
     let answers = answers.lock().unwrap_or_else(PoisonError::into_inner);
     let served = answers.iter().filter(|a| a.response.status == 200).count();
     if served * 2 < n {
-        return Err(io::Error::other(format!("only {served} of {n} requests were served")));
+        return Err(io::Error::other(format!(
+            "only {served} of {n} requests were served"
+        )));
     }
     for index in 0..ZONES.len() {
         let gateway = deployment.front(index);
         let own = answers.iter().filter(|a| a.gateway == gateway);
-        let (sent, late) = (own.clone().count(), own.filter(|a| a.took >= ROUTE_TIMEOUT).count());
-        record.line(&format!("gateway {gateway}: sent={sent} unanswered_at_timeout={late}"));
+        let (sent, late) = (
+            own.clone().count(),
+            own.filter(|a| a.took >= ROUTE_TIMEOUT).count(),
+        );
+        record.line(&format!(
+            "gateway {gateway}: sent={sent} unanswered_at_timeout={late}"
+        ));
     }
     let unanswered = answers.iter().filter(|a| a.took >= ROUTE_TIMEOUT).count();
-    let left = answers.iter().filter(|a| a.took >= ROUTE_TIMEOUT + SLACK).count();
+    let left = answers
+        .iter()
+        .filter(|a| a.took >= ROUTE_TIMEOUT + SLACK)
+        .count();
     record.line(&format!(
         "requests={n} served={served} unanswered_at_timeout={unanswered} \
          unanswered_half_a_second_later={left}"
--- a/review/lab/deployment.rs
+++ b/review/lab/deployment.rs
@@ -11,11 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{
-    http,
-    replica::unix_ms,
-    store::Store,
-};
+use crate::{http, replica::unix_ms, store::Store};
 
 /// Zones of the deployment; each has one gateway and one replica of a service.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -85,7 +81,9 @@
 pub fn end_all() {
     let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     for id in running.iter() {
-        let _ = Command::new("kill").args(["-s", "KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &id.to_string()])
+            .status();
     }
 }
 
@@ -94,7 +92,10 @@
 
 impl Process {
     fn new(child: Child) -> Self {
-        RUNNING.lock().unwrap_or_else(PoisonError::into_inner).push(child.id());
+        RUNNING
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(child.id());
         Self(child)
     }
 
@@ -110,7 +111,10 @@
         let _ = self.0.kill();
         let _ = self.0.wait();
         let id = self.0.id();
-        RUNNING.lock().unwrap_or_else(PoisonError::into_inner).retain(|running| *running != id);
+        RUNNING
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|running| *running != id);
     }
 }
 
@@ -215,7 +219,11 @@
         let mut command = Command::new(std::env::current_exe()?);
         command.args(["replica", &id, &listen.to_string()]);
         command.arg(self.runs()).arg(self.trouble_of(service, zone));
-        command.arg(if self.options.is_unframed { "unframed" } else { "framed" });
+        command.arg(if self.options.is_unframed {
+            "unframed"
+        } else {
+            "framed"
+        });
         let process = Process::new(command.stdin(Stdio::null()).spawn()?);
         let mut replica = Replica {
             id,
@@ -240,7 +248,16 @@
 
     fn register(&self, replica: &mut Replica) {
         replica.sequence += 1;
-        let Replica { id, service, zone, listen, slots, started_ms, sequence, .. } = replica;
+        let Replica {
+            id,
+            service,
+            zone,
+            listen,
+            slots,
+            started_ms,
+            sequence,
+            ..
+        } = replica;
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{listen}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
@@ -253,7 +270,13 @@
     fn start_gateway(&mut self, zone: &str, n: u8) -> io::Result<Process> {
         let name = format!("front-{zone}-{n}");
         let ip = self.gateway_ip(usize::from(n) - 1);
-        let Ports { front, ready, directory, metrics, internal } = PORTS;
+        let Ports {
+            front,
+            ready,
+            directory,
+            metrics,
+            internal,
+        } = PORTS;
         let settings = format!(
             "{{\"name\":\"{name}\",\"domain\":\"{zone}\",\"ip\":\"{ip}\",\"front\":\"{ip}:{front}\",\
              \"ready\":\"{ip}:{ready}\",\"directory\":\"{ip}:{directory}\",\
@@ -345,7 +368,13 @@
 }
 
 fn is_free(ip: Ipv4Addr) -> bool {
-    let Ports { front, ready, directory, metrics, internal } = PORTS;
+    let Ports {
+        front,
+        ready,
+        directory,
+        metrics,
+        internal,
+    } = PORTS;
     let mut ports = [front, ready, directory, metrics, internal, internal + 1].into_iter();
     ports.all(|port| TcpListener::bind((ip, port)).is_ok())
 }
@@ -378,9 +407,30 @@
         )
     };
     let routes = [
-        route("gate-query", "/ask/", "streaming", "pool", (25_000, 1_500), 3),
-        route("intake-book", "/book/", "non_idempotent", "desk", (2_000, 300), 1),
-        route("intake-lookup", "/look/", "idempotent", "desk", (2_000, 300), 2),
+        route(
+            "gate-query",
+            "/ask/",
+            "streaming",
+            "pool",
+            (25_000, 1_500),
+            3,
+        ),
+        route(
+            "intake-book",
+            "/book/",
+            "non_idempotent",
+            "desk",
+            (2_000, 300),
+            1,
+        ),
+        route(
+            "intake-lookup",
+            "/look/",
+            "idempotent",
+            "desk",
+            (2_000, 300),
+            2,
+        ),
     ];
     let models = ["m0", "m1", "m2"].map(|m| format!("{{\"name\":\"{m}\",\"cost\":0.1}}"));
     format!(
--- a/review/lab/replica.rs
+++ b/review/lab/replica.rs
@@ -51,7 +51,10 @@
 
 /// Serves requests until the process is ended.
 pub fn run(options: Options) -> io::Result<()> {
-    let log = OpenOptions::new().create(true).append(true).open(&options.log)?;
+    let log = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&options.log)?;
     let listener = TcpListener::bind(&options.listen)?;
     let replica = Arc::new(Replica {
         options,
--- a/review/lab/store.rs
+++ b/review/lab/store.rs
@@ -72,7 +72,8 @@
         let mut rows = self.rows();
         rows.version += 1;
         let version = rows.version;
-        rows.rows.insert((table.into(), key.into()), (value, version));
+        rows.rows
+            .insert((table.into(), key.into()), (value, version));
         drop(rows);
         self.changed.notify_all();
     }
@@ -156,8 +157,7 @@
                 found.sort_by_key(|(_, (_, version))| *version);
                 let changes: Vec<String> = found.into_iter().map(row_json).collect();
                 let (changes, version, now) = (changes.join(","), rows.version, self.now_ms());
-                let body =
-                    format!("{{\"rows\":[{changes}],\"ver\":{version},\"now_ms\":{now}}}");
+                let body = format!("{{\"rows\":[{changes}],\"ver\":{version},\"now_ms\":{now}}}");
                 return ("200 OK", body);
             }
             rows = self
@@ -177,11 +177,15 @@
         };
         let version = {
             let mut rows = self.rows();
-            let holds = transaction.get("expected_revision").list().iter().all(|row| {
-                let known = rows.rows.get(&key_of(row));
-                let known = known.filter(|(value, _)| value.is_some());
-                known.map_or(0, |(_, version)| *version) == row.get("ver").number()
-            });
+            let holds = transaction
+                .get("expected_revision")
+                .list()
+                .iter()
+                .all(|row| {
+                    let known = rows.rows.get(&key_of(row));
+                    let known = known.filter(|(value, _)| value.is_some());
+                    known.map_or(0, |(_, version)| *version) == row.get("ver").number()
+                });
             if !holds {
                 return ("412 Precondition Failed", "{\"rows\":[]}".into());
             }
@@ -234,7 +238,9 @@
     let mut decoded = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let escaped = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let escaped = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match escaped.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
             Some(byte) => {
                 decoded.push(byte);
