--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/lab review/lab/main.rs
+rustc --edition 2024 -O -o target/review/lab review/1/lab/main.rs
