Promise that a request has not run only with proof from its attempts

Cause: the status for the caller was chosen in four places. An upstream's answer was passed on as it came (answer.rs, delegate.rs), whatever its status promises; own refusals were guarded by `may_have_run` in two of four places (target.rs refused with 503 where a cold upstream's wait was too long), and the flag was set by hand on each path, but not when the body of a delegate's answer was late.

Change: `coordination::execution` counts each attempt as a possible run from the moment at which it is sent; only a refusal that says "not run", or a connection that was never open, takes it back. `NotRun` is the proof, and can be made only there. A `CallerResponse` with a status that promises "not run" cannot be built without it; an upstream's 408, 421, 429 or 503 becomes a 502 without its seal and its Retry-After, with problem details that say `run: unknown`. Own refusals have the same body. An answer of an upstream that bears the mark of a daemon's refusal loses it. Log event `answer_replaced`, metric `replaced_answers_total`.

Why it works: the fault was that a number stood for a promise, and no path had to prove it. Now the compiler asks each for the proof.

--- a/src/commands/trace.rs
+++ b/src/commands/trace.rs
@@ -12,7 +12,7 @@
 const MAX_CHANGES_BEFORE: usize = 20;
 
 /// Events that concern a single request and are not changes of the gateway's state.
-const REQUEST_EVENTS: [&str; 14] = [
+const REQUEST_EVENTS: [&str; 15] = [
     "chosen",
     "delegated",
     "attempt_ended",
@@ -23,6 +23,7 @@
     "resume_failed",
     "stream_ended",
     "answer_broken",
+    "answer_replaced",
     "caller_too_slow",
     "run_interrupted",
     "poison_refused",
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod decisions;
 pub mod dispatch;
+pub mod execution;
 pub mod hash;
 pub mod health;
 pub mod locate;
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,10 +1,7 @@
 //! What becomes of an upstream's answer, or of its failure.
 
-use compact_str::CompactString;
-use platform::{
-    configuration::RouteKind,
-    headers::{ResponseHead, headers_for_caller},
-};
+use compact_str::{CompactString, format_compact};
+use platform::{configuration::RouteKind, headers::ResponseHead};
 
 use crate::{
     coordination::dispatch::{
@@ -14,9 +11,12 @@
     },
     gateway::{
         attempt::{AttemptError, UpstreamResponse},
+        delegate,
         forward::{Exchange, NextStep},
-        metrics, probe, relay,
-        reply::{self, RefusalReason},
+        metrics,
+        outcome::AttemptAnswer,
+        probe, relay,
+        reply::{CallerResponse, RefusalReason, UpstreamAnswer},
         shared::SlotGuard,
         target::Target,
     },
@@ -38,12 +38,12 @@
         self.record_announcements(&slot, &head);
         self.record_tried(&slot);
         if head.not_run {
+            self.evidence.attempt_not_run();
             slot.set_outcome(AttemptOutcome::Refused);
             self.log_attempt_end(&slot, "refused_by_upstream");
             return NextStep::Retry;
         }
         self.record_run_start(&mut slot);
-        self.may_have_run = true;
         if !head.matches_request || (!head.signed && head.status.is_success()) {
             slot.set_outcome(AttemptOutcome::Failed);
             self.report_quality(&slot, Quality::Failed);
@@ -80,7 +80,7 @@
 
     /// Relays a stream from an upstream or from another daemon to the caller.
     pub(super) fn relay(&mut self, source: Target, response: UpstreamResponse) -> NextStep {
-        let headers = headers_for_caller(response.response.headers());
+        let headers = delegate::headers_for_caller(response.response.headers());
         let status = response.response.status();
         let exchange = Self {
             shared: self.shared.clone(),
@@ -93,14 +93,14 @@
             attempts: self.attempts,
             unreachable: self.unreachable,
             broken: self.broken,
-            may_have_run: true,
+            evidence: self.evidence,
             failure: None,
             peer_refusal: None,
             rejection: None,
             work: self.work.clone(),
         };
         let body = relay::spawn(exchange, source, response);
-        NextStep::Done(reply::stream(status, headers, body))
+        NextStep::Done(CallerResponse::stream(status, headers, body))
     }
 
     async fn buffered(
@@ -110,7 +110,7 @@
         head: &ResponseHead,
     ) -> NextStep {
         let remaining = self.call.remaining(self.shared.now());
-        let headers = headers_for_caller(upstream_response.response.headers());
+        let headers = delegate::headers_for_caller(upstream_response.response.headers());
         // Dropping `upstream_response` closes the connection, so it is kept until the body is read.
         let body = upstream_response.response.into_body();
         let body = self.shared.body_memory.read(body);
@@ -126,19 +126,27 @@
             Err(_) => return NextStep::GiveUp(RefusalReason::Timeout),
         };
         let failed = head.status.is_server_error();
+        let outcome = if failed { "failed" } else { "served" };
         if failed {
             slot.set_outcome(AttemptOutcome::Failed);
             self.report_quality(&slot, Quality::Failed);
         } else {
             self.record_served(&mut slot, true);
         }
-        self.log_attempt_end(&slot, if failed { "failed" } else { "served" });
-        let response = reply::buffered(head.status, headers, body);
+        self.log_attempt_end(&slot, outcome);
+        let answer = AttemptAnswer {
+            source: format_compact!("upstream={}", slot.assignment.upstream),
+            outcome,
+            answer: UpstreamAnswer {
+                status: head.status,
+                headers,
+                body,
+            },
+        };
         if !failed || !self.call.route.is_retryable() {
-            self.count_request(if failed { "failed" } else { "served" });
-            return NextStep::Done(response);
+            return NextStep::Done(self.respond(answer));
         }
-        self.failure = Some(response);
+        self.failure = Some(answer);
         NextStep::Retry
     }
 
@@ -155,20 +163,19 @@
         self.record_tried(slot);
         match e {
             AttemptError::Unreachable(e) => {
+                self.evidence.attempt_not_run();
                 self.attempts -= 1;
                 self.unreachable += 1;
                 slot.set_outcome(AttemptOutcome::not_connected(probe::loss(e)));
                 self.shared.urgent_heartbeat.notify_one();
             }
             AttemptError::Broken(_) => {
-                self.may_have_run = true;
                 slot.set_outcome(AttemptOutcome::Failed);
                 self.report_quality(slot, Quality::Broken);
                 self.report_broken_connection(slot);
                 self.record_lost(slot);
             }
             AttemptError::TimedOut(_) => {
-                self.may_have_run = true;
                 slot.set_outcome(AttemptOutcome::Failed);
                 self.report_quality(slot, Quality::Failed);
             }
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -8,12 +8,13 @@
     time::{Duration, Instant},
 };
 
+use compact_str::ToCompactString;
 use derive_more::Display;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, Uri};
 use http_body_util::Full;
 use platform::{
     configuration::RouteKind,
-    headers::{headers_for_caller, headers_for_daemon},
+    headers::{self, headers_for_daemon},
 };
 
 use crate::{
@@ -22,7 +23,8 @@
         attempt::{self, AttemptError, UpstreamResponse},
         forward::{Exchange, NextStep},
         metrics,
-        reply::{self, Body, RefusalReason},
+        outcome::AttemptAnswer,
+        reply::{CallerResponse, RefusalReason, UpstreamAnswer},
         settings::Settings,
         target::Target,
     },
@@ -72,8 +74,16 @@
     attempts.unwrap_or_default()
 }
 
+/// Returns the headers of an answer to forward to the caller. An upstream's answer cannot pass for the
+/// refusal of a daemon.
+pub(super) fn headers_for_caller(answer: &HeaderMap) -> HeaderMap {
+    let mut headers = headers::headers_for_caller(answer);
+    headers.remove(NOT_RUN);
+    headers
+}
+
 /// Marks a daemon's own refusal of a delegated request, if that says that the request has not run.
-pub(super) fn mark_refusal(response: &mut Response<Body>) {
+pub(super) fn mark_refusal(response: &mut CallerResponse) {
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         let value = HeaderValue::from_static("1");
         response.headers_mut().insert(NOT_RUN, value);
@@ -110,6 +120,7 @@
 
     /// Has another daemon serve the request.
     pub(super) async fn delegate(&mut self, delegation: Delegation) -> NextStep {
+        self.evidence.attempt_sent();
         let response = match self.send_to_peer(&delegation, None).await {
             Ok(response) => response,
             Err(e) => return self.handle_delegation_failure(&delegation, &e),
@@ -133,24 +144,29 @@
     async fn pass_on(&mut self, delegation: Delegation, response: UpstreamResponse) -> NextStep {
         let remaining = self.call.remaining(self.shared.now());
         let status = response.response.status();
-        let mut headers = headers_for_caller(response.response.headers());
-        let is_refusal = headers.remove(NOT_RUN).is_some();
+        let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE
+            && response.response.headers().contains_key(NOT_RUN);
+        let headers = headers_for_caller(response.response.headers());
         let body = self.shared.body_memory.read(response.response.into_body());
         let body = match tokio::time::timeout(remaining, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(e)) => {
                 self.attempts += 1;
-                self.may_have_run = true;
                 log::info!("event=answer_broken id={} error=\"{e}\"", self.call.id());
                 self.log_delegation_end(&delegation, "broken");
                 return NextStep::Retry;
             }
             Err(_) => return NextStep::GiveUp(RefusalReason::Timeout),
         };
-        let response = reply::buffered(status, headers, body);
+        let answer = UpstreamAnswer {
+            status,
+            headers,
+            body,
+        };
         if is_refusal {
+            self.evidence.attempt_not_run();
             self.log_delegation_end(&delegation, "refused_by_peer");
-            self.peer_refusal = Some(response);
+            self.peer_refusal = Some(answer);
             return NextStep::Retry;
         }
         let outcome = match status.is_success() {
@@ -158,8 +174,11 @@
             false => "failed",
         };
         self.log_delegation_end(&delegation, outcome);
-        self.count_request(outcome);
-        NextStep::Done(response)
+        NextStep::Done(self.respond(AttemptAnswer {
+            source: delegation.to_compact_string(),
+            outcome,
+            answer,
+        }))
     }
 
     fn handle_delegation_failure(&mut self, delegation: &Delegation, e: &AttemptError) -> NextStep {
@@ -168,23 +187,13 @@
             self.call.id()
         );
         metrics::attempt("delegation_failed");
-        if !matches!(e, AttemptError::Unreachable(_)) {
-            self.attempts += 1;
-            self.may_have_run = true;
+        match e {
+            AttemptError::Unreachable(_) => self.evidence.attempt_not_run(),
+            AttemptError::Broken(_) | AttemptError::TimedOut(_) => self.attempts += 1,
         }
         if self.call.remaining(self.shared.now()).is_zero() {
             return NextStep::GiveUp(RefusalReason::Timeout);
         }
         NextStep::Retry
     }
-
-    /// Returns the refusal of another daemon, if the request has not run.
-    pub(super) fn take_peer_refusal(&mut self) -> Option<Response<Body>> {
-        let refusal = self.peer_refusal.take()?;
-        if self.may_have_run {
-            return None;
-        }
-        self.count_request("refused_by_peer");
-        Some(refusal)
-    }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,14 +17,18 @@
 };
 
 use crate::{
-    coordination::dispatch::{crash_evidence::Suspect, heartbeat::DaemonName, waiting::Rejection},
+    coordination::{
+        dispatch::{crash_evidence::Suspect, heartbeat::DaemonName, waiting::Rejection},
+        execution::ExecutionEvidence,
+    },
     gateway::{
         attempt::UpstreamResponse,
         call::Call,
         delegate,
         drain::{DrainRequest, Leaving, WorkGuard},
         metrics,
-        reply::{self, Body, RefusalReason},
+        outcome::AttemptAnswer,
+        reply::{Body, CallerResponse, RefusalReason, UpstreamAnswer},
         shared::{Shared, SlotGuard},
         target::Target,
     },
@@ -71,7 +75,8 @@
             log::info!("event=refused id={id} reason={reason} generation={generation}");
             let elapsed = shared.now().saturating_duration_since(arrived_at);
             metrics::request(&reason.to_string(), elapsed);
-            let mut response = reply::refuse(reason, wait);
+            let not_sent = ExecutionEvidence::default().not_run();
+            let mut response = CallerResponse::refusal(reason, wait, not_sent);
             if origin == Origin::Peer {
                 delegate::mark_refusal(&mut response);
             }
@@ -92,7 +97,7 @@
 }
 
 /// Answers a request that still runs when the process must exit; it may have run.
-fn answer_before_exit(shared: &Shared, call: &Call) -> Response<Body> {
+fn answer_before_exit(shared: &Shared, call: &Call) -> CallerResponse {
     let reason = RefusalReason::NoAnswer;
     let elapsed = call.age(shared.now());
     log::warn!(
@@ -103,16 +108,16 @@
         elapsed.as_millis()
     );
     metrics::request(&reason.to_string(), elapsed);
-    reply::refuse(reason, None)
+    CallerResponse::refusal(reason, None, None)
 }
 
 /// Tells the caller to reconnect, possibly to another daemon, if this daemon is shutting down.
-fn add_connection_close(shared: &Shared, mut response: Response<Body>) -> Response<Body> {
+fn add_connection_close(shared: &Shared, mut response: CallerResponse) -> Response<Body> {
     if shared.is_leaving() {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
+    response.into_inner()
 }
 
 /// The state of one request across its attempts.
@@ -137,12 +142,12 @@
     pub(super) unreachable: u32,
     /// Number of open connections that were lost.
     pub(super) broken: u32,
-    /// Whether an upstream may have run the request.
-    pub(super) may_have_run: bool,
+    /// What the attempts show of whether the request has run.
+    pub(super) evidence: ExecutionEvidence,
     /// An upstream's error response, forwarded if no later attempt succeeds.
-    pub(super) failure: Option<Response<Body>>,
+    pub(super) failure: Option<AttemptAnswer>,
     /// Another daemon's refusal, forwarded if nothing else can serve the request.
-    pub(super) peer_refusal: Option<Response<Body>>,
+    pub(super) peer_refusal: Option<UpstreamAnswer>,
     /// Why it was rejected for lack of capacity.
     pub(super) rejection: Option<Rejection>,
     /// Keeps the daemon running during shutdown until the response is complete.
@@ -151,7 +156,7 @@
 
 /// What to do after an attempt.
 pub(super) enum NextStep {
-    Done(Response<Body>),
+    Done(CallerResponse),
     /// Repeat the request with a larger model; the retry budget has already been charged.
     Escalated,
     Retry,
@@ -173,7 +178,7 @@
             attempts: 0,
             unreachable: 0,
             broken: 0,
-            may_have_run: false,
+            evidence: ExecutionEvidence::default(),
             failure: None,
             peer_refusal: None,
             rejection: None,
@@ -181,7 +186,7 @@
     }
 
     /// Makes attempts until there is a response for the caller.
-    pub async fn run(mut self) -> Response<Body> {
+    pub async fn run(mut self) -> CallerResponse {
         let now = self.shared.now();
         if let Some(leaving) = self.leaving(now) {
             return self.refuse(RefusalReason::Leaving, Some(leaving.retry_after));
@@ -197,25 +202,18 @@
             let next_step = match self.choose_target().await {
                 Ok(Target::Upstream(slot)) => self.attempt(slot).await,
                 Ok(Target::Peer(delegation)) => self.delegate(delegation).await,
-                Err((reason, wait)) => {
-                    let refusal = self.take_peer_refusal();
-                    return refusal.unwrap_or_else(|| self.refuse(reason, wait));
-                }
+                Err((reason, wait)) => return self.refuse_or_pass_refusal(reason, wait),
             };
-            let refusal_reason = match next_step {
+            let reason = match next_step {
                 NextStep::Done(response) => return response,
                 NextStep::Escalated => continue,
                 NextStep::Retry if self.may_retry() => continue,
                 NextStep::Retry => self.failure_reason(),
                 NextStep::GiveUp(reason) => reason,
             };
-            let failure = self.failure.take().or_else(|| self.take_peer_refusal());
-            if let Some(failure) = failure {
-                return failure;
-            }
-            let wait = (refusal_reason == RefusalReason::RefusedByUpstreams)
-                .then_some(STARTUP_RETRY_AFTER);
-            return self.refuse(refusal_reason, wait);
+            let reason = reason.proved_by(self.evidence.not_run());
+            let wait = (reason == RefusalReason::RefusedByUpstreams).then_some(STARTUP_RETRY_AFTER);
+            return self.give_up(reason, wait);
         }
     }
 
@@ -244,7 +242,7 @@
     pub fn may_retry(&mut self) -> bool {
         let now = self.shared.now();
         let sent_before = self.attempts > 0;
-        if self.may_have_run && !self.call.route.is_retryable() {
+        if self.evidence.may_have_run() && !self.call.route.is_retryable() {
             return false;
         }
         if self.attempts >= self.call.route.max_attempts
@@ -304,37 +302,9 @@
     }
 
     fn failure_reason(&self) -> RefusalReason {
-        match self.may_have_run {
-            true => RefusalReason::NoAnswer,
-            false if self.attempts == 0 => RefusalReason::NoSlot,
-            false => RefusalReason::RefusedByUpstreams,
-        }
-    }
-
-    pub(super) fn no_slot_reason(&self) -> RefusalReason {
-        match self.may_have_run {
-            true => RefusalReason::NoAnswer,
-            false => RefusalReason::NoSlot,
-        }
-    }
-
-    fn refuse(&self, reason: RefusalReason, wait: Option<Duration>) -> Response<Body> {
-        let waited = self.call.age(self.shared.now());
-        log::info!(
-            "event=refused id={} route={} reason={reason} attempts={} generation={} ms={} retry_after_ms={}{}",
-            self.call.id(),
-            self.call.route.name,
-            self.attempts,
-            self.call.generation,
-            waited.as_millis(),
-            wait.unwrap_or_default().as_millis(),
-            self.rejection.map_or_else(String::new, |r| format!(" {r}"))
-        );
-        self.count_request(&reason.to_string());
-        let mut response = reply::refuse(reason, wait);
-        if self.origin == Origin::Peer {
-            delegate::mark_refusal(&mut response);
+        match self.attempts {
+            0 => RefusalReason::NoSlot,
+            _ => RefusalReason::RefusedByUpstreams,
         }
-        response
     }
 }
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -63,6 +63,7 @@
         let remaining = self.call.remaining(self.shared.now());
         let address = slot.assignment.address;
         self.attempts += 1;
+        self.evidence.attempt_sent();
         let answer = attempt::send(self.shared.settings.ip, address, request, remaining);
         Sent {
             slot,
@@ -72,7 +73,6 @@
 
     async fn handle_late(&mut self, mut late: Sent) -> NextStep {
         self.record_tried(&late.slot);
-        self.may_have_run = true;
         let mut was_denied = false;
         while !self.may_try_another(&late.slot) {
             if !std::mem::replace(&mut was_denied, true) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::LazyLock, time::Duration};
 
+use http::StatusCode;
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
@@ -47,6 +48,14 @@
     )
 });
 
+static REPLACED_ANSWERS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_gateway_replaced_answers_total",
+        "Answers of upstreams replaced by 502, as their status promises that the request has not run, by status.",
+        &["status"],
+    )
+});
+
 static LATE_ATTEMPTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counter(
         "hibiscusyoke_gateway_late_attempts_total",
@@ -139,6 +148,11 @@
     ATTEMPTS.with_label_values(&[outcome]).inc();
 }
 
+/// Counts an answer of an upstream that was replaced, as its status promises that the request has not run.
+pub fn replaced_answer(status: StatusCode) {
+    REPLACED_ANSWERS.with_label_values(&[status.as_str()]).inc();
+}
+
 /// Counts an attempt whose upstream was late, by what came of it.
 pub fn late_attempt(outcome: &str) {
     LATE_ATTEMPTS.with_label_values(&[outcome]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 pub mod listener;
 pub mod logging;
 pub mod metrics;
+mod outcome;
 pub mod packing;
 pub mod peer_changes;
 pub mod peer_link;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -4,12 +4,17 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{Either, Full};
 use platform::headers::retry_after;
+use serde::Serialize;
 use thiserror::Error;
 
-use crate::gateway::send_buffer::SendBody;
+use crate::{
+    coordination::execution::{NotRun, promises_not_run},
+    gateway::send_buffer::SendBody,
+    protocol::problem::{ExecutionState, MEDIA_TYPE},
+};
 
 /// Error for a stream that ended before its last event; the connection is closed without a final
 /// chunk.
@@ -49,6 +54,8 @@
     RefusedByUpstreams,
     /// The request may have run, but no complete response arrived.
     NoAnswer,
+    /// The request may have run, and its upstream answered with an error whose status promises that it has not.
+    UpstreamFailed,
     /// The request's deadline passed.
     Timeout,
 }
@@ -67,37 +74,118 @@
             | Self::NoSlot
             | Self::Poison
             | Self::RefusedByUpstreams => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoAnswer => StatusCode::BAD_GATEWAY,
+            Self::NoAnswer | Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
-}
 
-/// Builds the gateway's own refusal; `wait` becomes the `Retry-After` header.
-pub fn refuse(reason: RefusalReason, wait: Option<Duration>) -> Response<Body> {
-    let text = Bytes::from(format!("{{\"error\":\"{reason}\"}}"));
-    let mut response = Response::new(Either::Left(Full::new(text)));
-    *response.status_mut() = reason.status();
-    let headers = response.headers_mut();
-    headers.insert(
-        header::CONTENT_TYPE,
-        header::HeaderValue::from_static("application/json"),
-    );
-    if let Some(wait) = wait {
-        let (name, value) = retry_after(wait);
-        headers.insert(name, value);
+    /// Returns the reason, or one that promises nothing if nothing proves that the request has not run.
+    pub fn proved_by(self, not_run: Option<NotRun>) -> Self {
+        match not_run {
+            None if promises_not_run(self.status()) => Self::NoAnswer,
+            _ => self,
+        }
     }
-    response
+
+    /// Returns the body of the refusal as problem details (RFC 9457).
+    fn problem(self, not_run: Option<NotRun>) -> Bytes {
+        let error = self.to_string();
+        let problem = Problem {
+            uri: format!("urn:hibiscusyoke:problem:{error}"),
+            title: error.replace('_', " "),
+            status: self.status().as_u16(),
+            error,
+            run: match not_run {
+                Some(_) => ExecutionState::NotRun,
+                None => ExecutionState::Unknown,
+            },
+        };
+        let body = serde_json::to_vec(&problem).expect("texts and numbers form valid JSON");
+        body.into()
+    }
+}
+
+/// The body of a refusal.
+#[derive(Debug, Serialize)]
+struct Problem {
+    /// URI that identifies the reason.
+    #[serde(rename = "type")]
+    uri: String,
+    /// The reason as words.
+    title: String,
+    /// HTTP status code.
+    status: u16,
+    /// The reason.
+    error: String,
+    /// Whether the request may have run.
+    run: ExecutionState,
 }
 
-/// Builds a buffered response from an upstream's response.
-pub fn buffered(status: StatusCode, headers: HeaderMap, body: Bytes) -> Response<Body> {
-    build_response(status, headers, Either::Left(Full::new(body)))
+/// A response for a caller. One whose status promises that the request has not run needs the proof.
+pub struct CallerResponse(Response<Body>);
+
+impl CallerResponse {
+    /// Creates the gateway's own refusal; `wait` becomes the `Retry-After` header.
+    pub fn refusal(reason: RefusalReason, wait: Option<Duration>, not_run: Option<NotRun>) -> Self {
+        let reason = reason.proved_by(not_run);
+        let mut response = Response::new(Either::Left(Full::new(reason.problem(not_run))));
+        *response.status_mut() = reason.status();
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
+        if let Some(wait) = wait {
+            let (name, value) = retry_after(wait);
+            headers.insert(name, value);
+        }
+        Self(response)
+    }
+
+    /// Creates the response from the answer of an upstream that may have run the request; `None` if the
+    /// answer's status promises that it has not.
+    pub fn answer(answer: UpstreamAnswer) -> Option<Self> {
+        if promises_not_run(answer.status) {
+            return None;
+        }
+        let body = Either::Left(Full::new(answer.body));
+        Some(Self(build_response(answer.status, answer.headers, body)))
+    }
+
+    /// Creates the response from the refusal of another daemon.
+    pub fn peer_refusal(refusal: UpstreamAnswer, _not_run: NotRun) -> Self {
+        let body = Either::Left(Full::new(refusal.body));
+        Self(build_response(refusal.status, refusal.headers, body))
+    }
+
+    /// Creates the successful response whose body is a stream that an upstream has begun.
+    pub fn stream(status: StatusCode, headers: HeaderMap, body: SendBody) -> Self {
+        debug_assert!(status.is_success(), "{status} begins no stream");
+        Self(build_response(status, headers, Either::Right(body)))
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.0.status()
+    }
+
+    /// Returns the headers, to which others may be added.
+    pub fn headers_mut(&mut self) -> &mut HeaderMap {
+        self.0.headers_mut()
+    }
+
+    /// Returns the HTTP response.
+    pub fn into_inner(self) -> Response<Body> {
+        self.0
+    }
 }
 
-/// Builds a streamed response from an upstream's response.
-pub fn stream(status: StatusCode, headers: HeaderMap, body: SendBody) -> Response<Body> {
-    build_response(status, headers, Either::Right(body))
+/// An answer of an upstream or of another daemon that has been read completely.
+#[derive(Clone, Debug)]
+pub struct UpstreamAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 /// Builds a response of the directory, the readiness check or the metrics endpoint.
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -79,7 +79,7 @@
         let none_left = matches!(why, NoSlotReason::NoneUsable | NoSlotReason::Unreachable);
         if !none_left || self.tried.is_empty() {
             log::info!("event=no_place id={} why={why}", self.call.id());
-            return Err((self.no_slot_reason(), Some(wait)));
+            return Err((RefusalReason::NoSlot, Some(wait)));
         }
         self.tried.clear();
         if self.attempts == 0 {
--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -156,8 +156,7 @@
             let now = self.shared.now();
             if let Some(leaving) = self.leaving_while_waiting(now) {
                 log::info!("event=waiting_ended id={} why=leaving", self.call.id());
-                let reason = self.reason_or_no_answer(RefusalReason::Leaving);
-                return Err((reason, Some(leaving.retry_after)));
+                return Err((RefusalReason::Leaving, Some(leaving.retry_after)));
             }
             let admitted =
                 self.shared
@@ -178,7 +177,7 @@
             customer: self.call.customer.as_deref().unwrap_or_default(),
             priority: self.call.priority,
             sent_before: self.attempts > 0,
-            has_run: self.may_have_run,
+            has_run: self.evidence.may_have_run(),
         }
     }
 
@@ -211,14 +210,6 @@
         );
         metrics::rejection(self.call.priority);
         self.rejection = Some(rejection);
-        (self.no_slot_reason(), Some(rejection.retry_after))
-    }
-
-    /// Returns a reason that does not say that the request has not run if it may have.
-    fn reason_or_no_answer(&self, reason: RefusalReason) -> RefusalReason {
-        match self.may_have_run {
-            true => RefusalReason::NoAnswer,
-            false => reason,
-        }
+        (RefusalReason::NoSlot, Some(rejection.retry_after))
     }
 }
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -57,8 +57,8 @@
     Serve,
     /// Executes requests and answers with status 500.
     Fail,
-    /// Executes requests and answers with status 503, without any mark.
-    FailUnavailable,
+    /// Executes requests and answers with an error that does not say whether it did.
+    FailWith(ErrorAnswer),
     /// Refuses requests, and reports that they were not executed.
     Refuse,
     /// Refuses requests and asks for a pause of this many seconds.
@@ -90,6 +90,37 @@
     Hang,
 }
 
+/// The answer of an upstream that has executed a request and reports a failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ErrorAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Value of `Retry-After` in seconds.
+    pub retry_after_s: Option<u64>,
+    /// Whether it has the upstream's signature.
+    pub is_signed: bool,
+}
+
+impl ErrorAnswer {
+    /// Creates a signed answer without `Retry-After`.
+    pub fn signed(status: StatusCode) -> Self {
+        Self {
+            status,
+            retry_after_s: None,
+            is_signed: true,
+        }
+    }
+
+    fn response(self, id: &str) -> Response<Body> {
+        let mut response = full_response(self.status, id, self.is_signed.then_some("s"));
+        if let Some(seconds) = self.retry_after_s {
+            let headers = response.headers_mut();
+            headers.insert("retry-after", seconds.into());
+        }
+        response
+    }
+}
+
 /// How an upstream marks the end of its streams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Framing {
@@ -451,9 +482,7 @@
                     Some("s"),
                 ));
             }
-            Behaviour::FailUnavailable => {
-                return Some(full_response(StatusCode::SERVICE_UNAVAILABLE, &id, None));
-            }
+            Behaviour::FailWith(error) => return Some(error.response(&id)),
             Behaviour::Foreign => return Some(full_response(StatusCode::OK, "another", Some("s"))),
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
--- a/tests/gateway/lost_upstreams.rs
+++ b/tests/gateway/lost_upstreams.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use stand_in::gateway::{
     deployment::configuration,
-    upstream::{Behaviour, runs_by_id},
+    upstream::{Behaviour, ErrorAnswer, runs_by_id},
 };
 
 use crate::harness::{Call, Harness, plain, stream, wait_until};
@@ -175,9 +175,13 @@
     let harness = Harness::spawn(4).await;
     harness.cut_off(0);
     send_for(&harness, 0, CONTACT_TIME, "cut").await;
-    harness.set_plain_upstreams(Behaviour::FailUnavailable);
+    let unsigned = ErrorAnswer {
+        is_signed: false,
+        ..ErrorAnswer::signed(StatusCode::SERVICE_UNAVAILABLE)
+    };
+    harness.set_plain_upstreams(Behaviour::FailWith(unsigned));
     let reply = harness.call(&plain("once", Method::POST, "/book/1")).await;
-    assert!(!reply.status.is_success());
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
     let runs = runs_by_id(&harness.plain_upstreams());
     assert_eq!(runs.get("once"), Some(&1));
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod poison;
 mod rate_limit;
 mod reload;
+mod run_promises;
 mod send_budget;
 mod serve;
 mod short_silence;
