Refuse with 502 in serve if a refusal's status would promise too much

Callers of `serve` saw: a refusal with `run: unknown` and the status 429 or 503, by which clients that go by the status send the request again. It happened when the bill of an answer could not be stored, when the table could not tell whether a key was used, and when a completion found no upstream for its second attempt.

Cause: the status followed from the kind of the refusal alone.

Change: `Refusal::status` weighs the kind and `run`; a request that may have run is refused with 502 where the kind's status promises that it has not. Both places that made a status use it.

--- a/src/daemon/callers/reply.rs
+++ b/src/daemon/callers/reply.rs
@@ -5,7 +5,7 @@
 use http::{HeaderName, HeaderValue, header};
 use serde::Serialize;
 use tokio_stream::wrappers::ReceiverStream;
-use viz::{Body, Response, StatusCode};
+use viz::{Body, Response};
 
 use crate::{
     daemon::chat::call::{ChatReply, ReplyBody},
@@ -62,8 +62,7 @@
 pub(super) fn problem_response(request_id: &str, refusal: &Refusal) -> Response {
     let body = serde_json::to_vec(&Problem::new(request_id, refusal)).unwrap_or_default();
     let mut res = Response::new(Body::from(http_body_util::Full::from(body)));
-    *res.status_mut() = StatusCode::from_u16(refusal.kind.status().as_u16())
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *res.status_mut() = refusal.status();
     let headers = res.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
     insert_header(headers, REQUEST_ID_HEADER, request_id);
--- a/src/protocol/problem.rs
+++ b/src/protocol/problem.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::decisions::RequestId;
+use crate::coordination::{decisions::RequestId, execution::promises_not_run};
 
 /// Media type of a refusal body.
 pub const MEDIA_TYPE: &str = "application/problem+json";
@@ -63,8 +63,8 @@
 }
 
 impl RefusalKind {
-    /// Returns the corresponding HTTP status.
-    pub fn status(self) -> StatusCode {
+    /// Returns the HTTP status of a refusal of this kind whose request has not run.
+    fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -103,6 +103,15 @@
 }
 
 impl Refusal {
+    /// Returns the HTTP status. If the request may have run, it is none that promises that it has not.
+    pub fn status(&self) -> StatusCode {
+        let status = self.kind.status();
+        match self.run {
+            ExecutionState::Unknown if promises_not_run(status) => StatusCode::BAD_GATEWAY,
+            ExecutionState::Unknown | ExecutionState::NotRun => status,
+        }
+    }
+
     /// Creates a refusal of a request that was not executed.
     pub fn not_run(kind: RefusalKind, step: &str, detail: impl Into<String>) -> Self {
         Self {
@@ -188,7 +197,7 @@
         Self {
             uri: format!("urn:hibiscusyoke:problem:{}", refusal.kind),
             title: refusal.kind.to_string().replace('_', " "),
-            status: refusal.kind.status().as_u16(),
+            status: refusal.status().as_u16(),
             detail: refusal.detail.clone(),
             request_id: request_id.into(),
             kind: refusal.kind,
