Take an upstream's 408, 429 or 503 for an unknown outcome in serve

Callers of `serve` saw: the 408, 429 or 503 of a service that had executed their call, though only the service's own statement says that it has not. The call was billed, and its repeats got the same promise. Lookups got a 408 or 429 of one upstream though the other could serve them.

Cause: any answer without the statement counted as the call's answer; only 502, 503 and 504 of lookups were tried elsewhere.

Change: such an answer is a failed attempt whose outcome is unknown: a call that must run once ends with 502, `run: unknown`, is not billed, and its key is kept as used; a lookup is tried elsewhere within the retry budget. Answers of this kind that daemons of earlier builds have recorded or forward are replaced before they reach a caller.

Evidence: `claims_services error_of_an_upstream_does_not_promise_that_a_call_has_not_run`, `..._is_retried_if_the_call_is_idempotent` and `bills_services call_whose_upstream_failed_is_not_billed` failed before (a 408 was returned and billed) and pass now, as do the other tests of claims and bills.

--- a/src/daemon/service.rs
+++ b/src/daemon/service.rs
@@ -10,12 +10,14 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
+use http::StatusCode;
 
 use crate::{
     coordination::{
         bills::Bill,
         claims::{Answer, Fingerprint, Header, IdempotencyKey},
         decisions::RequestId,
+        execution::promises_not_run,
     },
     daemon::{
         billing::Billing, claims::Claims, configuration::Configuration, core::Core, readiness,
@@ -123,12 +125,12 @@
             &call.caller_request.method,
             &call.caller_request.path,
         ) {
-            return self.serve_at_most_once(call).await;
+            return checked(self.serve_at_most_once(call).await?);
         }
         self.check_ready()?;
         let answer = self.serve_idempotent(&call).await?;
         self.bill(&call).await?;
-        Ok(answer)
+        checked(answer)
     }
 
     /// Handles a peer's request about a claim.
@@ -194,6 +196,22 @@
     }
 }
 
+/// Refuses to pass on an answer whose status promises that the request has not run. Daemons of earlier builds
+/// record and forward such answers.
+fn checked(answer: ServiceAnswer) -> Result<ServiceAnswer, Refusal> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if promises_not_run(status) {
+        let detail =
+            format!("the upstream may have executed the request and answered with {status}");
+        return Err(Refusal::unknown(
+            RefusalKind::UpstreamFailed,
+            "dispatch",
+            detail,
+        ));
+    }
+    Ok(answer)
+}
+
 impl ServiceCall {
     /// Returns a digest of the request that reveals an idempotency key reused for another request.
     fn fingerprint(&self) -> Fingerprint {
--- a/src/daemon/service/attempt.rs
+++ b/src/daemon/service/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::{ServiceAnswer, ServiceCall};
 use crate::{
-    coordination::claims::Header,
+    coordination::{claims::Header, execution::promises_not_run},
     transport::http_client::{Exchange, HttpError, Sent},
 };
 
@@ -41,6 +41,9 @@
     /// The upstream refused the request and stated that it did not execute it.
     #[error("the upstream refused the request with status {status} and did not execute it")]
     Refused { status: u16 },
+    /// The upstream answered with a status that promises that it did not execute the request, but did not state it.
+    #[error("the upstream may have executed the request and answered with status {status}")]
+    Failed { status: u16 },
     /// The answer belongs to another attempt.
     #[error("the answer belongs to another attempt")]
     Crossed,
@@ -60,7 +63,7 @@
     pub(super) fn not_run(&self) -> bool {
         match self {
             Self::Http(e) => e.sent == Sent::No,
-            Self::Crossed => false,
+            Self::Crossed | Self::Failed { .. } => false,
             Self::Refused { .. } | Self::Request(_) | Self::TooLate | Self::OutOfService => true,
         }
     }
@@ -94,7 +97,7 @@
     exchange: &mut Exchange,
     attempt: &str,
 ) -> Result<ServiceAnswer, AttemptError> {
-    let status = exchange.status().as_u16();
+    let status = exchange.status();
     let is_refused = exchange.header(NOT_RUN_HEADER) == Some("true");
     match exchange.header(ATTEMPT_HEADER) {
         Some(echoed) if echoed != attempt => return Err(AttemptError::Crossed),
@@ -102,12 +105,19 @@
         _ => {}
     }
     if is_refused {
-        return Err(AttemptError::Refused { status });
+        return Err(AttemptError::Refused {
+            status: status.as_u16(),
+        });
+    }
+    if promises_not_run(status) {
+        return Err(AttemptError::Failed {
+            status: status.as_u16(),
+        });
     }
     let headers = forwarded_headers(exchange);
     let body = exchange.bytes(MAX_ANSWER_BYTES).await?;
     Ok(ServiceAnswer {
-        status,
+        status: status.as_u16(),
         headers,
         body,
     })
--- a/src/daemon/service/idempotent.rs
+++ b/src/daemon/service/idempotent.rs
@@ -222,11 +222,7 @@
 
 /// Whether the status indicates that another replica may succeed.
 fn is_unavailable(status: u16) -> bool {
-    let unavailable = [
-        StatusCode::BAD_GATEWAY,
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::GATEWAY_TIMEOUT,
-    ];
+    let unavailable = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
     unavailable.iter().any(|s| s.as_u16() == status)
 }
 
--- a/src/daemon/service/once.rs
+++ b/src/daemon/service/once.rs
@@ -269,7 +269,7 @@
         ),
         Reason::OutcomeUnknown => (
             RefusalKind::UpstreamFailed,
-            "the request was dispatched before and no answer was received",
+            "the request was dispatched before and no answer that settles its outcome was received",
         ),
         Reason::Expired => (
             RefusalKind::NotReady,
--- a/stand-in/src/control.rs
+++ b/stand-in/src/control.rs
@@ -78,6 +78,13 @@
         #[serde(with = "millis")]
         by: Duration,
     },
+    /// Executes requests and answers them with an error status, without a statement that they were not executed.
+    FailAnswers {
+        /// The affected requests.
+        next: NextRequests,
+        /// HTTP status.
+        status: u16,
+    },
     /// Swaps the responses of two concurrent requests; use an even count, as requests are paired.
     CrossAnswers {
         /// The affected requests.
--- a/stand-in/src/exchange.rs
+++ b/stand-in/src/exchange.rs
@@ -88,6 +88,9 @@
         let _ = res.into_body().collect().await;
         return Err(ConnectionCut);
     }
+    if let Some(status) = faults.take_fail(&path) {
+        *res.status_mut() = status;
+    }
     if let Some(by) = faults.take_delay(&path) {
         tokio::time::sleep(by).await;
     }
--- a/stand-in/src/fault.rs
+++ b/stand-in/src/fault.rs
@@ -43,6 +43,8 @@
     lose: NextRequests,
     delay: NextRequests,
     delay_by: Duration,
+    fail: NextRequests,
+    fail_status: StatusCode,
     cross: NextRequests,
     duplicate: NextRequests,
     truncate: NextRequests,
@@ -132,6 +134,14 @@
                 counted.delay = next.clone();
                 counted.delay_by = *by;
             }
+            Control::FailAnswers { next, status } => {
+                let Ok(status) = StatusCode::from_u16(*status) else {
+                    return false;
+                };
+                let mut counted = self.counted();
+                counted.fail = next.clone();
+                counted.fail_status = status;
+            }
             Control::CrossAnswers { next } => self.counted().cross = next.clone(),
             Control::DuplicateAnswers { next } => self.counted().duplicate = next.clone(),
             Control::TruncateAnswers { next, after_bytes } => {
@@ -159,6 +169,11 @@
         counted.delay.try_take(path).then_some(counted.delay_by)
     }
 
+    pub(crate) fn take_fail(&self, path: &str) -> Option<StatusCode> {
+        let mut counted = self.counted();
+        counted.fail.try_take(path).then_some(counted.fail_status)
+    }
+
     pub(crate) fn take_duplicate(&self, path: &str) -> bool {
         self.counted().duplicate.try_take(path)
     }
--- a/tests/bills_services.rs
+++ b/tests/bills_services.rs
@@ -117,3 +117,27 @@
         keys.len() as u64
     );
 }
+
+/// Customers were billed for calls that their upstream had answered with 408, 429 or 503.
+#[tokio::test]
+async fn call_whose_upstream_failed_is_not_billed() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    for status in [408, 429, 503] {
+        fleet.control_replicas(&Control::FailAnswers {
+            next: NextRequests::any(100),
+            status,
+        });
+        for index in 0..3 {
+            let key = format!("{status}-{index}");
+            assert!(fleet.intake(index, &key).await.is_err(), "{key}");
+            let lookup = fleet.send(index, "GET", "/timetable", "", Some(&key));
+            assert!(lookup.await.is_err(), "{key}");
+        }
+    }
+    fleet.control_replicas(&Control::Heal);
+    assert!(fleet.intake(0, "served").await.is_ok());
+    for daemon in &fleet.daemons {
+        assert_eq!(daemon.billing.drain().await, 0);
+    }
+    assert_eq!(fleet.wait_for_billed_requests(1).await.requests, 1);
+}
--- a/tests/claims_services.rs
+++ b/tests/claims_services.rs
@@ -271,3 +271,54 @@
         }
     }
 }
+
+/// Callers sent requests again that had run, as the 408, 429 or 503 of the upstream that had run them was passed on.
+#[tokio::test]
+async fn error_of_an_upstream_does_not_promise_that_a_call_has_not_run() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    for status in [408, 429, 503] {
+        let keys = [
+            fleet.home_key(0, &format!("home-{status}")),
+            format!("plain-{status}").into(),
+        ];
+        for key in keys {
+            fleet.control_replicas(&Control::FailAnswers {
+                next: next(1),
+                status,
+            });
+            // The first call runs, the others find what became of it.
+            for index in [1, 0, 2] {
+                let outcome = fleet.intake(index, &key).await;
+                let refusal = outcome.expect_err("a refusal");
+                assert_eq!(refusal.run, ExecutionState::Unknown, "{status}: {refusal}");
+                assert_eq!(refusal.status(), 502, "{status}: {refusal}");
+            }
+            fleet.control_replicas(&Control::Heal);
+            assert_eq!(fleet.executions(&key), 1, "{status} {key}");
+        }
+    }
+}
+
+/// Lookups were answered with the 408, 429 or 503 of one upstream though the other one could serve them.
+#[tokio::test]
+async fn error_of_an_upstream_is_retried_if_the_call_is_idempotent() {
+    let fleet = Fleet::spawn(NO_WORK).await;
+    for status in [408, 429, 503] {
+        let path = format!("/timetable/{status}");
+        let fail = |count| Control::FailAnswers {
+            next: next(count),
+            status,
+        };
+        fleet.replicas[0].control(&fail(100)).expect("supported");
+        for index in 0..6 {
+            let outcome = fleet.send(index % 3, "GET", &path, "", None).await;
+            assert_eq!(answer_for(&outcome).path, path, "{status}");
+        }
+        fleet.control_replicas(&fail(100));
+        let refusal = fleet.send(0, "GET", &path, "", None).await;
+        let refusal = refusal.expect_err("a refusal");
+        assert_eq!(refusal.run, ExecutionState::Unknown, "{status}: {refusal}");
+        assert_eq!(refusal.status(), 502, "{status}: {refusal}");
+        fleet.control_replicas(&Control::Heal);
+    }
+}
