Rate an upstream's 408 or 429 without a refusal's mark as a failure

Callers saw: lookups answered with the 408 or 429 of one upstream (502 since those statuses are replaced) though another one could serve them.

Cause: only 5xx counted as a failure of the attempt; any other status was recorded as served.

Change: an answer that promises that the request has not run, without the upstream's word for it, is a failed attempt: it rates the upstream down, and a request that may be repeated is tried elsewhere within the retry budget.

Evidence: `gateway run_promises::lookup_is_served_by_another_upstream_after_408_or_429` failed before (the first lookup was not served); now all of 40 are served for each status, and at most a quarter of them reach the failing upstream.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -4,10 +4,13 @@
 use platform::{configuration::RouteKind, headers::ResponseHead};
 
 use crate::{
-    coordination::dispatch::{
-        Quality,
-        escalation::{EscalationDecision, StartedResponse, decide_escalation},
-        health::AttemptOutcome,
+    coordination::{
+        dispatch::{
+            Quality,
+            escalation::{EscalationDecision, StartedResponse, decide_escalation},
+            health::AttemptOutcome,
+        },
+        execution::promises_not_run,
     },
     gateway::{
         attempt::{AttemptError, UpstreamResponse},
@@ -125,7 +128,8 @@
             }
             Err(_) => return NextStep::GiveUp(RefusalReason::Timeout),
         };
-        let failed = head.status.is_server_error();
+        // A 408 or 429 that does not say that the request has not run is no answer to it.
+        let failed = head.status.is_server_error() || promises_not_run(head.status);
         let outcome = if failed { "failed" } else { "served" };
         if failed {
             slot.set_outcome(AttemptOutcome::Failed);
--- a/tests/gateway/run_promises.rs
+++ b/tests/gateway/run_promises.rs
@@ -21,6 +21,8 @@
 ];
 /// Requests of each kind in a scene.
 const REQUESTS: usize = 12;
+/// Lookups that one of two upstreams fails.
+const LOOKUPS: usize = 40;
 /// Requests after which a daemon that is cut off has noticed it.
 const REQUESTS_UNTIL_CUT_OFF: usize = 20;
 
@@ -152,3 +154,23 @@
         check(&harness, error, &replies);
     }
 }
+
+/// Lookups were answered with the 408 or 429 of one upstream though the other could serve them, and that upstream
+/// counted as sound and quick, so that it got ever more of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_is_served_by_another_upstream_after_408_or_429() {
+    for status in [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS] {
+        let harness = Harness::spawn(1).await;
+        let [failing, sound] = harness.plain_upstreams();
+        failing.set_behaviour(Behaviour::FailWith(ErrorAnswer::signed(status)));
+        for n in 0..LOOKUPS {
+            let call = plain(&format!("look-{n}"), Method::GET, "/look/1");
+            let reply = harness.call(&call).await;
+            assert_eq!(reply.status, StatusCode::OK, "{status} {n}: {}", reply.body);
+        }
+        let (failed, served) = (failing.runs().len(), sound.runs().len());
+        assert_eq!(served, LOOKUPS, "{status}");
+        assert!(failed > 0, "{status}: the failing upstream was not tried");
+        assert!(4 * failed <= LOOKUPS, "{status}: {failed} of {LOOKUPS}");
+    }
+}
