Let upstreams of the soak run requests and answer 408, 429 or 503

The soak missed that callers were told "not run" of requests that had run: no upstream of it answered so after a run, and only a 503 with Retry-After counted as that promise.

Any 408, 421, 429 or 503 for a request that an upstream has run is a violation, for requests of all kinds; one that has not run is still refused wrongly if its status is a client error. The list of these statuses stands once, in the stand-ins.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use rand::{Rng, SeedableRng};
@@ -216,14 +216,13 @@
         Err(e) => return Outcome::NoAnswer(e.to_string()),
     };
     let status = response.status();
-    let has_retry_after = response.headers().contains_key("retry-after");
-    if status == StatusCode::SERVICE_UNAVAILABLE && has_retry_after {
-        return Outcome::NotRun;
-    }
     if !status.is_success() {
         // The body of an error response is not evaluated.
         let _ = response.into_body().collect().await;
-        return Outcome::Failed(status);
+        return match users::NOT_RUN_STATUSES.contains(&status) {
+            true => Outcome::NotRun(status),
+            false => Outcome::Failed(status),
+        };
     }
     tokio::time::sleep(pause).await;
     read_response(response, kind, id).await
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -41,7 +41,7 @@
     /// A request that must not be repeated was executed more than once.
     #[display("{_0} was executed {_1} times")]
     RanTwice(String, usize),
-    /// A caller received a not-run response, but the request had been executed.
+    /// A caller received a status that promises that its request was not executed, but the request had been executed.
     #[display("{_0} was executed, but its caller received a not-run response")]
     NotRunWasFalse(String),
     /// A caller received something other than the response to its request.
@@ -145,11 +145,11 @@
     }
     let gateway_was_up = !disruptions.iter().any(|span| span.overlaps(record));
     match &record.outcome {
-        Outcome::NotRun if ran > 0 => violations.push(Violation::NotRunWasFalse(id())),
-        Outcome::Wrong(what) => violations.push(Violation::WrongAnswer(id(), what.clone())),
-        Outcome::Failed(status) if status.is_client_error() => {
+        Outcome::NotRun(_) if ran > 0 => violations.push(Violation::NotRunWasFalse(id())),
+        Outcome::NotRun(status) | Outcome::Failed(status) if status.is_client_error() => {
             violations.push(Violation::WrongRefusal(id(), *status));
         }
+        Outcome::Wrong(what) => violations.push(Violation::WrongAnswer(id(), what.clone())),
         Outcome::NoAnswer(e) if ran > 0 && gateway_was_up => {
             violations.push(Violation::NoAnswer(id(), record.gateway, e.clone()));
         }
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -23,8 +23,8 @@
     Served,
     /// A response with an error status.
     Failed(StatusCode),
-    /// A refusal with `Retry-After`, which states that the request was not executed.
-    NotRun,
+    /// A status that promises that the request was not executed.
+    NotRun(StatusCode),
     /// A successful response that belongs to another request, is incomplete or is not signed.
     Wrong(String),
     /// A stream that ended before its last event with a detectable error.
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
-use stand_in::gateway::{table::Fault as TableFault, upstream::Behaviour};
+use stand_in::gateway::{
+    table::Fault as TableFault,
+    upstream::{Behaviour, ErrorAnswer},
+};
 
 use crate::{deployment::UPSTREAMS, proxy::LinkState};
 
@@ -25,6 +29,16 @@
 const SILENT_LINK_FAULTS_SEED: u64 = 0x5349_4c45_4e54_0000;
 /// Separates the generator of odd rows from the others.
 const ODD_ROW_SEED: u64 = 0x4f44_445f_524f_5753;
+/// Separates the generator of errors after runs from the others.
+const ERROR_ANSWER_SEED: u64 = 0x4552_524f_5253_0000;
+/// Number of such errors in a schedule.
+const ERROR_FAULTS: std::ops::RangeInclusive<usize> = 0..=2;
+/// Statuses of upstreams that report a failure of a request that they have run.
+const ERROR_STATUSES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 /// Refusals a second that a brittle upstream bears.
 const MAX_REFUSALS: std::ops::RangeInclusive<u32> = 2..=6;
 /// Time for which an upstream is silent in milliseconds.
@@ -134,6 +148,7 @@
     schedule.extend(partition_faults(seed, gateways, upstreams, injection_time));
     schedule.extend(silent_link_fault(seed, gateways, injection_time));
     schedule.extend(odd_rows(seed, injection_time));
+    schedule.extend(error_answers(seed, upstreams, injection_time));
     schedule.sort_by_key(|step| step.at);
     schedule
 }
@@ -241,6 +256,27 @@
     rng.random_bool(0.5).then_some(scheduled)
 }
 
+/// Draws upstreams that run requests and answer with a status that promises that they have not, from a generator of
+/// their own.
+fn error_answers(seed: u64, upstreams: usize, injection_time: Duration) -> Schedule {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ ERROR_ANSWER_SEED);
+    let faults = rng.random_range(ERROR_FAULTS);
+    (0..faults)
+        .map(|_| {
+            let error = ErrorAnswer {
+                status: ERROR_STATUSES[rng.random_range(0..ERROR_STATUSES.len())],
+                retry_after_s: rng.random_bool(0.3).then_some(1),
+                is_signed: rng.random_bool(0.8),
+            };
+            ScheduledFault {
+                at: injection_time.mul_f64(rng.random()),
+                duration: Duration::from_millis(rng.random_range(EXTRA_DURATIONS_MS)),
+                fault: Fault::Upstream(rng.random_range(0..upstreams), Behaviour::FailWith(error)),
+            }
+        })
+        .collect()
+}
+
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
     match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
--- a/stand-in/src/gateway/caller.rs
+++ b/stand-in/src/gateway/caller.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{Method, Request};
+use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -17,6 +17,14 @@
 /// Prompt of all streams.
 pub const PROMPT: &[u8] = b"a prompt";
 
+/// Statuses that promise a caller that its request has not run and never will.
+pub const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Ordered request headers.
 pub type Headers = Vec<(&'static str, String)>;
 
--- a/tests/gateway/run_promises.rs
+++ b/tests/gateway/run_promises.rs
@@ -6,19 +6,13 @@
 use serde_json::Value;
 
 use stand_in::gateway::{
+    caller::NOT_RUN_STATUSES,
     deployment::configuration,
     upstream::{Behaviour, ErrorAnswer, runs_by_id},
 };
 
 use crate::harness::{Call, Gateway, Harness, Reply, plain, stream, wait_until};
 
-/// Statuses that tell callers that a request has not run and never will.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
 /// Requests of each kind in a scene.
 const REQUESTS: usize = 12;
 /// Lookups that one of two upstreams fails.
