Split the stand-in of an upstream: behaviours, responses, event streams

The behaviours, the responses and the streams of events stand in modules of their own now; nothing that an upstream sends changes.

--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -12,22 +12,23 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, Version};
-use http_body_util::{BodyExt, Either, Full, StreamBody};
-use hyper::{
-    body::{Frame, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::{Notify, mpsc, watch},
+    sync::{Notify, watch},
     task::JoinSet,
 };
-use tokio_stream::wrappers::ReceiverStream;
 
-use super::stream_shape::StreamShape;
+pub use super::behaviour::{Behaviour, ErrorAnswer, Framing};
+use super::{
+    event_stream::EventStream,
+    responses::{
+        Body, announce, error_response, full_response, header_text, name_brittle, refusal,
+    },
+};
 
 /// Number of events of a complete stream.
 pub const EVENTS_PER_STREAM: u64 = 6;
@@ -49,88 +50,6 @@
 /// Time from a crash to the restart.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
-/// How an upstream responds to requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Behaviour {
-    /// Executes and answers requests.
-    #[default]
-    Serve,
-    /// Executes requests and answers with status 500.
-    Fail,
-    /// Executes requests and answers with an error that does not say whether it did.
-    FailWith(ErrorAnswer),
-    /// Refuses requests, and reports that they were not executed.
-    Refuse,
-    /// Refuses requests and asks for a pause of this many seconds.
-    RefuseWithPause(u64),
-    /// Executes and answers requests, and announces that it leaves.
-    Leave,
-    /// Executes and answers requests, and names this limit of an upstream in requests per 1,000 seconds.
-    Limit(u32),
-    /// Runs requests as its slots allow, refuses the others, and says that it is brittle: it crashes if it
-    /// refuses more than this many in a second.
-    Brittle(u32),
-    /// Runs requests as its slots allow, queues this many others by priority, and refuses the rest.
-    Queue(usize),
-    /// Is silent for this many milliseconds before it executes and answers a request.
-    SilentFor(u64),
-    /// Executes requests and closes the connection without a response.
-    Break,
-    /// Closes the connection after the given number of events, inside the next one.
-    BreakAfter(u64),
-    /// Ends the stream without an error after the given number of events, inside the next one.
-    EndAfter(u64),
-    /// Ends the stream without an error before its first event.
-    EndEmpty,
-    /// Answers with the id of another request.
-    Foreign,
-    /// Answers without its signature.
-    Unsigned,
-    /// Never answers.
-    Hang,
-}
-
-/// The answer of an upstream that has executed a request and reports a failure.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ErrorAnswer {
-    /// HTTP status.
-    pub status: StatusCode,
-    /// Value of `Retry-After` in seconds.
-    pub retry_after_s: Option<u64>,
-    /// Whether it has the upstream's signature.
-    pub is_signed: bool,
-}
-
-impl ErrorAnswer {
-    /// Creates a signed answer without `Retry-After`.
-    pub fn signed(status: StatusCode) -> Self {
-        Self {
-            status,
-            retry_after_s: None,
-            is_signed: true,
-        }
-    }
-
-    fn response(self, id: &str) -> Response<Body> {
-        let mut response = full_response(self.status, id, self.is_signed.then_some("s"));
-        if let Some(seconds) = self.retry_after_s {
-            let headers = response.headers_mut();
-            headers.insert("retry-after", seconds.into());
-        }
-        response
-    }
-}
-
-/// How an upstream marks the end of its streams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Framing {
-    /// By an empty chunk.
-    #[default]
-    Chunked,
-    /// By closing the connection.
-    Close,
-}
-
 /// A request that an upstream has executed.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -212,8 +131,6 @@
     socket.listen(BACKLOG)
 }
 
-type Body = Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
-
 impl FakeUpstream {
     /// Listens on a free port of the loopback address.
     pub async fn spawn(id: &str) -> Self {
@@ -455,34 +372,15 @@
             _ => None,
         };
         let body = body.collect().await.ok()?.to_bytes();
-        let headers = parts.headers.clone();
-        {
-            let mut state = self.state();
-            let restarts = state.restarts;
-            state.runs.push(Run {
-                id: id.clone(),
-                headers,
-                body,
-                executed_at: Instant::now(),
-                announced_leaving: behaviour == Behaviour::Leave,
-                named_limit: match behaviour {
-                    Behaviour::Limit(limit) => Some(limit),
-                    _ => None,
-                },
-                restarts,
-            });
-        }
+        self.record_run(&id, &parts.headers, body, behaviour);
         let _in_flight = slot.unwrap_or_else(|| InFlightGuard::begin(&self.in_flight));
         match behaviour {
             Behaviour::Break => return None,
             Behaviour::Fail => {
-                return Some(full_response(
-                    StatusCode::INTERNAL_SERVER_ERROR,
-                    &id,
-                    Some("s"),
-                ));
+                let error = ErrorAnswer::signed(StatusCode::INTERNAL_SERVER_ERROR);
+                return Some(error_response(error, &id));
             }
-            Behaviour::FailWith(error) => return Some(error.response(&id)),
+            Behaviour::FailWith(error) => return Some(error_response(error, &id)),
             Behaviour::Foreign => return Some(full_response(StatusCode::OK, "another", Some("s"))),
             Behaviour::Unsigned => return Some(full_response(StatusCode::OK, &id, None)),
             Behaviour::Hang => std::future::pending::<()>().await,
@@ -502,21 +400,27 @@
             | Behaviour::Limit(_) => {}
         }
         let mut response = self.successful_response(&parts, &id, behaviour, unread);
-        if behaviour == Behaviour::Leave {
-            let value = "1".parse().expect("valid header value");
-            response.headers_mut().insert("server-leaving", value);
-        }
-        if let Behaviour::Limit(per_kilosecond) = behaviour {
-            let per_second = f64::from(per_kilosecond) / 1e3;
-            let value = per_second.to_string().parse().expect("valid header value");
-            response.headers_mut().insert("server-limit", value);
-        }
-        if let Behaviour::Brittle(max_refusals) = behaviour {
-            name_brittle(&mut response, max_refusals);
-        }
+        announce(behaviour, &mut response);
         Some(response)
     }
 
+    fn record_run(&self, id: &str, headers: &HeaderMap, body: Bytes, behaviour: Behaviour) {
+        let mut state = self.state();
+        let restarts = state.restarts;
+        state.runs.push(Run {
+            id: id.into(),
+            headers: headers.clone(),
+            body,
+            executed_at: Instant::now(),
+            announced_leaving: behaviour == Behaviour::Leave,
+            named_limit: match behaviour {
+                Behaviour::Limit(limit) => Some(limit),
+                _ => None,
+            },
+            restarts,
+        });
+    }
+
     /// Waits in a queue of at most `length` requests for a slot; `None` if the queue is full.
     async fn wait_in_queue(&self, priority: u64, length: usize) -> Option<InFlightGuard> {
         let place = {
@@ -590,78 +494,20 @@
         if self.crashes_on(&header_text(&parts.headers, "prompt-prefix")) {
             tokio::spawn(self.clone().crash(self.restarts()));
         }
-        let after = header_text(&parts.headers, "last-event-id")
-            .parse()
-            .unwrap_or(0);
-        self.events(
-            id,
-            &header_text(&parts.headers, "model"),
-            parts.uri.path(),
-            after,
+        let state = self.state();
+        let stream = EventStream {
+            upstream: self.id.clone(),
+            model: header_text(&parts.headers, "model"),
+            path: parts.uri.path().into(),
+            after: header_text(&parts.headers, "last-event-id")
+                .parse()
+                .unwrap_or(0),
             behaviour,
-            unread,
-        )
-    }
-
-    fn events(
-        &self,
-        id: &str,
-        model: &str,
-        path: &str,
-        after: u64,
-        behaviour: Behaviour,
-        unread: Arc<Notify>,
-    ) -> Response<Body> {
-        let hard = path.contains("hard");
-        let shape = StreamShape::of(path);
-        let last = match behaviour {
-            Behaviour::BreakAfter(last) | Behaviour::EndAfter(last) => last,
-            _ => shape.events,
+            framing: state.framing,
+            unread_timeout: state.unread_timeout.unwrap_or(Duration::MAX),
         };
-        let (tx, rx) = mpsc::channel(1);
-        let filler = "x".repeat(shape.filler_bytes);
-        let line = format!("model={model} upstream={} {filler}", self.id);
-        let unread_timeout = self.state().unread_timeout.unwrap_or(Duration::MAX);
-        let in_flight = InFlightGuard::begin(&self.in_flight);
-        tokio::spawn(async move {
-            let _in_flight = in_flight;
-            if behaviour == Behaviour::EndEmpty {
-                return;
-            }
-            for event in after + 1..=shape.events {
-                if event > last {
-                    let part = Frame::data(Bytes::from(format!("id: {event}\ndata: ")));
-                    let _ = tx.send(Ok(part)).await;
-                    if matches!(behaviour, Behaviour::BreakAfter(_)) {
-                        let _ = tx.send(Err(std::io::Error::other("broken"))).await;
-                    }
-                    return;
-                }
-                let frame = Frame::data(Bytes::from(format!("id: {event}\ndata: {line}\n\n")));
-                match tokio::time::timeout(unread_timeout, tx.send(Ok(frame))).await {
-                    Ok(Ok(())) => tokio::time::sleep(shape.interval).await,
-                    Ok(Err(_)) => return,
-                    Err(_) => return unread.notify_one(),
-                }
-            }
-        });
-        let confidence = if hard && model == "small" { "10" } else { "90" };
-        let mut response = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(rx))));
-        if self.state().framing == Framing::Close {
-            // Without a length, hyper sends an HTTP/1.1 body in chunks.
-            *response.version_mut() = Version::HTTP_10;
-        }
-        sign(&mut response, id, Some("s"));
-        let headers = response.headers_mut();
-        headers.insert(
-            "content-type",
-            "text/event-stream".parse().expect("valid header value"),
-        );
-        headers.insert(
-            "confidence",
-            confidence.parse().expect("valid header value"),
-        );
-        response
+        drop(state);
+        stream.respond(id, InFlightGuard::begin(&self.in_flight), unread)
     }
 }
 
@@ -675,7 +521,7 @@
 }
 
 /// Counts a request as in flight until the guard is dropped.
-struct InFlightGuard(Arc<AtomicUsize>);
+pub(super) struct InFlightGuard(Arc<AtomicUsize>);
 
 impl InFlightGuard {
     fn begin(count: &Arc<AtomicUsize>) -> Self {
@@ -690,50 +536,6 @@
     }
 }
 
-/// Returns the text of a header; empty if it is missing.
-fn header_text(headers: &HeaderMap, name: &str) -> String {
-    let value = headers.get(name).and_then(|v| v.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
-
-/// Returns the refusal of an upstream that refuses requests, as one that did not execute the request.
-fn refusal(behaviour: Behaviour, id: &str) -> Option<Response<Body>> {
-    let pause = match behaviour {
-        Behaviour::Refuse => None,
-        Behaviour::RefuseWithPause(seconds) => Some(seconds),
-        _ => return None,
-    };
-    let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, id, None);
-    let headers = response.headers_mut();
-    headers.insert("not-executed", "1".parse().expect("valid header value"));
-    if let Some(seconds) = pause {
-        headers.insert("retry-after", seconds.into());
-    }
-    Some(response)
-}
-
-/// Adds that the upstream is brittle.
-fn name_brittle(response: &mut Response<Body>, max_refusals: u32) {
-    let headers = response.headers_mut();
-    headers.insert("server-brittle", max_refusals.into());
-}
-
-fn full_response(status: StatusCode, id: &str, seal: Option<&str>) -> Response<Body> {
-    let body = Bytes::from(format!("answer to {id}"));
-    let mut response = Response::new(Either::Left(Full::new(body)));
-    *response.status_mut() = status;
-    sign(&mut response, id, seal);
-    response
-}
-
-fn sign(response: &mut Response<Body>, id: &str, seal: Option<&str>) {
-    let headers = response.headers_mut();
-    headers.insert("request-id", id.parse().expect("valid header value"));
-    if let Some(seal) = seal {
-        headers.insert("response-seal", seal.parse().expect("valid header value"));
-    }
-}
-
 /// Returns the number of executions by request id, summed over the upstreams.
 pub fn runs_by_id(upstreams: &[&FakeUpstream]) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
