--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -43,30 +43,54 @@
     ))
 }
 
+/// An error of an upstream that has run the request, whose body ends too early.
+fn cut_error(status: &str, id: &str) -> Vec<u8> {
+    bytes(format!(
+        "HTTP/1.1 {status}\nRequest-Id: {id}\nResponse-Seal: r\nRetry-After: 1\nContent-Length: 4\n\nfu"
+    ))
+}
+
+/// Sends bookings until one reaches an upstream with these answers, which must not run again or be told to have
+/// not run.
+async fn check_booking(
+    name: &str,
+    answer: impl Fn(&RawRequest) -> Vec<u8> + Send + Sync + 'static,
+) {
+    let harness = Harness::spawn(1).await;
+    let raw = replace(&harness, 2, answer).await;
+    for n in 0..MAX_REQUESTS {
+        let id = format!("b{n}");
+        let reply = harness.call(&plain(&id, Method::POST, "/book/1")).await;
+        let is_raw = raw.requests().iter().any(|request| request.id == id);
+        let runs = runs_by_id(&harness.plain_upstreams()).get(&id).copied();
+        if !is_raw {
+            assert_eq!((reply.status, runs), (StatusCode::OK, Some(1)), "{name}");
+            continue;
+        }
+        assert_eq!(
+            (reply.status, runs),
+            (StatusCode::BAD_GATEWAY, None),
+            "{name}"
+        );
+        break;
+    }
+    assert!(!raw.requests().is_empty(), "{name}");
+}
+
 /// A caller was told that a request had not run, or it ran a second time, as an upstream repeated the
 /// refusal of an earlier one.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_of_another_request_promises_nothing() {
     for status in ["503 Full", "429 Full", "421 Misdirected", "400 Bad"] {
-        let harness = Harness::spawn(1).await;
-        let raw = replace(&harness, 2, move |_| foreign_refusal(status)).await;
-        for n in 0..MAX_REQUESTS {
-            let id = format!("b{n}");
-            let reply = harness.call(&plain(&id, Method::POST, "/book/1")).await;
-            let is_raw = raw.requests().iter().any(|request| request.id == id);
-            let runs = runs_by_id(&harness.plain_upstreams()).get(&id).copied();
-            if !is_raw {
-                assert_eq!((reply.status, runs), (StatusCode::OK, Some(1)), "{status}");
-                continue;
-            }
-            assert_eq!(
-                (reply.status, runs),
-                (StatusCode::BAD_GATEWAY, None),
-                "{status}"
-            );
-            break;
-        }
-        assert!(!raw.requests().is_empty(), "{status}");
+        check_booking(status, move |_| foreign_refusal(status)).await;
+    }
+}
+
+/// An error whose body is cut must not pass for a refusal either.
+#[tokio::test(flavor = "multi_thread")]
+async fn error_that_is_cut_promises_nothing() {
+    for status in ["503 Failed", "429 Failed", "408 Failed"] {
+        check_booking(status, move |req| cut_error(status, &req.id)).await;
     }
 }
 
