Count a run on a restarted upstream only for crashes of its own process

What callers saw: requests whose prompts began like those of a poison request were refused with 503 (poison) for good; `gateway poison::sound_requests_that_begin_like_crashing_ones_are_served` ended with "0 of 40 served" in 1 of 96 and 1 of 144 runs, 24 at a time (arm64).

Cause, from the log of a failed run: an upstream that had crashed was up again and ran requests some 30 ms before its new row was read. When the row came, all runs that were open on that upstream were counted as a crash of the old process. The crash of the new process then found the run that caused it gone, and was counted for sound requests alone. Three such crashes, in which the crashing segment took no part, refuse the segment that all prompts begin with, and what is refused cannot be acquitted.

A connection that is refused shows that the process has stopped: runs of before are interrupted, and later ones belong to the next process and are kept for its own crashes. Without a refused connection all runs count as before.

Both new tests fail without `connection_refused`: segment 5 of a sound request is among the counted ones, and one of two crashes of the crashing segment is missing.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -341,7 +341,7 @@
     }
 
     /// Returns a hash of an upstream's incarnation, the same on all daemons.
-    fn incarnation(&self, upstream: &str) -> CrashId {
+    pub(super) fn incarnation(&self, upstream: &str) -> CrashId {
         let started_ms = self.registry.get(upstream).and_then(|u| u.started_ms);
         registry::hash_of(upstream) ^ started_ms.unwrap_or_default()
     }
--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -99,10 +99,18 @@
     interrupted: bool,
 }
 
+/// The runs on one upstream.
+#[derive(Debug, Default)]
+struct UpstreamRuns {
+    runs: Vec<Run>,
+    /// The incarnation that has refused a connection, until the next one is known.
+    refused: Option<CrashId>,
+}
+
 /// Runs and crashes seen by this daemon, and crashes seen by its peers.
 #[derive(Debug, Default)]
 pub struct PoisonTracker {
-    runs: HashMap<UpstreamId, Vec<Run>>,
+    runs: HashMap<UpstreamId, UpstreamRuns>,
     survivors: Survivors,
     evidence: CrashEvidence,
     findings: Vec<CrashFinding>,
@@ -149,7 +157,7 @@
         opened_at: Instant,
         now: Instant,
     ) {
-        let Some(runs) = self.runs.get_mut(upstream) else {
+        let Some(UpstreamRuns { runs, .. }) = self.runs.get_mut(upstream) else {
             return;
         };
         let has_survived = |run: &Run| {
@@ -173,7 +181,7 @@
     ) {
         let runs = self.runs.entry(upstream.clone()).or_default();
         let mut has_begun = false;
-        for run in runs {
+        for run in &mut runs.runs {
             run.interrupted = true;
             has_begun |= Arc::ptr_eq(&run.suspects, suspects);
         }
@@ -184,18 +192,30 @@
         }
     }
 
+    /// Records that an upstream refused a connection, so its process had stopped by then. Runs that begin
+    /// afterwards are those of a new process, even if its incarnation is not known yet.
+    pub fn connection_refused(&mut self, upstream: &UpstreamId, incarnation: CrashId) {
+        let runs = self.runs.entry(upstream.clone()).or_default();
+        runs.refused = Some(incarnation);
+        for run in &mut runs.runs {
+            run.interrupted = true;
+        }
+    }
+
     /// Records that an upstream has crashed, restarted or left.
     pub fn upstream_stopped(&mut self, upstream: &str, source: StopSource, now: Instant) {
         let Some(runs) = self.runs.get_mut(upstream) else {
             return;
         };
+        // Without a refused connection, nothing tells the runs of the stopped process from later ones.
+        let all_stopped = source == StopSource::Own && runs.refused.is_none();
         let may_be_cause = |run: &Run| {
             let is_recent = now.saturating_duration_since(run.began) < CRASH_CORRELATION_TIME;
-            is_recent && (run.interrupted || source == StopSource::Own)
+            is_recent && (run.interrupted || all_stopped)
         };
-        let suspected: Vec<Run> = runs.extract_if(.., |run| may_be_cause(run)).collect();
+        let suspected: Vec<Run> = runs.runs.extract_if(.., |run| may_be_cause(run)).collect();
         if source == StopSource::Own {
-            self.runs.remove(upstream);
+            runs.drop_stopped();
         }
         let mut suspects = HashSet::new();
         for run in &suspected {
@@ -220,6 +240,18 @@
         self.decide(now);
     }
 
+    /// Records which incarnation of an upstream is known now; runs that go on after a stop are its runs.
+    pub fn incarnation_known(&mut self, upstream: &str, incarnation: CrashId) {
+        if let Some(runs) = self.runs.get_mut(upstream)
+            && runs.refused.is_some_and(|refused| refused != incarnation)
+        {
+            runs.refused = None;
+            for run in &mut runs.runs {
+                run.incarnation = incarnation;
+            }
+        }
+    }
+
     /// Removes and returns what was counted since the last call.
     pub fn take_findings(&mut self) -> Vec<CrashFinding> {
         std::mem::take(&mut self.findings)
@@ -257,8 +289,9 @@
     /// Forgets runs that are too old to matter.
     pub fn expire(&mut self, now: Instant) {
         self.runs.retain(|_, runs| {
-            runs.retain(|run| now.saturating_duration_since(run.began) < RUN_RETENTION);
-            !runs.is_empty()
+            let is_kept = |run: &Run| now.saturating_duration_since(run.began) < RUN_RETENTION;
+            runs.runs.retain(is_kept);
+            !runs.runs.is_empty() || runs.refused.is_some()
         });
         self.decide(now);
     }
@@ -276,7 +309,7 @@
         now: Instant,
         interrupted: bool,
     ) {
-        let runs = self.runs.entry(upstream.clone()).or_default();
+        let UpstreamRuns { runs, .. } = self.runs.entry(upstream.clone()).or_default();
         if runs.len() < MAX_RUNS {
             runs.push(Run {
                 suspects: suspects.clone(),
@@ -288,6 +321,16 @@
     }
 }
 
+impl UpstreamRuns {
+    /// Drops the runs of a process that has stopped.
+    fn drop_stopped(&mut self) {
+        match self.refused {
+            Some(_) => self.runs.retain(|run| !run.interrupted),
+            None => self.runs.clear(),
+        }
+    }
+}
+
 /// Segments that upstreams have survived, in two generations.
 #[derive(Debug, Default)]
 struct Survivors {
--- a/src/coordination/dispatch/reachability.rs
+++ b/src/coordination/dispatch/reachability.rs
@@ -299,6 +299,10 @@
         if self.registry.get(upstream).is_none() {
             return;
         }
+        if loss == Loss::Refused {
+            let incarnation = self.incarnation(upstream);
+            self.poison.connection_refused(upstream, incarnation);
+        }
         self.reachability.insert(upstream, loss, by_probe, now);
         let lost = &self.reachability.lost;
         let listed = self.registry.all().filter(|u| u.is_listed(now));
--- a/src/coordination/dispatch/rollout_decision.rs
+++ b/src/coordination/dispatch/rollout_decision.rs
@@ -127,6 +127,8 @@
     pub fn upstream_stopped(&mut self, upstream: &str, now: Instant) {
         self.reachability.forget(upstream);
         self.poison.upstream_stopped(upstream, StopSource::Own, now);
+        let incarnation = self.incarnation(upstream);
+        self.poison.incarnation_known(upstream, incarnation);
         self.prefixes.remove_engine(registry::hash_of(upstream));
         self.broken_connections
             .retain(|broken| !broken.is_at(upstream));
--- a/tests/dispatch/poison.rs
+++ b/tests/dispatch/poison.rs
@@ -6,9 +6,12 @@
 use hibiscusyoke::coordination::dispatch::{
     crash_evidence::Suspect,
     poison::{PoisonTracker, StopSource, Suspects, fingerprint, suspects},
+    reachability::Loss,
 };
 use platform::headers::{Prompt, PromptSegment};
 
+use crate::support::{assign, ready, request as placement_request, upstream, upstream_with};
+
 /// Upstreams that crash, as many as it takes to refuse what crashes them.
 const UPSTREAMS: [&str; 3] = ["u1", "u2", "u3"];
 /// Time from the start of a run to the break of its connection.
@@ -264,6 +267,65 @@
     assert_eq!(poison.poison(&poisonous), Some(Suspect::Segment(66)));
 }
 
+/// Sound requests that ran on restarted upstreams, whose rows were read a moment later, were counted as their
+/// crashes: the segments that they share were refused.
+#[test]
+fn run_on_a_restarted_upstream_is_not_a_crash_before_its_row_is_read() {
+    let now = Instant::now();
+    let rows: Vec<_> = UPSTREAMS.map(|id| upstream(id, 1, "ready")).into();
+    let mut dispatcher = ready(&rows, now);
+    let mut assignment = assign(&mut dispatcher, &placement_request(1), now);
+    let refused = now + RUN_TIME + DETECTION_TIME;
+    let restarted = refused + Duration::from_millis(400);
+    let (crashing, sound) = (request(1, &[1, 66]), request(2, &[1, 5]));
+    for (id, version) in UPSTREAMS.into_iter().zip(2..) {
+        assignment.upstream = id.into();
+        dispatcher.run_began(&assignment, &crashing, now);
+        dispatcher.connection_broken(&assignment, &crashing, now + RUN_TIME);
+        dispatcher.connection_lost(&id.into(), Loss::Refused, refused);
+        dispatcher.run_began(&assignment, &sound, restarted);
+        let row = upstream_with(id, version, &[("born", 2.into())]);
+        dispatcher.registry.apply(&[row], restarted);
+        dispatcher.upstream_stopped(id, restarted);
+    }
+    let poison = dispatcher.poison;
+    let reports = poison.reports(restarted);
+    let counted: Vec<Suspect> = reports.iter().map(|report| report.suspect).collect();
+    assert!(counted.contains(&Suspect::Segment(66)), "{counted:?}");
+    assert!(!counted.contains(&Suspect::Segment(5)), "{counted:?}");
+}
+
+/// A crash of a restarted upstream by a run that began before its row was read was not counted for the run's
+/// segments.
+#[test]
+fn crash_by_a_run_that_began_before_the_row_was_read_counts() {
+    let now = Instant::now();
+    let mut poison = PoisonTracker::default();
+    let id = "u1".into();
+    let (before, after) = (incarnation("u1"), incarnation("u1 restarted"));
+    let crashing = request(1, &[66]);
+    poison.run_began(&id, before, &crashing, now, now);
+    poison.connection_broken(&id, before, &crashing, now + RUN_TIME);
+    poison.connection_refused(&id, before);
+    let again = request(2, &[66]);
+    let restarted = now + Duration::from_millis(700);
+    poison.run_began(&id, before, &again, restarted, restarted);
+    poison.upstream_stopped("u1", StopSource::Own, restarted);
+    poison.incarnation_known("u1", after);
+    let broken = restarted + RUN_TIME;
+    poison.connection_broken(&id, after, &again, broken);
+    poison.upstream_stopped("u1", StopSource::Own, broken + DETECTION_TIME);
+    let reports = poison.reports(broken);
+    let segment = reports
+        .iter()
+        .find(|report| report.suspect == Suspect::Segment(66));
+    let mut crashes = segment.expect("counted").crashes.clone();
+    crashes.sort_unstable();
+    let mut expected = [before, after];
+    expected.sort_unstable();
+    assert_eq!(crashes, expected);
+}
+
 /// What is refused is told to daemons that start later; it is forgotten after its last crash.
 #[test]
 fn poison_is_told_until_it_expires() {
