Take an attempt back as "not run" only once, by its own token

Whether a request may have run was a count that any path could lower, saturating at zero: a path that took an attempt back twice would have hidden another one that may have run, and a 503 would have promised too much. By reading, no path did.

`attempt_sent` now returns a token that `attempt_not_run` takes; an attempt whose token is dropped counts as a run for good, and a second taking back does not compile. `execution` passes with the tokens in place of the bare calls.

--- a/src/coordination/execution.rs
+++ b/src/coordination/execution.rs
@@ -22,6 +22,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NotRun(());
 
+/// An attempt that was sent and may have run its request. One that is dropped counts as a run for good.
+#[derive(Debug)]
+#[must_use]
+pub struct SentAttempt(());
+
 /// The attempts of one request that may have run it.
 ///
 /// An attempt counts from the moment at which it is sent, so that one which is given up, or whose answer is
@@ -33,13 +38,15 @@
 
 impl ExecutionEvidence {
     /// Records that the request is sent to an upstream or to another daemon.
-    pub fn attempt_sent(&mut self) {
+    pub fn attempt_sent(&mut self) -> SentAttempt {
         self.possible_runs += 1;
+        SentAttempt(())
     }
 
     /// Records that an attempt reached no upstream, or was refused by one that said that it has not run it.
-    pub fn attempt_not_run(&mut self) {
-        self.possible_runs = self.possible_runs.saturating_sub(1);
+    /// Taking the attempt keeps it from counting twice, which would hide another one that may have run.
+    pub fn attempt_not_run(&mut self, _attempt: SentAttempt) {
+        self.possible_runs -= 1;
     }
 
     /// Returns whether an upstream may have run the request.
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -10,7 +10,7 @@
             escalation::{EscalationDecision, StartedResponse, decide_escalation},
             health::AttemptOutcome,
         },
-        execution::promises_not_run,
+        execution::{SentAttempt, promises_not_run},
     },
     gateway::{
         attempt::{AttemptError, UpstreamResponse},
@@ -30,18 +30,19 @@
     pub(super) async fn handle_answer(
         &mut self,
         mut slot: SlotGuard,
+        attempt: SentAttempt,
         answer: Result<UpstreamResponse, AttemptError>,
     ) -> NextStep {
         let upstream_response = match answer {
             Ok(upstream_response) => upstream_response,
-            Err(e) => return self.handle_failure(&mut slot, &e),
+            Err(e) => return self.handle_failure(&mut slot, attempt, &e),
         };
         self.record_reached(&slot);
         let head = self.response_head(&upstream_response);
         self.record_announcements(&slot, &head);
         self.record_tried(&slot);
         if head.not_run {
-            self.evidence.attempt_not_run();
+            self.evidence.attempt_not_run(attempt);
             slot.set_outcome(AttemptOutcome::Refused);
             self.log_attempt_end(&slot, "refused_by_upstream");
             return NextStep::Retry;
@@ -154,7 +155,15 @@
         NextStep::Retry
     }
 
-    fn handle_failure(&mut self, slot: &mut SlotGuard, e: &AttemptError) -> NextStep {
+    fn handle_failure(
+        &mut self,
+        slot: &mut SlotGuard,
+        attempt: SentAttempt,
+        e: &AttemptError,
+    ) -> NextStep {
+        if matches!(e, AttemptError::Unreachable(_)) {
+            self.evidence.attempt_not_run(attempt);
+        }
         self.record_failure(slot, e);
         if self.call.remaining(self.shared.now()).is_zero() {
             return NextStep::GiveUp(RefusalReason::Timeout);
@@ -167,7 +176,6 @@
         self.record_tried(slot);
         match e {
             AttemptError::Unreachable(e) => {
-                self.evidence.attempt_not_run();
                 self.attempts -= 1;
                 self.unreachable += 1;
                 slot.set_outcome(AttemptOutcome::not_connected(probe::loss(e)));
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    coordination::dispatch::heartbeat::DaemonName,
+    coordination::{dispatch::heartbeat::DaemonName, execution::SentAttempt},
     gateway::{
         attempt::{self, AttemptError, UpstreamResponse},
         forward::{Exchange, NextStep},
@@ -120,10 +120,10 @@
 
     /// Has another daemon serve the request.
     pub(super) async fn delegate(&mut self, delegation: Delegation) -> NextStep {
-        self.evidence.attempt_sent();
+        let attempt = self.evidence.attempt_sent();
         let response = match self.send_to_peer(&delegation, None).await {
             Ok(response) => response,
-            Err(e) => return self.handle_delegation_failure(&delegation, &e),
+            Err(e) => return self.handle_delegation_failure(&delegation, attempt, &e),
         };
         if !std::mem::replace(&mut self.is_delegated, true) {
             // The other daemon has counted it.
@@ -137,11 +137,16 @@
             self.attempts += 1;
             return self.relay(Target::Peer(delegation), response);
         }
-        self.pass_on(delegation, response).await
+        self.pass_on(delegation, attempt, response).await
     }
 
     /// Passes on what another daemon answered, unless it refused the request as not run.
-    async fn pass_on(&mut self, delegation: Delegation, response: UpstreamResponse) -> NextStep {
+    async fn pass_on(
+        &mut self,
+        delegation: Delegation,
+        attempt: SentAttempt,
+        response: UpstreamResponse,
+    ) -> NextStep {
         let remaining = self.call.remaining(self.shared.now());
         let status = response.response.status();
         let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE
@@ -164,7 +169,7 @@
             body,
         };
         if is_refusal {
-            self.evidence.attempt_not_run();
+            self.evidence.attempt_not_run(attempt);
             self.log_delegation_end(&delegation, "refused_by_peer");
             self.peer_refusal = Some(answer);
             return NextStep::Retry;
@@ -181,14 +186,19 @@
         }))
     }
 
-    fn handle_delegation_failure(&mut self, delegation: &Delegation, e: &AttemptError) -> NextStep {
+    fn handle_delegation_failure(
+        &mut self,
+        delegation: &Delegation,
+        attempt: SentAttempt,
+        e: &AttemptError,
+    ) -> NextStep {
         log::info!(
             "event=attempt_failed id={} {delegation} {e}",
             self.call.id()
         );
         metrics::attempt("delegation_failed");
         match e {
-            AttemptError::Unreachable(_) => self.evidence.attempt_not_run(),
+            AttemptError::Unreachable(_) => self.evidence.attempt_not_run(attempt),
             AttemptError::Broken(_) | AttemptError::TimedOut(_) => self.attempts += 1,
         }
         if self.call.remaining(self.shared.now()).is_zero() {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -8,12 +8,15 @@
 use futures::{FutureExt, future::BoxFuture};
 use platform::configuration::RouteKind;
 
-use crate::gateway::{
-    attempt::{self, AttemptError, UpstreamResponse},
-    forward::{Exchange, NextStep},
-    metrics,
-    shared::SlotGuard,
-    target::Target,
+use crate::{
+    coordination::execution::SentAttempt,
+    gateway::{
+        attempt::{self, AttemptError, UpstreamResponse},
+        forward::{Exchange, NextStep},
+        metrics,
+        shared::SlotGuard,
+        target::Target,
+    },
 };
 
 /// The result of an attempt up to the head of its response.
@@ -22,6 +25,7 @@
 /// A request that was sent to an upstream.
 struct Sent {
     slot: SlotGuard,
+    attempt: SentAttempt,
     answer: BoxFuture<'static, Answer>,
 }
 
@@ -53,7 +57,7 @@
             None => Some((&mut sent.answer).await),
         };
         match answer {
-            Some(answer) => self.handle_answer(sent.slot, answer).await,
+            Some(answer) => self.handle_answer(sent.slot, sent.attempt, answer).await,
             None => Box::pin(self.handle_late(sent)).await,
         }
     }
@@ -63,10 +67,11 @@
         let remaining = self.call.remaining(self.shared.now());
         let address = slot.assignment.address;
         self.attempts += 1;
-        self.evidence.attempt_sent();
+        let attempt = self.evidence.attempt_sent();
         let answer = attempt::send(self.shared.settings.ip, address, request, remaining);
         Sent {
             slot,
+            attempt,
             answer: answer.boxed(),
         }
     }
@@ -82,7 +87,7 @@
                 return self.wait_on(late).await;
             };
             if let Ok(answer) = tokio::time::timeout(limit, &mut late.answer).await {
-                return self.handle_answer(late.slot, answer).await;
+                return self.handle_answer(late.slot, late.attempt, answer).await;
             }
         }
         let chosen = tokio::select! {
@@ -97,7 +102,7 @@
             }
             Err(answer) => {
                 self.report_late(&late.slot.assignment.upstream, HedgeOutcome::Overtaken);
-                return self.handle_answer(late.slot, answer).await;
+                return self.handle_answer(late.slot, late.attempt, answer).await;
             }
         };
         match target {
@@ -134,7 +139,7 @@
     /// Waits for the response of a late attempt, as no other one can be made.
     async fn wait_on(&mut self, late: Sent) -> NextStep {
         let answer = late.answer.await;
-        self.handle_answer(late.slot, answer).await
+        self.handle_answer(late.slot, late.attempt, answer).await
     }
 
     /// Ends a late attempt, as the request is sent to another target.
@@ -157,7 +162,7 @@
             HedgeOutcome::Won => left.slot.assignment.upstream.clone(),
             _ => sent.slot.assignment.upstream.clone(),
         };
-        let step = self.handle_answer(sent.slot, answer).await;
+        let step = self.handle_answer(sent.slot, sent.attempt, answer).await;
         if !matches!(step, NextStep::Retry) {
             self.report_late(&late_upstream, first);
             if first == HedgeOutcome::Won {
@@ -166,7 +171,7 @@
             return step;
         }
         let answer = left.answer.await;
-        let step = self.handle_answer(left.slot, answer).await;
+        let step = self.handle_answer(left.slot, left.attempt, answer).await;
         let outcome = match (&step, first) {
             (NextStep::Retry, _) => HedgeOutcome::Failed,
             (_, HedgeOutcome::Won) => HedgeOutcome::Lost,
--- a/tests/execution.rs
+++ b/tests/execution.rs
@@ -37,10 +37,10 @@
 fn attempt_without_an_answer_may_have_run() {
     let mut evidence = ExecutionEvidence::default();
     assert!(evidence.not_run().is_some());
-    evidence.attempt_sent();
-    evidence.attempt_not_run();
+    let refused = evidence.attempt_sent();
+    evidence.attempt_not_run(refused);
     assert!(evidence.not_run().is_some());
-    evidence.attempt_sent();
+    drop(evidence.attempt_sent());
     assert!(evidence.not_run().is_none());
 }
 
@@ -48,11 +48,11 @@
 #[test]
 fn refusal_of_one_attempt_proves_nothing_of_another() {
     let mut evidence = ExecutionEvidence::default();
-    evidence.attempt_sent();
-    evidence.attempt_sent();
-    evidence.attempt_not_run();
+    let first = evidence.attempt_sent();
+    let second = evidence.attempt_sent();
+    evidence.attempt_not_run(first);
     assert!(evidence.may_have_run());
-    evidence.attempt_not_run();
+    evidence.attempt_not_run(second);
     assert!(!evidence.may_have_run());
 }
 
