Reserve the loopback addresses that a test process uses

A process now reserves its block of addresses by a bound port and takes the next one if another process has it.

--- a/stand-in/src/gateway/deployment.rs
+++ b/stand-in/src/gateway/deployment.rs
@@ -2,14 +2,25 @@
 
 use std::{
     io,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    process::Command,
+    net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket},
+    process::{self, Command},
+    sync::LazyLock,
 };
 
 use serde_json::{Value, json};
 
 /// Port of a gateway for the queries of other gateways.
 pub const PEER_PORT: u16 = 7_340;
+/// Port that a test process binds on the first address of its block of loopback addresses.
+pub const RESERVATION_PORT: u16 = 18_000;
+
+/// Number of blocks of loopback addresses that test processes share out.
+const ADDRESS_BLOCKS: u32 = 200;
+/// Second octet of the addresses in the first block.
+const FIRST_BLOCK: u32 = 10;
+
+/// The block of loopback addresses of this process.
+static ADDRESS_BLOCK: LazyLock<AddressBlock> = LazyLock::new(AddressBlock::reserve);
 
 /// Ports of a gateway.
 #[derive(Clone, Copy, Debug)]
@@ -31,8 +42,35 @@
 
 /// Returns a loopback address that no other test process uses; `site` and `number` start at 1.
 pub fn loopback(site: u8, number: u8) -> IpAddr {
-    let run = u8::try_from(std::process::id() % 200).unwrap_or_default() + 10;
-    IpAddr::V4(Ipv4Addr::new(127, run, site, number))
+    IpAddr::V4(Ipv4Addr::new(127, ADDRESS_BLOCK.octet, site, number))
+}
+
+/// Loopback addresses with the same second octet, which one process uses as long as it runs.
+struct AddressBlock {
+    octet: u8,
+    _reservation: UdpSocket,
+}
+
+impl AddressBlock {
+    /// Reserves the first free block, beginning with the one that the process id names.
+    fn reserve() -> Self {
+        let mut octets = (0..ADDRESS_BLOCKS).map(|n| block_octet(process::id() + n));
+        let reserved = octets.find_map(|octet| {
+            let address = Ipv4Addr::new(127, octet, 0, 1);
+            let socket = UdpSocket::bind((address, RESERVATION_PORT)).ok()?;
+            Some(Self {
+                octet,
+                _reservation: socket,
+            })
+        });
+        reserved.expect("a free block of loopback addresses")
+    }
+}
+
+/// Returns the second octet of the block that a process with this id tries first.
+pub fn block_octet(process: u32) -> u8 {
+    let octet = process % ADDRESS_BLOCKS + FIRST_BLOCK;
+    u8::try_from(octet).expect("blocks fit into an octet")
 }
 
 /// Returns the settings of a gateway that reaches the table at `table`.
