Let no stream of the stand-in end that is to crash its upstream

`crash_on` says that each run with the segment crashes the upstream, so such a stream now goes on until the crash.

--- a/stand-in/src/gateway/event_stream.rs
+++ b/stand-in/src/gateway/event_stream.rs
@@ -34,6 +34,8 @@
     pub(super) framing: Framing,
     /// Time after which the stream is cut off if it is not read.
     pub(super) unread_timeout: Duration,
+    /// Whether the upstream crashes while it sends the stream, which never ends then.
+    pub(super) crashes: bool,
 }
 
 impl EventStream {
@@ -91,6 +93,9 @@
                 Err(_) => return unread.notify_one(),
             }
         }
+        if self.crashes {
+            tx.closed().await;
+        }
     }
 
     /// Sends the start of an event and ends the stream, by an error if it is to break.
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -491,7 +491,8 @@
         if !parts.uri.path().starts_with("/ask/") {
             return full_response(StatusCode::OK, id, Some("s"));
         }
-        if self.crashes_on(&header_text(&parts.headers, "prompt-prefix")) {
+        let crashes = self.crashes_on(&header_text(&parts.headers, "prompt-prefix"));
+        if crashes {
             tokio::spawn(self.clone().crash(self.restarts()));
         }
         let state = self.state();
@@ -505,6 +506,7 @@
             behaviour,
             framing: state.framing,
             unread_timeout: state.unread_timeout.unwrap_or(Duration::MAX),
+            crashes,
         };
         drop(state);
         stream.respond(id, InFlightGuard::begin(&self.in_flight), unread)
