Show what a daemon has counted towards the retry budget, and its pauses

The line now has the requests and repeats of the window, what is allowed and the daemons that share the slack; the gauge hibiscusyoke_gateway_retry_budget has the same by service; event=paused says that the process stood still. No decision changes.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -85,7 +85,7 @@
 use reachability::Reachability;
 use registry::Registry;
 use response_times::ExtraAttempts;
-use retry_budget::{RetryBudget, RetryLimit};
+use retry_budget::{RetryBudget, RetryLimit, RetryUsage};
 use rollout::Rollout;
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
@@ -294,6 +294,23 @@
         self.budget(service).try_take(&limit, daemons, now)
     }
 
+    /// Returns what this daemon has counted towards a service's retry budget.
+    pub fn retry_usage(&mut self, service: &str, now: Instant) -> RetryUsage {
+        let limit = self.limits.retries;
+        let daemons = self.peers.limit_sharers(now).count() + 1;
+        self.budget(service).usage(&limit, daemons, now)
+    }
+
+    /// Returns the services for which requests were counted.
+    pub fn counted_services(&self) -> Vec<ServiceName> {
+        self.budgets.keys().cloned().collect()
+    }
+
+    /// Returns the length of the newest pause of this process, once.
+    pub fn take_pause(&mut self) -> Option<Duration> {
+        self.pauses.take_newest()
+    }
+
     /// Picks one of the route's target services at random, by weight.
     pub fn pick_service(&mut self, route: &Route) -> Option<ServiceName> {
         draw_service(route, &mut self.rng)
--- a/src/coordination/dispatch/pauses.rs
+++ b/src/coordination/dispatch/pauses.rs
@@ -12,6 +12,8 @@
 pub(super) struct Pauses {
     ticked_at: Option<Instant>,
     resumed_at: Option<Instant>,
+    /// Length of the newest pause until it is taken.
+    newest: Option<Duration>,
 }
 
 impl Pauses {
@@ -19,10 +21,16 @@
     pub(super) fn tick(&mut self, now: Instant) {
         if self.is_paused(now) {
             self.resumed_at = Some(now);
+            self.newest = self.ticked_at.map(|at| now.saturating_duration_since(at));
         }
         self.ticked_at = Some(now);
     }
 
+    /// Returns the length of the newest pause, once.
+    pub(super) fn take_newest(&mut self) -> Option<Duration> {
+        self.newest.take()
+    }
+
     /// Returns whether the process has run long enough since its last pause to know of the others.
     pub(super) fn is_over(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < CATCH_UP_TIME;
--- a/src/coordination/dispatch/retry_budget.rs
+++ b/src/coordination/dispatch/retry_budget.rs
@@ -9,6 +9,8 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
+
 /// Fraction of the limit that daemons use; the rest covers differences between the daemons'
 /// windows.
 const USED_FRACTION: f64 = 0.8;
@@ -26,6 +28,20 @@
     pub slack: f64,
 }
 
+/// What a daemon has counted in the window, and what it allows.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+#[display("requests={requests} repeats={retries} allowed={allowed:.1} daemons={daemons}")]
+pub struct RetryUsage {
+    /// Requests counted by this daemon.
+    pub requests: u32,
+    /// Retries taken from the budget.
+    pub retries: u32,
+    /// Retries that this daemon allows.
+    pub allowed: f64,
+    /// Number of daemons that share the slack.
+    pub daemons: usize,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     start: Instant,
@@ -55,18 +71,27 @@
     /// Takes a retry from the budget and returns whether one was left; the slack is shared among
     /// `daemons`.
     pub fn try_take(&mut self, limit: &RetryLimit, daemons: usize, now: Instant) -> bool {
-        let slack = limit.slack / f64::from(u32::try_from(daemons.max(1)).unwrap_or(u32::MAX));
-        self.bucket(limit, now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed = USED_FRACTION * (limit.ratio * f64::from(requests) + slack);
-        if f64::from(retries) + 1.0 > allowed {
+        let usage = self.usage(limit, daemons, now);
+        if f64::from(usage.retries) + 1.0 > usage.allowed {
             return false;
         }
         self.bucket(limit, now).retries += 1;
         true
     }
 
+    /// Returns what was counted in the window, and what is allowed if the slack is shared among `daemons`.
+    pub fn usage(&mut self, limit: &RetryLimit, daemons: usize, now: Instant) -> RetryUsage {
+        let slack = limit.slack / f64::from(u32::try_from(daemons.max(1)).unwrap_or(u32::MAX));
+        self.bucket(limit, now);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        RetryUsage {
+            requests,
+            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+            allowed: USED_FRACTION * (limit.ratio * f64::from(requests) + slack),
+            daemons,
+        }
+    }
+
     fn bucket(&mut self, limit: &RetryLimit, now: Instant) -> &mut Bucket {
         while self
             .buckets
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -255,7 +255,12 @@
         }
         let allowed = !sent_before || self.shared.dispatcher().try_retry(&self.call.service, now);
         if !allowed {
-            log::info!("event=repeat_over_budget id={}", self.call.id());
+            let service = &self.call.service;
+            let usage = self.shared.dispatcher().retry_usage(service, now);
+            log::info!(
+                "event=repeat_over_budget id={} service={service} {usage}",
+                self.call.id()
+            );
         }
         allowed
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,13 +1,17 @@
 //! The gateway's counters and latency histograms.
 
-use std::{sync::LazyLock, time::Duration};
+use std::{
+    sync::LazyLock,
+    time::{Duration, Instant},
+};
 
 use http::StatusCode;
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
 use crate::{
     coordination::dispatch::{
-        announcements::Announcement, overload::PRIORITIES, reachability::Loss, registry::Upstream,
+        Dispatcher, announcements::Announcement, overload::PRIORITIES, reachability::Loss,
+        registry::Upstream,
     },
     gateway::shared::Shared,
     metrics::{counter, gauge, histogram},
@@ -130,6 +134,15 @@
     )
 });
 
+static RETRY_BUDGET: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    gauge(
+        "hibiscusyoke_gateway_retry_budget",
+        "Requests and repeats that this daemon has counted in the window of the retry budget, and the repeats that \
+         it allows, by service.",
+        &["service", "what"],
+    )
+});
+
 /// Records the outcome and the duration of a request.
 pub fn request(outcome: &str, elapsed: Duration) {
     REQUESTS.with_label_values(&[outcome]).inc();
@@ -237,12 +250,29 @@
         set("cut_off", usize::from(dispatcher.reachability.is_cut_off()));
         set("daemons", dispatcher.peers.live(now).count() + 1);
     }
+    set_retry_budgets(&mut shared.dispatcher(), now);
     let is_stalled = shared.follow_progress.is_stalled();
     set("not_followed", usize::from(is_stalled));
     set("bytes_held_for_callers", shared.send_buffers.held());
     crate::metrics::render()
 }
 
+fn set_retry_budgets(dispatcher: &mut Dispatcher, now: Instant) {
+    for service in dispatcher.counted_services() {
+        let usage = dispatcher.retry_usage(&service, now);
+        let values = [
+            ("requests", usage.requests.into()),
+            ("repeats", usage.retries.into()),
+            ("allowed", usage.allowed as i64),
+        ];
+        for (what, value) in values {
+            RETRY_BUDGET
+                .with_label_values(&[service.as_str(), what])
+                .set(value);
+        }
+    }
+}
+
 fn set(what: &str, value: usize) {
     let value = i64::try_from(value).unwrap_or(i64::MAX);
     STATE.with_label_values(&[what]).set(value);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -220,6 +220,9 @@
         for id in shared.dispatcher().tick(now) {
             log::info!("event=upstream_left upstream={id} why=lapsed");
         }
+        if let Some(pause) = shared.dispatcher().take_pause() {
+            log::warn!("event=paused ms={}", pause.as_millis());
+        }
         if shared.dispatcher().needs_probes(now) {
             shared.connection_lost.notify_one();
         }
