--- a/stand-in/src/gateway/mod.rs
+++ b/stand-in/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod event_stream;
 pub mod raw_upstream;
 mod responses;
+pub mod retry_audit;
 mod stream_shape;
 pub mod table;
 pub mod upstream;
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -69,13 +69,22 @@
     pub restarts: u64,
 }
 
+/// A request that reached an upstream, also one that it refused.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Id of the request.
+    pub id: String,
+    /// When the upstream had read the head of the request.
+    pub at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
     framing: Framing,
     runs: Vec<Run>,
-    /// Times at which requests arrived, also those that were refused.
-    arrivals: Vec<Instant>,
+    /// The requests that arrived, also those that were refused.
+    arrivals: Vec<Arrival>,
     /// Number of restarts so far.
     restarts: u64,
     /// Whether it has crashed and not restarted yet.
@@ -311,6 +320,15 @@
 
     /// Returns the times at which requests arrived, also those that were refused.
     pub fn arrivals(&self) -> Vec<Instant> {
+        self.state()
+            .arrivals
+            .iter()
+            .map(|arrival| arrival.at)
+            .collect()
+    }
+
+    /// Returns the requests that arrived, also those that were refused.
+    pub fn arrived(&self) -> Vec<Arrival> {
         self.state().arrivals.clone()
     }
 
@@ -349,7 +367,7 @@
         if header_text(&parts.headers, "expect-instance") != self.id {
             return Some(full_response(StatusCode::MISDIRECTED_REQUEST, &id, None));
         }
-        let behaviour = self.record_arrival();
+        let behaviour = self.record_arrival(&id);
         if let Some(response) = refusal(behaviour, &id) {
             return Some(response);
         }
@@ -475,9 +493,12 @@
             .any(|id| Some(id) == crashing)
     }
 
-    fn record_arrival(&self) -> Behaviour {
+    fn record_arrival(&self, id: &str) -> Behaviour {
         let mut state = self.state();
-        state.arrivals.push(Instant::now());
+        state.arrivals.push(Arrival {
+            id: id.into(),
+            at: Instant::now(),
+        });
         state.behaviour
     }
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -157,6 +157,13 @@
         gateway.process = spawn_process(&settings, &gateway.log);
     }
 
+    /// Kills a gateway and starts it again at once.
+    pub(crate) fn kill_and_restart(&mut self, index: usize) {
+        self.gateways[index].process.kill().expect("killed");
+        self.gateways[index].process.wait().expect("a child");
+        self.restart_gateway(index);
+    }
+
     /// Changes a value in the settings file of the first gateway.
     pub(crate) fn change_settings(&self, key: &str, value: Value) {
         let path = self.folder.path().join("gateway-1.jsonc");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod poison;
 mod rate_limit;
 mod reload;
+mod retry_budget;
 mod run_promises;
 mod send_budget;
 mod serve;
