Count a delegated request towards the retry budget once

Cause: each daemon applies the ratio to what it counts, and a resumption was counted by the daemon that it came to and by the one that it was delegated to (314 requests counted where 240 were sent). The same happened where a delegated request was refused and went to a third daemon (40 counted of 20), and where a delegation broke. The count that was taken back came from the newest bucket, not from that of the request.

Now the count moves with the request: whoever delegates it takes its own count back, at the time of that count, unless the other daemon could not be reached; a request that is counted elsewhere, and each resumption, carries a header that says so.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -280,11 +280,25 @@
         self.limits = limits;
     }
 
-    /// Counts a caller's request towards the retry budget of its service.
-    pub fn record_request(&mut self, service: &str, now: Instant) {
-        let limit = self.limits.retries;
-        self.budget(service).record_request(&limit, now);
+    /// Counts a caller's request towards the retry budget of its service; returns the time as of which it counts.
+    ///
+    /// One daemon of the fleet must count each request: the limit is shared by its ratio of all requests.
+    pub fn record_request(&mut self, service: &str, now: Instant) -> Instant {
         self.extra_attempts.record_request(service);
+        self.count_request(service, now);
+        now
+    }
+
+    /// Counts a request as of a time, also one that was withdrawn and is not counted by another daemon.
+    pub fn count_request(&mut self, service: &str, at: Instant) {
+        let limit = self.limits.retries;
+        self.budget(service).record_request(&limit, at);
+    }
+
+    /// Takes back a request that was counted as of a time, as another daemon counts it.
+    pub fn withdraw_request(&mut self, service: &str, at: Instant) {
+        let limit = self.limits.retries;
+        self.budget(service).withdraw_request(&limit, at);
     }
 
     /// Takes a retry from the service's budget; returns whether one was left.
@@ -374,11 +388,6 @@
             .fold(0, |before, _| before + 1)
     }
 
-    /// Takes back a counted request that another daemon counts.
-    pub fn withdraw_request(&mut self, service: &str) {
-        self.budget(service).withdraw_request();
-    }
-
     /// Draws an index below `len`; `None` if that is 0.
     fn draw_index(&mut self, len: usize) -> Option<usize> {
         (len > 0).then(|| self.rng.random_range(0..len))
--- a/src/coordination/dispatch/retry_budget.rs
+++ b/src/coordination/dispatch/retry_budget.rs
@@ -1,8 +1,8 @@
 //! The retry budget, which keeps retries from multiplying failures.
 //!
 //! The limit is a ratio of a service's requests over a sliding window, summed over all daemons.
-//! Each daemon applies the ratio to its own requests, so that the sum stays within the limit
-//! without messages.
+//! Each daemon applies the ratio to the requests that it counts, so that the sum stays within the limit
+//! without messages, as long as one daemon counts each request.
 
 use std::{
     collections::VecDeque,
@@ -56,14 +56,14 @@
 }
 
 impl RetryBudget {
-    /// Counts a caller's request.
-    pub fn record_request(&mut self, limit: &RetryLimit, now: Instant) {
-        self.bucket(limit, now).requests += 1;
+    /// Counts a caller's request as of a time.
+    pub fn record_request(&mut self, limit: &RetryLimit, at: Instant) {
+        self.bucket(limit, at).requests += 1;
     }
 
-    /// Takes back a request that was counted just now.
-    pub fn withdraw_request(&mut self) {
-        if let Some(bucket) = self.buckets.back_mut() {
+    /// Takes back a request that was counted as of a time.
+    pub fn withdraw_request(&mut self, limit: &RetryLimit, at: Instant) {
+        if let Some(bucket) = self.bucket_of(limit, at) {
             bucket.requests = bucket.requests.saturating_sub(1);
         }
     }
@@ -92,26 +92,33 @@
         }
     }
 
-    fn bucket(&mut self, limit: &RetryLimit, now: Instant) -> &mut Bucket {
-        while self
-            .buckets
-            .front()
-            .is_some_and(|bucket| now.saturating_duration_since(bucket.start) >= limit.window)
-        {
+    /// Returns the bucket of a time, and drops those that are a window older.
+    fn bucket(&mut self, limit: &RetryLimit, at: Instant) -> &mut Bucket {
+        let is_old = |bucket: &Bucket| at.saturating_duration_since(bucket.start) >= limit.window;
+        while self.buckets.front().is_some_and(is_old) {
             self.buckets.pop_front();
         }
+        let next = self.buckets.partition_point(|bucket| bucket.start <= at);
+        let index = match self.bucket_of(limit, at) {
+            Some(_) => next - 1,
+            None => {
+                let bucket = Bucket {
+                    start: at,
+                    requests: 0,
+                    retries: 0,
+                };
+                self.buckets.insert(next, bucket);
+                next
+            }
+        };
+        &mut self.buckets[index]
+    }
+
+    /// Returns the bucket of a time, if there is one.
+    fn bucket_of(&mut self, limit: &RetryLimit, at: Instant) -> Option<&mut Bucket> {
+        let next = self.buckets.partition_point(|bucket| bucket.start <= at);
+        let bucket = self.buckets.get_mut(next.checked_sub(1)?)?;
         let length = limit.window / BUCKET_COUNT;
-        let current = self
-            .buckets
-            .back()
-            .is_some_and(|bucket| now.saturating_duration_since(bucket.start) < length);
-        if !current {
-            self.buckets.push_back(Bucket {
-                start: now,
-                requests: 0,
-                retries: 0,
-            });
-        }
-        self.buckets.back_mut().expect("a bucket was pushed above")
+        (at.saturating_duration_since(bucket.start) < length).then_some(bucket)
     }
 }
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -32,6 +32,8 @@
 
 /// Header with the number of upstreams that a delegated request may have reached.
 const ATTEMPTS: HeaderName = HeaderName::from_static("hibiscusyoke-attempts");
+/// Header of a delegated request that the receiver must not count towards the retry budget.
+const COUNTED: HeaderName = HeaderName::from_static("hibiscusyoke-counted");
 /// Header of a daemon's own refusal of a delegated request that has not run.
 const NOT_RUN: HeaderName = HeaderName::from_static("hibiscusyoke-not-run");
 
@@ -67,11 +69,44 @@
     }
 }
 
-/// Removes and returns how many upstreams a delegated request may have reached before.
-pub(super) fn take_earlier_attempts(headers: &mut HeaderMap) -> u32 {
-    let attempts = headers.remove(ATTEMPTS);
-    let attempts = attempts.and_then(|v| v.to_str().ok()?.parse().ok());
-    attempts.unwrap_or_default()
+/// Which daemon counts a delegated request towards the retry budget.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+pub(super) enum CountedBy {
+    /// The one that receives it.
+    Receiver,
+    /// The one that sends it, or one that received it before.
+    Sender,
+}
+
+/// What a daemon tells of a request that it delegates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct EarlierAttempts {
+    /// Number of upstreams that it may have reached.
+    pub(super) count: u32,
+    /// Whether another daemon counts it towards the retry budget.
+    pub(super) is_counted: bool,
+}
+
+impl EarlierAttempts {
+    /// Removes it from the headers of a delegated request.
+    pub(super) fn take_from(headers: &mut HeaderMap) -> Self {
+        let count = headers.remove(ATTEMPTS);
+        let count = count.and_then(|v| v.to_str().ok()?.parse().ok());
+        Self {
+            count: count.unwrap_or_default(),
+            is_counted: headers.remove(COUNTED).is_some(),
+        }
+    }
+
+    /// Adds it to the headers of a request that is delegated.
+    fn add_to(self, headers: &mut HeaderMap) {
+        headers.insert(ATTEMPTS, self.count.into());
+        headers.remove(COUNTED);
+        if self.is_counted {
+            headers.insert(COUNTED, HeaderValue::from_static("1"));
+        }
+    }
 }
 
 /// Returns the headers of an answer to forward to the caller. An upstream's answer cannot pass for the
@@ -96,6 +131,7 @@
         &self,
         delegation: &Delegation,
         after: Option<u64>,
+        counted_by: CountedBy,
     ) -> Result<UpstreamResponse, AttemptError> {
         let remaining = self.call.remaining(self.shared.now());
         // A daemon that hangs must leave time for another one.
@@ -104,12 +140,16 @@
             false => remaining,
         };
         log::info!(
-            "event=delegated id={} {delegation} attempts={}",
+            "event=delegated id={} {delegation} attempts={} counted_by={counted_by}",
             self.call.id(),
             self.attempts
         );
         let mut headers = headers_for_daemon(&self.call.headers, remaining, after);
-        headers.insert(ATTEMPTS, self.attempts.into());
+        let earlier = EarlierAttempts {
+            count: self.attempts,
+            is_counted: counted_by == CountedBy::Sender,
+        };
+        earlier.add_to(&mut headers);
         let mut request = Request::new(Full::new(self.call.body.clone()));
         *request.method_mut() = self.call.method.clone();
         *request.uri_mut() = Uri::from(self.call.path.clone());
@@ -121,16 +161,20 @@
     /// Has another daemon serve the request.
     pub(super) async fn delegate(&mut self, delegation: Delegation) -> NextStep {
         let attempt = self.evidence.attempt_sent();
-        let response = match self.send_to_peer(&delegation, None).await {
+        let handed_over = self.hand_over_count();
+        let counted_by = match handed_over {
+            Some(_) => CountedBy::Receiver,
+            None => CountedBy::Sender,
+        };
+        let response = match self.send_to_peer(&delegation, None, counted_by).await {
             Ok(response) => response,
-            Err(e) => return self.handle_delegation_failure(&delegation, attempt, &e),
+            Err(e) => {
+                if let (AttemptError::Unreachable(_), Some(at)) = (&e, handed_over) {
+                    self.take_count_back(at);
+                }
+                return self.handle_delegation_failure(&delegation, attempt, &e);
+            }
         };
-        if !std::mem::replace(&mut self.is_delegated, true) {
-            // The other daemon has counted it.
-            self.shared
-                .dispatcher()
-                .withdraw_request(&self.call.service);
-        }
         let head = self.response_head(&response);
         let is_stream = self.call.route.kind == RouteKind::Streaming && head.status.is_success();
         if is_stream && head.signed && head.matches_request {
@@ -140,6 +184,23 @@
         self.pass_on(delegation, attempt, response).await
     }
 
+    /// Stops counting the request towards the retry budget, as the daemon that receives it counts it; returns the
+    /// time as of which it counted. What becomes of the request there doesn't matter: it may have counted it.
+    fn hand_over_count(&mut self) -> Option<Instant> {
+        let at = self.counted_at.take()?;
+        let mut dispatcher = self.shared.dispatcher();
+        dispatcher.withdraw_request(&self.call.service, at);
+        Some(at)
+    }
+
+    /// Counts the request again, as no other daemon has received it.
+    fn take_count_back(&mut self, at: Instant) {
+        self.shared
+            .dispatcher()
+            .count_request(&self.call.service, at);
+        self.counted_at = Some(at);
+    }
+
     /// Passes on what another daemon answered, unless it refused the request as not run.
     async fn pass_on(
         &mut self,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,7 +24,7 @@
     gateway::{
         attempt::UpstreamResponse,
         call::Call,
-        delegate,
+        delegate::{self, EarlierAttempts},
         drain::{DrainRequest, Leaving, WorkGuard},
         metrics,
         outcome::AttemptAnswer,
@@ -62,9 +62,9 @@
     let arrived_at = shared.now();
     let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
     shared.await_tables().await;
-    let earlier_attempts = match origin {
-        Origin::Caller => 0,
-        Origin::Peer => delegate::take_earlier_attempts(req.headers_mut()),
+    let earlier = match origin {
+        Origin::Caller => EarlierAttempts::default(),
+        Origin::Peer => EarlierAttempts::take_from(req.headers_mut()),
     };
     let call = match Call::read(&shared, req).await {
         Ok(call) => call,
@@ -86,7 +86,8 @@
     let call = Arc::new(call);
     let exchange = Exchange {
         origin,
-        attempts: earlier_attempts,
+        attempts: earlier.count,
+        is_counted: earlier.is_counted,
         ..Exchange::new(shared.clone(), call.clone())
     };
     let response = tokio::select! {
@@ -134,8 +135,10 @@
     pub(super) tried: Vec<UpstreamId>,
     /// The daemons that it was delegated to.
     pub(super) delegates: Vec<DaemonName>,
-    /// Whether another daemon has received it.
-    pub(super) is_delegated: bool,
+    /// Whether a daemon, this or another one, counts it towards the retry budget.
+    pub(super) is_counted: bool,
+    /// The time as of which this daemon counts it, if it is this one.
+    pub(super) counted_at: Option<Instant>,
     /// Number of attempts so far.
     pub(super) attempts: u32,
     /// Number of upstreams that could not be reached.
@@ -174,7 +177,8 @@
             origin: Origin::Caller,
             tried: Vec::new(),
             delegates: Vec::new(),
-            is_delegated: false,
+            is_counted: false,
+            counted_at: None,
             attempts: 0,
             unreachable: 0,
             broken: 0,
@@ -191,9 +195,7 @@
         if let Some(leaving) = self.leaving(now) {
             return self.refuse(RefusalReason::Leaving, Some(leaving.retry_after));
         }
-        self.shared
-            .dispatcher()
-            .record_request(&self.call.service, now);
+        self.count(now);
         if let Some(suspect) = self.poison() {
             log::info!("event=poison_refused id={} {suspect}", self.call.id());
             return self.refuse(RefusalReason::Poison, Some(POISON_RETRY_AFTER));
@@ -217,6 +219,15 @@
         }
     }
 
+    /// Counts the request towards the retry budget, unless another daemon does.
+    fn count(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        let mut dispatcher = self.shared.dispatcher();
+        self.counted_at = Some(dispatcher.record_request(&self.call.service, now));
+    }
+
     /// Builds the request for the upstream of a slot; `after` resumes a stream after that event.
     pub fn request(&self, slot: &SlotGuard, after: Option<u64>) -> Request<Full<Bytes>> {
         let remaining = self.call.remaining(self.shared.now());
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -6,6 +6,7 @@
     coordination::dispatch::health::AttemptOutcome,
     gateway::{
         attempt::{self, AttemptError, UpstreamResponse},
+        delegate::CountedBy,
         forward::Exchange,
         probe,
         target::Target,
@@ -25,7 +26,9 @@
         let slot = match target {
             Target::Upstream(slot) => slot,
             Target::Peer(delegation) => {
-                let sent = self.send_to_peer(delegation, last_event).await;
+                let sent = self
+                    .send_to_peer(delegation, last_event, CountedBy::Sender)
+                    .await;
                 self.attempts += 1;
                 return sent;
             }
--- a/tests/dispatch/retry_budget.rs
+++ b/tests/dispatch/retry_budget.rs
@@ -70,3 +70,19 @@
     assert!(!budget.try_take(&limit, 1, now + limit.window / 2));
     assert!(budget.try_take(&limit, 1, now + limit.window));
 }
+
+/// A request that another daemon counts was taken from the newest requests, not from those of its own time.
+#[test]
+fn withdrawn_request_leaves_those_that_came_after_it() {
+    let limit = LIMITS.retries;
+    let mut budget = RetryBudget::default();
+    let start = Instant::now();
+    let later = start + limit.window / 2;
+    budget.record_request(&limit, start);
+    budget.record_request(&limit, later);
+    budget.withdraw_request(&limit, start);
+    let requests = |budget: &mut RetryBudget, at| budget.usage(&limit, 1, at).requests;
+    assert_eq!(requests(&mut budget, later), 1);
+    assert_eq!(requests(&mut budget, start + limit.window), 1);
+    assert_eq!(requests(&mut budget, later + limit.window), 0);
+}
--- a/tests/gateway/retry_budget.rs
+++ b/tests/gateway/retry_budget.rs
@@ -191,3 +191,34 @@
     let worst = worst_use(calls, harness.plain_upstreams()).await;
     assert_within_limit(worst, &harness);
 }
+
+/// Returns the requests for the plain service that all daemons count in the window.
+async fn counted_requests(harness: &Harness) -> usize {
+    const COUNT: &str = "hibiscusyoke_gateway_retry_budget{service=\"desk\",what=\"requests\"} ";
+    let mut counted = 0;
+    for gateway in &harness.gateways {
+        let metrics = gateway.metrics().await;
+        let count = metrics.lines().find_map(|line| line.strip_prefix(COUNT));
+        counted += count.map_or(0, |count| count.parse::<usize>().expect("a number"));
+    }
+    counted
+}
+
+/// Each daemon to which a request was delegated counted it, so that one which several refused counted several times.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_delegated_to_other_daemons_are_counted_once() {
+    const REQUESTS: u32 = 20;
+    for (name, behaviour) in [("f", Behaviour::Fail), ("r", Behaviour::Refuse)] {
+        let harness = Harness::spawn(3).await;
+        harness.cut_off(0);
+        harness.set_plain_upstreams(behaviour);
+        for n in 0..REQUESTS {
+            let id = format!("{name}-{n}");
+            harness.call(&plain(&id, Method::GET, "/look/1")).await;
+        }
+        let log = harness.gateways[0].log();
+        assert!(log.contains("event=delegated "), "{log}");
+        let counted = counted_requests(&harness).await;
+        assert_eq!(counted, REQUESTS as usize, "{behaviour:?}");
+    }
+}
