Count requests read after a pause for the time before it

A daemon that stood still (SIGSTOP, a frozen machine) reads the requests of the pause at once.

The limit holds in the sum if no request is counted later than it was sent. The earliest time at which a request that is read during or right after a pause may have been sent is the last tick before the pause, and it counts as of then. A pause of less than a second is not noticed; it moves less than a tenth of a window, which the unused fifth of the limit covers.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -283,10 +283,14 @@
     /// Counts a caller's request towards the retry budget of its service; returns the time as of which it counts.
     ///
     /// One daemon of the fleet must count each request: the limit is shared by its ratio of all requests.
+    ///
+    /// Load pattern: a daemon that stood still reads the requests of several seconds at once. Counted for the time
+    /// after the pause, they would allow retries beside the requests that are sent then.
     pub fn record_request(&mut self, service: &str, now: Instant) -> Instant {
         self.extra_attempts.record_request(service);
-        self.count_request(service, now);
-        now
+        let at = self.pauses.earliest_send(now);
+        self.count_request(service, at);
+        at
     }
 
     /// Counts a request as of a time, also one that was withdrawn and is not counted by another daemon.
--- a/src/coordination/dispatch/pauses.rs
+++ b/src/coordination/dispatch/pauses.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Pauses {
     ticked_at: Option<Instant>,
+    /// When the newest pause began: the last tick before it.
+    began_at: Option<Instant>,
     resumed_at: Option<Instant>,
     /// Length of the newest pause until it is taken.
     newest: Option<Duration>,
@@ -20,12 +22,23 @@
     /// Records that the process runs.
     pub(super) fn tick(&mut self, now: Instant) {
         if self.is_paused(now) {
+            self.began_at = self.ticked_at;
             self.resumed_at = Some(now);
             self.newest = self.ticked_at.map(|at| now.saturating_duration_since(at));
         }
         self.ticked_at = Some(now);
     }
 
+    /// Returns the earliest time at which a request that is read now may have been sent: during a pause, requests
+    /// wait in the sockets.
+    pub(super) fn earliest_send(&self, now: Instant) -> Instant {
+        let began_at = match self.is_paused(now) {
+            true => self.ticked_at,
+            false => self.began_at,
+        };
+        began_at.filter(|_| !self.is_over(now)).unwrap_or(now)
+    }
+
     /// Returns the length of the newest pause, once.
     pub(super) fn take_newest(&mut self) -> Option<Duration> {
         self.newest.take()
--- a/tests/dispatch/retry_budget.rs
+++ b/tests/dispatch/retry_budget.rs
@@ -5,7 +5,7 @@
 
 use hibiscusyoke::coordination::dispatch::retry_budget::RetryBudget;
 
-use crate::support::LIMITS;
+use crate::support::{LIMITS, dispatcher};
 
 const DAEMONS: usize = 8;
 
@@ -86,3 +86,26 @@
     assert_eq!(requests(&mut budget, start + limit.window), 1);
     assert_eq!(requests(&mut budget, later + limit.window), 0);
 }
+
+/// Requests that a daemon reads after a pause count for the time before it: callers sent them meanwhile.
+#[test]
+fn requests_read_after_a_pause_count_as_sent_during_it() {
+    const TICK: Duration = Duration::from_millis(250);
+    let pause = LIMITS.retries.window * 3 / 5;
+    let mut dispatcher = dispatcher();
+    let start = Instant::now();
+    dispatcher.tick(start);
+    let paused_at = start + TICK;
+    dispatcher.tick(paused_at);
+    let woken_at = paused_at + pause;
+    assert_eq!(dispatcher.record_request("desk", woken_at), paused_at);
+    dispatcher.tick(woken_at);
+    let read_at = woken_at + TICK / 2;
+    assert_eq!(dispatcher.record_request("desk", read_at), paused_at);
+    let mut now = woken_at;
+    for _ in 0..4 {
+        now += TICK;
+        dispatcher.tick(now);
+    }
+    assert_eq!(dispatcher.record_request("desk", now), now);
+}
