Withhold the retry budget's slack for a window after a start

Daemons also took over the parts of those that leave at once, and of silent ones after 20 s, though these may have taken theirs, or run on behind a partition.

A daemon now has no part of the slack for a window after its start, so that no window holds the slack of two processes of one instance, and that of a new instance only after the others have shared theirs with it. The ratio of the requests that it counts holds from the start. Only with bootstrap, at the fleet's first start, there is nothing that may have been taken. The slack is shared among the most daemons that were known within ten minutes.

The stand-ins' settings now say bootstrap, as their fleets start for the first time, and no longer after a restart; the tests of table_restore, whose bounds on calls to the table are for a fleet that has run before, set it as it was.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -132,6 +132,9 @@
             .create(true)
             .append(true)
             .open(&gateway.log)?;
+        if gateway.has_run {
+            deployment::prepare_restart(&gateway.settings)?;
+        }
         let earlier = self.earlier_program.as_ref();
         let program = earlier
             .filter(|_| !gateway.has_run)
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -85,7 +85,7 @@
 use reachability::Reachability;
 use registry::Registry;
 use response_times::ExtraAttempts;
-use retry_budget::{RetryBudget, RetryLimit, RetryUsage};
+use retry_budget::{RetryBudget, RetryLimit, RetryUsage, SlackShare};
 use rollout::Rollout;
 use rollout_decision::{BrokenConnection, EarlyStatus};
 use routes::Routes;
@@ -145,6 +145,8 @@
     rollouts: BTreeMap<ServiceName, Rollout>,
     early_statuses: HashMap<ServiceName, EarlyStatus>,
     budgets: HashMap<ServiceName, RetryBudget>,
+    /// From when on this daemon has a part of the retry budget's slack.
+    slack_from: Option<Instant>,
     extra_attempts: ExtraAttempts,
     broken_connections: Vec<BrokenConnection>,
     /// What the newest answers of services' upstreams said of refusals.
@@ -226,6 +228,7 @@
             rollouts: BTreeMap::new(),
             early_statuses: HashMap::new(),
             budgets: HashMap::new(),
+            slack_from: None,
             extra_attempts: ExtraAttempts::default(),
             broken_connections: Vec::new(),
             brittle: HashMap::new(),
@@ -308,15 +311,27 @@
     /// Takes a retry from the service's budget; returns whether one was left.
     pub fn try_retry(&mut self, service: &str, now: Instant) -> bool {
         let limit = self.limits.retries;
-        let daemons = self.peers.limit_sharers(now).count() + 1;
-        self.budget(service).try_take(&limit, daemons, now)
+        let share = self.slack_share(now);
+        self.budget(service).try_take(&limit, share, now)
     }
 
     /// Returns what this daemon has counted towards a service's retry budget.
     pub fn retry_usage(&mut self, service: &str, now: Instant) -> RetryUsage {
         let limit = self.limits.retries;
-        let daemons = self.peers.limit_sharers(now).count() + 1;
-        self.budget(service).usage(&limit, daemons, now)
+        let share = self.slack_share(now);
+        self.budget(service).usage(&limit, share, now)
+    }
+
+    /// Allows this daemon's part of the slack from a time on. Until this is called it has none.
+    pub fn set_slack_from(&mut self, from: Instant) {
+        self.slack_from = Some(from);
+    }
+
+    fn slack_share(&self, now: Instant) -> SlackShare {
+        match self.slack_from.is_some_and(|from| from <= now) {
+            true => SlackShare::OneOf(self.peers.slack_sharers() + 1),
+            false => SlackShare::Withheld,
+        }
     }
 
     /// Returns the services for which requests were counted.
--- a/src/coordination/dispatch/peers.rs
+++ b/src/coordination/dispatch/peers.rs
@@ -37,6 +37,9 @@
 const MAX_UNREADABLE: usize = 1_024;
 /// How long a silent daemon keeps its share of fleet-wide limits.
 const SHARE_RETENTION: Duration = Duration::from_secs(20);
+/// How long daemons that are no longer known keep their parts of the retry budget's slack: they may still run
+/// behind a partition, and take them.
+const SLACK_RETENTION: Duration = Duration::from_secs(600);
 
 /// Another daemon, with the state from its last heartbeat.
 #[derive(Clone, Debug)]
@@ -90,6 +93,15 @@
     names: HashMap<ShortId, DaemonName>,
     /// Daemons that are listed in the table but have not sent a heartbeat that can be read.
     expected: BTreeMap<DaemonName, ExpectedPeer>,
+    /// The largest number of daemons that were known at a time.
+    most: Option<MostKnown>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct MostKnown {
+    count: usize,
+    /// When as many were last known.
+    at: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -311,5 +323,26 @@
         self.known.retain(|_, peer| recent(peer.alive_at));
         self.names.retain(|_, name| self.known.contains_key(name));
         self.expected.retain(|_, expected| recent(expected.since));
+        self.update_most(now);
+    }
+
+    /// Returns the number of other daemons that may take a part of the retry budget's slack. Those that leave or
+    /// are silent may have taken theirs.
+    pub fn slack_sharers(&self) -> usize {
+        let most = self.most.map_or(0, |most| most.count);
+        most.max(self.count())
+    }
+
+    fn count(&self) -> usize {
+        self.known.len() + self.expected.len()
+    }
+
+    fn update_most(&mut self, now: Instant) {
+        let count = self.count();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SLACK_RETENTION;
+        let is_passed = |most: MostKnown| most.count <= count || !is_recent(most.at);
+        if self.most.is_none_or(is_passed) {
+            self.most = Some(MostKnown { count, at: now });
+        }
     }
 }
--- a/src/coordination/dispatch/retry_budget.rs
+++ b/src/coordination/dispatch/retry_budget.rs
@@ -3,6 +3,9 @@
 //! The limit is a ratio of a service's requests over a sliding window, summed over all daemons.
 //! Each daemon applies the ratio to the requests that it counts, so that the sum stays within the limit
 //! without messages, as long as one daemon counts each request.
+//!
+//! The slack is shared among all daemons. One that starts doesn't know what the process before it has taken, and
+//! what the others have taken before they knew of it: it has no part of the slack for a window.
 
 use std::{
     collections::VecDeque,
@@ -28,9 +31,32 @@
     pub slack: f64,
 }
 
+/// A daemon's part of the slack.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum SlackShare {
+    /// None, as the process has started less than a window ago, or doesn't know the other daemons.
+    #[display("slack=withheld")]
+    Withheld,
+    /// That of one of this many daemons.
+    #[display("daemons={_0}")]
+    OneOf(usize),
+}
+
+impl SlackShare {
+    /// Returns the part of a slack.
+    fn of(self, slack: f64) -> f64 {
+        match self {
+            Self::Withheld => 0.0,
+            Self::OneOf(daemons) => {
+                slack / f64::from(u32::try_from(daemons.max(1)).unwrap_or(u32::MAX))
+            }
+        }
+    }
+}
+
 /// What a daemon has counted in the window, and what it allows.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
-#[display("requests={requests} repeats={retries} allowed={allowed:.1} daemons={daemons}")]
+#[display("requests={requests} repeats={retries} allowed={allowed:.1} {share}")]
 pub struct RetryUsage {
     /// Requests counted by this daemon.
     pub requests: u32,
@@ -38,8 +64,8 @@
     pub retries: u32,
     /// Retries that this daemon allows.
     pub allowed: f64,
-    /// Number of daemons that share the slack.
-    pub daemons: usize,
+    /// This daemon's part of the slack.
+    pub share: SlackShare,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,10 +94,9 @@
         }
     }
 
-    /// Takes a retry from the budget and returns whether one was left; the slack is shared among
-    /// `daemons`.
-    pub fn try_take(&mut self, limit: &RetryLimit, daemons: usize, now: Instant) -> bool {
-        let usage = self.usage(limit, daemons, now);
+    /// Takes a retry from the budget and returns whether one was left.
+    pub fn try_take(&mut self, limit: &RetryLimit, share: SlackShare, now: Instant) -> bool {
+        let usage = self.usage(limit, share, now);
         if f64::from(usage.retries) + 1.0 > usage.allowed {
             return false;
         }
@@ -79,16 +104,16 @@
         true
     }
 
-    /// Returns what was counted in the window, and what is allowed if the slack is shared among `daemons`.
-    pub fn usage(&mut self, limit: &RetryLimit, daemons: usize, now: Instant) -> RetryUsage {
-        let slack = limit.slack / f64::from(u32::try_from(daemons.max(1)).unwrap_or(u32::MAX));
+    /// Returns what was counted in the window, and what is allowed.
+    pub fn usage(&mut self, limit: &RetryLimit, share: SlackShare, now: Instant) -> RetryUsage {
+        let slack = share.of(limit.slack);
         self.bucket(limit, now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         RetryUsage {
             requests,
             retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
             allowed: USED_FRACTION * (limit.ratio * f64::from(requests) + slack),
-            daemons,
+            share,
         }
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -117,6 +117,12 @@
     /// Records that this daemon has read the list of its peers.
     pub fn set_knows_peers(&self) {
         self.knows_peers.store(true, Ordering::Relaxed);
+        // No daemon has taken a retry before the fleet's first start.
+        let delay = match self.settings.bootstrap {
+            true => Duration::ZERO,
+            false => self.settings.limits().retries.window,
+        };
+        self.dispatcher().set_slack_from(self.started_at + delay);
     }
 
     /// Returns whether this daemon has read the list of its peers.
--- a/stand-in/src/gateway/deployment.rs
+++ b/stand-in/src/gateway/deployment.rs
@@ -1,8 +1,9 @@
 //! Settings and configuration of a small deployment of gateways on loopback addresses.
 
 use std::{
-    io,
+    fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket},
+    path::Path,
     process::{self, Command},
     sync::LazyLock,
 };
@@ -73,18 +74,31 @@
     u8::try_from(octet).expect("blocks fit into an octet")
 }
 
-/// Returns the settings of a gateway that reaches the table at `table`.
+/// Returns the settings of a gateway that reaches the table at `table` and starts with its whole fleet.
 pub fn settings(name: &str, ip: IpAddr, table: SocketAddr) -> Value {
     json!({
         "name": name, "domain": "a", "ip": ip,
         "front": address(ip, Port::Front), "ready": address(ip, Port::Ready),
         "directory": address(ip, Port::Directory), "metrics": address(ip, Port::Metrics),
-        "table": table, "peer_ports": [PEER_PORT, 7_355],
+        "table": table, "bootstrap": true, "peer_ports": [PEER_PORT, 7_355],
         "directory_ttl_max_s": 5, "grace_period_s": 8, "session_s": 5, "exposure": 0.15,
         "repeat_ratio": 0.9, "repeat_slack": 56, "repeat_window_s": 10,
     })
 }
 
+/// Changes a settings file for a gateway that starts again, alone or with others.
+///
+/// # Errors
+///
+/// If the file can't be read or written.
+pub fn prepare_restart(settings: &Path) -> io::Result<()> {
+    let text = fs::read_to_string(settings)?;
+    fs::write(
+        settings,
+        text.replace("\"bootstrap\":true", "\"bootstrap\":false"),
+    )
+}
+
 /// Returns a configuration with a route of each kind.
 pub fn configuration(generation: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
--- a/tests/dispatch/retry_budget.rs
+++ b/tests/dispatch/retry_budget.rs
@@ -3,9 +3,13 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusyoke::coordination::dispatch::retry_budget::RetryBudget;
+use hibiscusyoke::coordination::dispatch::{
+    Dispatcher,
+    heartbeat::{Heartbeat, Readiness, TableState},
+    retry_budget::{RetryBudget, SlackShare},
+};
 
-use crate::support::{LIMITS, dispatcher};
+use crate::support::{LIMITS, dispatcher, heartbeat, receive_heartbeat};
 
 const DAEMONS: usize = 8;
 
@@ -22,7 +26,7 @@
         let budget = &mut budgets[step as usize % DAEMONS];
         budget.record_request(&limit, start + at);
         log.push((at, false));
-        while budget.try_take(&limit, DAEMONS, start + at) {
+        while budget.try_take(&limit, SlackShare::OneOf(DAEMONS), start + at) {
             log.push((at, true));
         }
     }
@@ -56,7 +60,7 @@
     let mut budget = RetryBudget::default();
     let now = Instant::now();
     let granted = (0..100)
-        .filter(|_| budget.try_take(&LIMITS.retries, DAEMONS, now))
+        .filter(|_| budget.try_take(&LIMITS.retries, SlackShare::OneOf(DAEMONS), now))
         .count();
     assert_eq!(granted, 5, "0.8 of 56 / 8");
 }
@@ -66,9 +70,10 @@
     let limit = LIMITS.retries;
     let mut budget = RetryBudget::default();
     let now = Instant::now();
-    while budget.try_take(&limit, 1, now) {}
-    assert!(!budget.try_take(&limit, 1, now + limit.window / 2));
-    assert!(budget.try_take(&limit, 1, now + limit.window));
+    let alone = SlackShare::OneOf(1);
+    while budget.try_take(&limit, alone, now) {}
+    assert!(!budget.try_take(&limit, alone, now + limit.window / 2));
+    assert!(budget.try_take(&limit, alone, now + limit.window));
 }
 
 /// A request that another daemon counts was taken from the newest requests, not from those of its own time.
@@ -81,7 +86,8 @@
     budget.record_request(&limit, start);
     budget.record_request(&limit, later);
     budget.withdraw_request(&limit, start);
-    let requests = |budget: &mut RetryBudget, at| budget.usage(&limit, 1, at).requests;
+    let requests =
+        |budget: &mut RetryBudget, at| budget.usage(&limit, SlackShare::Withheld, at).requests;
     assert_eq!(requests(&mut budget, later), 1);
     assert_eq!(requests(&mut budget, start + limit.window), 1);
     assert_eq!(requests(&mut budget, later + limit.window), 0);
@@ -109,3 +115,56 @@
     }
     assert_eq!(dispatcher.record_request("desk", now), now);
 }
+
+/// Counts the retries that a dispatcher grants at a time.
+fn granted(dispatcher: &mut Dispatcher, now: Instant) -> usize {
+    (0..100)
+        .filter(|_| dispatcher.try_retry("desk", now))
+        .count()
+}
+
+/// A daemon that started anew had its part of the slack again, which the process before may have taken.
+#[test]
+fn slack_is_withheld_for_a_window_after_the_start() {
+    let start = Instant::now();
+    let window = LIMITS.retries.window;
+    let mut dispatcher = dispatcher();
+    assert_eq!(granted(&mut dispatcher, start), 0, "no peers are known yet");
+    dispatcher.set_slack_from(start + window);
+    dispatcher.record_request("desk", start);
+    dispatcher.record_request("desk", start);
+    let almost = start + window - Duration::from_millis(500);
+    assert_eq!(granted(&mut dispatcher, almost), 1, "0.8 of 0.9 x 2");
+    let all = granted(&mut dispatcher, start + 2 * window);
+    assert_eq!(all, 44, "0.8 of 56");
+}
+
+/// Daemons took over the parts of those that were silent or left, which may have taken them or run behind a partition.
+#[test]
+fn slack_of_silent_and_leaving_daemons_is_not_taken_over() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher();
+    dispatcher.set_slack_from(start);
+    let others: Vec<_> = (2..=DAEMONS)
+        .map(|n| heartbeat(&format!("front-{n}"), TableState::Reachable))
+        .collect();
+    receive_heartbeat(&mut dispatcher, &others, start);
+    let half = others.iter().take(DAEMONS / 2).cloned();
+    let leaving: Vec<_> = half
+        .map(|heartbeat| Heartbeat {
+            sequence: 2,
+            readiness: Readiness::Leaving,
+            ..heartbeat
+        })
+        .collect();
+    receive_heartbeat(&mut dispatcher, &leaving, start);
+    for seconds in [0, 30, 90, 300] {
+        let now = start + Duration::from_secs(seconds);
+        dispatcher.tick(now);
+        assert_eq!(
+            granted(&mut dispatcher, now),
+            5,
+            "0.8 of 56 / 8 after {seconds} s"
+        );
+    }
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -18,7 +18,9 @@
 
 use stand_in::gateway::{
     caller::{self, DIRECTORY_PATH, Headers, PROMPT},
-    deployment::{PEER_PORT, Port, address, configuration, loopback, settings, signal},
+    deployment::{
+        PEER_PORT, Port, address, configuration, loopback, prepare_restart, settings, signal,
+    },
     table::FakeTable,
     upstream::{Behaviour, FakeUpstream},
 };
@@ -153,6 +155,7 @@
             .folder
             .path()
             .join(format!("gateway-{}.jsonc", index + 1));
+        prepare_restart(&settings).expect("changed settings");
         let gateway = &mut self.gateways[index];
         gateway.process = spawn_process(&settings, &gateway.log);
     }
--- a/tests/gateway/table_restore.rs
+++ b/tests/gateway/table_restore.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// Starts gateways of a fleet that ran before, which read the table in turns.
+async fn spawn(gateways: usize) -> Harness {
+    Harness::spawn_with(gateways, |_, settings| set_restarted(settings)).await
+}
+
+fn set_restarted(settings: &mut Value) {
+    settings["bootstrap"] = json!(false);
+}
+
 fn look(id: &str, key: &str) -> Call {
     Call {
         headers: caller::headers(id, key, 4_000),
@@ -61,7 +70,7 @@
 /// The daemons called the table without a pause, 440 times in 5 s, and wrote nothing again.
 #[tokio::test(flavor = "multi_thread")]
 async fn restored_table_is_read_once_and_its_lost_records_are_written_again() {
-    let harness = Harness::spawn(2).await;
+    let harness = spawn(2).await;
     let daemons = ["daemon/front-1", "daemon/front-2"];
     let empty = harness.table.copy_without("hibiscusyoke");
     harness.table.restore(&empty);
@@ -83,7 +92,7 @@
 /// also for a daemon that starts before operators have written the configuration again.
 #[tokio::test(flavor = "multi_thread")]
 async fn configuration_does_not_go_back_with_the_table() {
-    let mut harness = Harness::spawn(2).await;
+    let mut harness = spawn(2).await;
     let copy = harness.table.copy();
     harness
         .table
@@ -93,7 +102,7 @@
             .await;
     }
     harness.table.restore(&copy);
-    harness.start_gateway();
+    harness.start_gateway_with(set_restarted);
     let [first, _, started] = &harness.gateways[..] else {
         panic!("three gateways");
     };
@@ -117,7 +126,7 @@
 /// An evacuation that the copy lacks stays in force until operators have had time to order it again.
 #[tokio::test(flavor = "multi_thread")]
 async fn evacuation_is_carried_over_a_restore() {
-    let harness = Harness::spawn(1).await;
+    let harness = spawn(1).await;
     let copy = harness.table.copy();
     harness.table.put("op", "evacuate/a", &json!({}));
     let is_refused = || async {
@@ -158,6 +167,7 @@
     let table = FakeTable::spawn().await;
     let proxy = Proxy::bind(table.address()).await.expect("a free port");
     let harness = Harness::spawn_at(table, 2, |n, settings| {
+        set_restarted(settings);
         if n == 1 {
             settings["table"] = json!(proxy.address());
         }
@@ -239,7 +249,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn registration_that_a_restore_lost_is_written_again() {
     for fault in [Fault::LostAnswers, Fault::SilentReads] {
-        let mut harness = Harness::spawn(1).await;
+        let mut harness = spawn(1).await;
         let copy = start_during(&mut harness, fault).await;
         harness.table.restore(&copy);
         harness.table.set_fault(Fault::None);
