Charge a retry to the window in which it is sent

A retry was charged when it was granted. Where upstreams are full it then waits for room, for seconds, so that those granted in one window were sent beside those of the next: in a test of the budget 44 and 44 retries in one window that allows 44. One that was never sent, as no upstream had room or a late attempt came first, stayed charged.

A granted retry is now reserved until it is sent (RetryPermit), which charges it then, or returned when it is dropped. Reserved ones count against the limit, however long they wait. dispatch retries_count_in_the_window_in_which_they_are_sent replays it.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -308,11 +308,22 @@
         self.budget(service).withdraw_request(&limit, at);
     }
 
-    /// Takes a retry from the service's budget; returns whether one was left.
-    pub fn try_retry(&mut self, service: &str, now: Instant) -> bool {
+    /// Reserves a retry in the service's budget; returns whether one was left.
+    pub fn reserve_retry(&mut self, service: &str, now: Instant) -> bool {
         let limit = self.limits.retries;
         let share = self.slack_share(now);
-        self.budget(service).try_take(&limit, share, now)
+        self.budget(service).try_reserve(&limit, share, now)
+    }
+
+    /// Charges a reserved retry, which is sent now.
+    pub fn spend_retry(&mut self, service: &str, now: Instant) {
+        let limit = self.limits.retries;
+        self.budget(service).spend_reserved(&limit, now);
+    }
+
+    /// Returns a reserved retry that isn't sent.
+    pub fn return_retry(&mut self, service: &str) {
+        self.budget(service).return_reserved();
     }
 
     /// Returns what this daemon has counted towards a service's retry budget.
--- a/src/coordination/dispatch/retry_budget.rs
+++ b/src/coordination/dispatch/retry_budget.rs
@@ -56,12 +56,14 @@
 
 /// What a daemon has counted in the window, and what it allows.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
-#[display("requests={requests} repeats={retries} allowed={allowed:.1} {share}")]
+#[display("requests={requests} repeats={retries} reserved={reserved} allowed={allowed:.1} {share}")]
 pub struct RetryUsage {
     /// Requests counted by this daemon.
     pub requests: u32,
-    /// Retries taken from the budget.
+    /// Retries that were sent.
     pub retries: u32,
+    /// Retries that were granted and not sent yet.
+    pub reserved: u32,
     /// Retries that this daemon allows.
     pub allowed: f64,
     /// This daemon's part of the slack.
@@ -79,6 +81,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     buckets: VecDeque<Bucket>,
+    /// Retries that were granted and not sent yet.
+    reserved: u32,
 }
 
 impl RetryBudget {
@@ -94,14 +98,24 @@
         }
     }
 
-    /// Takes a retry from the budget and returns whether one was left.
-    pub fn try_take(&mut self, limit: &RetryLimit, share: SlackShare, now: Instant) -> bool {
+    /// Reserves a retry and returns whether one was left. It counts until it is spent or returned, however long that
+    /// takes: requests may wait for an upstream with room.
+    pub fn try_reserve(&mut self, limit: &RetryLimit, share: SlackShare, now: Instant) -> bool {
         let usage = self.usage(limit, share, now);
-        if f64::from(usage.retries) + 1.0 > usage.allowed {
-            return false;
-        }
+        let is_left = f64::from(usage.retries + usage.reserved) + 1.0 <= usage.allowed;
+        self.reserved += u32::from(is_left);
+        is_left
+    }
+
+    /// Returns a reserved retry that isn't sent.
+    pub fn return_reserved(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Charges a reserved retry to the window in which it is sent.
+    pub fn spend_reserved(&mut self, limit: &RetryLimit, now: Instant) {
+        self.return_reserved();
         self.bucket(limit, now).retries += 1;
-        true
     }
 
     /// Returns what was counted in the window, and what is allowed.
@@ -112,6 +126,7 @@
         RetryUsage {
             requests,
             retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+            reserved: self.reserved,
             allowed: USED_FRACTION * (limit.ratio * f64::from(requests) + slack),
             share,
         }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -96,6 +96,7 @@
             is_counted: self.is_counted,
             counted_at: self.counted_at,
             attempts: self.attempts,
+            retry_permit: None,
             unreachable: self.unreachable,
             broken: self.broken,
             evidence: self.evidence,
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -160,6 +160,7 @@
 
     /// Has another daemon serve the request.
     pub(super) async fn delegate(&mut self, delegation: Delegation) -> NextStep {
+        self.spend_retry();
         let attempt = self.evidence.attempt_sent();
         let handed_over = self.hand_over_count();
         let counted_by = match handed_over {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,6 +29,7 @@
         metrics,
         outcome::AttemptAnswer,
         reply::{Body, CallerResponse, RefusalReason, UpstreamAnswer},
+        retry_permit::RetryPermit,
         shared::{Shared, SlotGuard},
         target::Target,
     },
@@ -141,6 +142,8 @@
     pub(super) counted_at: Option<Instant>,
     /// Number of attempts so far.
     pub(super) attempts: u32,
+    /// The retry that is reserved for the next attempt.
+    pub(super) retry_permit: Option<RetryPermit>,
     /// Number of upstreams that could not be reached.
     pub(super) unreachable: u32,
     /// Number of open connections that were lost.
@@ -160,7 +163,7 @@
 /// What to do after an attempt.
 pub(super) enum NextStep {
     Done(CallerResponse),
-    /// Repeat the request with a larger model; the retry budget has already been charged.
+    /// Repeat the request with a larger model; a retry is already reserved.
     Escalated,
     Retry,
     GiveUp(RefusalReason),
@@ -180,6 +183,7 @@
             is_counted: false,
             counted_at: None,
             attempts: 0,
+            retry_permit: None,
             unreachable: 0,
             broken: 0,
             evidence: ExecutionEvidence::default(),
@@ -249,7 +253,14 @@
         request
     }
 
-    /// Whether another attempt is allowed, worthwhile and within the retry budget.
+    /// Charges the attempt that is sent now to the retry budget, unless it is the first one.
+    pub(super) fn spend_retry(&mut self) {
+        if let Some(permit) = self.retry_permit.take() {
+            permit.spend();
+        }
+    }
+
+    /// Whether another attempt is allowed, worthwhile and within the retry budget, where it is reserved.
     pub fn may_retry(&mut self) -> bool {
         let now = self.shared.now();
         let sent_before = self.attempts > 0;
@@ -264,7 +275,11 @@
         if self.call.remaining(now) < MIN_ATTEMPT_TIME || self.poison().is_some() {
             return false;
         }
-        let allowed = !sent_before || self.shared.dispatcher().try_retry(&self.call.service, now);
+        self.retry_permit = None;
+        if sent_before {
+            self.retry_permit = RetryPermit::reserve(&self.shared, &self.call.service);
+        }
+        let allowed = !sent_before || self.retry_permit.is_some();
         if !allowed {
             let service = &self.call.service;
             let usage = self.shared.dispatcher().retry_usage(service, now);
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -67,6 +67,7 @@
         let remaining = self.call.remaining(self.shared.now());
         let address = slot.assignment.address;
         self.attempts += 1;
+        self.spend_retry();
         let attempt = self.evidence.attempt_sent();
         let answer = attempt::send(self.shared.settings.ip, address, request, remaining);
         Sent {
@@ -101,6 +102,7 @@
                 return self.wait_on(late).await;
             }
             Err(answer) => {
+                self.retry_permit = None;
                 self.report_late(&late.slot.assignment.upstream, HedgeOutcome::Overtaken);
                 return self.handle_answer(late.slot, late.attempt, answer).await;
             }
@@ -138,6 +140,7 @@
 
     /// Waits for the response of a late attempt, as no other one can be made.
     async fn wait_on(&mut self, late: Sent) -> NextStep {
+        self.retry_permit = None;
         let answer = late.answer.await;
         self.handle_answer(late.slot, late.attempt, answer).await
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -137,8 +137,8 @@
 static RETRY_BUDGET: LazyLock<IntGaugeVec> = LazyLock::new(|| {
     gauge(
         "hibiscusyoke_gateway_retry_budget",
-        "Requests and repeats that this daemon has counted in the window of the retry budget, and the repeats that \
-         it allows, by service.",
+        "Requests and repeats that this daemon has counted in the window of the retry budget, repeats that are \
+         granted and not sent yet, and the repeats that it allows, by service.",
         &["service", "what"],
     )
 });
@@ -263,6 +263,7 @@
         let values = [
             ("requests", usage.requests.into()),
             ("repeats", usage.retries.into()),
+            ("reserved", usage.reserved.into()),
             ("allowed", usage.allowed as i64),
         ];
         for (what, value) in values {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 pub mod relay;
 pub mod reply;
 mod resume;
+pub mod retry_permit;
 pub mod send_budget;
 pub mod send_buffer;
 pub mod settings;
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -23,6 +23,7 @@
         target: &Target,
         last_event: Option<u64>,
     ) -> Result<UpstreamResponse, AttemptError> {
+        self.spend_retry();
         let slot = match target {
             Target::Upstream(slot) => slot,
             Target::Peer(delegation) => {
--- a/tests/dispatch/retry_budget.rs
+++ b/tests/dispatch/retry_budget.rs
@@ -6,13 +6,22 @@
 use hibiscusyoke::coordination::dispatch::{
     Dispatcher,
     heartbeat::{Heartbeat, Readiness, TableState},
-    retry_budget::{RetryBudget, SlackShare},
+    retry_budget::{RetryBudget, RetryLimit, SlackShare},
 };
 
 use crate::support::{LIMITS, dispatcher, heartbeat, receive_heartbeat};
 
 const DAEMONS: usize = 8;
 
+/// Takes a retry that is sent at once.
+fn try_take(budget: &mut RetryBudget, limit: &RetryLimit, share: SlackShare, now: Instant) -> bool {
+    let is_left = budget.try_reserve(limit, share, now);
+    if is_left {
+        budget.spend_reserved(limit, now);
+    }
+    is_left
+}
+
 /// Each request fails and is retried as often as the budget allows. The sum over all daemons stays
 /// within the operators' limit in every window.
 #[test]
@@ -26,7 +35,7 @@
         let budget = &mut budgets[step as usize % DAEMONS];
         budget.record_request(&limit, start + at);
         log.push((at, false));
-        while budget.try_take(&limit, SlackShare::OneOf(DAEMONS), start + at) {
+        while try_take(budget, &limit, SlackShare::OneOf(DAEMONS), start + at) {
             log.push((at, true));
         }
     }
@@ -60,7 +69,14 @@
     let mut budget = RetryBudget::default();
     let now = Instant::now();
     let granted = (0..100)
-        .filter(|_| budget.try_take(&LIMITS.retries, SlackShare::OneOf(DAEMONS), now))
+        .filter(|_| {
+            try_take(
+                &mut budget,
+                &LIMITS.retries,
+                SlackShare::OneOf(DAEMONS),
+                now,
+            )
+        })
         .count();
     assert_eq!(granted, 5, "0.8 of 56 / 8");
 }
@@ -71,9 +87,14 @@
     let mut budget = RetryBudget::default();
     let now = Instant::now();
     let alone = SlackShare::OneOf(1);
-    while budget.try_take(&limit, alone, now) {}
-    assert!(!budget.try_take(&limit, alone, now + limit.window / 2));
-    assert!(budget.try_take(&limit, alone, now + limit.window));
+    while try_take(&mut budget, &limit, alone, now) {}
+    assert!(!try_take(
+        &mut budget,
+        &limit,
+        alone,
+        now + limit.window / 2
+    ));
+    assert!(try_take(&mut budget, &limit, alone, now + limit.window));
 }
 
 /// A request that another daemon counts was taken from the newest requests, not from those of its own time.
@@ -118,9 +139,13 @@
 
 /// Counts the retries that a dispatcher grants at a time.
 fn granted(dispatcher: &mut Dispatcher, now: Instant) -> usize {
-    (0..100)
-        .filter(|_| dispatcher.try_retry("desk", now))
-        .count()
+    let granted = (0..100)
+        .filter(|_| dispatcher.reserve_retry("desk", now))
+        .count();
+    for _ in 0..granted {
+        dispatcher.spend_retry("desk", now);
+    }
+    granted
 }
 
 /// A daemon that started anew had its part of the slack again, which the process before may have taken.
@@ -168,3 +193,25 @@
         );
     }
 }
+
+/// Retries that were granted in one window and waited for an upstream with room were sent beside those of the next.
+#[test]
+fn retries_count_in_the_window_in_which_they_are_sent() {
+    let limit = LIMITS.retries;
+    let mut budget = RetryBudget::default();
+    let alone = SlackShare::OneOf(1);
+    let start = Instant::now();
+    let reserve = |budget: &mut RetryBudget, now| {
+        let reserved = (0..100).filter(|_| budget.try_reserve(&limit, alone, now));
+        reserved.count()
+    };
+    assert_eq!(reserve(&mut budget, start), 44, "0.8 of 56");
+    let later = start + 2 * limit.window;
+    assert_eq!(reserve(&mut budget, later), 0, "all are still waiting");
+    budget.return_reserved();
+    for _ in 0..43 {
+        budget.spend_reserved(&limit, later);
+    }
+    assert_eq!(reserve(&mut budget, later), 1, "one was not sent");
+    assert_eq!(reserve(&mut budget, later + limit.window), 43);
+}
