Remember a retry for the whole window of the budget

Requests and retries of half a second share a bucket that was dropped a window after its start, so that a retry near its end was forgotten up to a twentieth of a window too early. What is counted of a bucket now ends with its oldest request and its newest retry. dispatch retries_are_remembered_for_a_whole_window failed before.

--- a/src/coordination/dispatch/retry_budget.rs
+++ b/src/coordination/dispatch/retry_budget.rs
@@ -75,6 +75,22 @@
     start: Instant,
     requests: u32,
     retries: u32,
+    /// When the last of its retries was sent.
+    last_retry: Instant,
+}
+
+impl Bucket {
+    /// Returns its requests if they were sent within a window. The oldest one decides.
+    fn recent_requests(&self, window: Duration, now: Instant) -> u32 {
+        let is_recent = now.saturating_duration_since(self.start) < window;
+        if is_recent { self.requests } else { 0 }
+    }
+
+    /// Returns its retries if they were sent within a window. The newest one decides.
+    fn recent_retries(&self, window: Duration, now: Instant) -> u32 {
+        let is_recent = now.saturating_duration_since(self.last_retry) < window;
+        if is_recent { self.retries } else { 0 }
+    }
 }
 
 /// Requests and retries of one service on one daemon.
@@ -115,26 +131,31 @@
     /// Charges a reserved retry to the window in which it is sent.
     pub fn spend_reserved(&mut self, limit: &RetryLimit, now: Instant) {
         self.return_reserved();
-        self.bucket(limit, now).retries += 1;
+        let bucket = self.bucket(limit, now);
+        bucket.retries += 1;
+        bucket.last_retry = now;
     }
 
     /// Returns what was counted in the window, and what is allowed.
-    pub fn usage(&mut self, limit: &RetryLimit, share: SlackShare, now: Instant) -> RetryUsage {
+    pub fn usage(&self, limit: &RetryLimit, share: SlackShare, now: Instant) -> RetryUsage {
         let slack = share.of(limit.slack);
-        self.bucket(limit, now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let buckets = self.buckets.iter();
+        let requests: u32 = buckets.map(|b| b.recent_requests(limit.window, now)).sum();
+        let buckets = self.buckets.iter();
         RetryUsage {
             requests,
-            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+            retries: buckets.map(|b| b.recent_retries(limit.window, now)).sum(),
             reserved: self.reserved,
             allowed: USED_FRACTION * (limit.ratio * f64::from(requests) + slack),
             share,
         }
     }
 
-    /// Returns the bucket of a time, and drops those that are a window older.
+    /// Returns the bucket of a time, and drops those of which nothing counts any more.
     fn bucket(&mut self, limit: &RetryLimit, at: Instant) -> &mut Bucket {
-        let is_old = |bucket: &Bucket| at.saturating_duration_since(bucket.start) >= limit.window;
+        let length = limit.window / BUCKET_COUNT;
+        let is_old =
+            |bucket: &Bucket| at.saturating_duration_since(bucket.start) >= limit.window + length;
         while self.buckets.front().is_some_and(is_old) {
             self.buckets.pop_front();
         }
@@ -146,6 +167,7 @@
                     start: at,
                     requests: 0,
                     retries: 0,
+                    last_retry: at,
                 };
                 self.buckets.insert(next, bucket);
                 next
--- a/tests/dispatch/retry_budget.rs
+++ b/tests/dispatch/retry_budget.rs
@@ -108,10 +108,10 @@
     budget.record_request(&limit, later);
     budget.withdraw_request(&limit, start);
     let requests =
-        |budget: &mut RetryBudget, at| budget.usage(&limit, SlackShare::Withheld, at).requests;
-    assert_eq!(requests(&mut budget, later), 1);
-    assert_eq!(requests(&mut budget, start + limit.window), 1);
-    assert_eq!(requests(&mut budget, later + limit.window), 0);
+        |budget: &RetryBudget, at| budget.usage(&limit, SlackShare::Withheld, at).requests;
+    assert_eq!(requests(&budget, later), 1);
+    assert_eq!(requests(&budget, start + limit.window), 1);
+    assert_eq!(requests(&budget, later + limit.window), 0);
 }
 
 /// Requests that a daemon reads after a pause count for the time before it: callers sent them meanwhile.
@@ -215,3 +215,21 @@
     assert_eq!(reserve(&mut budget, later), 1, "one was not sent");
     assert_eq!(reserve(&mut budget, later + limit.window), 43);
 }
+
+/// A retry near the end of its bucket was forgotten up to a twentieth of a window too early.
+#[test]
+fn retries_are_remembered_for_a_whole_window() {
+    let limit = LIMITS.retries;
+    let mut budget = RetryBudget::default();
+    let alone = SlackShare::OneOf(1);
+    let start = Instant::now();
+    budget.record_request(&limit, start);
+    let sent_at = start + Duration::from_millis(400);
+    while try_take(&mut budget, &limit, alone, sent_at) {}
+    let retries = |budget: &RetryBudget, at| budget.usage(&limit, alone, at).retries;
+    let taken = retries(&budget, sent_at);
+    let almost = sent_at + limit.window - Duration::from_millis(1);
+    budget.record_request(&limit, almost);
+    assert_eq!(retries(&budget, almost), taken);
+    assert_eq!(retries(&budget, sent_at + limit.window), 0);
+}
