Count the attempts of a daemon that refuses a delegated request

A daemon that was delegated a request and had it refused by upstreams answered that it has not run, without a word of how often it had tried. The one that delegated it began anew with a third daemon: 3 arrivals of a request whose route allows 2, and the repeats at the third daemon began with one that nobody charged to the retry budget. A refusal between daemons now carries the number of attempts, which bounds what follows and charges it as a repeat.

gateway request_refused_by_other_daemons_is_not_sent_to_more_upstreams_than_its_ route_allows failed before (look-0: 3 arrivals).

--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -30,7 +30,7 @@
     },
 };
 
-/// Header with the number of upstreams that a delegated request may have reached.
+/// Header with the number of upstreams that a delegated request has been sent to, in the request and in a refusal.
 const ATTEMPTS: HeaderName = HeaderName::from_static("hibiscusyoke-attempts");
 /// Header of a delegated request that the receiver must not count towards the retry budget.
 const COUNTED: HeaderName = HeaderName::from_static("hibiscusyoke-counted");
@@ -63,6 +63,11 @@
         })
     }
 
+    /// Returns the name of the daemon.
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
     /// Returns the time since the request was delegated.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at)
@@ -91,10 +96,10 @@
 impl EarlierAttempts {
     /// Removes it from the headers of a delegated request.
     pub(super) fn take_from(headers: &mut HeaderMap) -> Self {
-        let count = headers.remove(ATTEMPTS);
-        let count = count.and_then(|v| v.to_str().ok()?.parse().ok());
+        let count = attempts(headers);
+        headers.remove(ATTEMPTS);
         Self {
-            count: count.unwrap_or_default(),
+            count,
             is_counted: headers.remove(COUNTED).is_some(),
         }
     }
@@ -109,19 +114,29 @@
     }
 }
 
+/// Returns the number of upstreams to which a request has been sent, according to another daemon.
+fn attempts(headers: &HeaderMap) -> u32 {
+    let attempts = headers.get(ATTEMPTS);
+    let attempts = attempts.and_then(|v| v.to_str().ok()?.parse().ok());
+    attempts.unwrap_or_default()
+}
+
 /// Returns the headers of an answer to forward to the caller. An upstream's answer cannot pass for the
 /// refusal of a daemon.
 pub(super) fn headers_for_caller(answer: &HeaderMap) -> HeaderMap {
     let mut headers = headers::headers_for_caller(answer);
     headers.remove(NOT_RUN);
+    headers.remove(ATTEMPTS);
     headers
 }
 
-/// Marks a daemon's own refusal of a delegated request, if that says that the request has not run.
-pub(super) fn mark_refusal(response: &mut CallerResponse) {
+/// Marks a daemon's own refusal of a delegated request, if that says that the request has not run, with the number
+/// of upstreams that it was sent to.
+pub(super) fn mark_refusal(response: &mut CallerResponse, attempts: u32) {
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         let value = HeaderValue::from_static("1");
         response.headers_mut().insert(NOT_RUN, value);
+        response.headers_mut().insert(ATTEMPTS, attempts.into());
     }
 }
 
@@ -213,6 +228,7 @@
         let status = response.response.status();
         let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE
             && response.response.headers().contains_key(NOT_RUN);
+        let attempts = attempts(response.response.headers());
         let headers = headers_for_caller(response.response.headers());
         let body = self.shared.body_memory.read(response.response.into_body());
         let body = match tokio::time::timeout(remaining, body).await {
@@ -232,6 +248,7 @@
         };
         if is_refusal {
             self.evidence.attempt_not_run(attempt);
+            self.attempts = self.attempts.max(attempts);
             self.log_delegation_end(&delegation, "refused_by_peer");
             self.peer_refusal = Some(answer);
             return NextStep::Retry;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -79,7 +79,7 @@
             let not_sent = ExecutionEvidence::default().not_run();
             let mut response = CallerResponse::refusal(reason, wait, not_sent);
             if origin == Origin::Peer {
-                delegate::mark_refusal(&mut response);
+                delegate::mark_refusal(&mut response, earlier.count);
             }
             return add_connection_close(&shared, response);
         }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -91,7 +91,7 @@
         self.count_request(&reason.to_string());
         let mut response = CallerResponse::refusal(reason, wait, not_run);
         if self.origin == Origin::Peer {
-            delegate::mark_refusal(&mut response);
+            delegate::mark_refusal(&mut response, self.attempts);
         }
         response
     }
--- a/tests/gateway/retry_budget.rs
+++ b/tests/gateway/retry_budget.rs
@@ -204,6 +204,26 @@
     counted
 }
 
+/// A request that several daemons refused was sent to as many upstreams by each of them, and only the retries of
+/// each by itself were charged.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_refused_by_other_daemons_is_not_sent_to_more_upstreams_than_its_route_allows() {
+    const MAX_ATTEMPTS: usize = 2;
+    let harness = Harness::spawn(4).await;
+    harness.cut_off(0);
+    harness.set_plain_upstreams(Behaviour::Refuse);
+    for n in 0..20 {
+        let id = format!("look-{n}");
+        harness.call(&plain(&id, Method::GET, "/look/1")).await;
+        let arrived = harness.plain_upstreams().map(FakeUpstream::arrived);
+        let arrivals = arrived.iter().flatten();
+        let count = arrivals.filter(|arrival| arrival.id == id).count();
+        assert!(count <= MAX_ATTEMPTS, "{id}: {count} arrivals");
+    }
+    let log = harness.gateways[0].log();
+    assert!(log.contains("outcome=refused_by_peer"), "{log}");
+}
+
 /// Each daemon to which a request was delegated counted it, so that one which several refused counted several times.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_delegated_to_other_daemons_are_counted_once() {
