Install the signal handlers before the settings are read

A SIGHUP that reached a gateway before its handlers stood ended the process, and a SIGTERM ended it without an orderly exit: a settings file that changes while daemons restart is planned work. They were installed after the sockets, when callers could already connect. They now stand before anything else; a signal that comes during the start is handled after it.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -8,7 +8,7 @@
     time::{Duration, SystemTime},
 };
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
     cli::GatewayArgs,
@@ -23,6 +23,13 @@
 
 /// Runs the gateway until a stop signal, then shuts down without interrupting requests in flight.
 pub async fn run(args: GatewayArgs) -> ExitCode {
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("gateway: step=signals error=\"{e}\"");
+            return Status::Failed.into();
+        }
+    };
     let settings = match Settings::open(&args.settings) {
         Ok(settings) => settings,
         Err(e) => {
@@ -39,24 +46,37 @@
             return Status::Failed.into();
         }
     };
-    if let Err(e) = wait_for_stop_signal(&args, &gateway).await {
-        log::error!("event=signals_unavailable error=\"{e}\"");
-    }
+    wait_for_stop_signal(signals, &args, &gateway).await;
     gateway.shutdown().await;
     Status::Done.into()
 }
 
+/// The signals that the gateway handles. One that comes before its handler is installed ends the process.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for SIGTERM or SIGINT. Reloads the settings on SIGHUP and when the file changes.
-async fn wait_for_stop_signal(args: &GatewayArgs, gateway: &Gateway) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+async fn wait_for_stop_signal(mut signals: Signals, args: &GatewayArgs, gateway: &Gateway) {
     let mut last_modified = modified(&args.settings);
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => {}
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hang_up.recv() => {}
             () = tokio::time::sleep(SETTINGS_CHECK_INTERVAL) => {
                 if modified(&args.settings) == last_modified {
                     continue;
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs::{self, File},
+    io::Write,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command},
@@ -48,6 +49,23 @@
     log: PathBuf,
 }
 
+/// The settings of a gateway that waits for their text.
+pub(crate) struct PendingSettings {
+    pipe: File,
+    text: String,
+    /// A file with the text, which takes the place of the pipe.
+    complete: PathBuf,
+    file: PathBuf,
+}
+
+impl PendingSettings {
+    /// Lets the gateway read the settings.
+    pub(crate) fn complete(mut self) {
+        fs::rename(&self.complete, &self.file).expect("renamed");
+        self.pipe.write_all(self.text.as_bytes()).expect("written");
+    }
+}
+
 /// A complete response.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -149,6 +167,29 @@
         self.gateways.push(Gateway { ip, process, log });
     }
 
+    /// Starts another gateway and returns while it waits for the text of its settings.
+    pub(crate) fn start_gateway_without_settings(&mut self) -> PendingSettings {
+        let number = u8::try_from(self.gateways.len() + 1).expect("few gateways");
+        let ip = loopback(self.number, number);
+        let text = settings(&format!("front-{number}"), ip, self.table.address()).to_string();
+        let file = self.folder.path().join(format!("gateway-{number}.jsonc"));
+        let complete = file.with_extension("complete");
+        fs::write(&complete, &text).expect("written");
+        let made = Command::new("mkfifo").arg(&file).status();
+        assert!(made.expect("started").success());
+        let log = self.folder.path().join(format!("gateway-{number}.log"));
+        let process = spawn_process(&file, &log);
+        self.gateways.push(Gateway { ip, process, log });
+        // Returns once the gateway has opened the pipe.
+        let pipe = File::options().write(true).open(&file).expect("a reader");
+        PendingSettings {
+            pipe,
+            text,
+            complete,
+            file,
+        }
+    }
+
     /// Starts a gateway that has exited again, at the same address and with a new log.
     pub(crate) fn restart_gateway(&mut self, index: usize) {
         let settings = self
