Go on with a silent stream until another target takes it over

Cause: a source that was silent for 2.5 s was ended before it was known whether another attempt was allowed, in the retry budget, and had a place. With the last attempt, or with the budget used up, the stream was then cut. A replica's silence is no reason to end an answer.

The relay now goes on reading while it looks for another target, and ends the silent source once one is chosen; if there is none, it waits for the source until the deadline and looks again every 2.5 s. A source that is gone (its entry removed, the daemon dead, its connection broken) is left at once, as before. event=stream_silent says that a stream waits.

gateway stream_whose_upstreams_all_pause_is_not_cut and stream_that_pauses_is_not_cut_if_no_retry_is_left failed before: the body ended early.

--- a/src/gateway/recording.rs
+++ b/src/gateway/recording.rs
@@ -66,6 +66,19 @@
         self.shared.connection_lost.notify_one();
     }
 
+    /// Records that the source of a stream is silent, which may be due to the links of this instance, and that the
+    /// stream waits for it.
+    pub(super) fn record_silent(&mut self, source: &Target) {
+        log::info!(
+            "event=stream_silent id={} {source} attempts={}",
+            self.call.id(),
+            self.attempts
+        );
+        if let Target::Upstream(slot) = source {
+            self.record_lost(slot);
+        }
+    }
+
     /// Records that the response of the slot's upstream is complete. Only a whole one, from its start, shows
     /// that the upstream has survived the request.
     pub(super) fn record_served(&self, slot: &mut SlotGuard, is_whole: bool) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
 
 use crate::{
     coordination::dispatch::PaceSampler,
@@ -18,7 +19,7 @@
     },
 };
 
-/// Pause between events after which a stream is resumed on another upstream.
+/// Pause between events after which a stream is resumed on another upstream, if there is one.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The same for a stream from another daemon, which may be resuming it itself.
 const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(5_500);
@@ -40,10 +41,24 @@
     Caller(PushError),
     /// The stream is not complete.
     Broken(BreakCause),
+    /// Its source is silent, and another target can go on with it.
+    Replaced(Target),
     /// The request's deadline passed.
     Timeout,
 }
 
+/// What came of waiting for the next part of a stream.
+enum Received {
+    /// A part of the body, or its end.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// Nothing; the source may go on.
+    Nothing,
+    /// Nothing, and the source is known to be gone.
+    Gone,
+    /// Nothing, and there is another target.
+    Replacement(Target),
+}
+
 /// Why a stream is not complete.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "snake_case")]
@@ -136,7 +151,7 @@
         loop {
             let mut progress = StreamProgress::new(response.framing());
             let end = self.relay_events(&source, response, &mut progress).await;
-            let cause = match end {
+            let (cause, next) = match end {
                 StreamEnd::Complete => {
                     self.exchange.record_complete_stream(
                         &mut source,
@@ -153,7 +168,8 @@
                     self.exchange.log_stream_end(&source, "timeout", &progress);
                     return self.abort("timeout");
                 }
-                StreamEnd::Broken(cause) => cause,
+                StreamEnd::Broken(cause) => (cause, None),
+                StreamEnd::Replaced(target) => (BreakCause::Silent, Some(target)),
             };
             match std::mem::take(&mut self.has_paused) {
                 true => self
@@ -165,7 +181,7 @@
             }
             drop(source);
             self.expects_event |= progress.partial_bytes > 0;
-            match self.resume().await {
+            match self.resume(next).await {
                 Some((next_source, next_response)) => {
                     self.is_from_start = false;
                     (source, response) = (next_source, next_response);
@@ -186,6 +202,7 @@
         let mut events = EventBuffer::default();
         let mut pace = Some(PaceSampler::default());
         let mut repeated_bytes = 0;
+        let mut was_silent = false;
         let max_silence = match source {
             Target::Upstream(_) => SILENCE_TIMEOUT,
             Target::Peer(_) => PEER_SILENCE_TIMEOUT,
@@ -194,20 +211,24 @@
             if self.is_overdue() {
                 return StreamEnd::Timeout;
             }
-            let remaining = self.remaining();
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(max_silence.min(remaining), body.frame()) => frame,
+            let wait = max_silence.min(self.remaining());
+            let received = tokio::select! {
+                received = receive(&mut body, &mut self.exchange, source, wait) => received,
                 () = self.tx.closed() => return StreamEnd::Caller(PushError::CallerLeft),
             };
-            let data = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_))) => return StreamEnd::Broken(BreakCause::Broken),
-                Ok(None) => break,
-                Err(_) if self.remaining().is_zero() => return StreamEnd::Timeout,
-                Err(_) if self.exchange.call.route.is_retryable() => {
-                    return StreamEnd::Broken(BreakCause::Silent);
+            let data = match received {
+                Received::Frame(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Received::Frame(Some(Err(_))) => return StreamEnd::Broken(BreakCause::Broken),
+                Received::Frame(None) => break,
+                Received::Nothing if self.remaining().is_zero() => return StreamEnd::Timeout,
+                Received::Nothing => {
+                    if !std::mem::replace(&mut was_silent, true) {
+                        self.exchange.record_silent(source);
+                    }
+                    continue;
                 }
-                Err(_) => continue,
+                Received::Gone => return StreamEnd::Broken(BreakCause::Silent),
+                Received::Replacement(target) => return StreamEnd::Replaced(target),
             };
             if let Target::Upstream(_) = source {
                 self.record_bytes();
@@ -303,15 +324,19 @@
         now.saturating_duration_since(self.deadline()) >= LATE_EVENTS_TIME
     }
 
-    /// Resumes the stream after the last forwarded event, on another upstream or through another daemon.
-    async fn resume(&mut self) -> Option<(Target, UpstreamResponse)> {
+    /// Resumes the stream after the last forwarded event, at a target that was chosen before, on another upstream or
+    /// through another daemon.
+    async fn resume(&mut self, mut chosen: Option<Target>) -> Option<(Target, UpstreamResponse)> {
         if !self.exchange.call.route.is_retryable() {
             return None;
         }
-        while self.exchange.may_retry() && !self.tx.is_closed() {
-            let mut target = tokio::select! {
-                target = self.exchange.choose_target() => target.ok()?,
-                () = self.tx.closed() => return None,
+        while (chosen.is_some() || self.exchange.may_retry()) && !self.tx.is_closed() {
+            let mut target = match chosen.take() {
+                Some(target) => target,
+                None => tokio::select! {
+                    target = self.exchange.choose_target() => target.ok()?,
+                    () = self.tx.closed() => return None,
+                },
             };
             let sent = tokio::select! {
                 sent = self.exchange.send_resumption(&target, self.last_event) => sent,
@@ -368,3 +393,34 @@
         self.deadline().saturating_duration_since(now)
     }
 }
+
+/// Waits for the next part of a stream. If its source is silent for `wait`, chooses another target where the stream
+/// may be resumed; until there is one, the source may go on.
+async fn receive(
+    body: &mut Incoming,
+    exchange: &mut Exchange,
+    source: &Target,
+    wait: Duration,
+) -> Received {
+    if let Ok(frame) = tokio::time::timeout(wait, body.frame()).await {
+        return Received::Frame(frame);
+    }
+    if !exchange.call.route.is_retryable() {
+        return Received::Nothing;
+    }
+    if exchange.is_gone(source) {
+        return Received::Gone;
+    }
+    if !exchange.may_retry() {
+        return Received::Nothing;
+    }
+    let received = tokio::select! {
+        frame = body.frame() => Received::Frame(frame),
+        target = exchange.choose_target() => match target {
+            Ok(target) if !target.is_same(source) => return Received::Replacement(target),
+            Ok(_) | Err(_) => Received::Nothing,
+        },
+    };
+    exchange.retry_permit = None;
+    received
+}
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -33,7 +33,32 @@
     Peer(Delegation),
 }
 
+impl Target {
+    /// Returns whether both are the same upstream or daemon.
+    pub(super) fn is_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Upstream(slot), Self::Upstream(other)) => {
+                slot.assignment.upstream == other.assignment.upstream
+            }
+            (Self::Peer(delegation), Self::Peer(other)) => delegation.peer() == other.peer(),
+            (Self::Upstream(_), Self::Peer(_)) | (Self::Peer(_), Self::Upstream(_)) => false,
+        }
+    }
+}
+
 impl Exchange {
+    /// Returns whether an upstream is no longer listed, or a daemon no longer live.
+    pub(super) fn is_gone(&self, target: &Target) -> bool {
+        let dispatcher = self.shared.dispatcher();
+        match target {
+            Target::Upstream(slot) => dispatcher.registry.get(&slot.assignment.upstream).is_none(),
+            Target::Peer(delegation) => {
+                let mut live = dispatcher.peers.live(self.shared.now());
+                live.all(|peer| peer.last_heartbeat.from.name != delegation.peer())
+            }
+        }
+    }
+
     /// Chooses an upstream and reserves a slot there, or a daemon that can serve the request instead;
     /// waits while the upstreams are full or the rate limit of cold ones requires it.
     pub async fn choose_target(&mut self) -> Result<Target, (RefusalReason, Option<Duration>)> {
--- a/stand-in/src/gateway/behaviour.rs
+++ b/stand-in/src/gateway/behaviour.rs
@@ -31,6 +31,8 @@
     Break,
     /// Closes the connection after the given number of events, inside the next one.
     BreakAfter(u64),
+    /// Pauses each run of a stream for the second number of milliseconds after the first number of its events.
+    PauseAfter(u64, u64),
     /// Ends the stream without an error after the given number of events, inside the next one.
     EndAfter(u64),
     /// Ends the stream without an error before its first event.
--- a/stand-in/src/gateway/event_stream.rs
+++ b/stand-in/src/gateway/event_stream.rs
@@ -86,6 +86,11 @@
             if event > last {
                 return self.end_inside(event, tx).await;
             }
+            if let Behaviour::PauseAfter(events, pause_ms) = self.behaviour
+                && event == self.after + events + 1
+            {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
             let frame = Frame::data(Bytes::from(format!("id: {event}\ndata: {line}\n\n")));
             match tokio::time::timeout(self.unread_timeout, tx.send(Ok(frame))).await {
                 Ok(Ok(())) => tokio::time::sleep(shape.interval).await,
--- a/stand-in/src/gateway/upstream.rs
+++ b/stand-in/src/gateway/upstream.rs
@@ -410,6 +410,7 @@
             Behaviour::Serve
             | Behaviour::BreakAfter(_)
             | Behaviour::EndAfter(_)
+            | Behaviour::PauseAfter(..)
             | Behaviour::EndEmpty
             | Behaviour::Refuse
             | Behaviour::Queue(_)
