Bound the bytes before the end of a response head

A faulty upstream that sends interim responses (103) without end kept a gateway busy until the request's deadline: 0.5 to 0.7 of a core for each such connection, on instances that have a quarter of one, while the requests of other callers wait. hyper bounds the size of each head, but reads any number of interim responses, and nothing else counted them.

At most 256 KiB are now read before the head of a response is complete; beyond that the connection is closed and the attempt has failed. gateway endless_interim_responses_are_given_up failed before (504 at the deadline of 4 s where a 502 is due at once); a hundred interim responses before a sound response are still read.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 use thiserror::Error;
 use tokio::task::JoinHandle;
 
-use crate::gateway::read_limit::LimitedReads;
+use crate::gateway::read_limit::{HeadLimit, LimitedReads};
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -32,6 +32,9 @@
 
 /// Maximum size in bytes of a response head.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of bytes before the end of a response head, interim responses included. hyper bounds the size of
+/// each head, not their number.
+const MAX_HEADS_BYTES: usize = 256 << 10;
 /// Maximum number of bytes read at a time, and so of what is read ahead of a body. It is held beside the
 /// bytes that count toward the budget for callers.
 const MAX_READ_BYTES: usize = 8 << 10;
@@ -107,9 +110,11 @@
     let stream = net::connect_from(local, address, connect_timeout, SILENCE_TIMEOUT)
         .await
         .map_err(AttemptError::Unreachable)?;
+    let head_limit = HeadLimit::new(MAX_HEADS_BYTES);
+    let stream = LimitedReads::new(stream, MAX_READ_BYTES, head_limit.clone());
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(LimitedReads::new(stream, MAX_READ_BYTES)))
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(AttemptError::Broken)?;
     let connection = Connection(tokio::spawn(async move {
@@ -121,6 +126,7 @@
         .await
         .map_err(|_| AttemptError::TimedOut(response_timeout))?
         .map_err(AttemptError::Broken)?;
+    head_limit.end();
     Ok(UpstreamResponse {
         response,
         _connection: connection,
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -11,6 +11,7 @@
 
 use http::{Method, StatusCode};
 use serde_json::json;
+use stand_in::gateway::raw_upstream::RawUpstream;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -31,6 +32,8 @@
 
 /// Head of a response to a request, without its end.
 const OPEN_HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-seal: s\r\nx-filler: ";
+/// A response that announces another one.
+const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n";
 /// Head of a response without length or chunks.
 const CLOSE_HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-seal: s\r\nrequest-id: ";
 
@@ -91,13 +94,17 @@
     }
 
     fn row(&self, service: &str) -> serde_json::Value {
-        json!({
-            "service": service, "address": self.address, "zone": "a", "version": "v1",
-            "slots": 64, "state": "ready", "cold_remaining_ms": 0, "born": 1,
-        })
+        row_at(self.address, service)
     }
 }
 
+fn row_at(address: SocketAddr, service: &str) -> serde_json::Value {
+    json!({
+        "service": service, "address": address, "zone": "a", "version": "v1",
+        "slots": 64, "state": "ready", "cold_remaining_ms": 0, "born": 1,
+    })
+}
+
 /// Starts a gateway whose service has an endless upstream beside the good ones.
 async fn harness_with(service: &str, upstream: &EndlessUpstream) -> Harness {
     let harness = Harness::spawn(1).await;
@@ -149,6 +156,44 @@
     assert_answered_elsewhere("", b"\r\n", look).await;
 }
 
+/// Interim responses without end kept the processor busy until the deadline of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_interim_responses_are_given_up() {
+    let upstream = EndlessUpstream::spawn("", INTERIM_RESPONSE).await;
+    let harness = harness_with("desk", &upstream).await;
+    harness.remove_plain_upstreams().await;
+    let started = Instant::now();
+    let reply = harness.call(&plain("b1", Method::POST, "/book/1")).await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{}", reply.body);
+    assert!(started.elapsed() < ANSWER_TIME, "{:?}", started.elapsed());
+    assert_eq!(upstream.requests.load(Ordering::SeqCst), 1);
+    wait_until(|| async { upstream.open.load(Ordering::SeqCst) == 0 }).await;
+}
+
+/// A few of them come before a sound response.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_after_interim_responses_is_served() {
+    const INTERIM_RESPONSES: usize = 100;
+    let upstream = RawUpstream::spawn(|request| {
+        let id = &request.id;
+        let mut answer = INTERIM_RESPONSE.repeat(INTERIM_RESPONSES);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nresponse-seal: s\r\nrequest-id: {id}\r\ncontent-length: 2\r\n\r\nok"
+        );
+        answer.extend_from_slice(head.as_bytes());
+        answer
+    })
+    .await;
+    let harness = Harness::spawn(1).await;
+    let row = row_at(upstream.address(), "desk");
+    harness.table.put("servers", "x1", &row);
+    let joined = "event=upstream_joined upstream=x1";
+    wait_until(|| async { harness.gateways[0].log().contains(joined) }).await;
+    harness.remove_plain_upstreams().await;
+    let reply = harness.call(&plain("b1", Method::POST, "/book/1")).await;
+    assert_eq!((reply.status, reply.body.as_str()), (StatusCode::OK, "ok"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_body_is_given_up() {
     assert_answered_elsewhere(CLOSE_HEAD, b"x", look).await;
