--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -62,7 +62,8 @@
     pub upstream: FakeUpstream,
     /// Proxy for the connections to the upstream.
     pub proxy: Proxy,
-    service: &'static str,
+    /// Service of the upstream.
+    pub service: &'static str,
     /// State in the upstream's row.
     state: &'static str,
 }
--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -91,6 +91,7 @@
         Fault::Brittle(service, max_refusals) => {
             deployment.set_service_behaviour(service, Behaviour::Brittle(max_refusals));
         }
+        Fault::Service(service, behaviour) => deployment.set_service_behaviour(service, behaviour),
         Fault::Upstream(upstream, behaviour) => deployment.upstreams[upstream]
             .upstream
             .set_behaviour(behaviour),
@@ -148,6 +149,7 @@
             deployment.set_service_behaviour(service, Behaviour::Serve);
             deployment.record_brittle(service, from);
         }
+        Fault::Service(service, _) => deployment.set_service_behaviour(service, Behaviour::Serve),
         Fault::Upstream(upstream, _) => deployment.upstreams[upstream]
             .upstream
             .set_behaviour(Behaviour::Serve),
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -7,7 +7,10 @@
 
 use derive_more::Display;
 use http::StatusCode;
-use stand_in::gateway::upstream::Run;
+use stand_in::gateway::{
+    retry_audit::{RetryBound, WindowUse, worst_window},
+    upstream::Run,
+};
 
 use crate::{
     caller,
@@ -32,6 +35,12 @@
 const CUT_OFF_RATIO: usize = 50;
 /// Time at the end of a run in which every request must be served.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
+/// The limit on retries in the settings of the gateways.
+const RETRY_BOUND: RetryBound = RetryBound {
+    ratio: 0.9,
+    slack: 56.0,
+    window: Duration::from_secs(10),
+};
 /// Customer of all callers.
 const CUSTOMER: &str = "t1";
 
@@ -76,6 +85,9 @@
         "gateway {_0}, cut off from all upstreams, served {_1} of {_2}, the others {_3} of {_4}"
     )]
     CutOffUnserved(usize, usize, usize, usize, usize),
+    /// The upstreams of a service received more retries in a window than operators allow.
+    #[display("service {_0} received {} retries within a window, {:.0} are allowed", _1.retries, _1.allowed)]
+    RetryBudget(&'static str, WindowUse),
     /// A brittle upstream crashed again and again as it had to refuse too many requests.
     #[display("brittle upstream {_0} crashed {_1} times")]
     BrittleCrashes(usize, usize),
@@ -112,6 +124,7 @@
     violations.extend(check_cut_off(deployment, records));
     violations.extend(check_brittle(deployment));
     violations.extend(check_customers(deployment));
+    violations.extend(check_retry_budget(deployment, records));
     violations
 }
 
@@ -161,6 +174,22 @@
     violations
 }
 
+/// Checks the retries of each service in all windows. What a gateway sent while it was disturbed counts, too.
+fn check_retry_budget(deployment: &Deployment, records: &[RequestRecord]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for service in ["pool", "desk"] {
+        let sent = records.iter().filter(|r| r.kind.service() == service);
+        let upstreams = deployment.upstreams.iter().filter(|p| p.service == service);
+        let arrivals = upstreams.flat_map(|proxied| proxied.upstream.arrived());
+        let sent = sent.map(|record| record.sent_at).collect();
+        let worst = worst_window(sent, arrivals.collect(), &RETRY_BOUND);
+        if worst.fraction() > 1.0 {
+            violations.push(Violation::RetryBudget(service, worst));
+        }
+    }
+    violations
+}
+
 fn check_recovery(records: &[RequestRecord]) -> Vec<Violation> {
     let Some(end) = records.iter().map(|record| record.sent_at).max() else {
         return vec![Violation::NothingSent];
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -16,6 +16,16 @@
     Ask,
 }
 
+impl RequestKind {
+    /// Returns the service of such requests.
+    pub fn service(self) -> &'static str {
+        match self {
+            Self::Book | Self::Look => "desk",
+            Self::Ask => "pool",
+        }
+    }
+}
+
 /// Outcome of a request for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -31,6 +31,10 @@
 const ODD_ROW_SEED: u64 = 0x4f44_445f_524f_5753;
 /// Separates the generator of errors after runs from the others.
 const ERROR_ANSWER_SEED: u64 = 0x4552_524f_5253_0000;
+/// Separates the generator of failing services from the others.
+const SERVICE_FAULTS_SEED: u64 = 0x5345_5256_4943_4500;
+/// Number of times that all gateways restart while a service fails.
+const RESTARTS_WHILE_FAILING: std::ops::RangeInclusive<usize> = 0..=3;
 /// Number of such errors in a schedule.
 const ERROR_FAULTS: std::ops::RangeInclusive<usize> = 0..=2;
 /// Statuses of upstreams that report a failure of a request that they have run.
@@ -67,6 +71,8 @@
     CutOff(usize, LinkState),
     /// All upstreams of a service say that they are brittle, and bear this many refusals a second.
     Brittle(&'static str, u32),
+    /// All upstreams of a service misbehave.
+    Service(&'static str, Behaviour),
     /// An upstream misbehaves.
     Upstream(usize, Behaviour),
     /// The table misbehaves.
@@ -149,6 +155,7 @@
     schedule.extend(silent_link_fault(seed, gateways, injection_time));
     schedule.extend(odd_rows(seed, injection_time));
     schedule.extend(error_answers(seed, upstreams, injection_time));
+    schedule.extend(service_faults(seed, upstreams, gateways, injection_time));
     schedule.sort_by_key(|step| step.at);
     schedule
 }
@@ -277,6 +284,39 @@
         .collect()
 }
 
+/// Draws a service all of whose upstreams fail, so that each request is retried as often as the retry budget allows,
+/// while gateways restart or pause, from a generator of its own.
+fn service_faults(
+    seed: u64,
+    upstreams: usize,
+    gateways: usize,
+    injection_time: Duration,
+) -> Schedule {
+    let mut rng = Xoshiro128PlusPlus::seed_from_u64(seed ^ SERVICE_FAULTS_SEED);
+    if rng.random_bool(0.5) {
+        return Schedule::new();
+    }
+    let behaviour = match rng.random_bool(0.5) {
+        true => Behaviour::Fail,
+        false => Behaviour::BreakAfter(1),
+    };
+    let service = UPSTREAMS[rng.random_range(0..upstreams)].service;
+    let mut schedule = vec![ScheduledFault {
+        at: Duration::ZERO,
+        duration: injection_time,
+        fault: Fault::Service(service, behaviour),
+    }];
+    let restarts = rng.random_range(RESTARTS_WHILE_FAILING);
+    let faults = std::iter::repeat_n(Fault::KillAll, restarts)
+        .chain((1..gateways).map(Fault::Pause).filter(|_| restarts == 0));
+    schedule.extend(faults.map(|fault| ScheduledFault {
+        at: injection_time.mul_f64(rng.random()),
+        duration: Duration::from_millis(rng.random_range(FAULT_DURATIONS_MS)),
+        fault,
+    }));
+    schedule
+}
+
 fn draw_fault(rng: &mut Xoshiro128PlusPlus, gateway: usize, upstream: usize) -> Fault {
     match rng.random_range(0..19) {
         0 | 1 => Fault::Kill(gateway),
