--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -176,18 +176,27 @@
 
 /// Checks the retries of each service in all windows. What a gateway sent while it was disturbed counts, too.
 fn check_retry_budget(deployment: &Deployment, records: &[RequestRecord]) -> Vec<Violation> {
-    let mut violations = Vec::new();
-    for service in ["pool", "desk"] {
+    let uses = retry_use(deployment, records).into_iter();
+    uses.filter(|(_, worst)| worst.fraction() > 1.0)
+        .map(|(service, worst)| Violation::RetryBudget(service, worst))
+        .collect()
+}
+
+/// Returns the retries of each service in the window that comes closest to the operators' limit.
+pub fn retry_use(
+    deployment: &Deployment,
+    records: &[RequestRecord],
+) -> [(&'static str, WindowUse); 2] {
+    ["pool", "desk"].map(|service| {
         let sent = records.iter().filter(|r| r.kind.service() == service);
         let upstreams = deployment.upstreams.iter().filter(|p| p.service == service);
         let arrivals = upstreams.flat_map(|proxied| proxied.upstream.arrived());
         let sent = sent.map(|record| record.sent_at).collect();
-        let worst = worst_window(sent, arrivals.collect(), &RETRY_BOUND);
-        if worst.fraction() > 1.0 {
-            violations.push(Violation::RetryBudget(service, worst));
-        }
-    }
-    violations
+        (
+            service,
+            worst_window(sent, arrivals.collect(), &RETRY_BOUND),
+        )
+    })
 }
 
 fn check_recovery(records: &[RequestRecord]) -> Vec<Violation> {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -45,6 +45,8 @@
     pub requests: usize,
     /// Number of requests served.
     pub served: usize,
+    /// Largest part of the operators' limit on retries that was used in a window.
+    pub retry_use: f64,
     /// Violated invariants.
     pub violations: Vec<Violation>,
 }
@@ -77,6 +79,10 @@
     Ok(Report {
         schedule,
         requests: records.len(),
+        retry_use: invariants::retry_use(&deployment, &records)
+            .map(|(_, worst)| worst.fraction())
+            .into_iter()
+            .fold(0.0, f64::max),
         served: records.iter().filter(|r| r.outcome.is_served()).count(),
         violations,
     })
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -91,10 +91,11 @@
         schedule,
         requests,
         served,
+        retry_use,
         violations,
     } = report;
     println!(
-        "seed {seed}: {served} of {requests} served, {} faults",
+        "seed {seed}: {served} of {requests} served, {} faults, {retry_use:.2} of the retry budget used",
         schedule.len()
     );
     if violations.is_empty() {
