--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -28,6 +28,7 @@
 mod reachability;
 mod response_times;
 mod retry_budget;
+mod retry_fleet;
 mod rollout;
 mod rollout_conflict;
 mod routes;
