Record silence only of streams that may be resumed

A stream that must not be resumed has always waited for its source until the deadline, and its silence was not taken for a sign of lost links.

--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -96,7 +96,7 @@
 impl EarlierAttempts {
     /// Removes it from the headers of a delegated request.
     pub(super) fn take_from(headers: &mut HeaderMap) -> Self {
-        let count = attempts(headers);
+        let count = attempts_in(headers);
         headers.remove(ATTEMPTS);
         Self {
             count,
@@ -115,7 +115,7 @@
 }
 
 /// Returns the number of upstreams to which a request has been sent, according to another daemon.
-fn attempts(headers: &HeaderMap) -> u32 {
+fn attempts_in(headers: &HeaderMap) -> u32 {
     let attempts = headers.get(ATTEMPTS);
     let attempts = attempts.and_then(|v| v.to_str().ok()?.parse().ok());
     attempts.unwrap_or_default()
@@ -228,7 +228,7 @@
         let status = response.response.status();
         let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE
             && response.response.headers().contains_key(NOT_RUN);
-        let attempts = attempts(response.response.headers());
+        let attempts = attempts_in(response.response.headers());
         let headers = headers_for_caller(response.response.headers());
         let body = self.shared.body_memory.read(response.response.into_body());
         let body = match tokio::time::timeout(remaining, body).await {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -222,7 +222,8 @@
                 Received::Frame(None) => break,
                 Received::Nothing if self.remaining().is_zero() => return StreamEnd::Timeout,
                 Received::Nothing => {
-                    if !std::mem::replace(&mut was_silent, true) {
+                    let is_first = !std::mem::replace(&mut was_silent, true);
+                    if is_first && self.exchange.call.route.is_retryable() {
                         self.exchange.record_silent(source);
                     }
                     continue;
