--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -353,6 +353,11 @@
         peak.parse().expect("a number")
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Returns the address for callers.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         address(self.ip, Port::Front)
