Bound the memory of all request bodies together

Callers saw connections break and refusals, as processes ran out of memory: bodies of legal size, whole or short of their end, in pieces or chunks, were counted each alone, held twice while they were completed, grown by doubling, and had a timeout for each frame instead of one for the body, so that one that went on byte by byte had no end.

Now all bodies of a gateway share a budget of a fifth of memory_mb. They are held in blocks of 16 KiB, which are counted as they are allocated, and sent from there without a copy; they count until the last attempt has ended. Without room a large body that receives less than 64 KiB/s gives way, or the youngest, and a quarter is left to bodies of up to 64 KiB; who finds no room gets 503 with Retry-After, not run. A body must be complete by the request's deadline (408).

A body of one-byte chunks, and one of 4 MiB less 1 in calm, are still served.

--- a/src/coordination/dispatch/poison.rs
+++ b/src/coordination/dispatch/poison.rs
@@ -34,17 +34,21 @@
 /// What crashes under one request are counted by.
 pub type Suspects = Arc<[SuspectAt]>;
 
-/// Returns the fingerprint of a customer's request.
-pub fn fingerprint(customer: Option<&str>, path: &str, body: &[u8]) -> Fingerprint {
+/// Returns the fingerprint of a customer's request, whose body comes in blocks.
+pub fn fingerprint(
+    customer: Option<&str>,
+    path: &str,
+    body: impl IntoIterator<Item: AsRef<[u8]>>,
+) -> Fingerprint {
     let mut hash = Xxh3::new();
-    for part in [
-        customer.unwrap_or_default().as_bytes(),
-        path.as_bytes(),
-        body,
-    ] {
-        hash.update(part);
+    for part in [customer.unwrap_or_default(), path] {
+        hash.update(part.as_bytes());
         hash.update(&[0xff]);
     }
+    for block in body {
+        hash.update(block.as_ref());
+    }
+    hash.update(&[0xff]);
     hash.digest()
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod bills;
+pub mod body_budget;
 pub mod cascade;
 pub mod claims;
 pub mod configuration;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,20 +9,21 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use derive_more::Display;
 use http::{
     Request, Response,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use platform::net;
 use thiserror::Error;
 use tokio::task::JoinHandle;
 
-use crate::gateway::read_limit::{HeadLimit, LimitedReads};
+use crate::{
+    gateway::read_limit::{HeadLimit, LimitedReads},
+    transport::body_memory::HeldBodyStream,
+};
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -103,7 +104,7 @@
 pub async fn send(
     local: IpAddr,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: Request<HeldBodyStream>,
     response_timeout: Duration,
 ) -> Result<UpstreamResponse, AttemptError> {
     let connect_timeout = CONNECT_TIMEOUT.min(response_timeout);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,11 +5,9 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http::{HeaderMap, Method, Request, Version, uri::PathAndQuery};
-use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use platform::{
     CustomerName, ServiceName,
     configuration::{Route, RouteKind},
@@ -23,12 +21,11 @@
         routes::{RouteError, Routes},
     },
     gateway::{reply::RefusalReason, shared::Shared},
+    transport::body_memory::{BodyError, HeldBody},
 };
 
 /// Default time that a caller waits, used when the request has no deadline.
 pub(super) const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
-/// Timeout for each frame of a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A request to be served.
 #[derive(Debug)]
@@ -42,7 +39,7 @@
     /// Path and query.
     pub path: PathAndQuery,
     /// The complete body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// The route that matched.
     pub route: Arc<Route>,
     /// The customer that the API key identifies; absent if the route needs no key.
@@ -90,13 +87,18 @@
         if matched.route.kind == RouteKind::Streaming && parts.version < Version::HTTP_11 {
             return Err(RefusalReason::HttpVersion);
         }
-        let limit = routes.configuration().limits.body_bytes;
-        let body = read_body(body, limit).await?;
         let route = matched.route;
         let caller_timeout = head
             .caller_timeout
             .unwrap_or(DEFAULT_CALLER_TIMEOUT)
             .min(route.timeout);
+        let limit = routes.configuration().limits.body_bytes;
+        let body = shared.request_bodies.read(body, limit);
+        // The rest of a body that is late would be in vain.
+        let body = tokio::time::timeout(caller_timeout, body)
+            .await
+            .map_err(|_| RefusalReason::BodyTimeout)?
+            .map_err(refusal_reason)?;
         let session = head
             .session
             .as_deref()
@@ -105,7 +107,7 @@
         Ok(Self {
             session: xxh3_64(session.as_bytes()),
             suspects: poison::suspects(
-                poison::fingerprint(matched.customer.as_deref(), path.as_str(), &body),
+                poison::fingerprint(matched.customer.as_deref(), path.as_str(), body.blocks()),
                 head.prompt.as_ref(),
             ),
             customer: matched.customer,
@@ -164,36 +166,10 @@
     Ok(service)
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, RefusalReason> {
-    if body.size_hint().lower() > u64::try_from(limit).unwrap_or(u64::MAX) {
-        return Err(RefusalReason::BodyTooLarge);
-    }
-    let mut first = None;
-    let mut more = BytesMut::new();
-    loop {
-        let frame = match tokio::time::timeout(BODY_TIMEOUT, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => break,
-            Ok(Some(Err(_))) | Err(_) => return Err(RefusalReason::BodyBroken),
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        match &first {
-            None => first = Some(data),
-            Some(_) => more.extend_from_slice(&data),
-        }
-        let received = first.as_ref().map_or(0, Bytes::len) + more.len();
-        if received > limit {
-            return Err(RefusalReason::BodyTooLarge);
-        }
-    }
-    let first = first.unwrap_or_default();
-    if more.is_empty() {
-        return Ok(first);
+fn refusal_reason(e: BodyError) -> RefusalReason {
+    match e {
+        BodyError::TooLarge { .. } => RefusalReason::BodyTooLarge,
+        BodyError::NoMemory => RefusalReason::NoMemory,
+        BodyError::Broken(_) => RefusalReason::BodyBroken,
     }
-    let mut all = BytesMut::with_capacity(first.len() + more.len());
-    all.extend_from_slice(&first);
-    all.extend_from_slice(&more);
-    Ok(all.freeze())
 }
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -11,7 +11,6 @@
 use compact_str::ToCompactString;
 use derive_more::Display;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, Uri};
-use http_body_util::Full;
 use platform::{
     configuration::RouteKind,
     headers::{self, headers_for_daemon},
@@ -28,6 +27,7 @@
         settings::Settings,
         target::Target,
     },
+    transport::body_memory::HeldBodyStream,
 };
 
 /// Header with the number of upstreams that a delegated request has been sent to, in the request and in a refusal.
@@ -165,7 +165,7 @@
             is_counted: counted_by == CountedBy::Sender,
         };
         earlier.add_to(&mut headers);
-        let mut request = Request::new(Full::new(self.call.body.clone()));
+        let mut request = Request::new(HeldBodyStream::from(self.call.body.clone()));
         *request.method_mut() = self.call.method.clone();
         *request.uri_mut() = Uri::from(self.call.path.clone());
         *request.headers_mut() = headers;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,11 +5,9 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use derive_more::Display;
 use http::{Request, Response, Uri, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::{
     UpstreamId,
@@ -18,6 +16,7 @@
 
 use crate::{
     coordination::{
+        body_budget::STALL_TIME,
         dispatch::{crash_evidence::Suspect, heartbeat::DaemonName, waiting::Rejection},
         execution::ExecutionEvidence,
     },
@@ -33,6 +32,7 @@
         shared::{Shared, SlotGuard},
         target::Target,
     },
+    transport::body_memory::HeldBodyStream,
 };
 
 /// Maximum number of upstreams that may be unreachable before a request is refused.
@@ -70,7 +70,12 @@
     let call = match Call::read(&shared, req).await {
         Ok(call) => call,
         Err(reason) => {
-            let wait = (reason == RefusalReason::NoConfiguration).then_some(STARTUP_RETRY_AFTER);
+            let wait = match reason {
+                RefusalReason::NoConfiguration => Some(STARTUP_RETRY_AFTER),
+                // Bodies that stop short give way by then.
+                RefusalReason::NoMemory => Some(STALL_TIME),
+                _ => None,
+            };
             let routes = shared.dispatcher().routes();
             let generation = routes.map_or(0, |routes| routes.configuration().generation);
             log::info!("event=refused id={id} reason={reason} generation={generation}");
@@ -233,7 +238,7 @@
     }
 
     /// Builds the request for the upstream of a slot; `after` resumes a stream after that event.
-    pub fn request(&self, slot: &SlotGuard, after: Option<u64>) -> Request<Full<Bytes>> {
+    pub fn request(&self, slot: &SlotGuard, after: Option<u64>) -> Request<HeldBodyStream> {
         let remaining = self.call.remaining(self.shared.now());
         let headers = headers_for_upstream(
             &self.call.headers,
@@ -246,7 +251,7 @@
                 last_event_id: after,
             },
         );
-        let mut request = Request::new(Full::new(self.call.body.clone()));
+        let mut request = Request::new(HeldBodyStream::from(self.call.body.clone()));
         *request.method_mut() = self.call.method.clone();
         *request.uri_mut() = Uri::from(self.call.path.clone());
         *request.headers_mut() = headers;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -254,6 +254,7 @@
     let is_stalled = shared.follow_progress.is_stalled();
     set("not_followed", usize::from(is_stalled));
     set("bytes_held_for_callers", shared.send_buffers.held());
+    set("bytes_of_requests", shared.request_bodies.held());
     crate::metrics::render()
 }
 
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -4,7 +4,6 @@
 
 use futures::future::join_all;
 use http::Request;
-use http_body_util::Full;
 use platform::headers::headers_for_probe;
 
 use crate::{
@@ -14,6 +13,7 @@
         metrics,
         shared::Shared,
     },
+    transport::body_memory::HeldBody,
 };
 
 /// Time for an upstream to answer; sound ones answer such a request within 100 ms.
@@ -64,7 +64,7 @@
 /// Sends an upstream a request that it answers without running it. An open connection alone proves nothing,
 /// as a proxy or a firewall may have accepted it.
 async fn probe(local: IpAddr, target: &ProbeTarget) -> Result<(), Loss> {
-    let mut request = Request::new(Full::default());
+    let mut request = Request::new(HeldBody::default().into());
     *request.headers_mut() = headers_for_probe(target.address, ANSWER_TIMEOUT);
     match attempt::send(local, target.address, request, ANSWER_TIMEOUT).await {
         Ok(_) => Ok(()),
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -39,8 +39,12 @@
     HttpVersion,
     /// The request body exceeds the limit.
     BodyTooLarge,
-    /// The request body is incomplete or arrived too slowly.
+    /// The request body is incomplete.
     BodyBroken,
+    /// The request body did not arrive before the request's deadline.
+    BodyTimeout,
+    /// No memory is left for the request body.
+    NoMemory,
     /// The gateway has not read a configuration yet.
     NoConfiguration,
     /// The daemon is shutting down and exits before the request's deadline.
@@ -69,7 +73,9 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoCustomer => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoConfiguration
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory
+            | Self::NoConfiguration
             | Self::Leaving
             | Self::NoSlot
             | Self::Poison
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,15 +10,11 @@
 use serde::Deserialize;
 
 use crate::{
+    budgets::Budgets,
     coordination::dispatch::{FleetLimits, retry_budget::RetryLimit},
     state::document::{Document, DocumentError},
 };
 
-/// Maximum number of bytes held for all callers if the instance's memory is not known.
-const DEFAULT_SEND_BUFFER_BYTES: usize = 16 << 20;
-/// The part of the instance's memory that may be held for callers is one in this many.
-const SEND_BUFFER_DIVISOR: f64 = 8.0;
-
 /// Settings of a gateway; the suffix of a duration's name gives its unit.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -102,16 +98,9 @@
         self.link_mbps as u32
     }
 
-    /// Returns the maximum number of bytes of events that are held for all callers.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the setting is checked"
-    )]
-    pub fn send_buffer_bytes(&self) -> usize {
-        self.memory_mb.map_or(DEFAULT_SEND_BUFFER_BYTES, |mb| {
-            (mb * 1e6 / SEND_BUFFER_DIVISOR) as usize
-        })
+    /// Returns how the instance's memory is shared out.
+    pub fn budgets(&self) -> Budgets {
+        Budgets::new(self.memory_mb)
     }
 
     /// Returns the time between a shutdown request and the end of the process.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -30,6 +30,7 @@
         settings::Settings,
         waiting::{self, Waiters},
     },
+    transport,
 };
 
 /// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
@@ -54,6 +55,8 @@
     pub table_era: EraTracker,
     /// What is accepted and waited for during shutdown.
     pub drain: Drain,
+    /// Memory for the bodies of requests.
+    pub request_bodies: Arc<transport::body_memory::BodyMemory>,
     /// Memory for response bodies that are read as a whole.
     pub body_memory: Arc<BodyMemory>,
     /// The events that are held for callers.
@@ -87,7 +90,11 @@
         let mut dispatcher =
             Dispatcher::new(me.clone(), settings.domain.clone(), settings.limits(), seed);
         dispatcher.set_link_mbps(settings.whole_link_mbps());
-        let send_buffers = SendBuffers::new(settings.send_buffer_bytes(), clock.clone());
+        let budgets = settings.budgets();
+        log::info!("event=budgets {budgets}");
+        let request_bodies =
+            transport::body_memory::BodyMemory::new(budgets.request_bytes, clock.clone());
+        let send_buffers = SendBuffers::new(budgets.send_buffer_bytes, clock.clone());
         dispatcher.set_may_delegate(settings.delegation_address().is_some());
         let follow_progress = FollowProgress::new(clock.now());
         Self {
@@ -101,6 +108,7 @@
             newest_peer_version: watch::Sender::new(RowVersion::default()),
             table_era: EraTracker::default(),
             drain: Drain::default(),
+            request_bodies: Arc::new(request_bodies),
             body_memory: Arc::default(),
             send_buffers: Arc::new(send_buffers),
             waiters: Waiters::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! (typed messages and codecs) → `coordination` (decisions, free of I/O) → `state`
 //! (objects, snapshots, counts). `daemon` assembles them into one process.
 
+pub mod budgets;
 pub mod cli;
 pub mod clock;
 pub mod commands;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Transport layer: sockets, HTTP servers and clients, and connections between peers.
 
+pub mod body_memory;
 pub mod engine;
 pub mod engine_link;
 pub mod gossip;
--- /dev/null
+++ b/tests/client_limits/main.rs
@@ -0,0 +1,3 @@
+//! Which bodies and connections give way to others, without a network.
+
+mod bodies;
--- a/tests/dispatch/crash_storm.rs
+++ b/tests/dispatch/crash_storm.rs
@@ -137,7 +137,7 @@
         };
         let body = self.requests.to_le_bytes();
         Request {
-            suspects: suspects(fingerprint(Some("t1"), "/a/", &body), Some(&prompt)),
+            suspects: suspects(fingerprint(Some("t1"), "/a/", [&body]), Some(&prompt)),
             daemon: self.rng.random_range(0..DAEMONS),
             crashing,
             attempts: 0,
@@ -150,7 +150,7 @@
     }
 
     fn incarnation(&self, upstream: usize) -> u64 {
-        fingerprint(None, &self.id(upstream), b"")
+        fingerprint(None, &self.id(upstream), [b""])
     }
 
     /// Sends a request to an upstream that accepts connections, unless it is refused.
--- a/tests/dispatch/poison.rs
+++ b/tests/dispatch/poison.rs
@@ -30,7 +30,7 @@
         ..Prompt::default()
     };
     let body = n.to_le_bytes();
-    suspects(fingerprint(Some("t1"), "/a/", &body), Some(&prompt))
+    suspects(fingerprint(Some("t1"), "/a/", [&body]), Some(&prompt))
 }
 
 fn begin(poison: &mut PoisonTracker, upstream: &str, suspects: &Suspects, now: Instant) {
@@ -38,7 +38,7 @@
 }
 
 fn incarnation(upstream: &str) -> u64 {
-    fingerprint(None, upstream, b"")
+    fingerprint(None, upstream, [b""])
 }
 
 /// Runs requests on an upstream that then crashes.
@@ -109,10 +109,10 @@
 
 #[test]
 fn fingerprint_distinguishes_customers_paths_and_bodies() {
-    let f = fingerprint(Some("t1"), "/a/", b"body");
-    assert_ne!(f, fingerprint(Some("t2"), "/a/", b"body"));
-    assert_ne!(f, fingerprint(Some("t1"), "/a/b", b"ody"));
-    assert_eq!(f, fingerprint(Some("t1"), "/a/", b"body"));
+    let f = fingerprint(Some("t1"), "/a/", [b"body"]);
+    assert_ne!(f, fingerprint(Some("t2"), "/a/", [b"body"]));
+    assert_ne!(f, fingerprint(Some("t1"), "/a/b", [b"ody"]));
+    assert_eq!(f, fingerprint(Some("t1"), "/a/", [b"body"]));
 }
 
 #[test]
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -346,7 +346,7 @@
 
     /// Returns the largest resident memory of the process so far in kB.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process_id()));
         let status = status.expect("the process runs");
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let peak = peak.expect("a peak").trim().trim_end_matches(" kB");
