Count the bodies of responses until their callers have taken them

A crowd of 96 callers that asked for answers of 1 MiB and did not read them took 146 MB of 64: an answer counted towards the memory for responses only while it was read from its upstream, its buffer could be twice as large, and the limit was 48 MiB on every instance, more than a third of the smallest.

Answers are now read with the module for request bodies, within an eighth of memory_mb, and count until the last block has been written to the caller.

--- a/src/budgets.rs
+++ b/src/budgets.rs
@@ -1,5 +1,5 @@
-//! How the memory of an instance is shared out: a fifth for the bodies of requests, and an eighth for streams
-//! that callers read slowly.
+//! How the memory of an instance is shared out: a fifth for the bodies of requests, and an eighth each for the
+//! bodies of responses and for streams that callers read slowly.
 
 use derive_more::Display;
 
@@ -10,10 +10,14 @@
 
 /// The parts of an instance's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[display("request_bytes={request_bytes} send_buffer_bytes={send_buffer_bytes}")]
+#[display(
+    "request_bytes={request_bytes} response_bytes={response_bytes} send_buffer_bytes={send_buffer_bytes}"
+)]
 pub struct Budgets {
     /// Bytes for the bodies of requests.
     pub request_bytes: usize,
+    /// Bytes for the bodies of responses that are read as a whole.
+    pub response_bytes: usize,
     /// Bytes for streams that callers have not accepted yet.
     pub send_buffer_bytes: usize,
 }
@@ -29,6 +33,7 @@
         let memory = (memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6) as usize;
         Self {
             request_bytes: (memory / 5).max(MIN_REQUEST_BYTES),
+            response_bytes: memory / 8,
             send_buffer_bytes: memory / 8,
         }
     }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -119,7 +119,7 @@
         let headers = delegate::headers_for_caller(upstream_response.response.headers());
         // Dropping `upstream_response` closes the connection, so it is kept until the body is read.
         let body = upstream_response.response.into_body();
-        let body = self.shared.body_memory.read(body);
+        let body = self.shared.read_response(body);
         let body = match tokio::time::timeout(remaining, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(e)) => {
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -230,7 +230,7 @@
             && response.response.headers().contains_key(NOT_RUN);
         let attempts = attempts_in(response.response.headers());
         let headers = headers_for_caller(response.response.headers());
-        let body = self.shared.body_memory.read(response.response.into_body());
+        let body = self.shared.read_response(response.response.into_body());
         let body = match tokio::time::timeout(remaining, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(e)) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -255,6 +255,7 @@
     set("not_followed", usize::from(is_stalled));
     set("bytes_held_for_callers", shared.send_buffers.held());
     set("bytes_of_requests", shared.request_bodies.held());
+    set("bytes_of_responses", shared.response_bodies.held());
     crate::metrics::render()
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,7 +29,6 @@
 
 mod answer;
 pub mod attempt;
-pub mod body_memory;
 pub mod call;
 pub mod datagram;
 pub mod delegate;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -14,6 +14,7 @@
     coordination::execution::{NotRun, promises_not_run},
     gateway::send_buffer::SendBody,
     protocol::problem::{ExecutionState, MEDIA_TYPE},
+    transport::body_memory::{HeldBody, HeldBodyStream},
 };
 
 /// Error for a stream that ended before its last event; the connection is closed without a final
@@ -23,7 +24,7 @@
 pub struct StreamAborted;
 
 /// A response body, either buffered or streamed.
-pub type Body = Either<Full<Bytes>, SendBody>;
+pub type Body = Either<HeldBodyStream, SendBody>;
 
 /// Why the gateway responds to a request itself instead of forwarding an upstream's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
@@ -134,7 +135,7 @@
     /// Creates the gateway's own refusal; `wait` becomes the `Retry-After` header.
     pub fn refusal(reason: RefusalReason, wait: Option<Duration>, not_run: Option<NotRun>) -> Self {
         let reason = reason.proved_by(not_run);
-        let mut response = Response::new(Either::Left(Full::new(reason.problem(not_run))));
+        let mut response = whole_response(reason.problem(not_run).into());
         *response.status_mut() = reason.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
@@ -151,13 +152,13 @@
         if promises_not_run(answer.status) {
             return None;
         }
-        let body = Either::Left(Full::new(answer.body));
+        let body = Either::Left(answer.body.into());
         Some(Self(build_response(answer.status, answer.headers, body)))
     }
 
     /// Creates the response from the refusal of another daemon.
     pub fn peer_refusal(refusal: UpstreamAnswer, _not_run: NotRun) -> Self {
-        let body = Either::Left(Full::new(refusal.body));
+        let body = Either::Left(refusal.body.into());
         Self(build_response(refusal.status, refusal.headers, body))
     }
 
@@ -191,7 +192,7 @@
     /// Headers for the caller.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: HeldBody,
 }
 
 /// Builds a response of the directory, the readiness check or the metrics endpoint.
@@ -203,6 +204,10 @@
     response
 }
 
+fn whole_response(body: HeldBody) -> Response<Body> {
+    Response::new(Either::Left(body.into()))
+}
+
 /// Result type of hyper services that cannot fail.
 pub type InfallibleResult<T> = Result<T, Infallible>;
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use hyper::body::Incoming;
 use platform::{EraTracker, RowVersion};
 use tokio::{
     net::UdpSocket,
@@ -23,20 +24,22 @@
         heartbeat::{PeerId, Readiness},
     },
     gateway::{
-        body_memory::BodyMemory,
         drain::Drain,
         progress::FollowProgress,
         send_buffer::SendBuffers,
         settings::Settings,
         waiting::{self, Waiters},
     },
-    transport,
+    transport::body_memory::{BodyError, BodyMemory, HeldBody},
 };
 
 /// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
 /// from a peer at once.
 const STARTUP_TIME: Duration = Duration::from_millis(500);
 
+/// Maximum size in bytes of a response body that is read as a whole.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// State shared by the tasks of one gateway.
 pub struct Shared {
     /// The settings that the process started with.
@@ -56,9 +59,9 @@
     /// What is accepted and waited for during shutdown.
     pub drain: Drain,
     /// Memory for the bodies of requests.
-    pub request_bodies: Arc<transport::body_memory::BodyMemory>,
+    pub request_bodies: Arc<BodyMemory>,
     /// Memory for response bodies that are read as a whole.
-    pub body_memory: Arc<BodyMemory>,
+    pub response_bodies: Arc<BodyMemory>,
     /// The events that are held for callers.
     pub send_buffers: Arc<SendBuffers>,
     /// The requests that wait for an upstream with room.
@@ -92,8 +95,7 @@
         dispatcher.set_link_mbps(settings.whole_link_mbps());
         let budgets = settings.budgets();
         log::info!("event=budgets {budgets}");
-        let request_bodies =
-            transport::body_memory::BodyMemory::new(budgets.request_bytes, clock.clone());
+        let bodies = |limit| Arc::new(BodyMemory::new(limit, clock.clone()));
         let send_buffers = SendBuffers::new(budgets.send_buffer_bytes, clock.clone());
         dispatcher.set_may_delegate(settings.delegation_address().is_some());
         let follow_progress = FollowProgress::new(clock.now());
@@ -102,14 +104,14 @@
             has_tables: watch::Sender::new(false),
             settings,
             me,
-            clock,
+            clock: clock.clone(),
             urgent_heartbeat: Notify::new(),
             connection_lost: Notify::new(),
             newest_peer_version: watch::Sender::new(RowVersion::default()),
             table_era: EraTracker::default(),
             drain: Drain::default(),
-            request_bodies: Arc::new(request_bodies),
-            body_memory: Arc::default(),
+            request_bodies: bodies(budgets.request_bytes),
+            response_bodies: bodies(budgets.response_bytes),
             send_buffers: Arc::new(send_buffers),
             waiters: Waiters::default(),
             follow_progress,
@@ -122,6 +124,11 @@
         }
     }
 
+    /// Reads the body of a response as a whole.
+    pub async fn read_response(&self, body: Incoming) -> Result<HeldBody, BodyError> {
+        self.response_bodies.read(body, MAX_RESPONSE_BYTES).await
+    }
+
     /// Records that this daemon has read the list of its peers.
     pub fn set_knows_peers(&self) {
         self.knows_peers.store(true, Ordering::Relaxed);
--- a/tests/clients/refusals.rs
+++ b/tests/clients/refusals.rs
@@ -2,7 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use stand_in::gateway::caller;
+use serde_json::json;
+use stand_in::gateway::{caller, raw_upstream::RawUpstream, upstream::FakeUpstream};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -12,6 +13,7 @@
 use crate::{
     crowd::{BODY_LIMIT, Script},
     gateway::{CROWD, Deployment},
+    harness::wait_until,
 };
 
 const LOOK: &str = "POST /look/1";
@@ -144,7 +146,7 @@
     Arc::make_mut(&mut script.body).extend_from_slice(b"0\r\n\r\n");
     let line = script.send_and_read(address, "o").await;
     assert_eq!(line, "HTTP/1.1 200 OK");
-    let runs = deployment.harness.plain_upstreams().map(|u| u.runs());
+    let runs = deployment.harness.plain_upstreams().map(FakeUpstream::runs);
     let run = runs.iter().flatten().find(|run| run.id == "o");
     assert_eq!(run.expect("a run").body.len(), CONTENT);
 }
@@ -165,6 +167,33 @@
     deployment.assert_bears(CROWD * 6, &script).await;
 }
 
+/// An answer that had been read counted no more, although nobody took it.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_is_bounded_if_large_answers_are_not_read() {
+    const CLIENTS: usize = 96;
+    const ANSWER_BYTES: usize = 1 << 20;
+    let deployment = Deployment::spawn().await;
+    let upstream = RawUpstream::spawn(|request| {
+        let id = &request.id;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nresponse-seal: s\r\nrequest-id: {id}\r\ncontent-length: {ANSWER_BYTES}\r\n\r\n"
+        );
+        [head.into_bytes(), vec![b'x'; ANSWER_BYTES]].concat()
+    })
+    .await;
+    let harness = &deployment.harness;
+    let row = json!({
+        "service": "desk", "address": upstream.address(), "zone": "a", "version": "v1",
+        "slots": CLIENTS, "state": "ready", "cold_remaining_ms": 0, "born": 1,
+    });
+    harness.table.put("servers", "x1", &row);
+    let joined = "event=upstream_joined upstream=x1";
+    wait_until(|| async { harness.gateways[0].log().contains(joined) }).await;
+    harness.remove_plain_upstreams().await;
+    let script = Script::with_length(LOOK, 10, 10);
+    deployment.assert_bears(CLIENTS, &script).await;
+}
+
 /// A client that is refused as it lacks a key may send its next request on the same connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn connection_is_used_again_after_a_refusal() {
--- a/tests/execution.rs
+++ b/tests/execution.rs
@@ -28,7 +28,7 @@
     UpstreamAnswer {
         status,
         headers,
-        body: Bytes::from_static(b"answer"),
+        body: Bytes::from_static(b"answer").into(),
     }
 }
 
