Bound the connections of callers by memory and descriptors

A crowd that sent nothing, part of a head or a short body took all descriptors (721 of the 400 that a test's instance has for sockets), so that none was left for upstreams and the table; 1,800 small bodies short of their end took 184 MB of 64. Nothing bounded the number of connections, the kernel received up to 128 kB for each that was not read (6 MB after a fast upload), and the limit on the time of a head (header_timeout_ms) was not read: a head without end stayed for the idle timeout.

Each listener now has a table of connections. Its size follows from memory_mb and the new setting max_open_files (taken from the platform's limits); budgets.rs shares out both, and a test checks that the parts fit together on the instances in force. A new connection takes the place of one that does least: closing, in a head, without any byte, receiving a body for over a second, idle; never of one whose request is served. The receive buffer is 16 KiB (24 KiB unread), the backlog follows from memory, heads end by header_timeout_ms, not counting pauses of the process. Readiness check, directory, metrics and the listener for peers have tables, too.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod cascade;
 pub mod claims;
 pub mod configuration;
+pub mod connection_table;
 pub mod decisions;
 pub mod dispatch;
 pub mod execution;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,7 +7,6 @@
 
 use compact_str::CompactString;
 use http::{HeaderMap, Method, Request, Version, uri::PathAndQuery};
-use hyper::body::Incoming;
 use platform::{
     CustomerName, ServiceName,
     configuration::{Route, RouteKind},
@@ -21,7 +20,10 @@
         routes::{RouteError, Routes},
     },
     gateway::{reply::RefusalReason, shared::Shared},
-    transport::body_memory::{BodyError, HeldBody},
+    transport::{
+        body_memory::{BodyError, HeldBody},
+        caller_stream::RequestBody,
+    },
 };
 
 /// Default time that a caller waits, used when the request has no deadline.
@@ -62,7 +64,7 @@
 
 impl Call {
     /// Reads a request and matches it to a route.
-    pub async fn read(shared: &Shared, req: Request<Incoming>) -> Result<Self, RefusalReason> {
+    pub async fn read(shared: &Shared, req: Request<RequestBody>) -> Result<Self, RefusalReason> {
         let arrived_at = shared.now();
         let routes = shared
             .dispatcher()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,7 +8,6 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use http::{Request, Response, Uri, header};
-use hyper::body::Incoming;
 use platform::{
     UpstreamId,
     headers::{ResponseHead, UpstreamHead, headers_for_upstream, request_id},
@@ -32,7 +31,7 @@
         shared::{Shared, SlotGuard},
         target::Target,
     },
-    transport::body_memory::HeldBodyStream,
+    transport::{body_memory::HeldBodyStream, caller_stream::RequestBody},
 };
 
 /// Maximum number of upstreams that may be unreachable before a request is refused.
@@ -58,7 +57,7 @@
 pub async fn serve(
     shared: Arc<Shared>,
     origin: Origin,
-    mut req: Request<Incoming>,
+    mut req: Request<RequestBody>,
 ) -> Response<Body> {
     let arrived_at = shared.now();
     let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -13,7 +13,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::{Notify, watch},
+    sync::watch,
     task::JoinSet,
 };
 
@@ -27,10 +27,15 @@
         send_budget::STALL_TIMEOUT,
         shared::Shared,
     },
+    transport::{
+        caller_connections::CallerConnection,
+        caller_stream::{CallerStream, RequestBody, ResponseBody},
+    },
 };
 
-/// Maximum number of connections waiting to be accepted.
-const BACKLOG: u32 = 1_024;
+/// Bytes that the kernel receives for a connection whose process does not read; Linux doubles the number for
+/// its own records. Without this limit it receives up to 6 MB for a connection that has been fast.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 /// Delay after a failed accept, such as when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How long a caller's host may be silent before the connection is closed. Linux counts a caller that does
@@ -48,15 +53,20 @@
 /// How long callers may cache a directory response.
 const DIRECTORY_TTL: Duration = Duration::from_secs(1);
 
-/// Listens on an address; `SO_REUSEADDR` allows this right after a previous process used it.
-pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+/// Listens on an address with at most `backlog` connections that wait to be accepted; `SO_REUSEADDR` allows
+/// this right after a previous process used it.
+pub fn bind(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the size, which limits the receive window only if it is set before.
+    if let Err(e) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!("event=socket_options listener={address} error=\"{e}\"");
+    }
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 /// Accepts requests until `stop` is set, then completes those in flight.
@@ -70,22 +80,33 @@
         shared: shared.clone(),
         origin,
     };
+    let table = shared.connections(origin).clone();
     let mut connections = JoinSet::new();
     let connection_stop = stop.clone();
     loop {
         tokio::select! {
             stream = accept(&listener) => {
+                // Without a place the connection is closed at once, so that the caller can ask another daemon.
+                let Some(connection) = table.open().await else {
+                    continue;
+                };
                 let stop = connection_stop.clone();
-                connections.spawn(serve_connection(shared.clone(), origin, stream, stop));
+                let served = serve_connection(shared.clone(), origin, stream, connection, stop);
+                connections.spawn(served);
             }
             Some(_) = connections.join_next() => {}
-            _ = stop.wait_for(|stop| *stop) => break,
+            () = wait_for_stop(&mut stop) => break,
         }
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
+    // An error means that the sender was dropped because the process is exiting.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
 /// Takes the daemon out of the directory if it stops accepting callers.
 struct AcceptGuard {
     shared: Arc<Shared>,
@@ -104,6 +125,7 @@
     shared: Arc<Shared>,
     origin: Origin,
     stream: TcpStream,
+    connection: Arc<CallerConnection>,
     mut stop: watch::Receiver<bool>,
 ) {
     let options = net::set_silence_timeout(&stream, SILENCE_TIMEOUT)
@@ -119,42 +141,41 @@
         .as_ref()
         .map_or(DEFAULT_MAX_HEAD_BYTES, |l| l.head_bytes);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
-    let aborted = Arc::new(Notify::new());
-    let abort = aborted.clone();
-    let service = service_fn(move |req| {
-        let (shared, abort) = (shared.clone(), abort.clone());
+    let stream = CallerStream::new(stream, connection.clone());
+    let state = connection.clone();
+    let service = service_fn(move |req: Request<Incoming>| {
+        let (shared, state) = (shared.clone(), state.clone());
         async move {
+            let (parts, body) = req.into_parts();
+            let (body, request) = RequestBody::begin(body, state.clone());
+            let req = Request::from_parts(parts, body);
             let response = forward::serve(shared, origin, req).await;
             if let Either::Right(stream) = response.body() {
-                stream.set_connection(abort);
+                stream.set_connection(state.closer());
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, request)))
         }
     });
-    let connection = http1::Builder::new()
+    let served = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout starts when the connection becomes idle.
         .header_read_timeout(idle)
         .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let stop_requested = async move {
-        // An error means that the sender was dropped because the process is exiting.
-        let _ = stop.wait_for(|stop| *stop).await;
-    };
-    let mut aborted = std::pin::pin!(aborted.notified());
+    let mut served = std::pin::pin!(served);
+    let mut closed = std::pin::pin!(connection.closed());
     let result = tokio::select! {
-        result = connection.as_mut() => Some(result),
-        () = stop_requested => None,
-        () = aborted.as_mut() => return,
+        result = served.as_mut() => Some(result),
+        () = wait_for_stop(&mut stop) => None,
+        () = closed.as_mut() => return,
     };
     let result = match result {
         Some(result) => result,
         None => {
-            connection.as_mut().graceful_shutdown();
+            served.as_mut().graceful_shutdown();
             tokio::select! {
-                result = connection => result,
-                () = aborted => return,
+                result = served => result,
+                () = closed => return,
             }
         }
     };
@@ -167,6 +188,9 @@
 pub async fn serve_control(shared: Arc<Shared>, listener: Arc<TcpListener>) {
     loop {
         let stream = accept(&listener).await;
+        let Some(connection) = shared.control_connections.open().await else {
+            continue;
+        };
         let ends = stream.peer_addr().ok().zip(stream.local_addr().ok());
         let ends = ends.map(|(peer, local)| Ends { peer, local });
         let shared = shared.clone();
@@ -187,9 +211,15 @@
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .max_buf_size(DEFAULT_MAX_HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = served.await {
-                log::debug!("event=control_connection_ended error=\"{e}\"");
+            tokio::select! {
+                result = served => {
+                    if let Err(e) = result {
+                        log::debug!("event=control_connection_ended error=\"{e}\"");
+                    }
+                }
+                () = connection.closed() => {}
             }
         });
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,7 +13,7 @@
         Dispatcher, announcements::Announcement, overload::PRIORITIES, reachability::Loss,
         registry::Upstream,
     },
-    gateway::shared::Shared,
+    gateway::{forward::Origin, shared::Shared},
     metrics::{counter, gauge, histogram},
 };
 
@@ -256,6 +256,10 @@
     set("bytes_held_for_callers", shared.send_buffers.held());
     set("bytes_of_requests", shared.request_bodies.held());
     set("bytes_of_responses", shared.response_bodies.held());
+    set(
+        "caller_connections",
+        shared.connections(Origin::Caller).len(),
+    );
     crate::metrics::render()
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -66,6 +66,8 @@
 pub mod target;
 pub mod waiting;
 
+/// Maximum number of connections that wait to be accepted by a listener that is not for callers.
+const INTERNAL_BACKLOG: u32 = 256;
 /// Interval between removals of expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long new requests are accepted after a shutdown request, until cached directory responses
@@ -111,9 +113,12 @@
             .map_err(|source| StartError { address, source })?;
         let shared = Arc::new(Shared::new(settings, me, clock, seed, socket));
         let settings = &shared.settings;
-        let listen =
-            |address| listener::bind(address).map_err(|source| StartError { address, source });
-        let front = listen(settings.front)?;
+        let backlog = settings.budgets().backlog;
+        let bind = |address, backlog| {
+            listener::bind(address, backlog).map_err(|source| StartError { address, source })
+        };
+        let listen = |address| bind(address, backlog.min(INTERNAL_BACKLOG));
+        let front = bind(settings.front, backlog)?;
         let tasks = Supervisor::new(&shared.clock);
         let control = [Some(settings.ready), settings.directory, settings.metrics];
         for address in control.into_iter().flatten() {
@@ -208,6 +213,7 @@
 }
 
 async fn tick(shared: Arc<Shared>) {
+    let mut last_tick = shared.now();
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = shared.now();
@@ -223,12 +229,30 @@
         if let Some(pause) = shared.dispatcher().take_pause() {
             log::warn!("event=paused ms={}", pause.as_millis());
         }
+        close_late_heads(&shared, last_tick);
+        last_tick = now;
         if shared.dispatcher().needs_probes(now) {
             shared.connection_lost.notify_one();
         }
     }
 }
 
+/// Closes connections whose request heads do not end in time.
+fn close_late_heads(shared: &Shared, last_tick: Instant) {
+    let was_paused = shared.now().saturating_duration_since(last_tick) > TICK_INTERVAL * 2;
+    let routes = shared.dispatcher().routes();
+    let timeout = routes.map(|routes| routes.configuration().limits.head_timeout);
+    for origin in [Origin::Caller, Origin::Peer] {
+        let connections = shared.connections(origin);
+        if was_paused {
+            connections.resume();
+        }
+        if let Some(timeout) = timeout {
+            connections.close_late_heads(timeout);
+        }
+    }
+}
+
 /// Logs whether the tables are followed, and tells the other daemons not to rely on this one while they are not.
 fn report_progress(shared: &Shared) {
     let now = shared.now();
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 
 use crate::{
-    budgets::Budgets,
+    budgets::{Budgets, MIN_OPEN_FILES},
     coordination::dispatch::{FleetLimits, retry_budget::RetryLimit},
     state::document::{Document, DocumentError},
 };
@@ -46,6 +46,9 @@
     /// Memory of the instance in MB; absent if it is not limited.
     #[serde(default)]
     pub memory_mb: Option<f64>,
+    /// Number of descriptors that the process may open; absent if it is not limited.
+    #[serde(default)]
+    pub max_open_files: Option<u32>,
     /// First and last port for traffic between daemons.
     pub peer_ports: (u16, u16),
     /// Maximum time in seconds that callers may cache a directory response.
@@ -98,9 +101,9 @@
         self.link_mbps as u32
     }
 
-    /// Returns how the instance's memory is shared out.
+    /// Returns how the instance's memory and descriptors are shared out.
     pub fn budgets(&self) -> Budgets {
-        Budgets::new(self.memory_mb)
+        Budgets::new(self.memory_mb, self.max_open_files)
     }
 
     /// Returns the time between a shutdown request and the end of the process.
@@ -137,6 +140,9 @@
         if self.memory_mb.is_some_and(|mb| !(1.0..1e7).contains(&mb)) {
             return OutOfRange::for_key("memory_mb", "must be between 1 and 1e7");
         }
+        if self.max_open_files.is_some_and(|n| n < MIN_OPEN_FILES) {
+            return OutOfRange::for_key("max_open_files", "must be at least 256");
+        }
         if !(0.0..1e6).contains(&self.repeat_ratio) {
             return OutOfRange::for_key("repeat_ratio", "must be between 0 and 1e6");
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,12 +25,16 @@
     },
     gateway::{
         drain::Drain,
+        forward::Origin,
         progress::FollowProgress,
         send_buffer::SendBuffers,
         settings::Settings,
         waiting::{self, Waiters},
     },
-    transport::body_memory::{BodyError, BodyMemory, HeldBody},
+    transport::{
+        body_memory::{BodyError, BodyMemory, HeldBody},
+        caller_connections::CallerConnections,
+    },
 };
 
 /// Time after its start in which a daemon lets requests wait for the tables, which it usually learns
@@ -62,6 +66,14 @@
     pub request_bodies: Arc<BodyMemory>,
     /// Memory for response bodies that are read as a whole.
     pub response_bodies: Arc<BodyMemory>,
+    /// Connections of callers.
+    callers: Arc<CallerConnections>,
+    /// Connections of other daemons that delegate requests.
+    delegators: Arc<CallerConnections>,
+    /// Connections to the directory, the readiness check and the metrics.
+    pub control_connections: Arc<CallerConnections>,
+    /// Connections of peers that ask for changes.
+    pub peer_connections: Arc<CallerConnections>,
     /// The events that are held for callers.
     pub send_buffers: Arc<SendBuffers>,
     /// The requests that wait for an upstream with room.
@@ -95,8 +107,9 @@
         dispatcher.set_link_mbps(settings.whole_link_mbps());
         let budgets = settings.budgets();
         log::info!("event=budgets {budgets}");
-        let bodies = |limit| Arc::new(BodyMemory::new(limit, clock.clone()));
         let send_buffers = SendBuffers::new(budgets.send_buffer_bytes, clock.clone());
+        let bodies = |limit| Arc::new(BodyMemory::new(limit, clock.clone()));
+        let connections = |limit| Arc::new(CallerConnections::new(limit, clock.clone()));
         dispatcher.set_may_delegate(settings.delegation_address().is_some());
         let follow_progress = FollowProgress::new(clock.now());
         Self {
@@ -112,6 +125,10 @@
             drain: Drain::default(),
             request_bodies: bodies(budgets.request_bytes),
             response_bodies: bodies(budgets.response_bytes),
+            callers: connections(budgets.callers),
+            delegators: connections(budgets.delegators),
+            control_connections: connections(budgets.control),
+            peer_connections: connections(budgets.peers),
             send_buffers: Arc::new(send_buffers),
             waiters: Waiters::default(),
             follow_progress,
@@ -129,6 +146,14 @@
         self.response_bodies.read(body, MAX_RESPONSE_BYTES).await
     }
 
+    /// Returns the connections of callers or of other daemons.
+    pub fn connections(&self, origin: Origin) -> &Arc<CallerConnections> {
+        match origin {
+            Origin::Caller => &self.callers,
+            Origin::Peer => &self.delegators,
+        }
+    }
+
     /// Records that this daemon has read the list of its peers.
     pub fn set_knows_peers(&self) {
         self.knows_peers.store(true, Ordering::Relaxed);
--- a/src/gateway/table_service.rs
+++ b/src/gateway/table_service.rs
@@ -55,7 +55,16 @@
     });
     loop {
         let stream = accept(&listener).await;
-        tokio::spawn(serve_peer(service.clone(), stream));
+        let Some(connection) = service.shared.peer_connections.open().await else {
+            continue;
+        };
+        let service = service.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serve_peer(service, stream) => {}
+                () = connection.closed() => {}
+            }
+        });
     }
 }
 
--- /dev/null
+++ b/src/transport/caller_connections.rs
@@ -0,0 +1,196 @@
+//! The open connections of a listener, and what each of them does.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::sync::Notify;
+
+use crate::{
+    clock::SharedClock,
+    coordination::connection_table::{Admission, ConnectionId, ConnectionTable, Phase},
+};
+
+/// The connections of a listener.
+pub struct CallerConnections {
+    state: Mutex<State>,
+    clock: SharedClock,
+}
+
+struct State {
+    table: ConnectionTable,
+    /// Notified to close a connection at once.
+    closers: HashMap<ConnectionId, Arc<Notify>>,
+}
+
+impl CallerConnections {
+    /// Creates a listener's table of at most `limit` connections.
+    pub fn new(limit: usize, clock: SharedClock) -> Self {
+        Self {
+            state: Mutex::new(State {
+                table: ConnectionTable::new(limit),
+                closers: HashMap::new(),
+            }),
+            clock,
+        }
+    }
+
+    /// Admits a new connection; `None` if it must be closed. If another one gives way, its task closes it
+    /// before this returns, so that both are not open for long.
+    pub async fn open(self: &Arc<Self>) -> Option<Arc<CallerConnection>> {
+        let now = self.clock.now();
+        let admission = self.state().table.open(now);
+        let id = match admission {
+            Admission::Accepted(id) => id,
+            Admission::Replaces { accepted, closed } => {
+                self.state().close(closed);
+                tokio::task::yield_now().await;
+                accepted
+            }
+            Admission::Refused => return None,
+        };
+        Some(Arc::new(CallerConnection::new(self.clone(), id)))
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.state().table.len()
+    }
+
+    /// Returns whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Closes connections that have received the head of a request for this long without its end.
+    pub fn close_late_heads(&self, timeout: Duration) {
+        let mut state = self.state();
+        for id in state.table.late_heads(timeout, self.clock.now()) {
+            log::debug!("event=head_timeout connection={id}");
+            state.close(id);
+        }
+    }
+
+    /// Records that the process was paused until now.
+    pub fn resume(&self) {
+        self.state().table.resume(self.clock.now());
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_phase(&self, id: ConnectionId, phase: Phase) {
+        let now = self.clock.now();
+        self.state().table.set_phase(id, phase, now);
+    }
+}
+
+impl State {
+    fn close(&mut self, id: ConnectionId) {
+        self.table.close(id);
+        if let Some(closer) = self.closers.remove(&id) {
+            closer.notify_one();
+        }
+    }
+}
+
+/// An open connection.
+pub struct CallerConnection {
+    connections: Arc<CallerConnections>,
+    id: ConnectionId,
+    closer: Arc<Notify>,
+    /// Whether the next bytes begin the head of a request.
+    awaits_head: AtomicBool,
+    /// Number of requests whose responses have not been handed over.
+    active: AtomicUsize,
+    /// Whether the last response has been handed over, but perhaps not written.
+    is_answered: AtomicBool,
+}
+
+impl CallerConnection {
+    fn new(connections: Arc<CallerConnections>, id: ConnectionId) -> Self {
+        let closer = Arc::new(Notify::new());
+        connections.state().closers.insert(id, closer.clone());
+        Self {
+            connections,
+            id,
+            closer,
+            awaits_head: AtomicBool::new(true),
+            active: AtomicUsize::new(0),
+            is_answered: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns what is notified to close the connection at once.
+    pub fn closer(&self) -> Arc<Notify> {
+        self.closer.clone()
+    }
+
+    /// Waits until the connection must be closed.
+    pub async fn closed(&self) {
+        self.closer.notified().await;
+    }
+
+    /// Records that a request head has been received, until the guard is dropped with the response.
+    pub fn begin_request(self: &Arc<Self>, has_body: bool) -> RequestGuard {
+        self.active.fetch_add(1, Ordering::Relaxed);
+        self.awaits_head.store(false, Ordering::Relaxed);
+        self.is_answered.store(false, Ordering::Relaxed);
+        let phase = match has_body {
+            true => Phase::Body,
+            false => Phase::Serving,
+        };
+        self.connections.set_phase(self.id, phase);
+        RequestGuard(self.clone())
+    }
+
+    /// Records that the body has been received.
+    pub fn end_body(&self) {
+        self.connections.set_phase(self.id, Phase::Serving);
+    }
+
+    /// Records that the response of a request has been handed over.
+    fn end_response(&self) {
+        if self.active.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.is_answered.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that everything handed over has been written.
+    pub fn flushed(&self) {
+        if self.is_answered.swap(false, Ordering::Relaxed) {
+            self.awaits_head.store(true, Ordering::Relaxed);
+            self.connections.set_phase(self.id, Phase::Idle);
+        }
+    }
+
+    /// Records that bytes have been received.
+    pub fn receive(&self, bytes: usize) {
+        if bytes > 0 && self.awaits_head.swap(false, Ordering::Relaxed) {
+            self.connections.set_phase(self.id, Phase::Head);
+        }
+    }
+}
+
+/// A request whose response has not been handed over yet.
+pub struct RequestGuard(Arc<CallerConnection>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.end_response();
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        let mut state = self.connections.state();
+        state.table.close(self.id);
+        state.closers.remove(&self.id);
+    }
+}
--- /dev/null
+++ b/src/transport/caller_stream.rs
@@ -0,0 +1,149 @@
+//! The stream of a caller's connection, which tells what the connection does and bounds what is received.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use crate::transport::caller_connections::{CallerConnection, RequestGuard};
+
+/// A caller's connection.
+pub struct CallerStream {
+    stream: TcpStream,
+    connection: Arc<CallerConnection>,
+}
+
+impl CallerStream {
+    /// Wraps an accepted connection.
+    pub fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
+        Self { stream, connection }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.connection.receive(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.connection.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// The body of a request, which tells its connection what is received.
+pub struct RequestBody {
+    body: Incoming,
+    connection: Arc<CallerConnection>,
+}
+
+impl RequestBody {
+    /// Begins a request on a connection, which lasts until the guard is dropped.
+    pub fn begin(body: Incoming, connection: Arc<CallerConnection>) -> (Self, RequestGuard) {
+        let guard = connection.begin_request(!body.is_end_stream());
+        (Self { body, connection }, guard)
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() {
+            self.connection.end_body();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The body of a response, which tells its connection when it has been handed over.
+pub struct ResponseBody<B> {
+    body: B,
+    _request: RequestGuard,
+}
+
+impl<B> ResponseBody<B> {
+    /// Wraps the body of the response to a request.
+    pub fn new(body: B, request: RequestGuard) -> Self {
+        Self {
+            body,
+            _request: request,
+        }
+    }
+}
+
+impl<B: Body + Unpin> Body for ResponseBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,8 @@
 //! Transport layer: sockets, HTTP servers and clients, and connections between peers.
 
 pub mod body_memory;
+pub mod caller_connections;
+pub mod caller_stream;
 pub mod engine;
 pub mod engine_link;
 pub mod gossip;
--- /dev/null
+++ b/tests/client_limits/budgets.rs
@@ -0,0 +1,62 @@
+//! How an instance's memory and descriptors are shared out.
+
+use hibiscusyoke::budgets::Budgets;
+
+/// Memory in MB and descriptors of the instances in the deployments in force.
+const INSTANCES: [(f64, u32); 5] = [
+    (120.0, 3_075),
+    (160.0, 4_100),
+    (260.0, 4_100),
+    (400.0, 10_250),
+    (512.0, 8_192),
+];
+/// Memory of a process in calm in bytes.
+const PROCESS_BYTES: usize = 30_000_000;
+/// What a connection holds at most in bytes.
+const CONNECTION_BYTES: usize = 40 << 10;
+/// What a connection has received at most that is not read, in bytes.
+const UNREAD_BYTES: usize = 24 << 10;
+/// Requests in flight of each of 340 daemons, with 1,100 requests a second of 25 s each, if three of four
+/// daemons are lost.
+const REQUESTS_IN_FLIGHT: usize = 4 * 1_100 * 25 / 340;
+/// Descriptors that are kept for files.
+const FILES: usize = 200;
+/// Maximum size of a request body in the deployments in force.
+const BODY_BYTES: usize = 4 << 20;
+
+/// Guards against budgets that fit the instance one by one and not together.
+#[test]
+fn budgets_fit_the_memory_together() {
+    for (memory_mb, files) in INSTANCES {
+        let budgets = Budgets::new(Some(memory_mb), Some(files));
+        let connections = budgets.callers + budgets.delegators;
+        let sum = PROCESS_BYTES
+            + budgets.request_bytes
+            + budgets.response_bytes
+            + budgets.send_buffer_bytes
+            + connections * CONNECTION_BYTES
+            + budgets.backlog as usize * UNREAD_BYTES;
+        assert!(sum as f64 <= memory_mb * 1e6, "{memory_mb} MB: {sum}");
+    }
+}
+
+/// Guards against callers that take the descriptors which their requests need at upstreams.
+#[test]
+fn budgets_fit_the_descriptors_together() {
+    for (memory_mb, files) in INSTANCES {
+        let budgets = Budgets::new(Some(memory_mb), Some(files));
+        let requests = budgets.callers + budgets.delegators;
+        let sum = 2 * requests + budgets.control + budgets.peers;
+        assert!(sum <= files as usize - FILES, "{files} descriptors: {sum}");
+    }
+}
+
+/// Guards against a limit that refuses the largest body in calm.
+#[test]
+fn largest_body_finds_room_in_calm() {
+    for (memory_mb, files) in INSTANCES {
+        let budgets = Budgets::new(Some(memory_mb), Some(files));
+        assert!(budgets.request_bytes * 3 / 4 >= BODY_BYTES);
+        assert!(budgets.callers >= REQUESTS_IN_FLIGHT, "{budgets}");
+    }
+}
--- a/tests/clients/connections.rs
+++ b/tests/clients/connections.rs
@@ -104,6 +104,29 @@
     deployment.assert_within_bounds();
 }
 
+/// Budgets that fit the instance one by one must fit it together.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_is_bounded_if_crowds_of_all_kinds_come_at_once() {
+    let deployment = Deployment::spawn_in_force().await;
+    let address = deployment.harness.gateways[0].caller_address();
+    let large = Script::with_length("POST /look/1", BODY_LIMIT as u64, BODY_LIMIT - 1);
+    let small = Script::with_length("POST /book/1", BODY_LIMIT as u64, 40_000);
+    let chunked = Script::chunked("POST /ask/easy", 60_000, &[1, 8, 1_024]);
+    let unread = Script::with_length("POST /look/1", 200_000, 200_000)
+        .then_endless(&[b'y'; 20_000], 1 << 20);
+    let crowds = [(48, large), (1_000, small), (200, chunked), (200, unread)];
+    let crowds = crowds.map(|(size, script)| Crowd::connect(address, size, &script));
+    for crowd in &crowds {
+        crowd.sent().await;
+    }
+    deployment.assert_answered("beside", 100).await;
+    for crowd in crowds {
+        crowd.leave().await;
+    }
+    deployment.assert_answered("afterwards", 100).await;
+    deployment.assert_within_bounds();
+}
+
 /// Crowds that follow one another start from what the one before has left behind.
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_is_bounded_over_several_crowds() {
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -14,10 +14,18 @@
     usage::{Peak, Usage},
 };
 
-/// Memory of the instance in MB, less than that of any deployment in force.
-pub(crate) const MEMORY_MB: u64 = 64;
 /// Descriptors of the instance, fewer than those of any deployment in force.
 pub(crate) const MAX_OPEN_FILES: usize = 600;
+/// An instance with less memory than any of the deployments in force.
+const INSTANCE: Instance = Instance {
+    memory_mb: 64,
+    max_open_files: MAX_OPEN_FILES,
+};
+/// The smallest instance of the deployments in force.
+const SMALLEST_IN_FORCE: Instance = Instance {
+    memory_mb: 120,
+    max_open_files: 3_075,
+};
 /// The descriptors of an instance that are kept for files.
 pub(crate) const RESERVED_FILES: usize = 200;
 /// Size of a crowd of large bodies; half of them exceed the instance's memory.
@@ -29,12 +37,20 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Held by the test that runs.
-static ALONE: Mutex<()> = Mutex::const_new(());
+pub(crate) static ALONE: Mutex<()> = Mutex::const_new(());
+
+/// What a gateway may use.
+#[derive(Clone, Copy, Debug)]
+struct Instance {
+    memory_mb: u64,
+    max_open_files: usize,
+}
 
 /// A small deployment whose first gateway is observed.
 pub(crate) struct Deployment {
     pub(crate) harness: Harness,
     usage: Usage,
+    instance: Instance,
     _alone: MutexGuard<'static, ()>,
 }
 
@@ -44,16 +60,30 @@
         Self::spawn_with(1, 0, |_| {}).await
     }
 
+    /// Starts one gateway on the smallest instance of the deployments in force.
+    pub(crate) async fn spawn_in_force() -> Self {
+        Self::spawn_on(SMALLEST_IN_FORCE, 1, 0, |_| {}).await
+    }
+
     /// Starts several gateways and observes one of them, after the limits on callers have been changed.
     pub(crate) async fn spawn_with(
         gateways: usize,
         observed: usize,
         change_limits: impl FnOnce(&mut Value),
+    ) -> Self {
+        Self::spawn_on(INSTANCE, gateways, observed, change_limits).await
+    }
+
+    async fn spawn_on(
+        instance: Instance,
+        gateways: usize,
+        observed: usize,
+        change_limits: impl FnOnce(&mut Value),
     ) -> Self {
         let alone = ALONE.lock().await;
         let harness = Harness::spawn_with(gateways, |_, settings| {
-            settings["memory_mb"] = json!(MEMORY_MB);
-            settings["max_open_files"] = json!(MAX_OPEN_FILES);
+            settings["memory_mb"] = json!(instance.memory_mb);
+            settings["max_open_files"] = json!(instance.max_open_files);
         })
         .await;
         let mut config = configuration(2, &["k1"]);
@@ -75,6 +105,7 @@
         Self {
             usage: Usage::observe(gateway.process_id(), gateway.caller_address()),
             harness,
+            instance,
             _alone: alone,
         }
     }
@@ -116,10 +147,10 @@
     pub(crate) fn assert_within_bounds(&self) {
         let peak = self.peak();
         println!("peak {peak:?}");
-        let memory_limit = MEMORY_MB * 1_000_000;
+        let memory_limit = self.instance.memory_mb * 1_000_000;
         assert!(peak.memory_bytes > 0, "the process was not observed");
         assert!(peak.memory_bytes <= memory_limit, "{peak:?}");
-        let socket_limit = MAX_OPEN_FILES - RESERVED_FILES;
+        let socket_limit = self.instance.max_open_files - RESERVED_FILES;
         assert!(peak.descriptors <= socket_limit, "{peak:?}");
     }
 }
