Bound the bytes of a request body that carry no content

A connection may now receive 64 KiB of a body without content, and 16 bytes for each byte of content (a chunk of one byte has 6); beyond that it is closed.

--- a/src/transport/caller_connections.rs
+++ b/src/transport/caller_connections.rs
@@ -16,6 +16,11 @@
     coordination::connection_table::{Admission, ConnectionId, ConnectionTable, Phase},
 };
 
+/// Number of bytes of a body that may be received without content: chunk sizes, extensions and trailers.
+const MAX_EMPTY_BYTES: usize = 64 << 10;
+/// Number of bytes that may be received for each byte of content; a chunk of one byte has six.
+const BYTES_PER_CONTENT: usize = 16;
+
 /// The connections of a listener.
 pub struct CallerConnections {
     state: Mutex<State>,
@@ -111,6 +116,8 @@
     active: AtomicUsize,
     /// Whether the last response has been handed over, but perhaps not written.
     is_answered: AtomicBool,
+    /// Number of bytes that may still be received.
+    allowance: AtomicUsize,
 }
 
 impl CallerConnection {
@@ -124,6 +131,7 @@
             awaits_head: AtomicBool::new(true),
             active: AtomicUsize::new(0),
             is_answered: AtomicBool::new(false),
+            allowance: AtomicUsize::new(usize::MAX),
         }
     }
 
@@ -142,16 +150,23 @@
         self.active.fetch_add(1, Ordering::Relaxed);
         self.awaits_head.store(false, Ordering::Relaxed);
         self.is_answered.store(false, Ordering::Relaxed);
-        let phase = match has_body {
-            true => Phase::Body,
-            false => Phase::Serving,
+        let (phase, allowance) = match has_body {
+            true => (Phase::Body, MAX_EMPTY_BYTES),
+            false => (Phase::Serving, usize::MAX),
         };
+        self.allowance.store(allowance, Ordering::Relaxed);
         self.connections.set_phase(self.id, phase);
         RequestGuard(self.clone())
     }
 
+    /// Records that content of the body has been received.
+    pub fn receive_content(&self, bytes: usize) {
+        self.add_allowance(bytes.saturating_mul(BYTES_PER_CONTENT));
+    }
+
     /// Records that the body has been received.
     pub fn end_body(&self) {
+        self.allowance.store(usize::MAX, Ordering::Relaxed);
         self.connections.set_phase(self.id, Phase::Serving);
     }
 
@@ -170,12 +185,28 @@
         }
     }
 
+    /// Returns the number of bytes that may be received now.
+    pub fn allowance(&self) -> usize {
+        self.allowance.load(Ordering::Relaxed)
+    }
+
     /// Records that bytes have been received.
     pub fn receive(&self, bytes: usize) {
+        let left = self.allowance();
+        if left < usize::MAX {
+            self.allowance
+                .store(left.saturating_sub(bytes), Ordering::Relaxed);
+        }
         if bytes > 0 && self.awaits_head.swap(false, Ordering::Relaxed) {
             self.connections.set_phase(self.id, Phase::Head);
         }
     }
+
+    fn add_allowance(&self, bytes: usize) {
+        let left = self.allowance();
+        self.allowance
+            .store(left.saturating_add(bytes), Ordering::Relaxed);
+    }
 }
 
 /// A request whose response has not been handed over yet.
--- a/src/transport/caller_stream.rs
+++ b/src/transport/caller_stream.rs
@@ -35,6 +35,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.connection.allowance() == 0 {
+            let error = io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the body has too little content",
+            );
+            return Poll::Ready(Err(error));
+        }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         self.connection.receive(buf.filled().len() - before);
@@ -97,8 +104,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if frame.is_none() {
-            self.connection.end_body();
+        match &frame {
+            Some(Ok(frame)) => {
+                let content = frame.data_ref().map_or(0, Bytes::len);
+                self.connection.receive_content(content);
+            }
+            Some(Err(_)) => {}
+            None => self.connection.end_body(),
         }
         Poll::Ready(frame)
     }
