Let a refusal arrive at a client that still sends

A client that sent a body over the limit saw a reset, not the 413: the refused body was not read, and a connection that is closed with unread bytes is reset while its client writes.

After a refusal the side that is written is closed, and what arrives is discarded for at most 5 s and 8 MiB; such a connection is the first to give way to a new one. One that ends between requests is closed as before.

--- a/src/transport/caller_connections.rs
+++ b/src/transport/caller_connections.rs
@@ -116,6 +116,8 @@
     active: AtomicUsize,
     /// Whether the last response has been handed over, but perhaps not written.
     is_answered: AtomicBool,
+    /// Whether a request was answered before its body was read.
+    has_unread_body: AtomicBool,
     /// Number of bytes that may still be received.
     allowance: AtomicUsize,
 }
@@ -131,6 +133,7 @@
             awaits_head: AtomicBool::new(true),
             active: AtomicUsize::new(0),
             is_answered: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
             allowance: AtomicUsize::new(usize::MAX),
         }
     }
@@ -150,6 +153,7 @@
         self.active.fetch_add(1, Ordering::Relaxed);
         self.awaits_head.store(false, Ordering::Relaxed);
         self.is_answered.store(false, Ordering::Relaxed);
+        self.has_unread_body.store(has_body, Ordering::Relaxed);
         let (phase, allowance) = match has_body {
             true => (Phase::Body, MAX_EMPTY_BYTES),
             false => (Phase::Serving, usize::MAX),
@@ -166,6 +170,7 @@
 
     /// Records that the body has been received.
     pub fn end_body(&self) {
+        self.has_unread_body.store(false, Ordering::Relaxed);
         self.allowance.store(usize::MAX, Ordering::Relaxed);
         self.connections.set_phase(self.id, Phase::Serving);
     }
@@ -202,6 +207,12 @@
         }
     }
 
+    /// Begins the end of the connection; returns whether the client may still send a body.
+    pub fn begin_close(&self) -> bool {
+        self.connections.set_phase(self.id, Phase::Closing);
+        self.has_unread_body.load(Ordering::Relaxed)
+    }
+
     fn add_allowance(&self, bytes: usize) {
         let left = self.allowance();
         self.allowance
--- a/src/transport/caller_stream.rs
+++ b/src/transport/caller_stream.rs
@@ -1,10 +1,11 @@
-//! The stream of a caller's connection, which tells what the connection does and bounds what is received.
+//! The stream of a caller's connection, with bounds on what is received and an end that lets a refusal arrive.
 
 use std::{
     io,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -12,20 +13,62 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
 
 use crate::transport::caller_connections::{CallerConnection, RequestGuard};
 
+/// Time for which the rest of a refused request is discarded. If the connection were closed while its client
+/// sends, the client would be reset and might not read the refusal.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of bytes that are discarded at most: twice the usual limit of a body.
+const MAX_LINGER_BYTES: usize = 8 << 20;
+/// Size in bytes of the buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 8 << 10;
+
 /// A caller's connection.
 pub struct CallerStream {
     stream: TcpStream,
     connection: Arc<CallerConnection>,
+    linger: Linger,
+}
+
+/// How far the end of a connection has come.
+enum Linger {
+    Open,
+    /// The side that is written has been closed, and what arrives is discarded.
+    Discarding {
+        bytes: usize,
+        timeout: Pin<Box<Sleep>>,
+    },
+    Closed,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
-        Self { stream, connection }
+        Self {
+            stream,
+            connection,
+            linger: Linger::Open,
+        }
+    }
+
+    /// Discards bytes until the client closes the connection or the limits are reached.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Linger::Discarding { bytes, timeout } = &mut self.linger else {
+            return Poll::Ready(());
+        };
+        let mut buf = [0; DISCARD_BUFFER_BYTES];
+        while *bytes < MAX_LINGER_BYTES && timeout.as_mut().poll(cx).is_pending() {
+            let mut part = ReadBuf::new(&mut buf);
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part)) {
+                Ok(()) if !part.filled().is_empty() => *bytes += part.filled().len(),
+                // A reset ends the connection as well.
+                Ok(()) | Err(_) => break,
+            }
+        }
+        Poll::Ready(())
     }
 }
 
@@ -65,7 +108,20 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if let Linger::Open = self.linger {
+            let is_sending = self.connection.begin_close();
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            self.linger = match is_sending {
+                true => Linger::Discarding {
+                    bytes: 0,
+                    timeout: Box::pin(sleep(LINGER_TIMEOUT)),
+                },
+                false => Linger::Closed,
+            };
+        }
+        ready!(self.poll_discard(cx));
+        self.linger = Linger::Closed;
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
