Bound the memory of request bodies in serve

320 callers that sent all but a byte of 1 MiB took 414 MB of a daemon of the product's own interface (406 MB in chunks), for which 256 MB are assumed if memory_mb is not set: each body was bounded alone, up to 4,096 connections could be open, and when they were, ordinary callers were turned away.

serve uses the modules of the gateway: a budget for bodies, blocks, a table of connections in which those without a request give way, and the settings memory_mb and max_open_files. HTTP/2 windows are 64 KiB, streams 64 a connection.

--- a/src/daemon/callers/body.rs
+++ b/src/daemon/callers/body.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use viz::Body;
 
 use crate::{
-    daemon::callers::malformed,
+    coordination::body_budget::STALL_TIME,
+    daemon::{callers::malformed, core::Core},
     protocol::problem::{Refusal, RefusalKind},
-    transport::http_body::{self, BodyError},
+    transport::{
+        body_memory::{BodyError, HeldBody},
+        http_body::{self, ReadError},
+    },
 };
 
 /// Maximum size of a completion request body.
@@ -19,12 +22,15 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads a complete body of at most `limit` bytes.
-pub(super) async fn read(body: Body, limit: usize) -> Result<Bytes, Refusal> {
-    let result = http_body::read(body, limit, READ_TIMEOUT).await;
+pub(super) async fn read(core: &Core, body: Body, limit: usize) -> Result<HeldBody, Refusal> {
+    let result = http_body::read(&core.request_bodies, body, limit, READ_TIMEOUT).await;
     result.map_err(|e| match e {
-        BodyError::TooLarge { .. } => {
+        ReadError::Body(BodyError::TooLarge { .. }) => {
             Refusal::not_run(RefusalKind::TooLarge, "parse", e.to_string())
         }
-        BodyError::TimedOut | BodyError::ReadFailed(_) => malformed(e.to_string()),
+        ReadError::Body(BodyError::NoMemory) => {
+            Refusal::not_run(RefusalKind::NotReady, "parse", e.to_string()).retry_after(STALL_TIME)
+        }
+        ReadError::Body(BodyError::Broken(_)) | ReadError::TimedOut => malformed(e.to_string()),
     })
 }
--- a/src/daemon/callers/mod.rs
+++ b/src/daemon/callers/mod.rs
@@ -26,13 +26,18 @@
 mod request_metrics;
 mod service_request;
 
-/// Maximum number of open connections from callers.
-const MAX_CONNECTIONS: usize = 4_096;
-
 /// Binds the listener for callers.
 pub async fn bind(components: Arc<Components>) -> io::Result<HttpServer> {
-    let address = components.core.settings.callers;
-    HttpServer::bind(address, routes(components), MAX_CONNECTIONS).await
+    let core = components.core.clone();
+    let address = core.settings.callers;
+    let max_connections = core.settings.budgets().callers;
+    HttpServer::bind(
+        address,
+        routes(components),
+        max_connections,
+        core.clock.clone(),
+    )
+    .await
 }
 
 fn routes(components: Arc<Components>) -> Tree {
@@ -65,7 +70,8 @@
     let metrics = RequestMetrics::start(&components, RequestKind::Chat);
     let result = async {
         let (head, incoming) = RequestHead::read(&components, req)?;
-        let body = body::read(incoming, body::MAX_CHAT_BYTES).await?;
+        let body = body::read(&components.core, incoming, body::MAX_CHAT_BYTES).await?;
+        let body = body.into_bytes();
         let call = chat_request::parse(&components, &request_id, head, &body)?;
         chat::serve(&components, call).await
     };
@@ -84,7 +90,8 @@
         let method = req.method().clone();
         let uri = req.uri().clone();
         let (head, incoming) = RequestHead::read(&components, req)?;
-        let body = body::read(incoming, body::MAX_SERVICE_BYTES).await?;
+        let body = body::read(&components.core, incoming, body::MAX_SERVICE_BYTES).await?;
+        let body = body.into_bytes();
         service_request::serve(&components, &request_id, head, &method, &uri, body).await
     };
     let result = result.await;
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -16,7 +16,7 @@
         objects::{Upstream, UpstreamName},
         snapshot::Snapshot,
     },
-    transport::{peers::PeerClient, table::TableClient},
+    transport::{body_memory::BodyMemory, peers::PeerClient, table::TableClient},
 };
 
 /// Number of decisions kept in memory for `explain`.
@@ -45,6 +45,8 @@
     pub leaving_upstreams: watch::Sender<Arc<[UpstreamName]>>,
     /// Whether a graceful shutdown has begun. Never reset.
     pub leaving: watch::Sender<bool>,
+    /// Memory for the bodies of requests.
+    pub request_bodies: Arc<BodyMemory>,
     decisions: Mutex<DecisionLog>,
 }
 
@@ -63,7 +65,10 @@
             state: MemberState::Alive,
             generation: 0,
         };
+        let request_bytes = settings.budgets().request_bytes;
+        let request_bodies = BodyMemory::new(request_bytes, clock.clone());
         Self {
+            request_bodies: Arc::new(request_bodies),
             settings,
             clock,
             incarnation,
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -56,6 +56,8 @@
         platform,
         fleet_key: FLEET_KEY.into(),
         keep_seconds,
+        memory_mb: None,
+        max_open_files: None,
         bootstrap_operator: Some(hash_key(OPERATOR_KEY)),
     })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,10 +5,13 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
-use crate::state::{
-    document::{Document, DocumentError},
-    names::{NAME_REQUIREMENT, is_hex, is_key_hash, is_valid_name},
-    objects::{DomainName, KeyHash},
+use crate::{
+    budgets::{Budgets, MIN_OPEN_FILES},
+    state::{
+        document::{Document, DocumentError},
+        names::{NAME_REQUIREMENT, is_hex, is_key_hash, is_valid_name},
+        objects::{DomainName, KeyHash},
+    },
 };
 
 /// Minimum length of the fleet key, in hexadecimal digits.
@@ -39,6 +42,12 @@
     /// continues to serve for this time.
     #[serde(default = "default_keep_seconds")]
     pub keep_seconds: u64,
+    /// Memory of the instance in MB; absent if it is not limited.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Number of descriptors that the process may open; absent if it is not limited.
+    #[serde(default)]
+    pub max_open_files: Option<u32>,
     /// Hash of a key that may publish while the configuration has no operator.
     #[serde(default)]
     pub bootstrap_operator: Option<KeyHash>,
@@ -72,6 +81,11 @@
         Self::read(&Document::open(path)?)
     }
 
+    /// Returns how the instance's memory and descriptors are shared out.
+    pub fn budgets(&self) -> Budgets {
+        Budgets::new(self.memory_mb, self.max_open_files)
+    }
+
     /// Parses and validates settings from a document in memory.
     pub fn read(document: &Document) -> Result<Self, DocumentError> {
         let settings: Self = document.parse()?;
@@ -100,6 +114,12 @@
                 "must be 32 or more hexadecimal digits, an even number",
             );
         }
+        if self.memory_mb.is_some_and(|mb| !(1.0..1e7).contains(&mb)) {
+            return InvalidValue::at_key(&["memory_mb"], "must be between 1 and 1e7");
+        }
+        if self.max_open_files.is_some_and(|n| n < MIN_OPEN_FILES) {
+            return InvalidValue::at_key(&["max_open_files"], "must be at least 256");
+        }
         if self.keep_seconds > MAX_KEEP_SECONDS {
             return InvalidValue::at_key(&["keep_seconds"], "must be at most 600");
         }
--- a/src/transport/http_body.rs
+++ b/src/transport/http_body.rs
@@ -1,59 +1,55 @@
-//! Reads request bodies within size and time limits.
+//! Reads request bodies within size, memory and time limits.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 use viz::Body;
 
-/// Multiple of the size limit up to which an oversized body is drained before it is refused.
+use crate::transport::body_memory::{BodyError, BodyMemory, HeldBody};
+
+/// Multiple of the size limit up to which an oversized body is drained after it has been refused.
 const MAX_DRAIN_FACTOR: usize = 8;
 
 /// An error that occurred while reading a body.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum BodyError {
-    /// The body is too large.
-    #[error("the body exceeds {limit} bytes")]
-    TooLarge {
-        /// Maximum length in bytes.
-        limit: usize,
-    },
+pub enum ReadError {
+    /// The body could not be read to its end.
+    #[error("{0}")]
+    Body(#[from] BodyError),
     /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     TimedOut,
-    /// The body could not be read to its end.
-    #[error("the body ended early: {0}")]
-    ReadFailed(String),
 }
 
-/// Reads a body of at most `limit` bytes.
+/// Reads a body of at most `limit` bytes into memory that all bodies share.
 ///
 /// Data beyond the limit is read and discarded up to a multiple of the limit: if the connection
 /// were closed before the sender has finished, the sender would not receive the refusal.
-pub async fn read(body: Body, limit: usize, time_limit: Duration) -> Result<Bytes, BodyError> {
-    timeout(time_limit, collect(body, limit))
-        .await
-        .unwrap_or(Err(BodyError::TimedOut))
+pub async fn read(
+    memory: &Arc<BodyMemory>,
+    mut body: Body,
+    limit: usize,
+    time_limit: Duration,
+) -> Result<HeldBody, ReadError> {
+    let read = async {
+        let read = memory.read(&mut body, limit).await;
+        if let Err(BodyError::TooLarge { limit }) = read {
+            drain(&mut body, limit.saturating_mul(MAX_DRAIN_FACTOR)).await;
+        }
+        read
+    };
+    let read = timeout(time_limit, read).await;
+    Ok(read.map_err(|_| ReadError::TimedOut)??)
 }
 
-async fn collect(mut body: Body, limit: usize) -> Result<Bytes, BodyError> {
-    let mut received = Vec::new();
+/// Discards the rest of a body, at most this many bytes.
+async fn drain(body: &mut Body, most_bytes: usize) {
     let mut length = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| BodyError::ReadFailed(e.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        length += data.len();
-        if length <= limit {
-            received.extend_from_slice(&data);
-        } else if length > limit.saturating_mul(MAX_DRAIN_FACTOR) {
-            break;
-        }
-    }
-    if length > limit {
-        return Err(BodyError::TooLarge { limit });
+    while length <= most_bytes
+        && let Some(Ok(frame)) = body.frame().await
+    {
+        length += frame.data_ref().map_or(0, Bytes::len);
     }
-    Ok(received.into())
 }
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -1,18 +1,31 @@
 //! HTTP/1.1 and HTTP/2 server with limits and a graceful shutdown that completes all responses.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use http::Request;
+use hyper::{
+    body::Incoming,
+    service::{Service, service_fn},
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::watch,
     task::JoinHandle,
 };
 use viz::{Responder, Tree};
 
+use crate::{
+    clock::SharedClock,
+    transport::{
+        caller_connections::{CallerConnection, CallerConnections},
+        caller_stream::{CallerStream, ResponseBody},
+    },
+};
+
 /// Timeout for receiving a request's head.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between keep-alive pings on HTTP/2 connections.
@@ -21,6 +34,10 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of requests at a time on an HTTP/2 connection.
+const MAX_STREAMS: u32 = 64;
+/// Bytes that an HTTP/2 connection, and each of its streams, may receive before they are read.
+const WINDOW_BYTES: u32 = 64 << 10;
 /// Maximum size of a request's head in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
@@ -38,16 +55,13 @@
         address: SocketAddr,
         routes: Tree,
         max_connections: usize,
+        clock: SharedClock,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let connections = Arc::new(CallerConnections::new(max_connections, clock));
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept_all(
-            listener,
-            Arc::new(routes),
-            max_connections,
-            stopped,
-        ));
+        let task = tokio::spawn(accept_all(listener, Arc::new(routes), connections, stopped));
         Ok(Self {
             address,
             stop,
@@ -72,15 +86,14 @@
 async fn accept_all(
     listener: TcpListener,
     routes: Arc<Tree>,
-    max_connections: usize,
+    connections: Arc<CallerConnections>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let slots = Arc::new(Semaphore::new(max_connections));
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
+            () = wait_for_stop(&mut stopped) => break,
         };
         let (stream, client) = match accepted {
             Ok(accepted) => accepted,
@@ -90,25 +103,37 @@
                 continue;
             }
         };
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
+        let Some(connection) = connections.open().await else {
             log::warn!("step=accept peer={client} refused=connection_limit");
             continue;
         };
-        let connection = graceful.watch(serve(stream, client, routes.clone()));
+        let served = graceful.watch(serve(stream, client, connection.clone(), routes.clone()));
         tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                log::debug!("step=serve peer={client} error={e}");
+            tokio::select! {
+                result = served => {
+                    if let Err(e) = result {
+                        log::debug!("step=serve peer={client} error={e}");
+                    }
+                }
+                () = connection.closed() => {
+                    log::debug!("step=serve peer={client} closed=connection_limit");
+                }
             }
-            drop(slot);
         });
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
+async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
+    // An error means that the server was dropped.
+    let _ = stopped.wait_for(|stop| *stop).await;
+}
+
 fn serve(
     stream: TcpStream,
     client: SocketAddr,
+    connection: Arc<CallerConnection>,
     routes: Arc<Tree>,
 ) -> impl hyper_util::server::graceful::GracefulConnection<
     Error = Box<dyn std::error::Error + Send + Sync>,
@@ -124,9 +149,22 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
         .keep_alive_interval(KEEPALIVE_INTERVAL)
         .keep_alive_timeout(KEEPALIVE_TIMEOUT);
-    let service = Responder::new(routes, Some(Arc::new(client)));
+    let stream = CallerStream::new(stream, connection.clone());
+    let responder = Arc::new(Responder::new(routes, Some(Arc::new(client))));
+    let service = service_fn(move |req: Request<Incoming>| {
+        // Bodies are drained where they are read, so that none is left at the end of the connection.
+        let request = connection.begin_request(false);
+        let responder = responder.clone();
+        async move {
+            let response = responder.call(req).await?;
+            Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, request)))
+        }
+    });
     builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned()
--- a/src/transport/operators/mod.rs
+++ b/src/transport/operators/mod.rs
@@ -43,12 +43,13 @@
         core: Arc<Core>,
         configuration: Arc<Configuration>,
     ) -> io::Result<Self> {
+        let clock = core.clock.clone();
         let api = Arc::new(OperatorApi {
             core,
             configuration,
         });
         let tree = Tree::from(routes(&api));
-        let server = HttpServer::bind(address, tree, MAX_CONNECTIONS).await?;
+        let server = HttpServer::bind(address, tree, MAX_CONNECTIONS, clock).await?;
         Ok(Self { server })
     }
 
--- a/src/transport/operators/publish.rs
+++ b/src/transport/operators/publish.rs
@@ -1,6 +1,6 @@
 //! Handlers that publish configuration changes or change the state of one object.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -18,7 +18,8 @@
         record::PublishId,
     },
     transport::{
-        http_body::{self, BodyError},
+        body_memory::{BodyError, BodyMemory, HeldBody},
+        http_body::{self, ReadError},
         operators::{
             Endpoint, OperatorApi,
             reply::{self, RejectedCall},
@@ -39,7 +40,7 @@
         operator: OperatorName,
         req: &mut Request,
     ) -> Result<Response, RejectedCall> {
-        let body = read_body(req).await?;
+        let body = read_body(&self.core.request_bodies, req).await?;
         let body: PublishBody =
             serde_json::from_slice(&body).map_err(|e| RejectedCall::bad_request(e.to_string()))?;
         self.execute_publish(PublishRequest {
@@ -131,14 +132,15 @@
     }
 }
 
-async fn read_body(req: &mut Request) -> Result<Bytes, RejectedCall> {
+async fn read_body(bodies: &Arc<BodyMemory>, req: &mut Request) -> Result<Bytes, RejectedCall> {
     let body = std::mem::take(req.body_mut());
-    let read = http_body::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
-    read.map_err(|e| {
+    let read = http_body::read(bodies, body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    read.map(HeldBody::into_bytes).map_err(|e| {
         let status = match e {
-            BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            BodyError::ReadFailed(_) => StatusCode::BAD_REQUEST,
+            ReadError::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadError::Body(BodyError::NoMemory) => StatusCode::SERVICE_UNAVAILABLE,
+            ReadError::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
+            ReadError::TimedOut => StatusCode::REQUEST_TIMEOUT,
         };
         RejectedCall::new(status, e.to_string())
     })
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -12,4 +12,7 @@
 #[path = "../gateway/harness.rs"]
 mod harness;
 mod refusals;
+mod serve;
+#[path = "../support/mod.rs"]
+mod support;
 mod usage;
