--- a/src/transport/caller_connections.rs
+++ b/src/transport/caller_connections.rs
@@ -3,19 +3,29 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, LazyLock, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+use prometheus::IntCounterVec;
 use tokio::sync::Notify;
 
 use crate::{
     clock::SharedClock,
     coordination::connection_table::{Admission, ConnectionId, ConnectionTable, Phase},
+    metrics::counter,
 };
 
+static CLOSED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter(
+        "hibiscusyoke_connections_closed_total",
+        "Connections closed to keep to the limits, by reason.",
+        &["why"],
+    )
+});
+
 /// Number of bytes of a body that may be received without content: chunk sizes, extensions and trailers.
 const MAX_EMPTY_BYTES: usize = 64 << 10;
 /// Number of bytes that may be received for each byte of content; a chunk of one byte has six.
@@ -53,11 +63,15 @@
         let id = match admission {
             Admission::Accepted(id) => id,
             Admission::Replaces { accepted, closed } => {
+                count_closed("replaced");
                 self.state().close(closed);
                 tokio::task::yield_now().await;
                 accepted
             }
-            Admission::Refused => return None,
+            Admission::Refused => {
+                count_closed("refused");
+                return None;
+            }
         };
         Some(Arc::new(CallerConnection::new(self.clone(), id)))
     }
@@ -76,7 +90,7 @@
     pub fn close_late_heads(&self, timeout: Duration) {
         let mut state = self.state();
         for id in state.table.late_heads(timeout, self.clock.now()) {
-            log::debug!("event=head_timeout connection={id}");
+            count_closed("head_timeout");
             state.close(id);
         }
     }
@@ -96,6 +110,10 @@
     }
 }
 
+fn count_closed(why: &str) {
+    CLOSED.with_label_values(&[why]).inc();
+}
+
 impl State {
     fn close(&mut self, id: ConnectionId) {
         self.table.close(id);
