Let serve know what its connections receive

Zeros before the size of a chunk were read until the body's timeout, a client without a valid key was reset while it sent and never learned why, and a connection that received a body counted as served, so that a crowd of short bodies turned new callers away for up to 10 s. The operators' publications came from the memory that callers can use up.

The body of an HTTP/1.1 request tells its connection what is received, as in a gateway: the same bounds on bytes without content, the same end after a refusal, the same order in which connections give way. Publications have memory of their own.

--- a/src/daemon/callers/body.rs
+++ b/src/daemon/callers/body.rs
@@ -10,6 +10,7 @@
     protocol::problem::{Refusal, RefusalKind},
     transport::{
         body_memory::{BodyError, HeldBody},
+        caller_stream::RequestBody,
         http_body::{self, ReadError},
     },
 };
@@ -22,7 +23,11 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads a complete body of at most `limit` bytes.
-pub(super) async fn read(core: &Core, body: Body, limit: usize) -> Result<HeldBody, Refusal> {
+pub(super) async fn read(
+    core: &Core,
+    body: RequestBody<Body>,
+    limit: usize,
+) -> Result<HeldBody, Refusal> {
     let result = http_body::read(&core.request_bodies, body, limit, READ_TIMEOUT).await;
     result.map_err(|e| match e {
         ReadError::Body(BodyError::TooLarge { .. }) => {
--- a/src/daemon/callers/head.rs
+++ b/src/daemon/callers/head.rs
@@ -14,6 +14,7 @@
     },
     protocol::problem::Refusal,
     state::{credentials::hash_key, objects::CustomerName},
+    transport::caller_stream::RequestBody,
 };
 
 /// Header with the time limit of the request, in milliseconds.
@@ -54,7 +55,10 @@
 
 impl RequestHead {
     /// Parses the head and authenticates the caller; returns the body unread.
-    pub(super) fn read(components: &Components, req: Request) -> Result<(Self, Body), Refusal> {
+    pub(super) fn read(
+        components: &Components,
+        mut req: Request,
+    ) -> Result<(Self, RequestBody<Body>), Refusal> {
         let received = components.core.clock.now();
         let customer = authenticate(components, &req)?;
         let head = Self {
@@ -65,7 +69,7 @@
             session: header_text(&req, SESSION_HEADER)?,
             forwarded_headers: forwarded_headers(&req)?,
         };
-        Ok((head, req.into_body()))
+        Ok((head, RequestBody::take(&mut req)))
     }
 
     /// Returns the deadline of the request; `default` applies if the caller set no time limit.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 use http::{HeaderMap, Method, Request, Version, uri::PathAndQuery};
+use hyper::body::Incoming;
 use platform::{
     CustomerName, ServiceName,
     configuration::{Route, RouteKind},
@@ -64,7 +65,10 @@
 
 impl Call {
     /// Reads a request and matches it to a route.
-    pub async fn read(shared: &Shared, req: Request<RequestBody>) -> Result<Self, RefusalReason> {
+    pub async fn read(
+        shared: &Shared,
+        req: Request<RequestBody<Incoming>>,
+    ) -> Result<Self, RefusalReason> {
         let arrived_at = shared.now();
         let routes = shared
             .dispatcher()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use http::{Request, Response, Uri, header};
+use hyper::body::Incoming;
 use platform::{
     UpstreamId,
     headers::{ResponseHead, UpstreamHead, headers_for_upstream, request_id},
@@ -57,7 +58,7 @@
 pub async fn serve(
     shared: Arc<Shared>,
     origin: Origin,
-    mut req: Request<RequestBody>,
+    mut req: Request<RequestBody<Incoming>>,
 ) -> Response<Body> {
     let arrived_at = shared.now();
     let id: CompactString = request_id(req.headers()).unwrap_or("-").into();
--- a/src/transport/caller_stream.rs
+++ b/src/transport/caller_stream.rs
@@ -9,7 +9,8 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use http::Request;
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -138,35 +139,51 @@
 }
 
 /// The body of a request, which tells its connection what is received.
-pub struct RequestBody {
-    body: Incoming,
-    connection: Arc<CallerConnection>,
+pub struct RequestBody<B> {
+    body: B,
+    /// Absent if other requests share the connection.
+    connection: Option<Arc<CallerConnection>>,
 }
 
-impl RequestBody {
+impl<B: Body> RequestBody<B> {
     /// Begins a request on a connection, which lasts until the guard is dropped.
-    pub fn begin(body: Incoming, connection: Arc<CallerConnection>) -> (Self, RequestGuard) {
+    pub fn begin(body: B, connection: Arc<CallerConnection>) -> (Self, RequestGuard) {
         let guard = connection.begin_request(!body.is_end_stream());
-        (Self { body, connection }, guard)
+        let body = Self {
+            body,
+            connection: Some(connection),
+        };
+        (body, guard)
+    }
+}
+
+impl<B: Default> RequestBody<B> {
+    /// Takes the body of a request whose connection is among its extensions.
+    pub fn take(req: &mut Request<B>) -> Self {
+        Self {
+            body: std::mem::take(req.body_mut()),
+            connection: req.extensions_mut().remove(),
+        }
     }
 }
 
-impl Body for RequestBody {
+impl<B: Body<Data = Bytes> + Unpin> Body for RequestBody<B> {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        match &frame {
-            Some(Ok(frame)) => {
-                let content = frame.data_ref().map_or(0, Bytes::len);
-                self.connection.receive_content(content);
+        if let Some(connection) = &self.connection {
+            match &frame {
+                Some(Ok(frame)) => {
+                    connection.receive_content(frame.data_ref().map_or(0, Bytes::len));
+                }
+                Some(Err(_)) => {}
+                None => connection.end_body(),
             }
-            Some(Err(_)) => {}
-            None => self.connection.end_body(),
         }
         Poll::Ready(frame)
     }
--- a/src/transport/http_body.rs
+++ b/src/transport/http_body.rs
@@ -1,11 +1,11 @@
 //! Reads request bodies within size, memory and time limits.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt::Display, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use tokio::time::timeout;
-use viz::Body;
 
 use crate::transport::body_memory::{BodyError, BodyMemory, HeldBody};
 
@@ -29,7 +29,7 @@
 /// were closed before the sender has finished, the sender would not receive the refusal.
 pub async fn read(
     memory: &Arc<BodyMemory>,
-    mut body: Body,
+    mut body: impl Body<Data = Bytes, Error: Display> + Unpin,
     limit: usize,
     time_limit: Duration,
 ) -> Result<HeldBody, ReadError> {
@@ -45,7 +45,7 @@
 }
 
 /// Discards the rest of a body, at most this many bytes.
-async fn drain(body: &mut Body, most_bytes: usize) {
+async fn drain(body: &mut (impl Body<Data = Bytes> + Unpin), most_bytes: usize) {
     let mut length = 0;
     while length <= most_bytes
         && let Some(Ok(frame)) = body.frame().await
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -2,9 +2,9 @@
 
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use http::Request;
+use http::{Request, Version};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     service::{Service, service_fn},
 };
 use hyper_util::{
@@ -156,9 +156,13 @@
         .keep_alive_timeout(KEEPALIVE_TIMEOUT);
     let stream = CallerStream::new(stream, connection.clone());
     let responder = Arc::new(Responder::new(routes, Some(Arc::new(client))));
-    let service = service_fn(move |req: Request<Incoming>| {
-        // Bodies are drained where they are read, so that none is left at the end of the connection.
-        let request = connection.begin_request(false);
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        // The requests of an HTTP/2 connection have windows in place of what a body tells its connection.
+        let has_body = req.version() < Version::HTTP_2 && !req.body().is_end_stream();
+        if has_body {
+            req.extensions_mut().insert(connection.clone());
+        }
+        let request = connection.begin_request(has_body);
         let responder = responder.clone();
         async move {
             let response = responder.call(req).await?;
--- a/src/transport/operators/mod.rs
+++ b/src/transport/operators/mod.rs
@@ -11,7 +11,7 @@
     daemon::{configuration::Configuration, core::Core},
     protocol::operators::{GENERATIONS_PATH, INVOICE_PATH, PUBLISH_PATH, Readiness, STATUS_PATH},
     state::objects::OperatorName,
-    transport::{http_server::HttpServer, operators::reply::RejectedCall},
+    transport::{body_memory::BodyMemory, http_server::HttpServer, operators::reply::RejectedCall},
 };
 
 mod auth;
@@ -32,6 +32,8 @@
 
 /// State shared by the request handlers.
 struct OperatorApi {
+    /// Memory for publications, which callers cannot use up.
+    bodies: Arc<BodyMemory>,
     core: Arc<Core>,
     configuration: Arc<Configuration>,
 }
@@ -44,7 +46,9 @@
         configuration: Arc<Configuration>,
     ) -> io::Result<Self> {
         let clock = core.clock.clone();
+        let bodies = BodyMemory::new(2 * publish::MAX_BODY_BYTES, clock.clone());
         let api = Arc::new(OperatorApi {
+            bodies: Arc::new(bodies),
             core,
             configuration,
         });
--- a/src/transport/operators/publish.rs
+++ b/src/transport/operators/publish.rs
@@ -19,6 +19,7 @@
     },
     transport::{
         body_memory::{BodyError, BodyMemory, HeldBody},
+        caller_stream::RequestBody,
         http_body::{self, ReadError},
         operators::{
             Endpoint, OperatorApi,
@@ -28,7 +29,7 @@
 };
 
 /// Maximum length of a publication in bytes.
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub(super) const MAX_BODY_BYTES: usize = 8 << 20;
 /// Timeout for receiving the body of a publication.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Request header with the publish id of a state change.
@@ -40,7 +41,7 @@
         operator: OperatorName,
         req: &mut Request,
     ) -> Result<Response, RejectedCall> {
-        let body = read_body(&self.core.request_bodies, req).await?;
+        let body = read_body(&self.bodies, req).await?;
         let body: PublishBody =
             serde_json::from_slice(&body).map_err(|e| RejectedCall::bad_request(e.to_string()))?;
         self.execute_publish(PublishRequest {
@@ -133,7 +134,7 @@
 }
 
 async fn read_body(bodies: &Arc<BodyMemory>, req: &mut Request) -> Result<Bytes, RejectedCall> {
-    let body = std::mem::take(req.body_mut());
+    let body = RequestBody::take(req);
     let read = http_body::read(bodies, body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
     read.map(HeldBody::into_bytes).map_err(|e| {
         let status = match e {
--- a/tests/clients/serve.rs
+++ b/tests/clients/serve.rs
@@ -35,6 +35,8 @@
 const STREAMS: usize = 64;
 /// Time that a crowd of streams is given to send.
 const STREAM_TIME: Duration = Duration::from_secs(8);
+/// Number of zeros after which a client gives up: several times the largest body, and what buffers hold.
+const MOST_ZEROS: usize = 16 << 20;
 /// Maximum size of a body.
 const BODY_LIMIT: usize = 1 << 20;
 /// Time for which an ordinary caller that is refused tries again.
@@ -127,6 +129,37 @@
     assert_within_memory(&usage);
 }
 
+/// Zeros before the size of a chunk were read until the body's timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn zeros_before_the_size_of_a_chunk_end_at_a_daemon() {
+    let _alone = ALONE.lock().await;
+    let fleet = Fleet::spawn(FleetPlan::default()).await;
+    fleet.wait_serving().await;
+    let address = fleet.daemons[0].callers;
+    let zeros = vec![b'0'; 64 << 10];
+    let script =
+        Script::chunked("POST /v1/chat/completions", 0, &[1]).then_endless(&zeros, MOST_ZEROS);
+    let (is_sent, _) = with_key(script).send_then_read(address, "z").await;
+    assert!(!is_sent, "zeros are read without end");
+    assert_answered(&fleet).await;
+}
+
+/// A client without a valid key was reset while it sent, and never learned why.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_daemon_reaches_a_client_that_sends() {
+    let _alone = ALONE.lock().await;
+    let fleet = Fleet::spawn(FleetPlan::default()).await;
+    fleet.wait_serving().await;
+    let address = fleet.daemons[0].callers;
+    let length = 4 * BODY_LIMIT;
+    let script = Script::with_length("POST /v1/chat/completions", length as u64, length);
+    for n in 0..10 {
+        let (is_sent, line) = script.send_then_read(address, &format!("r{n}")).await;
+        assert!(is_sent, "the connection was reset");
+        assert_eq!(line, "HTTP/1.1 401 Unauthorized");
+    }
+}
+
 /// Bodies counted each alone, and a crowd of them filled the instance's memory.
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_of_a_daemon_is_bounded_if_bodies_stop_short() {
