Bound the queries that a gateway reads from peers

Four HTTP/2 connections to the port for peers, each with 64 queries short of 1 MiB, took 282 MB of 64: a query, which has some bytes, was read up to 8 MiB, 200 at a time on a connection, from anyone who reaches the port.

A query has at most 1 KiB, a connection 8 of them at a time and windows of 16 KiB.

--- a/src/gateway/table_service.rs
+++ b/src/gateway/table_service.rs
@@ -28,7 +28,7 @@
         packing,
         reply::{InfallibleResult, plain},
         shared::Shared,
-        table_link::{ChangesQuery, MAX_IDLE, MAX_MESSAGE_BYTES, PackedReply, SILENCE_TIMEOUT},
+        table_link::{ChangesQuery, MAX_IDLE, PackedReply, SILENCE_TIMEOUT},
     },
     protocol::codec::{self, CodecError},
 };
@@ -42,6 +42,12 @@
 const MIN_TRANSFERS: usize = 2;
 /// Maximum number of transfers that are served at a time.
 const MAX_TRANSFERS: usize = 32;
+/// Maximum size in bytes of a query.
+const MAX_QUERY_BYTES: usize = 1 << 10;
+/// Maximum number of queries at a time on a connection.
+const MAX_STREAMS: u32 = 8;
+/// Bytes that a connection, and each of its queries, may receive before they are read.
+const QUERY_WINDOW_BYTES: u32 = 16 << 10;
 /// Maximum duration of a connection from a peer.
 const MAX_CONNECTION_TIME: Duration = Duration::from_secs(20);
 
@@ -78,8 +84,11 @@
         let (service, transfer) = (service.clone(), transfer.clone());
         async move { InfallibleResult::Ok(service.handle_query(req, &transfer).await) }
     });
-    let served =
-        server::Builder::new(TokioExecutor::new()).serve_connection(TokioIo::new(stream), handle);
+    let served = server::Builder::new(TokioExecutor::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(QUERY_WINDOW_BYTES)
+        .initial_connection_window_size(QUERY_WINDOW_BYTES)
+        .serve_connection(TokioIo::new(stream), handle);
     match tokio::time::timeout(MAX_CONNECTION_TIME, served).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => log::debug!("event=peer_connection_ended error=\"{e}\""),
@@ -173,11 +182,11 @@
 
 /// Reads a peer's query; absent if it is not complete or not valid.
 async fn read_query(req: Request<Incoming>) -> Option<ChangesQuery> {
-    let body = read_body(req.into_body(), MAX_MESSAGE_BYTES, MAX_IDLE)
+    let body = read_body(req.into_body(), MAX_QUERY_BYTES, MAX_IDLE)
         .await
         .inspect_err(|e| log::debug!("event=question_broken error=\"{e}\""))
         .ok()?;
-    codec::decode_within::<ChangesQuery, MAX_MESSAGE_BYTES>(&body)
+    codec::decode_within::<ChangesQuery, MAX_QUERY_BYTES>(&body)
         .inspect_err(|e| log::warn!("event=question_unreadable error=\"{e}\""))
         .ok()
 }
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -11,8 +11,10 @@
 #[expect(dead_code, reason = "shared with the tests of gateways")]
 #[path = "../gateway/harness.rs"]
 mod harness;
+mod peers;
 mod refusals;
 mod serve;
+mod streams;
 #[path = "../support/mod.rs"]
 mod support;
 mod usage;
--- a/tests/clients/serve.rs
+++ b/tests/clients/serve.rs
@@ -1,22 +1,14 @@
 //! Crowds at a daemon with the product's own interface.
 
-use std::{convert::Infallible, net::SocketAddr, time::Duration};
+use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{
-    StreamExt,
-    future::{join, join_all},
-    stream,
-};
-use http::{Request, StatusCode};
-use http_body_util::StreamBody;
-use hyper::{body::Frame, client::conn::http2};
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use tokio::{net::TcpStream, task::JoinSet};
+use http::StatusCode;
+use tokio::task::JoinSet;
 
 use crate::{
     crowd::{Crowd, Script},
     gateway::ALONE,
+    streams::{STREAM_TIME, send_streams_that_stop_short},
     support::{
         caller::chat,
         fleet::{Fleet, FleetPlan},
@@ -29,12 +21,8 @@
 const MEMORY_MB: u64 = 256;
 /// Number of clients; their bodies alone exceed the instance's memory.
 const CROWD: usize = 320;
-/// Number of HTTP/2 connections.
+/// Number of HTTP/2 connections; the bodies of their streams alone exceed the instance's memory.
 const CONNECTIONS: usize = 8;
-/// Number of streams of each; their bodies alone exceed the instance's memory.
-const STREAMS: usize = 64;
-/// Time that a crowd of streams is given to send.
-const STREAM_TIME: Duration = Duration::from_secs(8);
 /// Number of zeros after which a client gives up: several times the largest body, and what buffers hold.
 const MOST_ZEROS: usize = 16 << 20;
 /// Maximum size of a body.
@@ -85,30 +73,6 @@
     script.header(&format!("authorization: Bearer {CUSTOMER_KEY}"))
 }
 
-/// Opens a connection whose streams all send a body that stops short, until the task is dropped.
-async fn send_streams_that_stop_short(address: SocketAddr) {
-    let connection = TcpStream::connect(address).await.expect("connected");
-    let builder = http2::Builder::new(TokioExecutor::new());
-    let handshake = builder.handshake(TokioIo::new(connection)).await;
-    let (sender, connection) = handshake.expect("an HTTP/2 connection");
-    let streams = (0..STREAMS).map(|_| {
-        let mut sender = sender.clone();
-        async move {
-            let block = Ok::<_, Infallible>(Frame::data(Bytes::from(vec![b'x'; BODY_LIMIT - 1])));
-            let body = StreamBody::new(stream::iter([block]).chain(stream::pending()));
-            let req = Request::post(format!("http://{address}/v1/chat/completions"))
-                .header("authorization", format!("Bearer {CUSTOMER_KEY}"))
-                .body(body)
-                .expect("a valid request");
-            // A refused stream ends early.
-            let _ = sender.send_request(req).await;
-        }
-    });
-    let streams = join_all(streams);
-    // Either ends if the daemon closes the connection.
-    let _ = join(connection, streams).await;
-}
-
 /// Guards against streams of one connection that together hold more than its windows.
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_of_a_daemon_is_bounded_if_streams_stop_short() {
@@ -120,7 +84,8 @@
     let usage = Usage::observe(daemon.process.child().id(), address);
     let mut crowd = JoinSet::new();
     for _ in 0..CONNECTIONS {
-        crowd.spawn(send_streams_that_stop_short(address));
+        let path = "/v1/chat/completions";
+        crowd.spawn(send_streams_that_stop_short(address, path, CUSTOMER_KEY));
     }
     tokio::time::sleep(STREAM_TIME).await;
     assert_answered(&fleet).await;
