Count connections to the directory and of peers in the memory of the instance

On the smallest instance in force (120 MB) the listeners for the directory and for peers could hold 359 connections each beside those of callers, 20 MB that the sum of the budgets left out.

--- a/src/budgets.rs
+++ b/src/budgets.rs
@@ -4,8 +4,8 @@
 //! responses and for streams that callers read slowly, and a tenth for what connections have sent that are not
 //! accepted yet. The rest is for the process itself.
 //! Descriptors: of those that are not kept for files, five sixteenths for callers and one for other daemons,
-//! as many for the upstreams that serve these requests, and an eighth each for the directory and the metrics,
-//! and for peers that ask for changes.
+//! as many for the upstreams that serve these requests, and at most an eighth each for the directory and the
+//! metrics, and for peers that ask for changes.
 
 use derive_more::Display;
 
@@ -73,8 +73,8 @@
             backlog: backlog.min(MAX_BACKLOG) as u32,
             callers: (connections - delegators).min(sockets * 5 / 16),
             delegators: delegators.min(sockets / 16),
-            control: sockets / 8,
-            peers: sockets / 8,
+            control: (connections / 4).min(sockets / 8),
+            peers: (connections / 4).min(sockets / 8),
         }
     }
 }
