--- a/src/coordination/connection_table.rs
+++ b/src/coordination/connection_table.rs
@@ -5,7 +5,7 @@
 //! connection with a request that is being served never gives way.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -16,7 +16,7 @@
 const UPLOAD_TIME: Duration = Duration::from_secs(1);
 
 /// What a connection does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Phase {
     /// Its last response has been sent, and the rest of a refused request is discarded.
     Closing,
@@ -55,7 +55,7 @@
     next_id: ConnectionId,
     phases: HashMap<ConnectionId, (Phase, Instant)>,
     /// The connections in each phase, by the time since which they are in it.
-    by_phase: BTreeMap<Phase, BTreeSet<(Instant, ConnectionId)>>,
+    by_phase: HashMap<Phase, BTreeSet<(Instant, ConnectionId)>>,
     /// The time before which no head counts as late.
     heads_from: Option<Instant>,
 }
@@ -67,7 +67,7 @@
             limit: limit.max(1),
             next_id: 0,
             phases: HashMap::new(),
-            by_phase: BTreeMap::new(),
+            by_phase: HashMap::new(),
             heads_from: None,
         }
     }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -30,6 +30,7 @@
     transport::{
         caller_connections::CallerConnection,
         caller_stream::{CallerStream, RequestBody, ResponseBody},
+        stop::wait_for_stop,
     },
 };
 
@@ -102,11 +103,6 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
-    // An error means that the sender was dropped because the process is exiting.
-    let _ = stop.wait_for(|stop| *stop).await;
-}
-
 /// Takes the daemon out of the directory if it stops accepting callers.
 struct AcceptGuard {
     shared: Arc<Shared>,
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -135,7 +135,8 @@
     /// Creates the gateway's own refusal; `wait` becomes the `Retry-After` header.
     pub fn refusal(reason: RefusalReason, wait: Option<Duration>, not_run: Option<NotRun>) -> Self {
         let reason = reason.proved_by(not_run);
-        let mut response = whole_response(reason.problem(not_run).into());
+        let body = HeldBody::from(reason.problem(not_run));
+        let mut response = Response::new(Either::Left(body.into()));
         *response.status_mut() = reason.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
@@ -204,10 +205,6 @@
     response
 }
 
-fn whole_response(body: HeldBody) -> Response<Body> {
-    Response::new(Either::Left(body.into()))
-}
-
 /// Result type of hyper services that cannot fail.
 pub type InfallibleResult<T> = Result<T, Infallible>;
 
--- a/src/transport/caller_connections.rs
+++ b/src/transport/caller_connections.rs
@@ -183,7 +183,9 @@
 
     /// Records that content of the body has been received.
     pub fn receive_content(&self, bytes: usize) {
-        self.add_allowance(bytes.saturating_mul(BYTES_PER_CONTENT));
+        let earned = bytes.saturating_mul(BYTES_PER_CONTENT);
+        let allowance = self.allowance().saturating_add(earned);
+        self.allowance.store(allowance, Ordering::Relaxed);
     }
 
     /// Records that the body has been received.
@@ -230,12 +232,6 @@
         self.connections.set_phase(self.id, Phase::Closing);
         self.has_unread_body.load(Ordering::Relaxed)
     }
-
-    fn add_allowance(&self, bytes: usize) {
-        let left = self.allowance();
-        self.allowance
-            .store(left.saturating_add(bytes), Ordering::Relaxed);
-    }
 }
 
 /// A request whose response has not been handed over yet.
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -23,6 +23,7 @@
     transport::{
         caller_connections::{CallerConnection, CallerConnections},
         caller_stream::{CallerStream, ResponseBody},
+        stop::wait_for_stop,
     },
 };
 
@@ -125,11 +126,6 @@
     graceful.shutdown().await;
 }
 
-async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
-    // An error means that the server was dropped.
-    let _ = stopped.wait_for(|stop| *stop).await;
-}
-
 fn serve(
     stream: TcpStream,
     client: SocketAddr,
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -13,4 +13,5 @@
 pub mod operators;
 pub mod peers;
 pub mod rating;
+pub mod stop;
 pub mod table;
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -22,7 +22,10 @@
         fleet_key::FleetKey,
         peer::{PeerRequest, PeerResponse},
     },
-    transport::peers::{auth::authenticate_as_server, connection::read_body},
+    transport::{
+        peers::{auth::authenticate_as_server, connection::read_body},
+        stop::wait_for_stop,
+    },
 };
 
 /// Maximum number of open connections.
@@ -219,8 +222,3 @@
         let _ = stream.send_data(body.into(), true);
     }
 }
-
-/// Returns when the server stops or has been dropped.
-async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
-    let _ = stopped.wait_for(|stopped| *stopped).await;
-}
